--- /dev/null
+++ b/Makefile
@@ -0,0 +1,20 @@
+# Index of tasks. `make test` is the whole check; CI runs nothing else.
+.PHONY: build test format lint unit clean
+
+build: ## build the router and the stand-ins into bin/
+	go build -o bin/ . ./fakes
+
+test: format lint unit ## formatter, linter, vet, tests with the race detector
+
+format:
+	@out=$$(gofmt -l .); [ -z "$$out" ] || { echo "gofmt: $$out"; exit 1; }
+
+lint:
+	go vet ./...
+	go tool staticcheck ./...
+
+unit:
+	go test -race ./...
+
+clean:
+	rm -rf bin
