--- /dev/null
+++ b/plat/plat.go
@@ -0,0 +1,99 @@
+// Package plat meets the platform: its object API, its host list and its
+// weight store. Each stands behind one narrow interface with its adapter in
+// one file, so that another form of the platform takes another file and
+// nothing else.
+//
+// # Usage
+//
+//	var objects plat.Objects = &plat.HTTPObjects{Base: netip.MustParseAddrPort("127.0.0.1:7000")}
+//	o, err := objects.Get(ctx, "table")
+//	v, err := objects.Put(ctx, "table", value, o.Version) // conditional
+//
+// An error for which errors.Is(err, ErrNoAnswer) holds says nothing of whether
+// a write took effect: read before writing again.
+package plat
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/work"
+)
+
+// MaxValue is the largest value the object API holds, in bytes.
+const MaxValue = 1 << 20
+
+// Version is an object's version. It grows with each write to the object;
+// zero means that the object does not exist.
+type Version uint64
+
+// Object is a named value at a version.
+type Object struct {
+	Name    string
+	Version Version
+	Value   []byte
+}
+
+// The errors of the object API.
+var (
+	// ErrMissing says that there is no such object.
+	ErrMissing = errors.New("plat: no such object")
+	// ErrConflict says that the object is not at the version given, and that
+	// nothing was written.
+	ErrConflict = errors.New("plat: version conflict")
+	// ErrUnchanged ends a watch whose wait passed with no newer version.
+	ErrUnchanged = errors.New("plat: unchanged")
+	// ErrRefused says that the platform answered and did nothing (outage,
+	// rate limit, oversized value).
+	ErrRefused = errors.New("plat: refused")
+	// ErrNoAnswer says that no answer came; a write may have taken effect.
+	ErrNoAnswer = errors.New("plat: no answer")
+)
+
+// Objects is the platform's object API. Each call counts against its rate, a
+// waiting watch as one.
+type Objects interface {
+	// Get reads an object.
+	Get(ctx context.Context, name string) (Object, error)
+	// List gives the names that start with prefix, sorted.
+	List(ctx context.Context, prefix string) ([]string, error)
+	// Put writes the value if the object is at the given version; version
+	// zero creates it.
+	Put(ctx context.Context, name string, value []byte, at Version) (Version, error)
+	// Delete removes the object if it is at the given version.
+	Delete(ctx context.Context, name string, at Version) error
+	// Watch waits until the object is newer than the given version, at most
+	// for the given time, and gives it.
+	Watch(ctx context.Context, name string, after Version, wait time.Duration) (Object, error)
+}
+
+// HostState is what the host list says of a host.
+type HostState string
+
+// The states of a host.
+const (
+	HostLive    HostState = "live"
+	HostLeaving HostState = "leaving"
+)
+
+// ListedHost is one line of the host list.
+type ListedHost struct {
+	Host  work.Host `json:"host"`
+	Zone  work.Zone `json:"zone"`
+	State HostState `json:"state"`
+}
+
+// Hosts is the platform's host list. It lags.
+type Hosts interface {
+	// Hosts gives the list as the platform knows it now.
+	Hosts(ctx context.Context) ([]ListedHost, error)
+}
+
+// Weights is the weight store that engines load from; it is rate-limited.
+type Weights interface {
+	// Rate gives the store's limit in bytes a second and the size of the
+	// weights of a model in bytes.
+	Rate(ctx context.Context, model work.Service) (bytesPerSecond, size int64, err error)
+}
