--- a/main.go
+++ b/main.go
@@ -1,5 +1,51 @@
 // Command jacinthworks routes callers' requests to pools of prefill and decode
 // engines and to plain application servers.
+//
+// # Usage
+//
+//	jacinthworks entry --settings entry.toml
+//	jacinthworks side --settings side.toml
+//	jacinthworks story REQUEST_ID
 package main
 
-func main() {}
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+)
+
+func main() {
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	code := dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr)
+	stop()
+	os.Exit(code)
+}
+
+func dispatch(ctx context.Context, args []string, out, errs io.Writer) int {
+	if len(args) == 0 {
+		usage(errs)
+		return exitUsage
+	}
+	if args[0] == "help" || args[0] == "--help" || args[0] == "-h" {
+		usage(out)
+		return exitOK
+	}
+	for _, c := range commands() {
+		if c.name == args[0] {
+			return c.run(ctx, args[1:], out, errs)
+		}
+	}
+	fmt.Fprintf(errs, "jacinthworks: no command %q\n", args[0])
+	usage(errs)
+	return exitUsage
+}
+
+func usage(w io.Writer) {
+	fmt.Fprintln(w, "Usage: jacinthworks COMMAND [ARGUMENTS]")
+	for _, c := range commands() {
+		fmt.Fprintf(w, "  %-8s %s\n", c.name, c.help)
+	}
+}
