queue: who is served next, who waits, who is refused

Fair queueing by virtual time between callers, priority classes with aging, a lane each for short and long prompts, refusal on arrival from the measured drain rate, shedding by priority, returns spaced at the drain rate, and hot keys counted as one caller.

Weighed: deficit round robin, whose quantum must be as large as the largest prompt.

--- /dev/null
+++ b/queue/queue.go
@@ -0,0 +1,352 @@
+// Package queue decides who is served next, who waits and who is refused at one
+// entry for one service.
+//
+// The load patterns it answers, and what happens without it:
+//
+//   - A hot caller: with one list in order of arrival, everybody waits behind
+//     the caller that sends most. Here callers share the engines by cost.
+//   - A hot key: many callers send one body, so that sharing between callers
+//     gives that body most of the engines. A key that fills a quarter of the
+//     queue is counted as one caller.
+//   - Long jobs among short ones: a 50,000-token pedigree is 2.5 s of prefill
+//     before a look-up of 10 ms. Long and short work have a lane each.
+//   - Overload: an unbounded list makes every answer late, so that goodput falls
+//     to nothing while the engines are busy. Here an arrival is refused at once
+//     when its expected wait passes its target, and told when to return.
+//   - Too little room for all kinds: the table's priorities say who is served
+//     first and, in a full queue, who is shed first.
+//
+// Fair queueing is by virtual time (start-time fair queueing) and not by
+// deficit round robin: a quantum would have to be as large as the largest
+// prompt to stay cheap, and then lets a caller with short requests send a
+// hundred of them in one turn. Virtual time costs a heap operation and needs no
+// quantum.
+//
+// # Usage
+//
+//	var q queue.Queue
+//	v := q.Arrive(now, item, random)
+//	if v.Refusal != nil { refuse(item, v.Refusal) }
+//	for _, r := range v.Shed { refuse(r.Item, &r.Refusal) }
+//	...
+//	for _, r := range q.Lapsed(now, random) { refuse(r.Item, &r.Refusal) }
+//	item, ok := q.Next(now, queue.AnyPrompt)
+//	if !placed { q.Return(now, item) } // no pair had room after all
+//	q.Remove(now, id)                  // the caller is gone
+//
+// The package reads no clock and draws no random numbers of its own. A Queue is
+// not safe for concurrent use; its owner holds a lock.
+package queue
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"jacinthworks/work"
+)
+
+// Priorities is the number of priority classes: 0 to 9, as in the table.
+const Priorities = 10
+
+// DefaultItems bounds a queue whose Limits say nothing. At today's drain of
+// about ten requests a second and entry it is far beyond what can be served
+// within any target; it bounds memory and not waiting.
+const DefaultItems = 1000
+
+// LongPrompt is the prompt length, in tokens, from which work is long: 0.4 s of
+// prefill at 20,000 tokens a second, the most that a request with a target of
+// 1 s can have in front of it.
+const LongPrompt = 8000
+
+// OutputCost is the cost of one output token in prompt tokens: a full decode
+// engine gives about 400 tokens a second, a prefill engine takes 20,000.
+const OutputCost = 50
+
+// AgingStep is the time without service that lifts a priority class by one
+// level. With deadlines of tens of seconds, the lowest class gets a request
+// through every 9 s at the least, which costs the highest under 1%.
+const AgingStep = time.Second
+
+// AnyPrompt is the room for a prompt of any length.
+const AnyPrompt = math.MaxInt
+
+// Limits bound a queue.
+type Limits struct {
+	// Items is the table's queue limit; zero stands for DefaultItems.
+	Items int
+}
+
+// Item is one request that waits.
+type Item struct {
+	ID      work.RequestID
+	Account work.Account
+	// Key is a hash of the idempotency key or body; zero is not counted.
+	Key uint64
+	// Priority is the row's: 0 to 9, the higher the sooner.
+	Priority int
+	// Prompt and Output are the prompt's tokens that are not known to be
+	// cached, and the most tokens of the answer; both zero for plain services.
+	Prompt int
+	Output int
+	// FirstToken and Deadline are when the row's targets pass; zero is never.
+	FirstToken time.Time
+	Deadline   time.Time
+	// MayWait lets the item queue past FirstToken, up to Deadline.
+	MayWait bool
+	// ToFirstToken and ToEnd are the times that a request like this takes from
+	// leaving the queue to its first token and to its end.
+	ToFirstToken time.Duration
+	ToEnd        time.Duration
+
+	// charged is who paid for the item when Next gave it, for Return.
+	charged caller
+}
+
+// Cost is the item's work in prompt tokens, at least 1.
+func (i Item) Cost() int { return max(1, i.Prompt+OutputCost*i.Output) }
+
+// lapse is when the item can no longer meet what it must; zero is never.
+func (i Item) lapse() time.Time {
+	var at time.Time
+	if !i.Deadline.IsZero() {
+		at = i.Deadline.Add(-i.ToEnd)
+	}
+	if i.MayWait || i.FirstToken.IsZero() {
+		return at
+	}
+	first := i.FirstToken.Add(-i.ToFirstToken)
+	if at.IsZero() || first.Before(at) {
+		return first
+	}
+	return at
+}
+
+// entry is an item in the queue.
+type entry struct {
+	item    Item
+	arrived time.Time
+	// lapse is kept from arrival.
+	lapse time.Time
+	flow  *flow
+	// place is the position in the heap of lapses, or -1.
+	place int
+	// older and newer are the neighbours by arrival in the class.
+	older, newer *entry
+}
+
+// Queue holds the waiting requests of one service at one entry. The zero value
+// is empty and ready to use.
+type Queue struct {
+	Limits Limits
+
+	classes [Priorities]class
+	items   map[work.RequestID]*entry
+	callers map[caller]int
+	keys    map[uint64]*keyCount
+	lapses  heap[*entry]
+	waiting int
+	drain   drain
+	returns returns
+}
+
+// Arrive accepts the item or refuses it at once. An item already waiting under
+// the same ID is accepted and not added again.
+func (q *Queue) Arrive(now time.Time, i Item, random *rand.Rand) Verdict {
+	q.init()
+	i.Priority = min(max(i.Priority, 0), Priorities-1)
+	if _, ok := q.items[i.ID]; ok {
+		return Verdict{}
+	}
+	c := q.callerOf(i)
+	g := q.grounds(now, i, c)
+	if r := q.refusal(now, i, c, g, random); r != nil {
+		return Verdict{Grounds: g, Refusal: r}
+	}
+	v := Verdict{Grounds: g}
+	if len(q.items) >= q.limit() {
+		victim := q.newestLowest()
+		if victim.item.Priority >= i.Priority {
+			v.Refusal = q.refuse(now, i, work.ReasonNoRoom, DetailFull, g, random)
+			return v
+		}
+		v.Shed = append(v.Shed, q.shed(now, victim, random))
+	}
+	q.add(now, i, c)
+	return v
+}
+
+// Next takes the item that is to be served next among those whose prompt is no
+// longer than the given number of tokens. Take out Lapsed items first.
+func (q *Queue) Next(now time.Time, longest int) (Item, bool) {
+	var tried [Priorities]bool
+	for range q.classes {
+		p := q.pick(now, &tried)
+		if p < 0 {
+			break
+		}
+		tried[p] = true
+		if l := q.classes[p].pick(longest); l != nil {
+			return q.serve(now, &q.classes[p], l), true
+		}
+	}
+	return Item{}, false
+}
+
+// Return puts back an item that Next gave and that found no room after all. It
+// is the next of its caller again, at the cost it had.
+func (q *Queue) Return(now time.Time, i Item) {
+	q.init()
+	if _, ok := q.items[i.ID]; ok {
+		return
+	}
+	e := q.link(now, i, i.charged, oldest)
+	e.flow.items = slices.Insert(e.flow.items, 0, e)
+	e.flow.lane.charge(e.flow, -i.Cost())
+	q.drain.handed(now, -i.Cost())
+	e.flow.lane.drain.handed(now, -i.Cost())
+}
+
+// Remove takes out an item whose caller is gone and reports whether it waited.
+func (q *Queue) Remove(now time.Time, id work.RequestID) bool {
+	e, ok := q.items[id]
+	if ok {
+		q.unlink(now, e)
+	}
+	return ok
+}
+
+// Lapsed takes out the items that can no longer meet their first-token target
+// or deadline, each with its refusal.
+func (q *Queue) Lapsed(now time.Time, random *rand.Rand) []Refused {
+	var out []Refused
+	for len(q.lapses.list) > 0 && !now.Before(q.lapses.list[0].lapse) {
+		e := q.lapses.list[0]
+		g := q.grounds(now, e.item, e.flow.caller)
+		q.unlink(now, e)
+		r := q.refuse(now, e.item, work.ReasonTooLate, DetailLapsed, g, random)
+		out = append(out, Refused{Item: e.item, Refusal: *r})
+	}
+	return out
+}
+
+// NextLapse says when Lapsed will have something to give.
+func (q *Queue) NextLapse() (time.Time, bool) {
+	if len(q.lapses.list) == 0 {
+		return time.Time{}, false
+	}
+	return q.lapses.list[0].lapse, true
+}
+
+// Len is the number of items waiting.
+func (q *Queue) Len() int { return len(q.items) }
+
+// Waiting is the cost of all items waiting, in prompt tokens.
+func (q *Queue) Waiting() int { return q.waiting }
+
+func (q *Queue) init() {
+	if q.items != nil {
+		return
+	}
+	q.items = make(map[work.RequestID]*entry)
+	q.callers = make(map[caller]int)
+	q.keys = make(map[uint64]*keyCount)
+	q.lapses = heap[*entry]{
+		less: func(a, b *entry) bool { return a.lapse.Before(b.lapse) },
+		move: func(e *entry, place int) { e.place = place },
+	}
+	for p := range q.classes {
+		q.classes[p].init()
+	}
+}
+
+func (q *Queue) limit() int {
+	if q.Limits.Items > 0 {
+		return q.Limits.Items
+	}
+	return DefaultItems
+}
+
+// add appends the item to its caller's flow.
+func (q *Queue) add(now time.Time, i Item, c caller) {
+	e := q.link(now, i, c, newest)
+	e.flow.items = append(e.flow.items, e)
+	e.flow.lane.fix(e.flow)
+}
+
+// link enters the item in every count; the owner puts it into its flow.
+func (q *Queue) link(now time.Time, i Item, c caller, at end) *entry {
+	q.drain.advance(now, q.waiting > 0)
+	k := &q.classes[i.Priority]
+	e := &entry{item: i, arrived: now, lapse: i.lapse(), place: -1}
+	e.flow = k.enter(now, e, c, at)
+	q.items[i.ID] = e
+	q.callers[c]++
+	q.waiting += i.Cost()
+	q.countKey(i, 1)
+	if !e.lapse.IsZero() {
+		q.lapses.push(e)
+	}
+	return e
+}
+
+// unlink takes the item out of its flow and of every count.
+func (q *Queue) unlink(now time.Time, e *entry) {
+	q.drain.advance(now, q.waiting > 0)
+	q.classes[e.item.Priority].leave(now, e)
+	delete(q.items, e.item.ID)
+	c := e.flow.caller
+	if q.callers[c]--; q.callers[c] == 0 {
+		delete(q.callers, c)
+	}
+	q.waiting -= e.item.Cost()
+	q.countKey(e.item, -1)
+	if e.place >= 0 {
+		q.lapses.remove(e.place)
+	}
+}
+
+// serve takes the head of the lane's first flow and charges it.
+func (q *Queue) serve(now time.Time, k *class, l *lane) Item {
+	f := l.flows.list[0]
+	e := f.items[0]
+	e.item.charged = f.caller
+	cost := e.item.Cost()
+	q.unlink(now, e)
+	l.virtual = f.tag
+	l.charge(f, cost)
+	k.served = now
+	if now.After(e.arrived) {
+		q.drain.handed(now, cost)
+		l.drain.handed(now, cost)
+	}
+	return e.item
+}
+
+// pick gives the class that is to be served: the highest priority, each lifted
+// by the time it has gone without service, or -1.
+func (q *Queue) pick(now time.Time, tried *[Priorities]bool) int {
+	best, level := -1, time.Duration(0)
+	for p := Priorities - 1; p >= 0; p-- {
+		k := &q.classes[p]
+		if tried[p] || k.newest == nil {
+			continue
+		}
+		lifted := time.Duration(p)*AgingStep + now.Sub(k.served)
+		if best < 0 || lifted > level {
+			best, level = p, lifted
+		}
+	}
+	return best
+}
+
+// newestLowest gives the entry that a full queue sheds first.
+func (q *Queue) newestLowest() *entry {
+	for p := range q.classes {
+		if e := q.classes[p].newest; e != nil {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/queue/verdict.go
@@ -0,0 +1,206 @@
+package queue
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"jacinthworks/work"
+)
+
+// A key is hot when it has at least hotKeyItems waiting and more than one part
+// in hotKeyShare of all waiting cost: a quarter is more than any one of today's
+// callers has at the peak, and eight items keep a short queue from counting.
+const (
+	hotKeyItems = 8
+	hotKeyShare = 4
+)
+
+// Detail says in a few words why an item was refused.
+type Detail string
+
+// The details.
+const (
+	DetailWait   Detail = "the expected wait passes the target"
+	DetailShare  Detail = "the caller's own waiting work passes its share"
+	DetailHotKey Detail = "too many requests wait with the same key or body"
+	DetailFull   Detail = "the queue is full"
+	DetailShed   Detail = "the queue is full and the place went to a higher priority"
+	DetailLapsed Detail = "the target can no longer be met"
+)
+
+// Grounds are the figures behind a verdict, for the decision's log line.
+type Grounds struct {
+	// Wait is the expected time in the queue, and FreshWait that of a caller
+	// with nothing waiting.
+	Wait      time.Duration `json:"wait"`
+	FreshWait time.Duration `json:"fresh_wait"`
+	// Rate is the drain rate in cost a second; zero while unknown.
+	Rate float64 `json:"rate"`
+	// Items counts what waits, CallerItems the caller's part of it, and
+	// CallerLimit what the caller may have.
+	Items       int `json:"items"`
+	CallerItems int `json:"caller_items"`
+	CallerLimit int `json:"caller_limit"`
+	// HotKey says that the item was charged to its key.
+	HotKey bool `json:"hot_key"`
+}
+
+// Refusal says why an item was refused and when to return.
+type Refusal struct {
+	Reason     work.Reason
+	Detail     Detail
+	RetryAfter time.Duration
+	Grounds    Grounds
+}
+
+// Error gives the refusal in one line.
+func (r *Refusal) Error() string {
+	return fmt.Sprintf("queue: %s: %s (expected wait %v)", r.Reason, r.Detail, r.Grounds.Wait)
+}
+
+// Refused is an item that waited and does not any more.
+type Refused struct {
+	Item    Item
+	Refusal Refusal
+}
+
+// Verdict is the outcome of an arrival.
+type Verdict struct {
+	Grounds Grounds
+	// Refusal is nil when the item was accepted.
+	Refusal *Refusal
+	// Shed holds the waiting items whose place the arrival took.
+	Shed []Refused
+}
+
+type keyCount struct{ items, cost int }
+
+// callerOf says whom the item is charged to.
+func (q *Queue) callerOf(i Item) caller {
+	k, ok := q.keys[i.Key]
+	if i.Key != 0 && ok && k.items >= hotKeyItems && k.cost*hotKeyShare > q.waiting {
+		return caller{key: i.Key}
+	}
+	return caller{account: i.Account}
+}
+
+func (q *Queue) countKey(i Item, by int) {
+	if i.Key == 0 {
+		return
+	}
+	k, ok := q.keys[i.Key]
+	if !ok {
+		k = &keyCount{}
+		q.keys[i.Key] = k
+	}
+	k.items += by
+	k.cost += by * i.Cost()
+	if k.items == 0 {
+		delete(q.keys, i.Key)
+	}
+}
+
+// grounds works out the figures for an item of the caller.
+func (q *Queue) grounds(now time.Time, i Item, c caller) Grounds {
+	q.drain.advance(now, q.waiting > 0)
+	l := q.classes[i.Priority].lane(i)
+	l.drain.advance(now, l.count > 0)
+	rate, _ := q.drain.rate()
+	higher := q.higher(i)
+	return Grounds{
+		Wait:        q.wait(l, higher, l.ahead(c)),
+		FreshWait:   q.wait(l, higher, l.aheadOfFresh()),
+		Rate:        rate,
+		Items:       len(q.items),
+		CallerItems: q.callers[c],
+		CallerLimit: q.callerLimit(),
+		HotKey:      c.key != 0,
+	}
+}
+
+// higher is the cost of the waiting items of higher priority.
+func (q *Queue) higher(i Item) int {
+	var cost int
+	for p := i.Priority + 1; p < Priorities; p++ {
+		for n := range q.classes[p].lanes {
+			cost += q.classes[p].lanes[n].cost
+		}
+	}
+	return cost
+}
+
+// wait is the longer of two estimates: the lane's own drain rate, which knows
+// what higher classes and the other lane have been taking; and the whole
+// queue's rate over all that is ahead, which sees a burst of higher priority at
+// once.
+func (q *Queue) wait(l *lane, higher, ahead int) time.Duration {
+	return max(l.drain.wait(ahead), q.drain.wait(higher+ahead))
+}
+
+// ahead estimates the cost that fair queueing serves before a further item of
+// the caller: what the caller itself has waiting or has had beyond its share,
+// once for each active caller, and one item of each of them.
+func (l *lane) ahead(c caller) int {
+	if l.count == 0 {
+		return 0
+	}
+	lead := 0
+	if f, ok := l.byName[c]; ok {
+		lead = f.cost + max(0, int(f.tag-l.virtual))
+	}
+	return min(l.cost, l.active*(lead+l.cost/l.count))
+}
+
+func (l *lane) aheadOfFresh() int {
+	if l.count == 0 {
+		return 0
+	}
+	return min(l.cost, l.active*(l.cost/l.count))
+}
+
+// callerLimit is the number of places one caller may have. With n callers
+// waiting, n parts in n+1 are taken at the most: a place is left for one who
+// comes with nothing waiting.
+func (q *Queue) callerLimit() int {
+	return max(1, q.limit()/(len(q.callers)+1))
+}
+
+// refusal says why the item is refused on arrival, or gives nil.
+func (q *Queue) refusal(now time.Time, i Item, c caller, g Grounds, random *rand.Rand) *Refusal {
+	reason, detail := work.ReasonCallerShare, DetailShare
+	if g.HotKey {
+		reason, detail = work.ReasonNoRoom, DetailHotKey
+	}
+	if g.CallerItems >= g.CallerLimit {
+		return q.refuse(now, i, reason, detail, g, random)
+	}
+	lapse := i.lapse()
+	if lapse.IsZero() || !now.Add(g.Wait).After(lapse) {
+		return nil
+	}
+	if now.Add(g.FreshWait).After(lapse) {
+		reason, detail = work.ReasonTooLate, DetailWait
+	}
+	return q.refuse(now, i, reason, detail, g, random)
+}
+
+func (q *Queue) refuse(now time.Time, i Item, reason work.Reason, detail Detail, g Grounds, random *rand.Rand) *Refusal {
+	excess := g.Wait
+	if lapse := i.lapse(); !lapse.IsZero() {
+		excess = now.Add(g.Wait).Sub(lapse)
+	}
+	return &Refusal{
+		Reason:     reason,
+		Detail:     detail,
+		RetryAfter: q.returns.after(now, excess, q.drain.wait(i.Cost()), random),
+		Grounds:    g,
+	}
+}
+
+// shed takes out an entry whose place goes to a higher priority.
+func (q *Queue) shed(now time.Time, e *entry, random *rand.Rand) Refused {
+	g := q.grounds(now, e.item, e.flow.caller)
+	q.unlink(now, e)
+	return Refused{Item: e.item, Refusal: *q.refuse(now, e.item, work.ReasonNoRoom, DetailShed, g, random)}
+}
