--- a/Makefile
+++ b/Makefile
@@ -18,3 +18,7 @@
 
 clean:
 	rm -rf bin
+
+.PHONY: bench-decide
+bench-decide: ## cost of one decision: ns and allocations
+	go test -run '^$$' -bench . -benchmem ./route ./queue
--- /dev/null
+++ b/decision_test.go
@@ -0,0 +1,36 @@
+package main
+
+import (
+	"go/build"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+// TestDecisionsNeedNoNetwork fails when a decision package, or a package of
+// this module that it uses, imports the network or the operating system.
+func TestDecisionsNeedNoNetwork(t *testing.T) {
+	forbidden := []string{"net", "net/http", "os"}
+	seen := map[string]bool{}
+	var visit func(path string)
+	visit = func(path string) {
+		if seen[path] {
+			return
+		}
+		seen[path] = true
+		p, err := build.ImportDir("./"+path, 0)
+		require.NoError(t, err, path)
+		for _, i := range p.Imports {
+			require.False(t, slices.Contains(forbidden, i), "%s imports %s", path, i)
+			if inner, ok := strings.CutPrefix(i, "jacinthworks/"); ok {
+				visit(inner)
+			}
+		}
+	}
+	for _, path := range []string{"admit", "queue", "route"} {
+		visit(path)
+	}
+	require.Contains(t, seen, "work")
+}
