--- a/admit/admit.go
+++ b/admit/admit.go
@@ -20,7 +20,9 @@
 //	decode.Release(key)                               // the engine is rid of it
 //
 // A second Ledger bounds the prefills that wait at a prefill engine, counted in
-// tokens (see PrefillQueue).
+// tokens (see PrefillQueue and Limits.Ahead):
+//
+//	prefill := admit.Ledger{Limits: admit.Limits{Requests: 64, Tokens: 10_000, Ahead: true}}
 //
 // A reservation that is not confirmed ends by itself at its time. One that is
 // confirmed stands for memory that the engine really holds: past its time it is
@@ -77,6 +79,10 @@
 type Limits struct {
 	Requests int `json:"requests"`
 	Tokens   int `json:"tokens"`
+	// Ahead makes Tokens bound what is reserved before a need and not the need
+	// itself, which may then be of any size. For prefill queues: a prompt
+	// longer than the bound has to pass when nothing waits.
+	Ahead bool `json:"ahead,omitempty"`
 }
 
 // Room is what a ledger reports.
@@ -234,12 +240,16 @@
 
 // short says what is missing for the need, or nothing.
 func (l *Ledger) short(n Need) Short {
+	tokens := n.Tokens
+	if l.Limits.Ahead {
+		tokens = 0
+	}
 	switch {
-	case n.Requests > l.Limits.Requests || n.Tokens > l.Limits.Tokens:
+	case n.Requests > l.Limits.Requests || tokens > l.Limits.Tokens:
 		return ShortEver
 	case l.used.Requests+n.Requests > l.Limits.Requests:
 		return ShortRequests
-	case l.used.Tokens+n.Tokens > l.Limits.Tokens:
+	case l.used.Tokens+tokens > l.Limits.Tokens:
 		return ShortTokens
 	}
 	return ""
--- a/admit/admit_test.go
+++ b/admit/admit_test.go
@@ -135,3 +135,14 @@
 	require.ErrorAs(t, l.Reserve(start, Key{}, Need{Requests: 1}, start), &refusal)
 	require.Equal(t, ShortEver, refusal.Short)
 }
+
+// A pedigree longer than the bound of a prefill queue has to pass when nothing
+// is before it, and keeps others out until it is filled.
+func TestAheadBoundsWhatWaitsBefore(t *testing.T) {
+	l := Ledger{Limits: Limits{Requests: 8, Tokens: 10_000, Ahead: true}}
+	long, short := Key{Request: "pedigree"}, Key{Request: "blurb"}
+	require.NoError(t, l.Reserve(start, long, Need{Requests: 1, Tokens: 50_000}, start.Add(Hold)))
+	require.Error(t, l.Reserve(start, short, Need{Requests: 1, Tokens: 10}, start.Add(Hold)))
+	l.Release(long)
+	require.NoError(t, l.Reserve(start, short, Need{Requests: 1, Tokens: 10}, start.Add(Hold)))
+}
