queue: wait estimated from the lane's own drain

Cause: at half load 3% of sends were refused (Tollygunge): a short prompt's expected wait counted the long prompts of higher priority, which it passes when no engine has room for them. Ruled out: the two engines kept for short prompts (idle in the same run).

--- a/queue/flow.go
+++ b/queue/flow.go
@@ -30,6 +30,7 @@
 
 // lane is the work of one length in one class.
 type lane struct {
+	number int
 	flows  heap[*flow]
 	byName map[caller]*flow
 	// virtual is the tag of the flow served last.
@@ -50,6 +51,20 @@
 	lanes
 )
 
+// laneTotal is a lane over all classes. Short and long work drain at rates of
+// their own: short prompts pass long ones that no engine has room for.
+type laneTotal struct {
+	cost  int
+	drain drain
+}
+
+func laneOf(i Item) int {
+	if i.Prompt >= LongPrompt {
+		return laneLong
+	}
+	return laneShort
+}
+
 // class is the work of one priority.
 type class struct {
 	lanes [lanes]lane
@@ -69,6 +84,7 @@
 
 func (k *class) init() {
 	for n := range k.lanes {
+		k.lanes[n].number = n
 		k.lanes[n].byName = make(map[caller]*flow)
 		k.lanes[n].flows = heap[*flow]{
 			less: func(a, b *flow) bool { return a.tag < b.tag },
@@ -77,12 +93,7 @@
 	}
 }
 
-func (k *class) lane(i Item) *lane {
-	if i.Prompt >= LongPrompt {
-		return &k.lanes[laneLong]
-	}
-	return &k.lanes[laneShort]
-}
+func (k *class) lane(i Item) *lane { return &k.lanes[laneOf(i)] }
 
 // enter counts the entry in and gives the flow it belongs to.
 func (k *class) enter(now time.Time, e *entry, c caller, at end) *flow {
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -147,7 +147,8 @@
 	keys    map[uint64]*keyCount
 	lapses  heap[*entry]
 	waiting int
-	drain   drain
+	// lanes count and measure each lane over all classes.
+	lanes   [lanes]laneTotal
 	returns returns
 }
 
@@ -204,8 +205,7 @@
 	e := q.link(now, i, i.charged, oldest)
 	e.flow.items = slices.Insert(e.flow.items, 0, e)
 	e.flow.lane.charge(e.flow, -i.Cost())
-	q.drain.handed(now, -i.Cost())
-	e.flow.lane.drain.handed(now, -i.Cost())
+	q.handed(now, e.flow.lane, -i.Cost())
 }
 
 // Remove takes out an item whose caller is gone and reports whether it waited.
@@ -277,13 +277,14 @@
 
 // link enters the item in every count; the owner puts it into its flow.
 func (q *Queue) link(now time.Time, i Item, c caller, at end) *entry {
-	q.drain.advance(now, q.waiting > 0)
+	q.advance(now)
 	k := &q.classes[i.Priority]
 	e := &entry{item: i, arrived: now, lapse: i.lapse(), place: -1}
 	e.flow = k.enter(now, e, c, at)
 	q.items[i.ID] = e
 	q.callers[c]++
 	q.waiting += i.Cost()
+	q.lanes[laneOf(i)].cost += i.Cost()
 	q.countKey(i, 1)
 	if !e.lapse.IsZero() {
 		q.lapses.push(e)
@@ -293,7 +294,7 @@
 
 // unlink takes the item out of its flow and of every count.
 func (q *Queue) unlink(now time.Time, e *entry) {
-	q.drain.advance(now, q.waiting > 0)
+	q.advance(now)
 	q.classes[e.item.Priority].leave(now, e)
 	delete(q.items, e.item.ID)
 	c := e.flow.caller
@@ -301,6 +302,7 @@
 		delete(q.callers, c)
 	}
 	q.waiting -= e.item.Cost()
+	q.lanes[laneOf(e.item)].cost -= e.item.Cost()
 	q.countKey(e.item, -1)
 	if e.place >= 0 {
 		q.lapses.remove(e.place)
@@ -318,12 +320,24 @@
 	l.charge(f, cost)
 	k.served = now
 	if now.After(e.arrived) {
-		q.drain.handed(now, cost)
-		l.drain.handed(now, cost)
+		q.handed(now, l, cost)
 	}
 	return e.item
 }
 
+// handed tells the measurements of the drain what was handed over, or came back.
+func (q *Queue) handed(now time.Time, l *lane, cost int) {
+	l.drain.handed(now, cost)
+	q.lanes[l.number].drain.handed(now, cost)
+}
+
+// advance tells the measurements the time, before anything changes.
+func (q *Queue) advance(now time.Time) {
+	for n := range q.lanes {
+		q.lanes[n].drain.advance(now, q.lanes[n].cost > 0)
+	}
+}
+
 // pick gives the class that is to be served: the highest priority, each lifted
 // by the time it has gone without service, or -1.
 func (q *Queue) pick(now time.Time, tried *[Priorities]bool) int {
--- a/queue/verdict.go
+++ b/queue/verdict.go
@@ -35,7 +35,7 @@
 	// with nothing waiting.
 	Wait      time.Duration `json:"wait"`
 	FreshWait time.Duration `json:"fresh_wait"`
-	// Rate is the drain rate in cost a second; zero while unknown.
+	// Rate is the lane's drain rate in cost a second; zero while unknown.
 	Rate float64 `json:"rate"`
 	// Items counts what waits, CallerItems the caller's part of it, and
 	// CallerLimit what the caller may have.
@@ -103,10 +103,10 @@
 
 // grounds works out the figures for an item of the caller.
 func (q *Queue) grounds(now time.Time, i Item, c caller) Grounds {
-	q.drain.advance(now, q.waiting > 0)
+	q.advance(now)
 	l := q.classes[i.Priority].lane(i)
 	l.drain.advance(now, l.count > 0)
-	rate, _ := q.drain.rate()
+	rate, _ := q.lanes[l.number].drain.rate()
 	higher := q.higher(i)
 	return Grounds{
 		Wait:        q.wait(l, higher, l.ahead(c)),
@@ -119,23 +119,20 @@
 	}
 }
 
-// higher is the cost of the waiting items of higher priority.
+// higher is the cost of the waiting items of higher priority in the same lane.
 func (q *Queue) higher(i Item) int {
 	var cost int
 	for p := i.Priority + 1; p < Priorities; p++ {
-		for n := range q.classes[p].lanes {
-			cost += q.classes[p].lanes[n].cost
-		}
+		cost += q.classes[p].lane(i).cost
 	}
 	return cost
 }
 
-// wait is the longer of two estimates: the lane's own drain rate, which knows
-// what higher classes and the other lane have been taking; and the whole
-// queue's rate over all that is ahead, which sees a burst of higher priority at
-// once.
+// wait is the longer of two estimates: the class's own drain rate, which knows
+// what higher classes have been taking; and that of the lane over all classes,
+// which sees a burst of higher priority at once.
 func (q *Queue) wait(l *lane, higher, ahead int) time.Duration {
-	return max(l.drain.wait(ahead), q.drain.wait(higher+ahead))
+	return max(l.drain.wait(ahead), q.lanes[l.number].drain.wait(higher+ahead))
 }
 
 // ahead estimates the cost that fair queueing serves before a further item of
@@ -193,7 +190,7 @@
 	return &Refusal{
 		Reason:     reason,
 		Detail:     detail,
-		RetryAfter: q.returns.after(now, excess, q.drain.wait(i.Cost()), random),
+		RetryAfter: q.returns.after(now, excess, q.lanes[laneOf(i)].drain.wait(i.Cost()), random),
 		Grounds:    g,
 	}
 }
--- a/route/route.go
+++ b/route/route.go
@@ -187,6 +187,16 @@
 	}
 }
 
+// Cached gives the most tokens of the prompt that any engine is believed to
+// hold: what the job's cost is less by.
+func (m *Model) Cached(now time.Time, j Job) int {
+	most := 0
+	for _, h := range m.caches.holders[j.Prefix] {
+		most = max(most, m.cached(now, h.host, j))
+	}
+	return most
+}
+
 // cached gives the prompt's tokens that the host is believed to hold.
 func (m *Model) cached(now time.Time, h work.Host, j Job) int {
 	if j.Prefix == 0 {
