bench: decisions under load in virtual time; queue: shares over classes

Ruled out: lanes, and aging of the lowest class. A caller, or a key, that had over three times the mean share now counts as of the lowest priority; Return undoes only what was counted.

--- a/Makefile
+++ b/Makefile
@@ -22,3 +22,7 @@
 .PHONY: bench-decide
 bench-decide: ## cost of one decision: ns and allocations
 	go test -run '^$$' -bench . -benchmem ./route ./queue
+
+.PHONY: bench
+bench: ## decisions under load in virtual time, tab-separated
+	go run ./bench
--- /dev/null
+++ b/bench/entry.go
@@ -0,0 +1,227 @@
+package main
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"jacinthworks/admit"
+	"jacinthworks/queue"
+	"jacinthworks/route"
+	"jacinthworks/work"
+)
+
+// entry is one entry host's decisions for the service.
+type entry struct {
+	w       *world
+	off     string
+	random  *rand.Rand
+	queue   queue.Queue
+	model   route.Model
+	pace    queue.Pace
+	waiting map[work.RequestID]*request
+	// lapse is the time of the next look at lapsed items.
+	lapse time.Time
+}
+
+func newEntry(w *world, off string, seed uint64) *entry {
+	e := &entry{w: w, off: off, waiting: make(map[work.RequestID]*request)}
+	e.random = rand.New(rand.NewPCG(seed, 2))
+	e.queue.Limits.Items = 200
+	if off == "short_only" {
+		e.model.Prefills.ShortOnly = -1
+	}
+	return e
+}
+
+// job is the request as routing sees it.
+func (e *entry) job(r *request) route.Job {
+	j := route.Job{
+		Prompt:              r.prompt,
+		Output:              r.output,
+		Prefix:              r.prefix,
+		PrefixTokens:        r.prefixTokens,
+		KVBytes:             int64(r.prompt) * kvBytes,
+		KVLife:              kvLife,
+		FirstToken:          time.Duration(r.kind.row.FirstToken),
+		TokenGap:            time.Duration(r.kind.row.TokenGap),
+		LongestWait:         admit.PrefillQueue,
+		WastedPrefillWeight: r.kind.row.WastedPrefillWeight,
+	}
+	switch e.off {
+	case "cache_belief":
+		j.Prefix = 0
+	case "kv_life":
+		j.KVLife = 0
+	case "token_gap":
+		j.TokenGap = 0
+	case "prefill_bound":
+		j.LongestWait = 0
+	}
+	return j
+}
+
+// item is the request as the queue sees it.
+func (e *entry) item(r *request) queue.Item {
+	i := queue.Item{
+		ID:         r.id,
+		Account:    r.caller.account,
+		Key:        r.key,
+		Priority:   r.kind.row.Priority,
+		Prompt:     r.prompt - e.model.Cached(e.w.now, e.job(r)),
+		Output:     r.output,
+		FirstToken: r.firstTarget(),
+		Deadline:   r.deadline(),
+		MayWait:    r.kind.row.MayWait,
+	}
+	i.ToFirstToken, i.ToEnd = e.pace.Estimate(i.Prompt, i.Output)
+	switch e.off {
+	case "refusal":
+		i.FirstToken, i.Deadline = time.Time{}, time.Time{}
+	case "fair_queueing":
+		i.Account = ""
+	case "priority":
+		i.Priority = 0
+	case "hot_key":
+		i.Key = 0
+	case "lanes":
+		i.Prompt, i.Output = 0, i.Cost()/queue.OutputCost
+	}
+	return i
+}
+
+func (e *entry) arrive(r *request) {
+	e.waiting[r.id] = r
+	v := e.queue.Arrive(e.w.now, e.item(r), e.random)
+	if v.Refusal != nil {
+		e.refuse(r.id, v.Refusal)
+	}
+	for n := range v.Shed {
+		e.refuse(v.Shed[n].Item.ID, &v.Shed[n].Refusal)
+	}
+	e.pump()
+}
+
+func (e *entry) refuse(id work.RequestID, f *queue.Refusal) {
+	r := e.waiting[id]
+	delete(e.waiting, id)
+	r.retryAfter = f.RetryAfter
+	if e.off == "retry_spacing" {
+		r.retryAfter = time.Second
+	}
+	e.w.end(r, refused)
+}
+
+// pump hands over what there is room for.
+func (e *entry) pump() {
+	lapsed := e.queue.Lapsed(e.w.now, e.random)
+	for n := range lapsed {
+		e.refuse(lapsed[n].Item.ID, &lapsed[n].Refusal)
+	}
+	longest := queue.AnyPrompt
+	for {
+		i, ok := e.queue.Next(e.w.now, longest)
+		if !ok {
+			break
+		}
+		r := e.waiting[i.ID]
+		if e.place(r) {
+			delete(e.waiting, i.ID)
+			continue
+		}
+		e.queue.Return(e.w.now, i)
+		if i.Prompt < queue.LongPrompt {
+			break
+		}
+		longest = queue.LongPrompt - 1
+	}
+	e.watch()
+}
+
+// watch looks again when the next item lapses.
+func (e *entry) watch() {
+	next, ok := e.queue.NextLapse()
+	if !ok || !e.lapse.Before(e.w.now) && !next.Before(e.lapse) {
+		return
+	}
+	e.lapse = next
+	e.w.at(next, func() {
+		e.lapse = time.Time{}
+		e.pump()
+	})
+}
+
+// place reserves a pair and starts the prefill; false when none has room.
+func (e *entry) place(r *request) bool {
+	j := e.job(r)
+	for range 3 {
+		pair, _, ok := e.model.Choose(e.w.now, j, e.random)
+		if !ok {
+			return false
+		}
+		if !e.reserve(r, pair, j) {
+			continue
+		}
+		r.pair, r.left = pair, e.w.now
+		if e.off != "own_counts" {
+			e.model.Started(e.w.now, pair, j)
+		}
+		r.prefill.add(r)
+		return true
+	}
+	return false
+}
+
+// reserve takes room at both sides. A refusal carries the exact room, which is
+// taken as a report.
+func (e *entry) reserve(r *request, pair route.Pair, j route.Job) bool {
+	p, d := e.w.prefillAt(pair.Prefill), e.w.decodeAt(pair.Decode)
+	key := admit.Key{Request: r.id, Attempt: r.attempt}
+	until := r.deadline()
+	var short *admit.Refusal
+	if e.off != "reservations" {
+		err := d.ledger.Reserve(e.w.now, key, admit.Need{Requests: 1, Tokens: r.prompt + r.output}, until)
+		if errors.As(err, &short) {
+			e.model.Decodes.Update(d.host, d.zone, e.w.now, d.report())
+			return false
+		}
+	}
+	if e.off != "prefill_bound" {
+		p.ledger.Limits = p.limits()
+		err := p.ledger.Reserve(e.w.now, key, admit.Need{Requests: 1, Tokens: j.Prompt - e.model.Cached(e.w.now, j)}, until)
+		if errors.As(err, &short) {
+			d.ledger.Release(key)
+			e.model.Prefills.Update(p.host, p.zone, e.w.now, p.report())
+			return false
+		}
+	}
+	r.prefill, r.decode = p, d
+	return true
+}
+
+// again puts a request back whose engines failed it.
+func (e *entry) again(r *request) {
+	if r.attempt >= maxAttempts || !r.first.IsZero() {
+		e.w.end(r, failed)
+		return
+	}
+	e.free(r)
+	e.w.again(r)
+	e.arrive(r)
+}
+
+// free releases what the request holds at the sides.
+func (e *entry) free(r *request) {
+	if r.prefill == nil {
+		return
+	}
+	key := admit.Key{Request: r.id, Attempt: r.attempt}
+	r.prefill.ledger.Release(key)
+	if r.decode.ledger.Release(key) && e.off != "own_counts" {
+		e.model.Ended(e.w.now, r.pair, e.job(r))
+	}
+	if r.outcome == answered {
+		e.pace.Observe(r.prompt, r.output, r.first.Sub(r.left), r.end.Sub(r.left))
+	}
+	e.pump()
+}
--- /dev/null
+++ b/bench/naive.go
@@ -0,0 +1,69 @@
+package main
+
+import (
+	"time"
+
+	"jacinthworks/work"
+)
+
+// maxAttempts bounds how often one send is filled, under every policy.
+const maxAttempts = 2
+
+// naive is the policy to compare with: round robin, unbounded queues at the
+// engines, no reservations, and no refusals.
+type naive struct {
+	w                   *world
+	nextFill, nextToken int
+	lost                map[work.Host]bool
+}
+
+func newNaive(w *world) *naive { return &naive{w: w, lost: make(map[work.Host]bool)} }
+
+func (n *naive) arrive(r *request) {
+	for range n.w.prefills {
+		r.prefill = n.w.prefills[n.nextFill%len(n.w.prefills)]
+		n.nextFill++
+		if !n.lost[r.prefill.host] {
+			break
+		}
+	}
+	r.prefill.add(r)
+}
+
+func (n *naive) filled(r *request, evict time.Time) {
+	if r.over() {
+		n.w.filledTokens += r.filled
+		n.w.wasted += r.filled
+		return
+	}
+	for range n.w.decodes {
+		r.decode = n.w.decodes[n.nextToken%len(n.w.decodes)]
+		n.nextToken++
+		if !n.lost[r.decode.host] {
+			break
+		}
+	}
+	n.w.transfer(r, evict)
+}
+
+func (n *naive) evicted(r *request) {
+	if r.over() {
+		return
+	}
+	if r.attempt >= maxAttempts {
+		n.w.end(r, failed)
+		return
+	}
+	n.w.again(r)
+	n.arrive(r)
+}
+
+func (n *naive) down(h work.Host, lost []*request) {
+	n.lost[h] = true
+	for _, r := range lost {
+		n.evicted(r)
+	}
+}
+
+func (n *naive) free(*request) {}
+func (n *naive) gone(*request) {}
--- /dev/null
+++ b/bench/side.go
@@ -0,0 +1,172 @@
+package main
+
+import (
+	"time"
+
+	"jacinthworks/admit"
+	"jacinthworks/route"
+	"jacinthworks/work"
+)
+
+// Reports are made every reportEvery and arrive reportLag later.
+const (
+	reportEvery = 100 * time.Millisecond
+	reportLag   = 100 * time.Millisecond
+)
+
+// entries is the number of entry hosts; callers are spread over them.
+const entries = 2
+
+// sides is the policy of jacinthworks: entries that decide, and sides that
+// hold reservations and report. Off names a decision that is switched off.
+type sides struct {
+	w       *world
+	entries []*entry
+	owner   map[work.RequestID]*entry
+	lost    map[work.Host]bool
+}
+
+func newSides(w *world, off string, seed uint64) *sides {
+	s := &sides{w: w, owner: make(map[work.RequestID]*entry), lost: make(map[work.Host]bool)}
+	for n := range entries {
+		s.entries = append(s.entries, newEntry(w, off, seed+uint64(n)<<32))
+	}
+	for _, e := range w.decodes {
+		e.ledger.Limits = admit.Limits{Requests: decodeSlots, Tokens: decodeMemory}
+	}
+	s.report()
+	w.every(reportEvery, reportEvery, s.report)
+	return s
+}
+
+// report sends what each engine's side knows now to the entries.
+func (s *sides) report() {
+	made := s.w.now
+	for _, p := range s.w.prefills {
+		if r := p.report(); !p.dead {
+			s.tell(func(e *entry) { e.model.Prefills.Update(p.host, p.zone, made, r) })
+		}
+	}
+	for _, d := range s.w.decodes {
+		if r := d.report(); !d.dead {
+			s.tell(func(e *entry) { e.model.Decodes.Update(d.host, d.zone, made, r) })
+		}
+	}
+	for _, l := range s.w.links {
+		r := route.LinkReport{Rate: l.rate, QueuedBytes: l.queued(made)}
+		s.tell(func(e *entry) { e.model.UpdateLink(l.path, made, r) })
+	}
+	s.tell(func(e *entry) { e.pump() })
+}
+
+func (s *sides) tell(fn func(e *entry)) {
+	for _, e := range s.entries {
+		if s.w.now.Equal(epoch) {
+			fn(e)
+			continue
+		}
+		s.w.after(reportLag, func() { fn(e) })
+	}
+}
+
+func (s *sides) arrive(r *request) {
+	e := s.entries[s.w.random.IntN(len(s.entries))]
+	s.owner[r.id] = e
+	e.arrive(r)
+}
+
+func (s *sides) filled(r *request, evict time.Time) {
+	if r.over() {
+		s.w.filledTokens += r.filled
+		s.w.wasted += r.filled
+		return
+	}
+	r.prefill.ledger.Release(admit.Key{Request: r.id, Attempt: r.attempt})
+	s.w.transfer(r, evict)
+	s.owner[r.id].pump()
+}
+
+func (s *sides) evicted(r *request) {
+	if !r.over() {
+		s.owner[r.id].again(r)
+	}
+}
+
+func (s *sides) free(r *request) {
+	s.owner[r.id].free(r)
+	delete(s.owner, r.id)
+}
+
+func (s *sides) gone(r *request) {
+	e := s.owner[r.id]
+	e.queue.Remove(s.w.now, r.id)
+	delete(e.waiting, r.id)
+}
+
+func (s *sides) down(h work.Host, lost []*request) {
+	for _, e := range s.entries {
+		e.model.Prefills.Remove(h)
+		e.model.Decodes.Remove(h)
+	}
+	for _, r := range lost {
+		s.evicted(r)
+	}
+}
+
+func (e *prefillEngine) limits() admit.Limits {
+	bound := int(admit.PrefillQueue.Seconds() * e.rateMeasured())
+	return admit.Limits{Requests: 64, Tokens: bound + e.progress(), Ahead: true}
+}
+
+func (e *prefillEngine) rateMeasured() float64 {
+	if e.measured == 0 {
+		return prefillRate
+	}
+	return e.measured
+}
+
+func (e *prefillEngine) report() route.PrefillReport {
+	var queued int
+	for _, r := range e.queue {
+		queued += r.prompt
+	}
+	if e.running != nil {
+		queued += int(e.till.Sub(e.c.now).Seconds() * e.rate())
+	}
+	return route.PrefillReport{QueuedTokens: queued, Rate: e.rateMeasured()}
+}
+
+func (e *decodeEngine) report() route.DecodeReport {
+	room := e.ledger.Room(e.c.now)
+	held := decodeSlots - room.FreeRequests
+	if held < len(e.batch) { // without reservations only the batch shows
+		room.FreeRequests, room.FreeTokens = decodeSlots-len(e.batch), decodeMemory-e.used()
+		held = len(e.batch)
+	}
+	slow := max(1, e.slow)
+	return route.DecodeReport{
+		FreeRequests: room.FreeRequests,
+		FreeTokens:   room.FreeTokens,
+		Batch:        held,
+		GapBase:      time.Duration(float64(decodeGapBase) * slow),
+		GapStep:      time.Duration(float64(decodeGapStep) * slow),
+	}
+}
+
+func (w *world) prefillAt(h work.Host) *prefillEngine {
+	for _, e := range w.prefills {
+		if e.host == h {
+			return e
+		}
+	}
+	return nil
+}
+
+func (w *world) decodeAt(h work.Host) *decodeEngine {
+	for _, e := range w.decodes {
+		if e.host == h {
+			return e
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/bench/tally.go
@@ -0,0 +1,153 @@
+package main
+
+import (
+	"math"
+	"slices"
+	"time"
+
+	"jacinthworks/queue"
+)
+
+// tally adds up what callers received, over all seeds of one cell.
+type tally struct {
+	seeds int
+	// offered counts first sends, sends all of them, good the sends that met
+	// both targets; all by time of sending within the window.
+	offered, sends, refused, good int
+	goodCost                      int
+	othersGood, othersOffered     int
+	firsts, gaps                  []time.Duration
+	callers                       map[string]*share
+	// seconds holds offered and good first sends for each second of the run.
+	seconds              [stop / time.Second]share
+	filledTokens, wasted int
+}
+
+// share is a part that went well.
+type share struct{ offered, good int }
+
+func (s share) part() float64 {
+	if s.offered == 0 {
+		return 1
+	}
+	return float64(s.good) / float64(s.offered)
+}
+
+func newTally() *tally { return &tally{callers: make(map[string]*share)} }
+
+// add takes in the outcome of a send.
+func (t *tally) add(r *request) {
+	passed := r.sent.Sub(epoch)
+	if passed >= stop {
+		return
+	}
+	good := 0
+	if r.good() {
+		good = 1
+	}
+	if r.send == 1 && !r.caller.extra {
+		t.seconds[passed/time.Second].offered++
+		t.seconds[passed/time.Second].good += good
+	}
+	if passed < warm {
+		return
+	}
+	t.count(r, good)
+}
+
+func (t *tally) count(r *request, good int) {
+	t.sends++
+	t.good += good
+	t.goodCost += good * queue.Item{Prompt: r.prompt, Output: r.output}.Cost()
+	if r.outcome == refused {
+		t.refused++
+	}
+	if r.send == 1 {
+		t.offered++
+	}
+	if r.outcome == answered {
+		t.gaps = append(t.gaps, r.gap())
+		if !r.kind.row.MayWait {
+			t.firsts = append(t.firsts, r.first.Sub(r.sent))
+		}
+	}
+	if r.caller.extra {
+		return
+	}
+	t.othersGood += good
+	c, ok := t.callers[string(r.caller.account)]
+	if !ok {
+		c = &share{}
+		t.callers[string(r.caller.account)] = c
+	}
+	c.good += good
+	if r.send == 1 {
+		c.offered++
+		t.othersOffered++
+	}
+}
+
+// window is the judged time of all seeds, in seconds.
+func (t *tally) window() float64 { return (stop - warm).Seconds() * float64(t.seeds) }
+
+func (t *tally) goodput() float64 { return float64(t.good) / t.window() }
+
+// costPerSecond is goodput weighed by cost, in thousands of prompt tokens a second:
+// it does not grow when short requests take the place of long ones.
+func (t *tally) costPerSecond() float64 { return float64(t.goodCost) / 1000 / t.window() }
+
+func (t *tally) othersGoodput() float64 { return float64(t.othersGood) / t.window() }
+
+func (t *tally) wastedPart() float64 {
+	return float64(t.wasted) / math.Max(1, float64(t.filledTokens))
+}
+
+func (t *tally) refusedPart() float64 {
+	return float64(t.refused) / math.Max(1, float64(t.sends))
+}
+
+// worstCaller is the smallest part of its work that a caller had answered in
+// time, extra callers aside.
+func (t *tally) worstCaller() float64 {
+	worst := 1.0
+	for _, c := range t.callers {
+		worst = min(worst, c.part())
+	}
+	return worst
+}
+
+// recovery is the time from the given second until callers' part stays at 95%
+// of that in the reference seconds, over a sliding window of three seconds.
+func (t *tally) recovery(from, refFrom, refTo int) float64 {
+	goal := 0.95 * t.sum(refFrom, refTo).part()
+	recovered := from
+	for second := from; second+3 <= len(t.seconds); second++ {
+		if t.sum(second, second+3).part() < goal {
+			recovered = second + 1
+		}
+	}
+	return float64(recovered - from)
+}
+
+func (t *tally) sum(from, to int) (s share) {
+	for _, x := range t.seconds[from:to] {
+		s.offered += x.offered
+		s.good += x.good
+	}
+	return s
+}
+
+// p95 gives the 95th percentile in milliseconds.
+func p95(list []time.Duration) float64 {
+	if len(list) == 0 {
+		return 0
+	}
+	slices.Sort(list)
+	return float64(list[len(list)*95/100]) / float64(time.Millisecond)
+}
+
+// othersPart is the part of their work that callers had answered in time, those
+// aside whom the scenario adds.
+func (t *tally) othersPart() float64 {
+	return share{offered: t.othersOffered, good: t.othersGood}.part()
+}
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -4,10 +4,11 @@
 // The load patterns it answers, and what happens without it:
 //
 //   - A hot caller: with one list in order of arrival, everybody waits behind
-//     the caller that sends most. Here callers share the engines by cost.
+//     the caller that sends most. Here callers share the engines by cost, and
+//     one that had several times the mean loses its priority.
 //   - A hot key: many callers send one body, so that sharing between callers
-//     gives that body most of the engines. A key that fills a quarter of the
-//     queue is counted as one caller.
+//     gives that body most of the engines. A key that had several times a
+//     caller's mean is counted as one caller.
 //   - Long jobs among short ones: a 50,000-token pedigree is 2.5 s of prefill
 //     before a look-up of 10 ms. Long and short work have a lane each.
 //   - Overload: an unbounded list makes every answer late, so that goodput falls
@@ -100,8 +101,12 @@
 	ToFirstToken time.Duration
 	ToEnd        time.Duration
 
-	// charged is who paid for the item when Next gave it, for Return.
+	// class is the priority that the item is served by, 0 for a caller over
+	// its share; charged is who paid when Next gave the item, and waited says
+	// that it counted in the drain.
+	class   int
 	charged caller
+	waited  bool
 }
 
 // Cost is the item's work in prompt tokens, at least 1.
@@ -144,7 +149,7 @@
 	classes [Priorities]class
 	items   map[work.RequestID]*entry
 	callers map[caller]int
-	keys    map[uint64]*keyCount
+	shares  shares
 	lapses  heap[*entry]
 	waiting int
 	// lanes count and measure each lane over all classes.
@@ -160,7 +165,11 @@
 	if _, ok := q.items[i.ID]; ok {
 		return Verdict{}
 	}
-	c := q.callerOf(i)
+	c, over := q.callerOf(now, i)
+	i.class = i.Priority
+	if over {
+		i.class = 0
+	}
 	g := q.grounds(now, i, c)
 	if r := q.refusal(now, i, c, g, random); r != nil {
 		return Verdict{Grounds: g, Refusal: r}
@@ -168,7 +177,7 @@
 	v := Verdict{Grounds: g}
 	if len(q.items) >= q.limit() {
 		victim := q.newestLowest()
-		if victim.item.Priority >= i.Priority {
+		if victim.item.class >= i.class {
 			v.Refusal = q.refuse(now, i, work.ReasonNoRoom, DetailFull, g, random)
 			return v
 		}
@@ -205,7 +214,10 @@
 	e := q.link(now, i, i.charged, oldest)
 	e.flow.items = slices.Insert(e.flow.items, 0, e)
 	e.flow.lane.charge(e.flow, -i.Cost())
-	q.handed(now, e.flow.lane, -i.Cost())
+	if i.waited {
+		q.handed(now, e.flow.lane, -i.Cost())
+	}
+	q.serveShares(now, i, -i.Cost())
 }
 
 // Remove takes out an item whose caller is gone and reports whether it waited.
@@ -251,7 +263,6 @@
 	}
 	q.items = make(map[work.RequestID]*entry)
 	q.callers = make(map[caller]int)
-	q.keys = make(map[uint64]*keyCount)
 	q.lapses = heap[*entry]{
 		less: func(a, b *entry) bool { return a.lapse.Before(b.lapse) },
 		move: func(e *entry, place int) { e.place = place },
@@ -278,14 +289,13 @@
 // link enters the item in every count; the owner puts it into its flow.
 func (q *Queue) link(now time.Time, i Item, c caller, at end) *entry {
 	q.advance(now)
-	k := &q.classes[i.Priority]
+	k := &q.classes[i.class]
 	e := &entry{item: i, arrived: now, lapse: i.lapse(), place: -1}
 	e.flow = k.enter(now, e, c, at)
 	q.items[i.ID] = e
 	q.callers[c]++
 	q.waiting += i.Cost()
 	q.lanes[laneOf(i)].cost += i.Cost()
-	q.countKey(i, 1)
 	if !e.lapse.IsZero() {
 		q.lapses.push(e)
 	}
@@ -295,7 +305,7 @@
 // unlink takes the item out of its flow and of every count.
 func (q *Queue) unlink(now time.Time, e *entry) {
 	q.advance(now)
-	q.classes[e.item.Priority].leave(now, e)
+	q.classes[e.item.class].leave(now, e)
 	delete(q.items, e.item.ID)
 	c := e.flow.caller
 	if q.callers[c]--; q.callers[c] == 0 {
@@ -303,7 +313,6 @@
 	}
 	q.waiting -= e.item.Cost()
 	q.lanes[laneOf(e.item)].cost -= e.item.Cost()
-	q.countKey(e.item, -1)
 	if e.place >= 0 {
 		q.lapses.remove(e.place)
 	}
@@ -318,13 +327,23 @@
 	q.unlink(now, e)
 	l.virtual = f.tag
 	l.charge(f, cost)
+	q.serveShares(now, e.item, cost)
 	k.served = now
-	if now.After(e.arrived) {
+	e.item.waited = now.After(e.arrived)
+	if e.item.waited {
 		q.handed(now, l, cost)
 	}
 	return e.item
 }
 
+// serveShares remembers service for the item's account and its key.
+func (q *Queue) serveShares(now time.Time, i Item, cost int) {
+	q.shares.add(now, caller{account: i.Account}, cost)
+	if i.Key != 0 {
+		q.shares.add(now, caller{key: i.Key}, cost)
+	}
+}
+
 // handed tells the measurements of the drain what was handed over, or came back.
 func (q *Queue) handed(now time.Time, l *lane, cost int) {
 	l.drain.handed(now, cost)
--- a/queue/returns.go
+++ b/queue/returns.go
@@ -31,11 +31,11 @@
 	if r.next.Before(earliest) {
 		r.next = earliest
 	}
-	after := r.next.Sub(now)
+	after := min(r.next.Sub(now), maxRetry)
 	r.next = r.next.Add(takes)
 	if latest := now.Add(maxRetry); r.next.After(latest) {
 		r.next = latest
 	}
 	spread := int64(after) * retryJitter / 100
-	return min(after, maxRetry) + time.Duration(random.Int64N(spread+1))
+	return after + time.Duration(random.Int64N(spread+1))
 }
--- a/queue/verdict.go
+++ b/queue/verdict.go
@@ -8,14 +8,6 @@
 	"jacinthworks/work"
 )
 
-// A key is hot when it has at least hotKeyItems waiting and more than one part
-// in hotKeyShare of all waiting cost: a quarter is more than any one of today's
-// callers has at the peak, and eight items keep a short queue from counting.
-const (
-	hotKeyItems = 8
-	hotKeyShare = 4
-)
-
 // Detail says in a few words why an item was refused.
 type Detail string
 
@@ -23,7 +15,7 @@
 const (
 	DetailWait   Detail = "the expected wait passes the target"
 	DetailShare  Detail = "the caller's own waiting work passes its share"
-	DetailHotKey Detail = "too many requests wait with the same key or body"
+	DetailHotKey Detail = "too many requests were served with the same key or body"
 	DetailFull   Detail = "the queue is full"
 	DetailShed   Detail = "the queue is full and the place went to a higher priority"
 	DetailLapsed Detail = "the target can no longer be met"
@@ -42,8 +34,10 @@
 	Items       int `json:"items"`
 	CallerItems int `json:"caller_items"`
 	CallerLimit int `json:"caller_limit"`
-	// HotKey says that the item was charged to its key.
+	// HotKey says that the item was charged to its key; Class is the priority
+	// that it is served by.
 	HotKey bool `json:"hot_key"`
+	Class  int  `json:"class"`
 }
 
 // Refusal says why an item was refused and when to return.
@@ -74,37 +68,20 @@
 	Shed []Refused
 }
 
-type keyCount struct{ items, cost int }
-
-// callerOf says whom the item is charged to.
-func (q *Queue) callerOf(i Item) caller {
-	k, ok := q.keys[i.Key]
-	if i.Key != 0 && ok && k.items >= hotKeyItems && k.cost*hotKeyShare > q.waiting {
-		return caller{key: i.Key}
-	}
-	return caller{account: i.Account}
-}
-
-func (q *Queue) countKey(i Item, by int) {
-	if i.Key == 0 {
-		return
-	}
-	k, ok := q.keys[i.Key]
-	if !ok {
-		k = &keyCount{}
-		q.keys[i.Key] = k
-	}
-	k.items += by
-	k.cost += by * i.Cost()
-	if k.items == 0 {
-		delete(q.keys, i.Key)
+// callerOf says whom the item is charged to, and whether that one is over its
+// share. Most keys are sent once; one that is over a caller's share is hot.
+func (q *Queue) callerOf(now time.Time, i Item) (c caller, over bool) {
+	if key := (caller{key: i.Key}); i.Key != 0 && q.shares.over(now, key) {
+		return key, true
 	}
+	c = caller{account: i.Account}
+	return c, q.shares.over(now, c)
 }
 
 // grounds works out the figures for an item of the caller.
 func (q *Queue) grounds(now time.Time, i Item, c caller) Grounds {
 	q.advance(now)
-	l := q.classes[i.Priority].lane(i)
+	l := q.classes[i.class].lane(i)
 	l.drain.advance(now, l.count > 0)
 	rate, _ := q.lanes[l.number].drain.rate()
 	higher := q.higher(i)
@@ -116,13 +93,14 @@
 		CallerItems: q.callers[c],
 		CallerLimit: q.callerLimit(),
 		HotKey:      c.key != 0,
+		Class:       i.class,
 	}
 }
 
 // higher is the cost of the waiting items of higher priority in the same lane.
 func (q *Queue) higher(i Item) int {
 	var cost int
-	for p := i.Priority + 1; p < Priorities; p++ {
+	for p := i.class + 1; p < Priorities; p++ {
 		cost += q.classes[p].lane(i).cost
 	}
 	return cost
--- a/route/pool.go
+++ b/route/pool.go
@@ -22,6 +22,10 @@
 // Pool holds the candidates of one role and what each last reported. The zero
 // value is empty and ready to use.
 type Pool[R any] struct {
+	// ShortOnly keeps long prompts away from one candidate in this many; zero
+	// stands for DefaultShortOnly, negative for none. Set it before Update.
+	ShortOnly int
+
 	members []*member[R]
 	index   map[work.Host]int
 }
@@ -119,16 +123,22 @@
 	p.index[p.members[b].host] = b
 }
 
-// shortOnlyPart is the part of a pool that takes no long prompts: one in three.
-const shortOnlyPart = 3
+// DefaultShortOnly makes one prefill engine in three take no long prompts. Short
+// work is a seventh (Tollygunge) to a third (Registry) of all prompt tokens, and
+// needs slack to meet a target of seconds; docs/decisions.md has the runs.
+const DefaultShortOnly = 3
 
-// rankShortOnly marks every third candidate by name. All entries that know the
+// rankShortOnly marks every ShortOnly-th candidate by name. All entries that know the
 // same hosts mark the same ones, without asking each other.
 func (p *Pool[R]) rankShortOnly() {
+	part := p.ShortOnly
+	if part == 0 {
+		part = DefaultShortOnly
+	}
 	sorted := slices.Clone(p.members)
 	slices.SortFunc(sorted, func(a, b *member[R]) int { return cmp.Compare(a.host, b.host) })
 	for n, m := range sorted {
-		m.shortOnly = n%shortOnlyPart == shortOnlyPart-1
+		m.shortOnly = part > 0 && n%part == part-1
 	}
 }
 
