--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -61,7 +61,7 @@
 		kinds: []kind{
 			{share: 30, minPrompt: 10_000, maxPrompt: 50_000, minOutput: 120, maxOutput: 240, shared: 60,
 				row: table.Row{Kind: "appraisal", Priority: 5, MayWait: true, Idempotent: true, WastedPrefillWeight: 100,
-					FirstToken: target(8 * time.Second), TokenGap: target(tokenGap), Deadline: target(60 * time.Second)}},
+					FirstToken: target(8 * time.Second), TokenGap: target(tokenGap), Deadline: target(30 * time.Second)}},
 			{share: 40, minPrompt: 300, maxPrompt: 2000, minOutput: 80, maxOutput: 160, shared: 30,
 				row: table.Row{Kind: "blurb", Priority: 2, Idempotent: true, WastedPrefillWeight: 100,
 					FirstToken: target(2 * time.Second), TokenGap: target(tokenGap), Deadline: target(30 * time.Second)}},
@@ -81,7 +81,7 @@
 		kinds: []kind{
 			{share: 25, minPrompt: 8000, maxPrompt: 24_000, minOutput: 120, maxOutput: 240, shared: 80,
 				row: table.Row{Kind: "difficulty_summary", Priority: 4, MayWait: true, Idempotent: true,
-					FirstToken: target(8 * time.Second), TokenGap: target(tokenGap), Deadline: target(60 * time.Second)}},
+					FirstToken: target(8 * time.Second), TokenGap: target(tokenGap), Deadline: target(30 * time.Second)}},
 			{share: 30, minPrompt: 1000, maxPrompt: 6000, minOutput: 60, maxOutput: 160, shared: 60,
 				row: table.Row{Kind: "safety_note", Priority: 9, Idempotent: true,
 					FirstToken: target(2 * time.Second), TokenGap: target(tokenGap), Deadline: target(30 * time.Second)}},
--- a/bench/main.go
+++ b/bench/main.go
@@ -22,8 +22,10 @@
 //   - refused: part of all sends
 //   - others_goodput: goodput without the callers that the scenario adds
 //   - worst_caller_goodput: smallest part of a caller's work answered in time
-//   - recovery_s: until callers get 95% of what they got before, or get in the
-//     end after a loss
+//   - goodput_cost: goodput weighed by cost, in thousands of prompt tokens a
+//     second
+//   - recovery_s: until goodput stays at 95% of that before a burst, or of that
+//     in the end after a loss
 package main
 
 import (
--- a/bench/tally.go
+++ b/bench/tally.go
@@ -18,7 +18,7 @@
 	othersGood, othersOffered     int
 	firsts, gaps                  []time.Duration
 	callers                       map[string]*share
-	// seconds holds offered and good first sends for each second of the run.
+	// seconds holds the first sends and all good sends of each second.
 	seconds              [stop / time.Second]share
 	filledTokens, wasted int
 }
@@ -45,9 +45,10 @@
 	if r.good() {
 		good = 1
 	}
-	if r.send == 1 && !r.caller.extra {
-		t.seconds[passed/time.Second].offered++
-		t.seconds[passed/time.Second].good += good
+	second := &t.seconds[passed/time.Second]
+	second.good += good
+	if r.send == 1 {
+		second.offered++
 	}
 	if passed < warm {
 		return
@@ -116,8 +117,9 @@
 	return worst
 }
 
-// recovery is the time from the given second until callers' part stays at 95%
-// of that in the reference seconds, over a sliding window of three seconds.
+// recovery is the time from the given second until goodput stays at 95% of that
+// in the reference seconds, over a sliding window of three seconds. Goodput is
+// taken for each first send, which keeps the chance of arrivals out of it.
 func (t *tally) recovery(from, refFrom, refTo int) float64 {
 	goal := 0.95 * t.sum(refFrom, refTo).part()
 	recovered := from
