bench: queue sees the whole prompt; scenario shared_prefix

Cause: a long prompt believed to be mostly cached was queued as a short one and took decode slots before short work. Ruled out: the belief itself (with the whole prompt in the queue, with and without it are alike).

--- a/bench/entry.go
+++ b/bench/entry.go
@@ -68,7 +68,7 @@
 		Account:    r.caller.account,
 		Key:        r.key,
 		Priority:   r.kind.row.Priority,
-		Prompt:     r.prompt - e.model.Cached(e.w.now, e.job(r)),
+		Prompt:     r.prompt,
 		Output:     r.output,
 		FirstToken: r.firstTarget(),
 		Deadline:   r.deadline(),
@@ -155,14 +155,14 @@
 func (e *entry) place(r *request) bool {
 	j := e.job(r)
 	for range 3 {
-		pair, _, ok := e.model.Choose(e.w.now, j, e.random)
+		pair, g, ok := e.model.Choose(e.w.now, j, e.random)
 		if !ok {
 			return false
 		}
-		if !e.reserve(r, pair, j) {
+		if !e.reserve(r, pair, j.Prompt-g.Chosen.Cached) {
 			continue
 		}
-		r.pair, r.left = pair, e.w.now
+		r.pair, r.left, r.toFill = pair, e.w.now, j.Prompt
 		if e.off != "own_counts" {
 			e.model.Started(e.w.now, pair, j)
 		}
@@ -172,9 +172,9 @@
 	return false
 }
 
-// reserve takes room at both sides. A refusal carries the exact room, which is
+// reserve takes room at both sides, for a prefill of the given tokens. A refusal carries the exact room, which is
 // taken as a report.
-func (e *entry) reserve(r *request, pair route.Pair, j route.Job) bool {
+func (e *entry) reserve(r *request, pair route.Pair, fill int) bool {
 	p, d := e.w.prefillAt(pair.Prefill), e.w.decodeAt(pair.Decode)
 	key := admit.Key{Request: r.id, Attempt: r.attempt}
 	until := r.deadline()
@@ -188,7 +188,7 @@
 	}
 	if e.off != "prefill_bound" {
 		p.ledger.Limits = p.limits()
-		err := p.ledger.Reserve(e.w.now, key, admit.Need{Requests: 1, Tokens: j.Prompt - e.model.Cached(e.w.now, j)}, until)
+		err := p.ledger.Reserve(e.w.now, key, admit.Need{Requests: 1, Tokens: fill}, until)
 		if errors.As(err, &short) {
 			d.ledger.Release(key)
 			e.model.Prefills.Update(p.host, p.zone, e.w.now, p.report())
@@ -221,7 +221,7 @@
 		e.model.Ended(e.w.now, r.pair, e.job(r))
 	}
 	if r.outcome == answered {
-		e.pace.Observe(r.prompt, r.output, r.first.Sub(r.left), r.end.Sub(r.left))
+		e.pace.Observe(r.toFill, r.output, r.first.Sub(r.left), r.end.Sub(r.left))
 	}
 	e.pump()
 }
--- a/bench/request.go
+++ b/bench/request.go
@@ -33,8 +33,9 @@
 	// send counts the sends of the same work, from 1.
 	send int
 	sent time.Time
-	// left is when the request left its queue.
-	left time.Time
+	// left is when the request left its queue, with so many tokens to fill.
+	left   time.Time
+	toFill int
 	// first and end are when its first and last token reached the caller.
 	first, end time.Time
 	outcome    outcome
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -43,6 +43,7 @@
 		{name: "slow_upstream", load: steady(0.8), fault: slowPrefill},
 		{name: "slow_decode", load: steady(0.8), fault: slowDecode},
 		{name: "long_among_short", load: steady(0.8), change: fewLong},
+		{name: "shared_prefix", load: steady(1.5), change: fewDocuments},
 		{name: "upstream_lost", load: steady(0.8), fault: loseOne, recovery: [3]int{25, 40, 50}},
 		{name: "zone_lost", load: steady(0.6), fault: loseZone, recovery: [3]int{25, 40, 50}},
 	}
@@ -65,6 +66,18 @@
 	d.kinds[1].share, d.kinds[2].share = 44, 43
 }
 
+// fewDocuments makes most of each prompt one of some documents, too many for one
+// engine's cache and few enough for all of them together, with short answers so
+// that prefill is what there is too little of.
+func fewDocuments(d *deployment) {
+	d.prefixes = 40
+	for n := range d.kinds {
+		d.kinds[n].shared = 90
+		d.kinds[n].minOutput /= 2
+		d.kinds[n].maxOutput /= 2
+	}
+}
+
 func slowPrefill(w *world) { w.prefills[0].slow = 5 }
 func slowDecode(w *world)  { w.decodes[0].slow = 3 }
 
--- a/route/estimate.go
+++ b/route/estimate.go
@@ -58,7 +58,7 @@
 func (m *Model) estimate(now time.Time, j Job, p *PrefillGrounds, d *DecodeGrounds) (Estimate, Exclusion) {
 	filled := p.Queue + p.Prefill
 	wait, takes := m.links.wait(now, Path{From: p.Zone, To: d.Zone}, filled, j.KVBytes)
-	e := Estimate{KVWait: wait + takes, TokenGap: d.TokenGap}
+	e := Estimate{Cached: p.Cached, KVWait: wait + takes, TokenGap: d.TokenGap}
 	e.FirstToken = filled + e.KVWait + d.TokenGap
 	risk := 0.0
 	if j.KVLife > 0 {
--- a/route/grounds.go
+++ b/route/grounds.go
@@ -98,6 +98,9 @@
 
 // Estimate is what a pair is expected to give. The lowest score is chosen.
 type Estimate struct {
+	// Cached is the part of the prompt, in tokens, that the prefill engine is
+	// believed to hold.
+	Cached     int           `json:"cached"`
 	FirstToken time.Duration `json:"first_token"`
 	TokenGap   time.Duration `json:"token_gap"`
 	// KVWait is how long the KV cache has to live after the prefill.
