route: belief by missing events; bench: late, gappy cache events

Cause: each gap halved the belief in all of a host's prefixes, so that with one event in ten lost nothing was believed. A missing event can concern one of some thirty prefixes: 0.97 for each.

--- a/bench/engine.go
+++ b/bench/engine.go
@@ -96,6 +96,8 @@
 	order  []uint64
 	tokens map[uint64]int
 	used   int
+	// changed is told of each prefix that entered or left.
+	changed func(prefix uint64, tokens int, evicted bool)
 }
 
 // hit gives the tokens of the prefix that are cached.
@@ -124,11 +126,13 @@
 	c.touch(prefix)
 	c.tokens[prefix] = max(held, tokens)
 	c.used += c.tokens[prefix] - held
+	c.changed(prefix, c.tokens[prefix], false)
 	for c.used > cacheTokens {
 		oldest := c.order[0]
 		c.order = c.order[1:]
 		c.used -= c.tokens[oldest]
 		delete(c.tokens, oldest)
+		c.changed(oldest, 0, true)
 	}
 }
 
--- a/bench/main.go
+++ b/bench/main.go
@@ -17,6 +17,7 @@
 //
 //   - goodput: answers a second that met both latency targets
 //   - wasted_prefill: part of the filled prompt tokens that no answer came of
+//   - prefill_per_good: filled prompt tokens for each good answer
 //   - ttft_p95_ms: time to first token, kinds that may wait aside
 //   - tbt_p95_ms: mean time between tokens of an answer
 //   - refused: part of all sends
--- a/bench/run.go
+++ b/bench/run.go
@@ -116,6 +116,7 @@
 	line("goodput", t.goodput(), 3)
 	line("goodput_cost", t.costPerSecond(), 2)
 	line("wasted_prefill", t.wastedPart(), 4)
+	line("prefill_per_good", float64(t.filledTokens)/float64(max(1, t.allGood)), 0)
 	line("ttft_p95_ms", p95(t.firsts), 0)
 	line("tbt_p95_ms", p95(t.gaps), 1)
 	line("refused", t.refusedPart(), 3)
--- a/bench/side.go
+++ b/bench/side.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"math/rand/v2"
 	"time"
 
 	"jacinthworks/admit"
@@ -14,6 +15,12 @@
 	reportLag   = 100 * time.Millisecond
 )
 
+// Cache events arrive eventLag after they happen, and one in eventsLost never.
+const (
+	eventLag   = 300 * time.Millisecond
+	eventsLost = 10
+)
+
 // entries is the number of entry hosts; callers are spread over them.
 const entries = 2
 
@@ -34,11 +41,32 @@
 	for _, e := range w.decodes {
 		e.ledger.Limits = admit.Limits{Requests: decodeSlots, Tokens: decodeMemory}
 	}
+	for _, e := range w.prefills {
+		s.listen(e, seed)
+	}
 	s.report()
 	w.every(reportEvery, reportEvery, s.report)
 	return s
 }
 
+// listen passes an engine's cache events on, late and with gaps.
+func (s *sides) listen(p *prefillEngine, seed uint64) {
+	random := rand.New(rand.NewPCG(seed, 4))
+	var seq uint64
+	p.cache.changed = func(prefix uint64, tokens int, evicted bool) {
+		seq++
+		event := route.CacheEvent{Seq: seq, Prefix: prefix, Tokens: tokens, Evicted: evicted}
+		if random.IntN(eventsLost) == 0 {
+			return
+		}
+		s.w.after(eventLag, func() {
+			for _, e := range s.entries {
+				e.model.CacheEvent(s.w.now, p.host, event)
+			}
+		})
+	}
+}
+
 // report sends what each engine's side knows now to the entries.
 func (s *sides) report() {
 	made := s.w.now
--- a/bench/tally.go
+++ b/bench/tally.go
@@ -21,6 +21,8 @@
 	// seconds holds the first sends and all good sends of each second.
 	seconds              [stop / time.Second]share
 	filledTokens, wasted int
+	// allGood counts good sends in and out of the window, as filledTokens does.
+	allGood int
 }
 
 // share is a part that went well.
@@ -45,6 +47,7 @@
 	if r.good() {
 		good = 1
 	}
+	t.allGood += good
 	second := &t.seconds[passed/time.Second]
 	second.good += good
 	if r.send == 1 {
--- a/bench/world.go
+++ b/bench/world.go
@@ -50,6 +50,7 @@
 	for _, z := range d.zones {
 		for n := range d.prefills {
 			e := &prefillEngine{c: w.clock, random: w.random, zone: z, host: work.Host(fmt.Sprintf("prefill-%s-%d", z, n))}
+			e.cache.changed = func(uint64, int, bool) {}
 			e.filled = func(r *request, evict time.Time) { w.policy.filled(r, evict) }
 			w.prefills = append(w.prefills, e)
 		}
--- a/route/cache.go
+++ b/route/cache.go
@@ -13,9 +13,10 @@
 // events of eviction come late or never.
 const beliefHalfLife = 15 * time.Second
 
-// gapFactor is what is left of the belief in all of a host's prefixes for each
-// gap in its events: the eviction may have been among those that are missing.
-const gapFactor = 0.5
+// missingFactor is what is left of the belief in each of a host's prefixes for
+// an event that is missing: it may have been this prefix's eviction. An engine
+// holds some thirty prefixes or more.
+const missingFactor = 0.97
 
 // Bounds of the memory that beliefs take: prefixes known, and hosts for each.
 const (
@@ -36,14 +37,14 @@
 	host   work.Host
 	tokens int
 	seen   time.Time
-	// gaps is the host's count of gaps when the prefix was seen.
-	gaps int
+	// missing is the host's count of missing events when the prefix was seen.
+	missing int
 }
 
 // stream is how far a host's events have been read.
 type stream struct {
-	seq  uint64
-	gaps int
+	seq     uint64
+	missing int
 }
 
 // beliefs is what is believed of caches. The zero value believes nothing.
@@ -69,8 +70,8 @@
 	if e.Seq <= s.seq {
 		return
 	}
-	if s.seq != 0 && e.Seq != s.seq+1 {
-		s.gaps++
+	if s.seq != 0 {
+		s.missing += int(e.Seq - s.seq - 1)
 	}
 	s.seq = e.Seq
 	b.streams[h] = s
@@ -95,7 +96,7 @@
 	if len(list) == maxHolders {
 		list = slices.Delete(list, 0, 1)
 	}
-	b.holders[prefix] = append(list, holder{host: h, tokens: tokens, seen: now, gaps: b.streams[h].gaps})
+	b.holders[prefix] = append(list, holder{host: h, tokens: tokens, seen: now, missing: b.streams[h].missing})
 }
 
 func (b *beliefs) drop(prefix uint64, h work.Host) {
@@ -124,7 +125,7 @@
 			continue
 		}
 		odds := math.Exp2(-now.Sub(o.seen).Seconds() / beliefHalfLife.Seconds())
-		odds *= math.Pow(gapFactor, float64(b.streams[h].gaps-o.gaps))
+		odds *= math.Pow(missingFactor, float64(b.streams[h].missing-o.missing))
 		return int(float64(o.tokens) * odds)
 	}
 	return 0
