Messages between processes, the member record, and a side's ledger

The ledger is the exact account of a side: what was refused beforehand, what was handed to the upstream, what ended. It stands apart from connections so that its rules can be tested alone.

--- /dev/null
+++ b/side/ledger.go
@@ -0,0 +1,284 @@
+package side
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// How much of the past a ledger keeps. An entry asks after an attempt within
+// its deadline, minutes at most; a person asks later, through the entry's
+// written story. The count bounds memory at the letter's rates: two requests
+// a second and side for ten minutes is 1,200.
+const (
+	keepEnded = 10 * time.Minute
+	keepMost  = 4096
+)
+
+// step is how far an order has come.
+type step int
+
+const (
+	stepWaiting step = iota // accepted, the upstream knows nothing of it
+	stepHanded              // the upstream may have begun it
+	stepEnded
+)
+
+// order is one attempt at one stage, as its side knows it.
+type order struct {
+	run      wire.Run
+	entry    work.Host
+	step     step
+	tokens   []string
+	last     bool
+	outcome  wire.Outcome
+	attached int
+	// detached is when the last entry let go; zero while one is attached.
+	detached time.Time
+	ended    time.Time
+	cancel   context.CancelFunc
+	// gone says that nobody wants the outcome any more.
+	gone bool
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+// Ledger is the exact account of what a side was asked to do. Its rules: an
+// attempt begins at most once; an attempt refused beforehand never begins; no
+// order that was cancelled or refused is handed to the upstream; an order ends
+// once. The zero value is ready to use. One lock guards it all; nothing is
+// called while it is held.
+type Ledger struct {
+	mu      sync.Mutex
+	orders  map[wire.Ref]*order
+	refused map[wire.Ref]time.Time
+	ended   []wire.Ref
+	active  int
+}
+
+// begin takes an order in, or refuses it.
+func (l *Ledger) begin(run wire.Run, entry work.Host, cancel context.CancelFunc) (*order, *wire.Refused) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	// The failure: an entry gave the attempt up and said not_run while the
+	// order was still on its way to a side that was frozen. It shows as work
+	// that runs after its refusal. Refusing by name beforehand holds, because
+	// the order can arrive no more than once and meets the name.
+	if _, given := l.refused[run.Ref]; given {
+		return nil, &wire.Refused{Reason: work.ReasonLost, Ran: work.NotRun, Detail: "the attempt was given up before it arrived"}
+	}
+	if o := l.orders[run.Ref]; o != nil {
+		return nil, &wire.Refused{Reason: work.ReasonInProgress, Ran: work.Unknown, Detail: "the attempt is here already"}
+	}
+	o := &order{run: run, entry: entry, cancel: cancel, attached: 1, changed: make(chan struct{})}
+	l.orders[run.Ref] = o
+	l.active++
+	return o, nil
+}
+
+// hand marks the order as handed to the upstream, or reports false if it was
+// given up before. After true, only the upstream's word can make it not_run.
+func (l *Ledger) hand(o *order) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.gone || o.step != stepWaiting {
+		return false
+	}
+	o.step = stepHanded
+	return true
+}
+
+// token adds the token at the given offset; one at another offset is dropped.
+func (l *Ledger) token(o *order, offset int, text string, last bool) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.step == stepEnded || offset != len(o.tokens) {
+		return
+	}
+	o.tokens = append(o.tokens, text)
+	o.last = last
+	o.wake()
+}
+
+// end settles the order; only the first end counts.
+func (l *Ledger) end(o *order, out wire.Outcome, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if o.step == stepEnded {
+		return
+	}
+	if o.step == stepWaiting {
+		out.Ran = work.NotRun
+	}
+	out.Ref, out.Tokens = o.run.Ref, len(o.tokens)
+	o.step, o.outcome, o.ended = stepEnded, out, now
+	l.active--
+	l.ended = append(l.ended, o.run.Ref)
+	o.wake()
+	l.forget(now)
+}
+
+// settle gives the account of an attempt, and refuses it for good if it is
+// not known here or was not handed over yet.
+func (l *Ledger) settle(ref wire.Ref, now time.Time) wire.Outcome {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	o := l.orders[ref]
+	if o == nil {
+		l.refused[ref] = now
+		return wire.Outcome{Ref: ref, Ran: work.NotRun, Reason: work.ReasonLost}
+	}
+	switch o.step {
+	case stepWaiting:
+		o.gone = true
+		o.cancel()
+		return wire.Outcome{Ref: ref, Ran: work.NotRun, Reason: work.ReasonLost}
+	case stepHanded:
+		return wire.Outcome{Ref: ref, Ran: work.Unknown, Reason: work.ReasonInProgress}
+	}
+	return o.outcome
+}
+
+// giveUp marks the order as unwanted and stops its work.
+func (l *Ledger) giveUp(ref wire.Ref, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.init()
+	o := l.orders[ref]
+	if o == nil {
+		l.refused[ref] = now
+		return
+	}
+	o.gone = true
+	o.cancel()
+}
+
+// attach joins the order; the caller must detach.
+func (l *Ledger) attach(ref wire.Ref) *order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o := l.orders[ref]
+	if o == nil {
+		return nil
+	}
+	o.attached++
+	o.detached = time.Time{}
+	return o
+}
+
+func (l *Ledger) detach(o *order, now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	o.attached--
+	if o.attached == 0 {
+		o.detached = now
+	}
+}
+
+// follow gives the tokens from an offset on, whether the order has ended, and
+// a channel that closes at the next change.
+func (l *Ledger) follow(o *order, from int) (tokens []string, ended bool, changed <-chan struct{}) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if from < len(o.tokens) {
+		tokens = o.tokens[from:len(o.tokens):len(o.tokens)]
+	}
+	return tokens, o.step == stepEnded, o.changed
+}
+
+// orphans gives up orders for models that no entry has been attached to for
+// the given time, and names them. A plain call is left to run: its outcome is
+// still wanted, by whoever sends the same key again.
+func (l *Ledger) orphans(now time.Time, after time.Duration) []wire.Ref {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var refs []wire.Ref
+	for ref, o := range l.orders {
+		if o.step == stepEnded || o.gone || ref.Stage == wire.StageCall {
+			continue
+		}
+		if o.attached == 0 && now.Sub(o.detached) >= after {
+			o.gone = true
+			o.cancel()
+			refs = append(refs, ref)
+		}
+	}
+	return refs
+}
+
+// holds says whether the request may rightly hold engine memory: an order of
+// it is in progress, or its prefill's cache still has life and an attempt
+// that wants it.
+func (l *Ledger) holds(id work.RequestID, now time.Time) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for ref, o := range l.orders {
+		if ref.Request != id || o.gone {
+			continue
+		}
+		if o.step != stepEnded {
+			return true
+		}
+		if kv := o.outcome.KV; kv != nil && now.Sub(o.ended) < kv.Life {
+			return true
+		}
+	}
+	return false
+}
+
+// busy counts the orders in progress.
+func (l *Ledger) busy() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.active
+}
+
+// known gives what the ledger knows of a request, in no order.
+func (l *Ledger) known(id work.RequestID) []order {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var all []order
+	for ref, o := range l.orders {
+		if ref.Request == id {
+			all = append(all, *o)
+		}
+	}
+	return all
+}
+
+func (l *Ledger) init() {
+	if l.orders == nil {
+		l.orders = make(map[wire.Ref]*order)
+		l.refused = make(map[wire.Ref]time.Time)
+	}
+}
+
+// forget drops what ended too long ago, and the oldest beyond the bound.
+func (l *Ledger) forget(now time.Time) {
+	for len(l.ended) > 0 {
+		o := l.orders[l.ended[0]]
+		if len(l.ended) <= keepMost && now.Sub(o.ended) < keepEnded {
+			break
+		}
+		delete(l.orders, l.ended[0])
+		l.ended = l.ended[1:]
+	}
+	if len(l.refused) <= keepMost {
+		return
+	}
+	for ref, at := range l.refused {
+		if now.Sub(at) >= keepEnded {
+			delete(l.refused, ref)
+		}
+	}
+}
+
+func (o *order) wake() {
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
--- /dev/null
+++ b/wire/order.go
@@ -0,0 +1,122 @@
+package wire
+
+import (
+	"encoding/json"
+	"time"
+
+	"jacinthworks/engine"
+	"jacinthworks/work"
+)
+
+// The calls that an entry makes to a side.
+const (
+	// MethodReserve holds room at a decode side: Reserve to Reserved.
+	MethodReserve = "reserve"
+	// MethodRun hands work over: Run to Outcome, with Frames before it.
+	MethodRun = "run"
+	// MethodAttach takes up work that runs already: Attach to Outcome.
+	MethodAttach = "attach"
+	// MethodSettle asks what became of an attempt, and refuses it for good if
+	// it never arrived: Ref to Outcome.
+	MethodSettle = "settle"
+	// MethodCancel ends an attempt and frees its room: Ref to nothing.
+	MethodCancel = "cancel"
+	// MethodStory gives what a process knows of a request: StoryAsk to a
+	// story's events as JSON.
+	MethodStory = "story"
+	// MethodDrain tells a side to take no new work.
+	MethodDrain = "drain"
+)
+
+// MethodFrame is the notification that carries a token to the entry.
+const MethodFrame = "frame"
+
+// Stage is the part of a request that one side does.
+type Stage string
+
+// The stages.
+const (
+	StagePrefill Stage = "prefill"
+	StageDecode  Stage = "decode"
+	StageCall    Stage = "call"
+)
+
+// Ref names one attempt at one stage of a request.
+type Ref struct {
+	Request work.RequestID `json:"request"`
+	Attempt work.Attempt   `json:"attempt"`
+	Stage   Stage          `json:"stage"`
+}
+
+// Reserve asks for room at a decode side before prefill starts.
+type Reserve struct {
+	Ref
+	// Tokens is prompt and answer together, the KV memory at the end.
+	Tokens int `json:"tokens"`
+	// Hold is how long the room is kept; it ends by itself.
+	Hold time.Duration `json:"hold"`
+}
+
+// Reserved is the room that was kept.
+type Reserved struct {
+	FreeSlots  int `json:"free_slots"`
+	FreeTokens int `json:"free_tokens"`
+}
+
+// Run hands one stage of a request over to a side. Just one of Prefill,
+// Decode and Call is set, by Stage.
+type Run struct {
+	Ref
+	Account work.Account `json:"account"`
+	Kind    work.Kind    `json:"kind"`
+	// Within is the time left for this stage.
+	Within time.Duration `json:"within"`
+	// Tokens is the KV memory needed in the end.
+	Tokens  int                  `json:"tokens,omitempty"`
+	Prefill *engine.PrefillOrder `json:"prefill,omitempty"`
+	Decode  *engine.DecodeOrder  `json:"decode,omitempty"`
+	Call    *engine.Call         `json:"call,omitempty"`
+	// Stamp is the claim under which unrepeatable work may be handed to the
+	// upstream; empty for work that needs none.
+	Stamp json.RawMessage `json:"stamp,omitempty"`
+}
+
+// Attach takes up an attempt after its connection was lost.
+type Attach struct {
+	Ref
+	// From is the offset of the next token wanted.
+	From int `json:"from"`
+}
+
+// Outcome says how a stage ended.
+type Outcome struct {
+	Ref
+	// Ran says whether the upstream began it.
+	Ran work.Ran `json:"ran"`
+	// Reason is empty when the stage ended well.
+	Reason work.Reason `json:"reason,omitempty"`
+	Detail string      `json:"detail,omitempty"`
+	// Tokens counts the tokens of a whole answer.
+	Tokens int            `json:"tokens,omitempty"`
+	KV     *engine.KV     `json:"kv,omitempty"`
+	Answer *engine.Answer `json:"answer,omitempty"`
+	// Died says that the upstream was lost while it ran the work.
+	Died bool `json:"died,omitempty"`
+}
+
+// Frame carries tokens of one attempt from one offset on. The entry takes it
+// only from the current attempt at the next offset, so that a late frame of an
+// older attempt, a gap or an overlap never reaches a caller.
+type Frame struct {
+	Ref
+	// Offset counts from 0 and belongs to the first of Tokens.
+	Offset int      `json:"offset"`
+	Tokens []string `json:"tokens"`
+	// Last marks the end of a whole answer.
+	Last bool `json:"last,omitempty"`
+}
+
+// StoryAsk asks for what is known of a request.
+type StoryAsk struct {
+	Request work.RequestID `json:"request"`
+}
--- /dev/null
+++ b/wire/peer.go
@@ -0,0 +1,258 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/pkg/errors"
+	"github.com/sourcegraph/jsonrpc2"
+
+	"jacinthworks/group"
+	"jacinthworks/work"
+)
+
+// refusedCode is the JSON-RPC error code that carries a Refused as its data.
+const refusedCode = 1
+
+const (
+	methodHello = "hello"
+	methodBeat  = "beat"
+)
+
+// Local is what a process brings to each of its connections.
+type Local struct {
+	// Hello introduces the process.
+	Hello Hello
+	// Beat gives the content of the next heartbeat; nil sends an empty one.
+	Beat func() Beat
+	// Handle answers calls, each on a goroutine of its own.
+	Handle func(ctx context.Context, p *Peer, method string, params json.RawMessage) (any, error)
+	// Notice takes notifications and heartbeats in the order of arrival. It
+	// must not block.
+	Notice func(p *Peer, method string, params json.RawMessage)
+	// Opened and Closed are told of each connection whose hello was heard.
+	Opened func(p *Peer)
+	Closed func(p *Peer)
+	// Every and Silence time the heartbeats; zero takes the defaults.
+	Every   time.Duration
+	Silence time.Duration
+}
+
+// Peer is one connection to another process of ours.
+type Peer struct {
+	local   *Local
+	conn    *jsonrpc2.Conn
+	remote  Hello
+	beat    atomic.Pointer[Beat]
+	heard   atomic.Int64
+	started time.Time
+	calls   group.Group
+	ctx     context.Context
+	cancel  context.CancelFunc
+	once    sync.Once
+	greeted chan struct{}
+}
+
+// newPeer runs the protocol on a fresh connection and returns once the other
+// side's hello was heard.
+func newPeer(ctx context.Context, c net.Conn, l *Local) (*Peer, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	p := &Peer{local: l, started: time.Now(), ctx: ctx, cancel: cancel, greeted: make(chan struct{})}
+	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	p.conn = jsonrpc2.NewConn(ctx, stream, p)
+	if err := p.conn.Notify(ctx, methodHello, l.Hello); err != nil {
+		p.Close()
+		return nil, errors.Wrap(err, "wire: hello")
+	}
+	select {
+	case <-p.greeted:
+		return p, nil
+	case <-p.conn.DisconnectNotify():
+	case <-time.After(dialWithin):
+	case <-ctx.Done():
+	}
+	p.Close()
+	return nil, errors.Wrap(ErrNotSent, "no hello")
+}
+
+// run keeps the heartbeat until the connection ends.
+func (p *Peer) run() error {
+	ends := make(chan struct{})
+	go func() { // ends with the calls of this connection, read below
+		defer close(ends)
+		for range p.calls.Ends() {
+		}
+	}()
+	if p.local.Opened != nil {
+		p.local.Opened(p)
+	}
+	err := p.keepBeating()
+	p.Close()
+	if p.local.Closed != nil {
+		p.local.Closed(p)
+	}
+	p.calls.Close()
+	<-ends
+	return err
+}
+
+// keepBeating sends heartbeats and gives the connection up when the other end
+// has been silent for too long. The failure: something between the two ends
+// has lost track of the connection. It shows as a connection that neither
+// errs nor delivers. Counting what was heard on this very connection holds,
+// since no other connection's health speaks for this one.
+func (p *Peer) keepBeating() error {
+	every, silence := p.local.Every, p.local.Silence
+	if every == 0 {
+		every = DefaultBeat
+	}
+	if silence == 0 {
+		silence = DefaultSilence
+	}
+	t := time.NewTicker(every)
+	defer t.Stop()
+	sent := make(chan error, 1)
+	sending := false
+	for {
+		if !sending {
+			sending = true
+			go func() { sent <- p.Notify(methodBeat, p.nextBeat()) }() // its end is read below
+		}
+		select {
+		case <-p.conn.DisconnectNotify():
+			return errors.Wrap(ErrNoAnswer, "connection closed")
+		case <-p.ctx.Done():
+			return p.ctx.Err()
+		case <-t.C:
+		}
+		select {
+		case err := <-sent:
+			sending = false
+			if err != nil {
+				return errors.Wrap(err, "wire: heartbeat")
+			}
+		default: // still in the socket: the other end takes nothing
+		}
+		if p.SinceHeard() > silence {
+			return errors.Wrap(ErrNoAnswer, "connection silent")
+		}
+	}
+}
+
+func (p *Peer) nextBeat() Beat {
+	if p.local.Beat == nil {
+		return Beat{}
+	}
+	return p.local.Beat()
+}
+
+// Handle takes one message off the connection; it is called by jsonrpc2 in
+// the order of arrival.
+func (p *Peer) Handle(_ context.Context, _ *jsonrpc2.Conn, r *jsonrpc2.Request) {
+	p.heard.Store(int64(time.Since(p.started)))
+	params := json.RawMessage("null")
+	if r.Params != nil {
+		params = *r.Params
+	}
+	if !r.Notif {
+		p.answer(r.ID, r.Method, params)
+		return
+	}
+	switch r.Method {
+	case methodHello:
+		p.once.Do(func() {
+			if json.Unmarshal(params, &p.remote) == nil {
+				close(p.greeted)
+			}
+		})
+	case methodBeat:
+		var b Beat
+		if json.Unmarshal(params, &b) != nil {
+			return
+		}
+		p.beat.Store(&b)
+		p.notice(r.Method, params)
+	default:
+		p.notice(r.Method, params)
+	}
+}
+
+func (p *Peer) notice(method string, params json.RawMessage) {
+	if p.local.Notice != nil {
+		p.local.Notice(p, method, params)
+	}
+}
+
+func (p *Peer) answer(id jsonrpc2.ID, method string, params json.RawMessage) {
+	p.calls.Go(p.ctx, method, func(ctx context.Context) error {
+		result, err := p.local.Handle(ctx, p, method, params)
+		if err == nil {
+			return p.conn.Reply(ctx, id, result)
+		}
+		var r *Refused
+		if !errors.As(err, &r) {
+			r = &Refused{Reason: work.ReasonUpstream, Ran: work.Unknown, Detail: err.Error()}
+		}
+		e := &jsonrpc2.Error{Code: refusedCode, Message: string(r.Reason)}
+		e.SetError(r)
+		return p.conn.ReplyWithError(ctx, id, e)
+	})
+}
+
+// Call sends a call and waits for its result.
+func (p *Peer) Call(ctx context.Context, method string, params, result any) error {
+	if p == nil {
+		return ErrNotSent
+	}
+	err := p.conn.Call(ctx, method, params, result)
+	var e *jsonrpc2.Error
+	if errors.As(err, &e) {
+		var r Refused
+		if e.Code == refusedCode && e.Data != nil && json.Unmarshal(*e.Data, &r) == nil {
+			return &r
+		}
+		return errors.Wrap(ErrNoAnswer, e.Message)
+	}
+	if err != nil && ctx.Err() != nil {
+		return errors.WithStack(ctx.Err())
+	}
+	if err != nil {
+		return errors.Wrap(ErrNoAnswer, err.Error())
+	}
+	return nil
+}
+
+// Notify sends a notification. No error does not mean that it arrived.
+func (p *Peer) Notify(method string, params any) error {
+	return errors.WithStack(p.conn.Notify(p.ctx, method, params))
+}
+
+// Remote is what the other process said of itself.
+func (p *Peer) Remote() Hello { return p.remote }
+
+// LastBeat is the last heartbeat heard; false before the first.
+func (p *Peer) LastBeat() (Beat, bool) {
+	b := p.beat.Load()
+	if b == nil {
+		return Beat{}, false
+	}
+	return *b, true
+}
+
+// SinceHeard is the time since anything was heard on this connection.
+func (p *Peer) SinceHeard() time.Duration {
+	return time.Since(p.started) - time.Duration(p.heard.Load())
+}
+
+// Done is closed when the connection is.
+func (p *Peer) Done() <-chan struct{} { return p.conn.DisconnectNotify() }
+
+// Close ends the connection. Calls in progress on it get ErrNoAnswer.
+func (p *Peer) Close() {
+	p.cancel()
+	_ = p.conn.Close()
+}
--- /dev/null
+++ b/wire/wire.go
@@ -0,0 +1,90 @@
+// Package wire is how the processes of jacinthworks talk to each other:
+// JSON-RPC 2.0 messages, each behind its length, over TCP. Calls and
+// notifications go both ways on one connection, and both ends send heartbeats
+// on it.
+//
+// # Usage
+//
+//	l := &wire.Link{Target: addr, Local: &local}
+//	g.Go(ctx, "link", l.Run) // dials, and dials again after every loss
+//	var out wire.Outcome
+//	err := l.Call(ctx, wire.MethodRun, order, &out)
+//
+// A call ends in one of four ways: with a result; with a *Refused, which the
+// other process said itself; with ErrNotSent, when there was no connection to
+// send it on; or with ErrNoAnswer, when it may or may not have arrived. Only
+// the first three are knowledge.
+package wire
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/work"
+)
+
+// Defaults for zero settings. A silent connection is given up after three
+// missed heartbeats and a bit, so that the loss of an entry is noticed by its
+// sides in under a second; the rest of the two seconds that engine memory may
+// stay held is left to the attachment and to the cancel order.
+const (
+	DefaultBeat    = 200 * time.Millisecond
+	DefaultSilence = 800 * time.Millisecond
+	dialWithin     = 500 * time.Millisecond
+)
+
+// The errors of a call that the other process did not answer.
+var (
+	// ErrNotSent says that the call was never sent.
+	ErrNotSent = errors.New("wire: not sent")
+	// ErrNoAnswer says that the call may have arrived and no answer came.
+	ErrNoAnswer = errors.New("wire: no answer")
+)
+
+// Refused is the other process's own refusal of a call.
+type Refused struct {
+	Reason work.Reason `json:"reason"`
+	// Ran is what the refusing process knows of the work.
+	Ran    work.Ran `json:"ran"`
+	Detail string   `json:"detail,omitempty"`
+}
+
+// Error gives reason, account and detail.
+func (r *Refused) Error() string {
+	return "wire: refused: " + string(r.Reason) + " (" + string(r.Ran) + ") " + r.Detail
+}
+
+// Hello is the first message each way on a connection.
+type Hello struct {
+	Host        work.Host        `json:"host"`
+	Zone        work.Zone        `json:"zone"`
+	Incarnation work.Incarnation `json:"incarnation"`
+	Role        string           `json:"role"`
+	Service     work.Service     `json:"service,omitempty"`
+}
+
+// Beat is the heartbeat. It is sent both ways on every connection.
+type Beat struct {
+	// TableVersion is the version in force at the sender; zero on a side.
+	TableVersion uint64 `json:"table_version,omitempty"`
+	// Draining says that the sender takes no new work.
+	Draining bool `json:"draining,omitempty"`
+	// Load is a side's own exact account of its upstream.
+	Load *Load `json:"load,omitempty"`
+}
+
+// Load is what a side knows of its upstream at the moment of a heartbeat.
+type Load struct {
+	// Running counts orders in progress; Slots how many may be.
+	Running int `json:"running"`
+	Slots   int `json:"slots"`
+	// FreeTokens is KV memory not reserved, in tokens.
+	FreeTokens int `json:"free_tokens"`
+	// QueuedTokens is prompt tokens accepted and not yet prefilled.
+	QueuedTokens int `json:"queued_tokens"`
+	// Down says that the upstream does not answer its side.
+	Down bool `json:"down,omitempty"`
+	// Upstream is the upstream's incarnation.
+	Upstream work.Incarnation `json:"upstream,omitempty"`
+}
