Settings of entry and side, checked whole

Ruled out: decoding into a struct, strict; go-toml ends at the first value of the wrong type, so a file with three would take three runs. Conclusion: values are read by path from one decoded document and the lines come from the library's parser; a key that nothing read is unknown.

--- /dev/null
+++ b/conf/parse.go
@@ -0,0 +1,190 @@
+package conf
+
+import (
+	"net/netip"
+	"regexp"
+
+	"jacinthworks/work"
+)
+
+// minToken is the shortest token in characters; a shorter one can be guessed.
+const minToken = 16
+
+// hostName keeps dots out of names: a request id joins its parts with them.
+var hostName = regexp.MustCompile(`^[a-z0-9]([a-z0-9_-]{0,61}[a-z0-9])?$`)
+
+// ParseEntry reads an entry's settings; file is the name given in findings.
+// The error is check.Findings.
+func ParseEntry(file string, text []byte) (Entry, error) {
+	r, err := newReader(file, text)
+	if err != nil {
+		return Entry{}, err
+	}
+	e := Entry{
+		Name:        work.Host(r.name("name")),
+		Zone:        work.Zone(r.name("zone")),
+		Listen:      r.listenAddr("listen", true),
+		AdminListen: r.listenAddr("admin_listen", true),
+		PeerListen:  r.listenAddr("peer_listen", false),
+		Peers:       r.addrPorts("peers"),
+		Platform:    r.dialAddr("platform"),
+		Log:         r.log(),
+		TLS:         r.tls(),
+		Limits:      r.limits(),
+		Timings:     r.timings(),
+		Callers:     r.callers(),
+		Operators:   r.operators(),
+	}
+	r.distinct("listen", "admin_listen", "peer_listen")
+	r.tokens(e)
+	for _, p := range e.Peers {
+		if p == e.PeerListen {
+			r.add("peers", "names this entry's own peer_listen %s", p)
+		}
+	}
+	r.unknownKeys()
+	return e, r.findings.Err()
+}
+
+// ParseSide reads a side's settings; file is the name given in findings.
+// The error is check.Findings.
+func ParseSide(file string, text []byte) (Side, error) {
+	r, err := newReader(file, text)
+	if err != nil {
+		return Side{}, err
+	}
+	prefill, decode, app := string(work.RolePrefill), string(work.RoleDecode), string(work.RoleApp)
+	s := Side{
+		Name:        work.Host(r.name("name")),
+		Zone:        work.Zone(r.name("zone")),
+		Role:        work.Role(r.oneOf("role", prefill, decode, app)),
+		Service:     work.Service(r.name("service")),
+		Listen:      r.listenAddr("listen", true),
+		Upstream:    r.dialAddr("upstream"),
+		Platform:    r.dialAddr("platform"),
+		AdminListen: r.listenAddr("admin_listen", false),
+		Log:         r.log(),
+		Limits:      r.limits(),
+		Timings:     r.timings(),
+	}
+	if s.Role == "" && r.value("role") == nil {
+		r.add("role", "is missing")
+	}
+	r.distinct("listen", "admin_listen")
+	r.unknownKeys()
+	return s, r.findings.Err()
+}
+
+func (r *reader) log() Log {
+	r.table("log")
+	l := Log{
+		Level:  r.oneOf("log.level", "trace", "debug", "info", "warn", "error"),
+		Format: r.oneOf("log.format", "json", "text"),
+	}
+	orDefault(&l.Level, "info")
+	orDefault(&l.Format, "json")
+	return l
+}
+
+func (r *reader) tls() TLS {
+	r.table("tls")
+	t := TLS{CertFile: r.text("tls.cert_file"), KeyFile: r.text("tls.key_file")}
+	if (t.CertFile == "") != (t.KeyFile == "") {
+		r.add("tls", "needs both cert_file and key_file, or neither")
+	}
+	return t
+}
+
+func (r *reader) limits() Limits {
+	r.table("limits")
+	return Limits{
+		MaxBody:        r.integer("limits.max_body"),
+		HeaderTimeout:  r.duration("limits.header_timeout"),
+		ReadTimeout:    r.duration("limits.read_timeout"),
+		WriteTimeout:   r.duration("limits.write_timeout"),
+		IdleTimeout:    r.duration("limits.idle_timeout"),
+		MaxConnections: int(r.integer("limits.max_connections")),
+	}.OrDefaults()
+}
+
+func (r *reader) timings() Timings {
+	r.table("timings")
+	t := Timings{
+		Heartbeat:    r.duration("timings.heartbeat"),
+		SilenceAfter: r.duration("timings.silence_after"),
+		StaleAfter:   r.duration("timings.stale_after"),
+		StopWithin:   r.duration("timings.stop_within"),
+	}.OrDefaults()
+	if t.SilenceAfter < 2*t.Heartbeat {
+		r.add("timings.silence_after", "%s is under two heartbeats of %s: one lost heartbeat would end a connection",
+			t.SilenceAfter, t.Heartbeat)
+	}
+	if t.StaleAfter < 2*t.Heartbeat {
+		r.add("timings.stale_after", "%s is under two heartbeats of %s: one lost heartbeat would stop new work",
+			t.StaleAfter, t.Heartbeat)
+	}
+	return t
+}
+
+func (r *reader) callers() []Caller {
+	var callers []Caller
+	for _, at := range r.tables("caller") {
+		c := Caller{
+			Account: work.Account(r.required(at + ".account")),
+			Token:   r.secret(at + ".token"),
+		}
+		callers = append(callers, c)
+	}
+	return callers
+}
+
+func (r *reader) operators() []Operator {
+	var operators []Operator
+	for _, at := range r.tables("operator") {
+		o := Operator{
+			Name:  r.required(at + ".name"),
+			Token: r.secret(at + ".token"),
+			Teams: r.texts(at + ".teams"),
+		}
+		operators = append(operators, o)
+	}
+	return operators
+}
+
+// tokens refuses a token that stands twice: it would leave open who speaks,
+// and a caller's token would open the administration address.
+func (r *reader) tokens(e Entry) {
+	places := make(map[Secret]string)
+	see := func(place string, token Secret) {
+		if token == "" {
+			return
+		}
+		if first, ok := places[token]; ok {
+			r.add(place, "is the same token as %s", first)
+			return
+		}
+		places[token] = place
+	}
+	for i, c := range e.Callers {
+		see(at("caller", i)+".token", c.Token)
+	}
+	for i, o := range e.Operators {
+		see(at("operator", i)+".token", o.Token)
+	}
+}
+
+// distinct refuses two listeners on one address; port 0 asks for any port.
+func (r *reader) distinct(keys ...string) {
+	seen := make(map[netip.AddrPort]string)
+	for _, k := range keys {
+		text, _ := r.value(k).(string)
+		a, err := netip.ParseAddrPort(text)
+		if err != nil || a.Port() == 0 {
+			continue
+		}
+		if first, ok := seen[a]; ok {
+			r.add(k, "is the same address as %s", first)
+		}
+		seen[a] = k
+	}
+}
