--- a/member/member.go
+++ b/member/member.go
@@ -14,6 +14,7 @@
 	"encoding/json"
 	"net/netip"
 	"sort"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -28,6 +29,11 @@
 // service start together at most by the dozen; each loss is one more read.
 const joinTries = 64
 
+// keepEvery is the wait between tries while the platform is down: a host that
+// started during an outage serves within a second of its end, and 12,000 of
+// them would still stay below the platform's reads only if few start at once.
+const keepEvery = time.Second
+
 // Member is one process in the record.
 type Member struct {
 	Host        work.Host        `json:"host"`
@@ -138,3 +144,20 @@
 	}
 	return Record{}, errors.Wrapf(last, "member: %s", s)
 }
+
+// Keep joins, trying again until the platform takes it, and tells of the
+// record once. It ends then, or with the context.
+func Keep(ctx context.Context, objects plat.Objects, m Member, joined func(Record)) error {
+	for {
+		r, err := Join(ctx, objects, m)
+		if err == nil {
+			joined(r)
+			return nil
+		}
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-time.After(keepEvery):
+		}
+	}
+}
--- a/side/ledger.go
+++ b/side/ledger.go
@@ -282,3 +282,16 @@
 	close(o.changed)
 	o.changed = make(chan struct{})
 }
+
+// promptTokens counts the prompt tokens of prefills in progress.
+func (l *Ledger) promptTokens() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for ref, o := range l.orders {
+		if ref.Stage == wire.StagePrefill && o.step != stepEnded && o.run.Prefill != nil {
+			n += o.run.Prefill.PromptTokens
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/side/side.go
@@ -0,0 +1,213 @@
+// Package side is the process beside one upstream and the only way to it. It
+// holds the exact truth about its upstream: which room is reserved, what runs
+// and for whom, what ended and how. Entries come and go; a side notices by its
+// own clock and frees what nobody is attached to.
+//
+// # Usage
+//
+//	s := &side.Side{Settings: settings, Log: log, Model: &engine.HTTPModel{Base: settings.Upstream}}
+//	err := s.Run(ctx) // until ctx ends; then drains, bounded by stop_within
+package side
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"net"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"jacinthworks/admit"
+	"jacinthworks/conf"
+	"jacinthworks/engine"
+	"jacinthworks/group"
+	"jacinthworks/member"
+	"jacinthworks/plat"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// Figures of the two-second bound on engine memory that nobody owns: silence
+// is noticed within 0.8 s, an entry has orphanAfter to attach again on a fresh
+// connection, and the sweep adds sweepEvery. 0.8 + 0.6 + 0.1 s leaves half a
+// second for the cancel order and one repetition of it.
+const (
+	orphanAfter = 600 * time.Millisecond
+	sweepEvery  = 100 * time.Millisecond
+)
+
+// Side serves entries and runs their orders on one upstream. Set the exported
+// fields before Run; just one of Model and App, by the role in Settings.
+type Side struct {
+	Settings conf.Side
+	Log      hclog.Logger
+	Objects  plat.Objects
+	Model    engine.Model
+	App      engine.App
+	// Listening, if set, is told the address once the side accepts entries.
+	Listening func(netip.AddrPort)
+
+	ledger      Ledger
+	room        admit.Pool
+	incarnation work.Incarnation
+	upstream    atomic.Pointer[engine.State]
+	down        atomic.Bool
+	draining    atomic.Bool
+	work        group.Group
+	workCtx     context.Context
+}
+
+// Run serves until ctx ends, then takes no new work, ends what runs and
+// returns. Work still in progress after stop_within is cancelled.
+func (s *Side) Run(ctx context.Context) error {
+	s.init()
+	ln, err := net.Listen("tcp", s.Settings.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "side: listen")
+	}
+	address := ln.Addr().(*net.TCPAddr).AddrPort()
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	s.workCtx = serving
+
+	var loops group.Group
+	loops.Go(serving, "work ends", s.reap)
+	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, ln, s.local()) })
+	loops.Go(ctx, "join", func(ctx context.Context) error { return s.join(ctx, address) })
+	loops.Go(serving, "sweep", s.sweep)
+	if s.Model != nil {
+		loops.Go(serving, "reconcile", s.reconcile)
+	}
+	if s.Listening != nil {
+		s.Listening(address)
+	}
+	<-ctx.Done()
+	s.drain()
+	s.work.Close()
+	stopServing()
+	for _, e := range loops.Wait() {
+		s.Log.Warn("ended with an error", "goroutine", e.Name, "err", e.Err)
+	}
+	return nil
+}
+
+func (s *Side) init() {
+	if s.Log == nil {
+		s.Log = hclog.NewNullLogger()
+	}
+	s.Settings.Timings = s.Settings.Timings.OrDefaults()
+	s.incarnation = NewIncarnation()
+}
+
+// NewIncarnation gives a number that no earlier life of a process had. It is
+// random, since a clock may have been set back; 52 bits stay exact in JSON.
+func NewIncarnation() work.Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return work.Incarnation(binary.BigEndian.Uint64(b[:]) >> 12)
+}
+
+func (s *Side) local() *wire.Local {
+	return &wire.Local{
+		Hello: wire.Hello{
+			Host: s.Settings.Name, Zone: s.Settings.Zone, Incarnation: s.incarnation,
+			Role: string(s.Settings.Role), Service: s.Settings.Service,
+		},
+		Beat:    s.beat,
+		Handle:  s.handle,
+		Every:   s.Settings.Timings.Heartbeat,
+		Silence: s.Settings.Timings.SilenceAfter,
+	}
+}
+
+func (s *Side) beat() wire.Beat {
+	free := s.room.Free(time.Now())
+	load := &wire.Load{
+		Running: s.ledger.busy(), Slots: s.room.Slots, FreeSlots: free.Slots,
+		FreeTokens: free.Tokens, QueuedTokens: s.ledger.promptTokens(), Down: s.down.Load(),
+	}
+	if st := s.upstream.Load(); st != nil {
+		load.Upstream = st.Incarnation
+	}
+	return wire.Beat{Draining: s.draining.Load(), Load: load}
+}
+
+// handle answers an entry's calls.
+func (s *Side) handle(ctx context.Context, p *wire.Peer, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case wire.MethodReserve:
+		return decode(params, func(r wire.Reserve) (any, error) { return s.reserve(r) })
+	case wire.MethodRun:
+		return decode(params, func(r wire.Run) (any, error) { return s.run(ctx, p, r) })
+	case wire.MethodAttach:
+		return decode(params, func(a wire.Attach) (any, error) { return s.attach(ctx, p, a) })
+	case wire.MethodSettle:
+		return decode(params, func(r wire.Ref) (any, error) { return s.ledger.settle(r, time.Now()), nil })
+	case wire.MethodCancel:
+		return decode(params, func(r wire.Ref) (any, error) { s.cancel(r); return struct{}{}, nil })
+	case wire.MethodStory:
+		return decode(params, func(a wire.StoryAsk) (any, error) { return s.story(a.Request), nil })
+	case wire.MethodDrain:
+		s.draining.Store(true)
+		return struct{}{}, nil
+	}
+	return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: "no method " + method}
+}
+
+// decode reads a call's parameters into the type that next takes.
+func decode[T any](params json.RawMessage, next func(T) (any, error)) (any, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: err.Error()}
+	}
+	return next(v)
+}
+
+func (s *Side) reap(context.Context) error {
+	for e := range s.work.Ends() {
+		if e.Err != nil {
+			s.Log.Debug("work ended", "name", e.Name, "err", e.Err)
+		}
+	}
+	return nil
+}
+
+// join puts the side into its service's record, trying until it is there. A
+// platform outage leaves the side to those entries that know it already.
+func (s *Side) join(ctx context.Context, address netip.AddrPort) error {
+	if s.Objects == nil {
+		return nil
+	}
+	m := member.Member{
+		Host: s.Settings.Name, Zone: s.Settings.Zone, Role: s.Settings.Role, Service: s.Settings.Service,
+		Address: address, Incarnation: s.incarnation,
+	}
+	return member.Keep(ctx, s.Objects, m, func(r member.Record) {
+		s.Log.Info("joined", "service", r.Service, "version", r.Version, "members", len(r.Members))
+	})
+}
+
+// drain takes no new work and waits for what runs, bounded by stop_within.
+func (s *Side) drain() {
+	s.draining.Store(true)
+	s.Log.Info("draining", "running", s.ledger.busy(), "within", s.Settings.Timings.StopWithin)
+	until := time.After(s.Settings.Timings.StopWithin)
+	t := time.NewTicker(sweepEvery)
+	defer t.Stop()
+	// Two heartbeats pass first, so that every entry has heard of it before
+	// the listener closes.
+	quiet := time.Now().Add(2 * s.Settings.Timings.Heartbeat)
+	for s.ledger.busy() > 0 || time.Now().Before(quiet) {
+		select {
+		case <-t.C:
+		case <-until:
+			s.Log.Warn("stop_within passed", "running", s.ledger.busy())
+			return
+		}
+	}
+}
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -79,6 +79,8 @@
 	// Running counts orders in progress; Slots how many may be.
 	Running int `json:"running"`
 	Slots   int `json:"slots"`
+	// FreeSlots counts slots not reserved.
+	FreeSlots int `json:"free_slots"`
 	// FreeTokens is KV memory not reserved, in tokens.
 	FreeTokens int `json:"free_tokens"`
 	// QueuedTokens is prompt tokens accepted and not yet prefilled.
