Adapters to the platform, engines and applications over net/http

Cause: nothing outside the router could be reached. Package send carries each request at most once and says how far it got: without a connection nothing was sent, which alone is ErrNotTaken or ErrRefused; a break, a silence and a caller that gave up are told apart. Ruled out: http.Client (follows redirects), a fresh connection per call (costs a port for each at the goal of 10,000 calls/s).

--- /dev/null
+++ b/engine/http_app.go
@@ -0,0 +1,84 @@
+package engine
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/send"
+)
+
+// DefaultMaxAnswer is the largest answer of an application server in bytes.
+const DefaultMaxAnswer = 8 << 20
+
+// HTTPApp is a plain application server over HTTP. Each call is sent at most
+// once. The zero value with a Base is ready to use; it must not be copied
+// after its first use.
+type HTTPApp struct {
+	// Base is the server's address.
+	Base netip.AddrPort
+	// Silence is how long the server may send nothing; zero is
+	// send.DefaultSilence.
+	Silence time.Duration
+	// MaxAnswer limits an answer's body in bytes; zero is DefaultMaxAnswer.
+	MaxAnswer int64
+
+	once   sync.Once
+	client send.Client
+}
+
+var _ App = (*HTTPApp)(nil)
+
+// Do passes the call on and gives the whole answer. Any status is an answer,
+// but for 503 with NotTakenHeader, which is ErrNotTaken.
+func (h *HTTPApp) Do(ctx context.Context, c Call) (Answer, error) {
+	h.once.Do(func() { h.client.Base, h.client.Silence = h.Base, h.Silence })
+	call := c.Method + " call"
+	if !strings.HasPrefix(c.Path, "/") {
+		return Answer{}, &Failure{Call: call, Class: ErrNotTaken, Cause: errors.New("engine: path does not start with /")}
+	}
+	reply, err := h.client.Do(ctx, send.Request{Method: c.Method, Target: c.Path, Header: endToEnd(c.Header), Body: c.Body})
+	if err != nil {
+		return Answer{}, lost(call, err)
+	}
+	limit := h.MaxAnswer
+	if limit <= 0 {
+		limit = DefaultMaxAnswer
+	}
+	body, err := reply.All(limit)
+	switch {
+	case errors.Is(err, send.ErrTooLarge):
+		return Answer{}, &Failure{Call: call, Class: ErrAnswer, Cause: err}
+	case err != nil:
+		return Answer{}, lost(call, err)
+	case reply.Status == http.StatusServiceUnavailable && reply.Header.Get(NotTakenHeader) != "":
+		return Answer{}, &Failure{Call: call, Class: ErrNotTaken, Cause: errors.New("engine: the server said so")}
+	}
+	return Answer{Status: reply.Status, Header: endToEnd(reply.Header), Body: body}, nil
+}
+
+// endToEnd copies a header without what concerns one connection only
+// (RFC 9110, 7.6.1).
+func endToEnd(header http.Header) http.Header {
+	h := header.Clone()
+	if h == nil {
+		h = http.Header{}
+	}
+	for _, list := range h.Values("Connection") {
+		for _, name := range strings.Split(list, ",") {
+			h.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range []string{
+		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+	} {
+		h.Del(name)
+	}
+	return h
+}
--- /dev/null
+++ b/plat/http.go
@@ -0,0 +1,88 @@
+package plat
+
+import (
+	"context"
+	"encoding/json"
+	"net/http"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/send"
+)
+
+// Failure is the error of a call to the platform.
+type Failure struct {
+	// Call names what was asked.
+	Call string
+	// Class is one of the package's errors.
+	Class error
+	// Cause says more.
+	Cause error
+}
+
+// Error gives call, class and cause.
+func (f *Failure) Error() string {
+	return f.Class.Error() + ": " + f.Call + ": " + f.Cause.Error()
+}
+
+// Unwrap gives class and cause.
+func (f *Failure) Unwrap() []error { return []error{f.Class, f.Cause} }
+
+// headroom is what an answer may hold beyond the largest value.
+const headroom = 1 << 16
+
+// ask sends one call and gives status, header and whole body of its answer.
+func ask(ctx context.Context, c *send.Client, r send.Request) (*send.Reply, []byte, error) {
+	call := r.Method + " " + r.Target
+	reply, err := c.Do(ctx, r)
+	if err != nil {
+		return nil, nil, lost(call, err)
+	}
+	value, err := reply.All(MaxValue + headroom)
+	if err != nil {
+		return nil, nil, lost(call, err)
+	}
+	return reply, value, answered(call, reply.Status, value)
+}
+
+// lost sorts a call without a whole answer. Without a connection the platform
+// did nothing, which is as good as its own word; everything else is open.
+func lost(call string, err error) error {
+	if send.Outcome(err) == send.NotSent {
+		return &Failure{Call: call, Class: ErrRefused, Cause: err}
+	}
+	return &Failure{Call: call, Class: ErrNoAnswer, Cause: err}
+}
+
+// answered sorts an answer by its status. Only the statuses by which the
+// platform says that it did nothing are ErrRefused: an internal error may come
+// after the write.
+func answered(call string, status int, value []byte) error {
+	class := ErrNoAnswer
+	switch status {
+	case http.StatusOK, http.StatusNoContent:
+		return nil
+	case http.StatusNotModified:
+		class = ErrUnchanged
+	case http.StatusNotFound:
+		class = ErrMissing
+	case http.StatusPreconditionFailed:
+		class = ErrConflict
+	case http.StatusBadRequest, http.StatusRequestEntityTooLarge, http.StatusPreconditionRequired,
+		http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		class = ErrRefused
+	}
+	return &Failure{Call: call, Class: class, Cause: errors.Errorf("plat: status %d: %.200s", status, value)}
+}
+
+// read asks for a JSON value.
+func read(ctx context.Context, c *send.Client, target string, into any) error {
+	_, value, err := ask(ctx, c, send.Request{Method: http.MethodGet, Target: target})
+	if err != nil {
+		return err
+	}
+	if err := json.Unmarshal(value, into); err != nil {
+		return &Failure{Call: target, Class: ErrNoAnswer, Cause: err}
+	}
+	return nil
+}
--- /dev/null
+++ b/send/failure.go
@@ -0,0 +1,70 @@
+package send
+
+import (
+	"context"
+
+	"github.com/pkg/errors"
+)
+
+// Stage says how far a request got that has no whole answer.
+type Stage string
+
+// The stages.
+const (
+	// NotSent is a request for which no connection was had: no byte of it
+	// left this process.
+	NotSent Stage = "not_sent"
+	// Broken is a connection that broke after it was given the request.
+	Broken Stage = "broken"
+	// Silent is a connection on which nothing came for the silence allowed.
+	Silent Stage = "silent"
+	// GivenUp is a request whose context ended first.
+	GivenUp Stage = "given_up"
+)
+
+var errSilent = errors.New("send: nothing came in time")
+
+// Failure is the error of a request without a whole answer.
+type Failure struct {
+	Stage Stage
+	Cause error
+}
+
+// Error gives stage and cause.
+func (f *Failure) Error() string { return "send: " + string(f.Stage) + ": " + f.Cause.Error() }
+
+// Unwrap gives the cause.
+func (f *Failure) Unwrap() error { return f.Cause }
+
+// Outcome gives the stage of a Failure behind err, or "" where there is none.
+func Outcome(err error) Stage {
+	var f *Failure
+	if errors.As(err, &f) {
+		return f.Stage
+	}
+	return ""
+}
+
+// fail sorts an error. A request without a connection is NotSent whatever
+// ended it, since the transport writes only to a connection it has.
+//
+// Failure: something between the two ends loses track of open connections;
+// they stay silent for good while new ones work. It shows as one request after
+// another that times out. The guard holds because a silence closes all idle
+// connections too, so that the next request dials.
+func (c *Client) fail(ctx context.Context, err error, connected bool) *Failure {
+	cause := context.Cause(ctx)
+	if cause == nil {
+		cause = err
+	}
+	switch {
+	case !connected:
+		return &Failure{Stage: NotSent, Cause: cause}
+	case errors.Is(cause, errSilent):
+		c.transport.CloseIdleConnections()
+		return &Failure{Stage: Silent, Cause: cause}
+	case ctx.Err() != nil:
+		return &Failure{Stage: GivenUp, Cause: cause}
+	}
+	return &Failure{Stage: Broken, Cause: cause}
+}
