--- a/engine/http.go
+++ b/engine/http.go
@@ -28,7 +28,7 @@
 	CodeFenced   Code = "fenced"    // 409
 )
 
-// NotTakenHeader, with status 503, is a plain application server's word that
+// NotTakenHeader is, with status 503, a plain application server's word that
 // it never began a call. Its bodies are its own.
 const NotTakenHeader = "Not-Taken"
 
--- /dev/null
+++ b/fakes/store/hosts.go
@@ -0,0 +1,72 @@
+package store
+
+import (
+	"cmp"
+	"net/http"
+	"slices"
+	"time"
+
+	"jacinthworks/fakes/serve"
+	"jacinthworks/plat"
+	"jacinthworks/work"
+)
+
+// SetHost puts a line into the host list, or changes it.
+func (p *Platform) SetHost(h plat.ListedHost) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.hosts == nil {
+		p.hosts = map[work.Host]plat.ListedHost{}
+	}
+	p.hosts[h.Host] = h
+	p.relist()
+}
+
+// RemoveHost takes a line out of the host list.
+func (p *Platform) RemoveHost(name work.Host) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	delete(p.hosts, name)
+	p.relist()
+}
+
+func (p *Platform) relist() {
+	list := make([]plat.ListedHost, 0, len(p.hosts))
+	for _, h := range p.hosts {
+		list = append(list, h)
+	}
+	slices.SortFunc(list, func(a, b plat.ListedHost) int { return cmp.Compare(a.Host, b.Host) })
+	p.listed.Set(time.Now(), list)
+}
+
+func (p *Platform) listHosts(w http.ResponseWriter, _ *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.count(w, &p.reads, p.ReadRate, &p.counts.Hosts) {
+		return
+	}
+	list := p.listed.At(time.Now().Add(-p.fault.HostLag))
+	if list == nil {
+		list = []plat.ListedHost{}
+	}
+	serve.Write(w, http.StatusOK, list)
+}
+
+func (p *Platform) putHost(w http.ResponseWriter, r *http.Request) {
+	var h plat.ListedHost
+	if !serve.Read(w, r, &h) {
+		return
+	}
+	h.Host = work.Host(r.PathValue("name"))
+	if h.State != plat.HostLive && h.State != plat.HostLeaving {
+		http.Error(w, "state is neither live nor leaving", http.StatusBadRequest)
+		return
+	}
+	p.SetHost(h)
+	serve.Write(w, http.StatusOK, h)
+}
+
+func (p *Platform) removeHost(w http.ResponseWriter, r *http.Request) {
+	p.RemoveHost(work.Host(r.PathValue("name")))
+	w.WriteHeader(http.StatusNoContent)
+}
--- /dev/null
+++ b/fakes/store/weights.go
@@ -0,0 +1,41 @@
+package store
+
+import (
+	"net/http"
+
+	"jacinthworks/fakes/serve"
+	"jacinthworks/plat"
+)
+
+// The weight store's figures for a model that was not put: 20 GB at 1 GB/s.
+const (
+	defaultWeightsRate = 1 << 30
+	defaultWeightsSize = 20 << 30
+)
+
+func (p *Platform) getWeights(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.count(w, &p.reads, p.ReadRate, &p.counts.Weights) {
+		return
+	}
+	info, ok := p.weights[r.PathValue("model")]
+	if !ok {
+		info = plat.WeightsInfo{BytesPerSecond: defaultWeightsRate, Size: defaultWeightsSize}
+	}
+	serve.Write(w, http.StatusOK, info)
+}
+
+func (p *Platform) putWeights(w http.ResponseWriter, r *http.Request) {
+	var info plat.WeightsInfo
+	if !serve.Read(w, r, &info) {
+		return
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.weights == nil {
+		p.weights = map[string]plat.WeightsInfo{}
+	}
+	p.weights[r.PathValue("model")] = info
+	serve.Write(w, http.StatusOK, info)
+}
