The operators' table as an aggregate: checks, edits, JSON and CSV, diff

Ruled out: decoding rows straight into structs, which ends at the first cell that is no number; a line of its own per row in the platform, whose edits could not take effect together. Found by the tests: an open quote in CSV made encoding/csv's FieldPos panic; the place is now asked for only after a record was read.

--- /dev/null
+++ b/table/csv.go
@@ -0,0 +1,155 @@
+package table
+
+import (
+	"bytes"
+	"encoding/csv"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/check"
+)
+
+// EncodeCSV gives a header and one record a row.
+func (t Table) EncodeCSV() ([]byte, error) {
+	var b bytes.Buffer
+	w := csv.NewWriter(&b)
+	header := make([]string, len(columns))
+	for i, c := range columns {
+		header[i] = string(c.name)
+	}
+	records := [][]string{header}
+	for _, r := range t.rows {
+		record := make([]string, len(columns))
+		for i, c := range columns {
+			record[i] = c.get(r)
+		}
+		records = append(records, record)
+	}
+	err := w.WriteAll(records)
+	return b.Bytes(), errors.Wrap(err, "table: encoding CSV")
+}
+
+// DecodeCSV reads a whole table: each column must stand in the header, in any
+// order. The error is a *Rejection; its places give line and column.
+func DecodeCSV(text []byte) (Table, error) {
+	s, found := readSheet(text)
+	for _, c := range columns {
+		if len(found) == 0 && !s.has(c.name) {
+			found.Add("line 1 "+string(c.name), "the column is missing")
+		}
+	}
+	rows := make([]Row, len(s.records))
+	for i, record := range s.records {
+		for j, v := range record.values {
+			col, _ := columnNamed(s.header[j])
+			if err := col.set(&rows[i], strings.TrimSpace(v)); err != nil {
+				found.Add(record.place(rows[i].Key(), s.header[j]), "%s", err)
+			}
+		}
+	}
+	found = append(found, checkRows(rows, func(i int) string {
+		return fmt.Sprintf("line %d %s", s.records[i].line, rows[i].Key())
+	})...)
+	if len(found) > 0 {
+		return Table{}, reject(found)
+	}
+	return New(0, rows), nil
+}
+
+// ChangesCSV reads an edit's changes: the three columns of the key and any
+// others. A row that t has gets those cells set, another one is added; rows
+// are not removed this way.
+func (t Table) ChangesCSV(text []byte) ([]Change, error) {
+	s, found := readSheet(text)
+	for _, c := range []Column{ColumnService, ColumnZone, ColumnKind} {
+		if len(found) == 0 && !s.has(c) {
+			found.Add("line 1 "+string(c), "the column is missing")
+		}
+	}
+	if len(found) > 0 {
+		return nil, reject(found)
+	}
+	var changes []Change
+	for _, record := range s.records {
+		var r Row
+		c := Change{Op: OpSet}
+		for j, v := range record.values {
+			if isKeyColumn(s.header[j]) {
+				col, _ := columnNamed(s.header[j])
+				_ = col.set(&r, strings.TrimSpace(v)) // a text takes any value
+				continue
+			}
+			c.Cells = append(c.Cells, Cell{Column: s.header[j], Value: Value(v)})
+		}
+		c.Key = r.Key()
+		if _, ok := t.index[c.Key]; !ok {
+			c.Op = OpAdd
+		}
+		changes = append(changes, c)
+	}
+	return changes, nil
+}
+
+// sheet is a CSV text with a header of known columns.
+type sheet struct {
+	header  []Column
+	records []record
+}
+
+type record struct {
+	line   int
+	values []string
+}
+
+func (r record) place(k Key, c Column) string { return fmt.Sprintf("line %d %s %s", r.line, k, c) }
+
+func (s sheet) has(name Column) bool {
+	return slices.Contains(s.header, name)
+}
+
+// readSheet reads all records it can. Records come only with a good header.
+func readSheet(text []byte) (sheet, check.Findings) {
+	var s sheet
+	var found check.Findings
+	r := csv.NewReader(bytes.NewReader(text))
+	r.FieldsPerRecord = -1
+	r.TrimLeadingSpace = true
+	header, err := r.Read()
+	if err != nil {
+		found.Add("line 1", "no CSV header: %s", err)
+		return s, found
+	}
+	for _, h := range header {
+		c := Column(strings.TrimSpace(strings.TrimPrefix(h, "\ufeff")))
+		if _, ok := columnNamed(c); !ok {
+			found.Add("line 1 "+string(c), "there is no such column")
+		}
+		if s.has(c) {
+			found.Add("line 1 "+string(c), "the column stands twice")
+		}
+		s.header = append(s.header, c)
+	}
+	if len(found) > 0 {
+		return s, found
+	}
+	for {
+		values, err := r.Read()
+		if err == io.EOF {
+			return s, found
+		}
+		if err != nil {
+			found.Add("table", "not CSV: %s", err)
+			return s, found
+		}
+		line, _ := r.FieldPos(0)
+		if len(values) != len(header) {
+			found.Add(fmt.Sprintf("line %d", line), "has %d cells, the header has %d", len(values), len(header))
+			continue
+		}
+		s.records = append(s.records, record{line: line, values: values})
+	}
+}
--- /dev/null
+++ b/table/helpers_test.go
@@ -0,0 +1,45 @@
+package table
+
+import (
+	"flag"
+	"time"
+
+	"jacinthworks/work"
+)
+
+// Random tests draw from one seed, so that two runs of the tests agree.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// sample gives a valid row of appraiser-lm.
+func sample(zone work.Zone, kind work.Kind) Row {
+	return Row{Service: "appraiser-lm", Zone: zone, Kind: kind, Team: "appraisal", Weight: 1, InFlight: 8,
+		QueueLimit: 32, CallerRate: 2.5, Deadline: Duration(30 * time.Second), FirstToken: Duration(2 * time.Second),
+		TokenGap: Duration(100 * time.Millisecond), Priority: 5, WastedPrefillWeight: 200}
+}
+
+// enquiry gives a valid row of marketplace-app, owned by another team.
+func enquiry(zone work.Zone) Row {
+	return Row{Service: "marketplace-app", Zone: zone, Kind: "enquiry", Team: "listing", Weight: 1, InFlight: 16,
+		Deadline: Duration(5 * time.Second), Priority: 9}
+}
+
+func sampleTable() Table {
+	return New(7, []Row{enquiry(AnyZone), sample(AnyZone, "appraisal"), sample("salt-lake", "appraisal")})
+}
+
+var asha = Operator{Name: "asha", Teams: []string{"appraisal"}}
+
+func lines(err error) []string {
+	r, ok := err.(*Rejection)
+	if !ok {
+		return nil
+	}
+	var all []string
+	for _, f := range r.Findings {
+		all = append(all, f.String())
+	}
+	return all
+}
--- a/table/table.go
+++ b/table/table.go
@@ -1,59 +1,111 @@
 // Package table holds the operators' table: weights and limits per service,
 // availability zone and kind of work. It is an aggregate with its own rules;
 // it imports no network.
+//
+// # Usage
+//
+// A Table is a value: an edit gives a new one and leaves the old one alone.
+//
+//	t, err := table.Decode(object.Value) // stored form; checked
+//	t = t.At(table.Version(object.Version))
+//	r, ok := t.Find("appraiser-lm", "salt-lake", "appraisal")
+//
+//	e := table.Edit{ID: "edit-0001", Changes: []table.Change{
+//		table.Set(r.Key(), table.Cell{Column: "weight", Value: "2"})}}
+//	next, err := t.Apply(e, table.Operator{Name: "asha", Teams: []string{"appraisal"}})
+//	fmt.Print(table.Diff(t, next))
+//
+// A process keeps its table in a Holder, which never goes back to a lower
+// version:
+//
+//	var h table.Holder
+//	h.Offer(t, asked)                          // from the platform or from a peer
+//	ready := h.Fresh(time.Now(), 3*time.Second) // may new work be taken?
+//
+// An error of Decode, DecodeCSV and Apply is a *Rejection: its findings name
+// row and column of everything that is wrong, not only of the first.
 package table
 
 import (
-	"time"
+	"cmp"
+	"slices"
 
 	"jacinthworks/work"
 )
 
-// AnyZone stands for every availability zone without a row of its own.
-const AnyZone work.Zone = "*"
+// Version orders tables: the platform's version of the object that holds the
+// table. Zero is the empty table before the first edit.
+type Version uint64
 
-// Row is one line of the table.
-type Row struct {
+// Key names a row.
+type Key struct {
 	Service work.Service `json:"service"`
 	Zone    work.Zone    `json:"zone"`
 	Kind    work.Kind    `json:"kind"`
-	// Team owns the row; only its tokens edit it.
-	Team string `json:"team"`
-	// Weight is this zone's share of the service's work, against the weights
-	// of the other zones; zero sends nothing there.
-	Weight int `json:"weight"`
-	// InFlight limits requests in progress per entry; QueueLimit those waiting.
-	InFlight   int `json:"in_flight"`
-	QueueLimit int `json:"queue_limit"`
-	// CallerRate limits requests a second per caller and entry; zero is no limit.
-	CallerRate float64 `json:"caller_rate"`
-	// Deadline is the time from acceptance to the end of the answer.
-	Deadline Duration `json:"deadline"`
-	// FirstToken and TokenGap are the targets for time to first token and
-	// time between tokens; zero for plain services.
-	FirstToken Duration `json:"first_token"`
-	TokenGap   Duration `json:"token_gap"`
-	// Idempotent work may run again after its outcome was lost.
-	Idempotent bool `json:"idempotent"`
-	// Priority orders kinds when there is too little room: higher goes first,
-	// lower is shed first. 0 to 9.
-	Priority int `json:"priority"`
-	// MayWait lets work queue past the first-token target, up to its deadline.
-	MayWait bool `json:"may_wait"`
-	// WastedPrefillWeight sets how much a wasted prefill token counts against
-	// goodput in choices, in percent; 100 weighs them alike.
-	WastedPrefillWeight int `json:"wasted_prefill_weight"`
-}
-
-// Duration is a time.Duration written as text ("1.5s") in our own formats.
-type Duration time.Duration
-
-// MarshalText writes the duration as time.Duration does.
-func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
-
-// UnmarshalText reads what time.ParseDuration reads.
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	*d = Duration(v)
-	return err
+}
+
+// String gives the key as it is written on the command line.
+func (k Key) String() string {
+	return string(k.Service) + "/" + string(k.Zone) + "/" + string(k.Kind)
+}
+
+// Key gives the name of the row.
+func (r Row) Key() Key { return Key{Service: r.Service, Zone: r.Zone, Kind: r.Kind} }
+
+// Table is a version of the rows. The zero value is the empty table. A Table
+// is never changed once made and may be shared between goroutines.
+type Table struct {
+	version Version
+	rows    []Row
+	index   map[Key]int
+	edits   []Applied
+}
+
+// New gives a table of the rows, sorted by key. It does not check them.
+func New(version Version, rows []Row) Table {
+	t := Table{version: version, rows: append([]Row(nil), rows...)}
+	slices.SortStableFunc(t.rows, func(a, b Row) int { return compareKeys(a.Key(), b.Key()) })
+	t.index = make(map[Key]int, len(t.rows))
+	for i, r := range t.rows {
+		t.index[r.Key()] = i
+	}
+	return t
+}
+
+// Version gives the table's version.
+func (t Table) Version() Version { return t.version }
+
+// At gives the same rows at the version under which the platform holds them.
+func (t Table) At(v Version) Table {
+	t.version = v
+	return t
+}
+
+// Rows gives a copy of the rows, sorted by service, zone and kind.
+func (t Table) Rows() []Row { return slices.Clone(t.rows) }
+
+// Len gives the number of rows.
+func (t Table) Len() int { return len(t.rows) }
+
+// Find gives the row for the zone, or else the service's row for AnyZone. Its
+// cost does not grow with the table: at most two lookups in a hash map.
+func (t Table) Find(service work.Service, zone work.Zone, kind work.Kind) (Row, bool) {
+	i, ok := t.index[Key{service, zone, kind}]
+	if !ok {
+		i, ok = t.index[Key{service, AnyZone, kind}]
+	}
+	if !ok {
+		return Row{}, false
+	}
+	return t.rows[i], true
+}
+
+// HasService reports whether any row names the service.
+func (t Table) HasService(service work.Service) bool {
+	i, _ := slices.BinarySearchFunc(t.rows, service, func(r Row, s work.Service) int { return cmp.Compare(r.Service, s) })
+	return i < len(t.rows) && t.rows[i].Service == service
+}
+
+func compareKeys(a, b Key) int {
+	return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Zone, b.Zone), cmp.Compare(a.Kind, b.Kind))
 }
--- /dev/null
+++ b/table/table_test.go
@@ -0,0 +1,186 @@
+package table
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthworks/work"
+)
+
+func TestFindFallsBackToAnyZone(t *testing.T) {
+	table := sampleTable()
+	r, ok := table.Find("appraiser-lm", "salt-lake", "appraisal")
+	require.True(t, ok)
+	require.Equal(t, work.Zone("salt-lake"), r.Zone)
+	r, ok = table.Find("appraiser-lm", "howrah", "appraisal")
+	require.True(t, ok)
+	require.Equal(t, AnyZone, r.Zone)
+	_, ok = table.Find("appraiser-lm", "salt-lake", "blurb")
+	require.False(t, ok)
+	_, ok = Table{}.Find("appraiser-lm", "salt-lake", "appraisal")
+	require.False(t, ok)
+}
+
+func TestHasService(t *testing.T) {
+	table := sampleTable()
+	require.True(t, table.HasService("marketplace-app"))
+	require.True(t, table.HasService("appraiser-lm"))
+	require.False(t, table.HasService("wallapp"))
+	require.False(t, Table{}.HasService(""))
+}
+
+func TestTheSampleIsValid(t *testing.T) {
+	require.Empty(t, sampleTable().Check())
+	require.Empty(t, Table{}.Check())
+}
+
+func TestBothFormsComeBackAsTheyWere(t *testing.T) {
+	table := sampleTable()
+	next, err := table.Apply(Edit{ID: "e-1", Changes: []Change{Set(sample(AnyZone, "appraisal").Key(), Cell{Column: "weight", Value: "3"})}}, asha)
+	require.NoError(t, err)
+
+	text, err := next.Encode()
+	require.NoError(t, err)
+	back, err := Decode(text)
+	require.NoError(t, err)
+	require.Equal(t, next, back)
+	require.Contains(t, string(text), `"in_flight":8`)
+
+	people, err := DecodeRows(text)
+	require.NoError(t, err)
+	require.Equal(t, next.Rows(), people.Rows())
+
+	text, err = next.EncodeCSV()
+	require.NoError(t, err)
+	back, err = DecodeCSV(text)
+	require.NoError(t, err)
+	require.Equal(t, next.Rows(), back.Rows())
+	require.True(t, strings.HasPrefix(string(text), "service,zone,kind,team,weight,in_flight,"))
+}
+
+// Both zones of an appraisal were edited, one to idempotent and one not. A
+// request whose outcome was lost in the first zone was sent on to the second,
+// where its row forbids a second run. The table must not hold such a pair.
+func TestAKindIsIdempotentInAllZonesOrNone(t *testing.T) {
+	_, err := sampleTable().Apply(Edit{ID: "e-1", Changes: []Change{
+		Set(sample(AnyZone, "appraisal").Key(), Cell{Column: "idempotent", Value: "true"})}}, asha)
+	require.Equal(t, []string{"row 2 appraiser-lm/salt-lake/appraisal idempotent: " +
+		"false here and true at row 1 appraiser-lm/*/appraisal: a kind has one value in all zones"}, lines(err))
+}
+
+// An operator pasted a sheet of many thousand rows. The platform refuses a
+// value above a megabyte, at every retry and with no reason that a person
+// could act on. The check says so before anything is written.
+func TestATableTooLargeForThePlatformIsAFinding(t *testing.T) {
+	var rows []Row
+	for i := range 4000 {
+		rows = append(rows, sample(work.Zone(fmt.Sprintf("zone-%d", i)), "appraisal"))
+	}
+	found := New(1, rows).Check()
+	require.Len(t, found, 1)
+	require.Contains(t, found[0].String(), "the platform holds 1048576: remove rows")
+}
+
+func TestSizeOfARowAndOfTheHistory(t *testing.T) {
+	var rows []Row
+	for i := range 1000 {
+		rows = append(rows, sample(work.Zone(fmt.Sprintf("zone-%d", i)), "appraisal"))
+	}
+	text, err := New(1, rows).Encode()
+	require.NoError(t, err)
+	t.Logf("1000 rows take %d bytes", len(text))
+	require.Less(t, len(text), 1000*320)
+}
+
+// naiveFind looks at every row.
+func naiveFind(rows []Row, s work.Service, z work.Zone, k work.Kind) (Row, bool) {
+	var any Row
+	found := false
+	for _, r := range rows {
+		if r.Service == s && r.Kind == k && r.Zone == z {
+			return r, true
+		}
+		if r.Service == s && r.Kind == k && r.Zone == AnyZone {
+			any, found = r, true
+		}
+	}
+	return any, found
+}
+
+func drawRows(rt *rapid.T) []Row {
+	keys := rapid.SliceOfNDistinct(rapid.Custom(func(rt *rapid.T) Key {
+		return Key{Service: work.Service(rapid.SampledFrom([]string{"a", "b"}).Draw(rt, "service")),
+			Zone: work.Zone(rapid.SampledFrom([]string{"x", "y", "*"}).Draw(rt, "zone")),
+			Kind: work.Kind(rapid.SampledFrom([]string{"k", "l"}).Draw(rt, "kind"))}
+	}), 0, 12, rapid.ID[Key]).Draw(rt, "keys")
+	var rows []Row
+	for _, k := range keys {
+		r := sample(k.Zone, k.Kind)
+		r.Service = k.Service
+		r.Weight = rapid.IntRange(0, 3).Draw(rt, "weight")
+		rows = append(rows, r)
+	}
+	return rows
+}
+
+func TestFindAgreesWithTheNaiveSearch(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		rows := drawRows(rt)
+		table := New(1, rows)
+		for _, s := range []work.Service{"a", "b", "c"} {
+			for _, z := range []work.Zone{"x", "y", "z"} {
+				want, wantOK := naiveFind(rows, s, z, "k")
+				got, ok := table.Find(s, z, "k")
+				if got != want || ok != wantOK {
+					rt.Fatalf("%s %s: got %v, want %v", s, z, got, want)
+				}
+			}
+		}
+	})
+}
+
+func TestApplyingADiffGivesTheOtherTable(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		a, b := New(1, drawRows(rt)), New(2, drawRows(rt))
+		changes := Diff(a, b)
+		if len(changes) == 0 {
+			require.Equal(rt, a.Rows(), b.Rows())
+			return
+		}
+		got, err := a.Apply(Edit{ID: "e-1", Changes: changes}, asha)
+		require.NoError(rt, err)
+		require.Equal(rt, b.Rows(), got.Rows())
+		require.Empty(rt, Diff(got, b))
+	})
+}
+
+func TestDiffReadsLikeADiff(t *testing.T) {
+	a := New(1, []Row{sample("x", "k"), sample("y", "k")})
+	changed := sample("y", "k")
+	changed.Weight, changed.MayWait = 4, true
+	b := New(2, []Row{changed, enquiry("z")})
+	require.Equal(t, `- appraiser-lm/x/k
+= appraiser-lm/y/k weight: 1 -> 4
+= appraiser-lm/y/k may_wait: false -> true
++ marketplace-app/z/enquiry team=listing weight=1 in_flight=16 queue_limit=0 caller_rate=0 deadline=5s first_token=0s token_gap=0s idempotent=false priority=9 may_wait=false wasted_prefill_weight=0
+`, Diff(a, b).String())
+}
+
+func BenchmarkFind(b *testing.B) {
+	for _, n := range []int{15, 3000} {
+		var rows []Row
+		for i := range n {
+			rows = append(rows, sample(work.Zone(fmt.Sprintf("zone-%d", i)), "appraisal"))
+		}
+		table := New(1, append(rows, sample(AnyZone, "appraisal")))
+		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				table.Find("appraiser-lm", "elsewhere", "appraisal")
+			}
+		})
+	}
+}
