--- /dev/null
+++ b/cmd_entry.go
@@ -0,0 +1,35 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"jacinthworks/conf"
+	"jacinthworks/entry"
+	"jacinthworks/plat"
+)
+
+var cmdEntry = command{name: "entry", help: "serve callers on an entry host", run: runEntry}
+
+func runEntry(ctx context.Context, args []string, out, errs io.Writer) int {
+	s, code, done := readSettings(args, "entry", conf.ParseEntry, out, errs)
+	if done {
+		return code
+	}
+	e := &entry.Entry{
+		Settings: s,
+		Log:      newLog(s.Log, "entry", s.Name, errs),
+		Objects:  &plat.HTTPObjects{Base: s.Platform},
+		Hosts:    &plat.HTTPHosts{Base: s.Platform},
+		Listening: func(callers, admin, peers netip.AddrPort) {
+			fmt.Fprintf(out, "listening %s admin %s peers %s\n", callers, admin, peers)
+		},
+	}
+	if err := e.Run(ctx); err != nil {
+		fmt.Fprintln(errs, "jacinthworks:", err)
+		return exitUnreachable
+	}
+	return exitOK
+}
--- /dev/null
+++ b/cmd_side.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/netip"
+
+	"jacinthworks/conf"
+	"jacinthworks/engine"
+	"jacinthworks/plat"
+	"jacinthworks/side"
+	"jacinthworks/work"
+)
+
+var cmdSide = command{name: "side", help: "serve entries beside one upstream", run: runSide}
+
+func runSide(ctx context.Context, args []string, out, errs io.Writer) int {
+	s, code, done := readSettings(args, "side", conf.ParseSide, out, errs)
+	if done {
+		return code
+	}
+	b := &side.Side{
+		Settings:  s,
+		Log:       newLog(s.Log, "side", s.Name, errs),
+		Objects:   &plat.HTTPObjects{Base: s.Platform},
+		Listening: func(a netip.AddrPort) { fmt.Fprintf(out, "listening %s\n", a) },
+	}
+	if s.Role == work.RoleApp {
+		b.App = &engine.HTTPApp{Base: s.Upstream}
+	} else {
+		b.Model = &engine.HTTPModel{Base: s.Upstream}
+	}
+	if err := b.Run(ctx); err != nil {
+		fmt.Fprintln(errs, "jacinthworks:", err)
+		return exitUnreachable
+	}
+	return exitOK
+}
--- a/commands.go
+++ b/commands.go
@@ -23,6 +23,8 @@
 // commands lists every command in the order in which help shows them.
 func commands() []command {
 	return []command{
+		cmdEntry,
+		cmdSide,
 		cmdVersion,
 	}
 }
--- /dev/null
+++ b/entry/entry.go
@@ -0,0 +1,180 @@
+// Package entry is the process that callers talk to. It accepts a request,
+// ends it exactly once, and can tell what became of it; it keeps nothing that
+// must outlive it. Work goes to upstreams only through the sides beside them.
+//
+// # Usage
+//
+//	e := &entry.Entry{Settings: settings, Log: log, Objects: objects, Hosts: hosts}
+//	err := e.Run(ctx) // until ctx ends; then drains, bounded by stop_within
+package entry
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"jacinthworks/conf"
+	"jacinthworks/group"
+	"jacinthworks/plat"
+	"jacinthworks/story"
+	"jacinthworks/table"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// Entry serves callers. Set the exported fields before Run.
+type Entry struct {
+	Settings conf.Entry
+	Log      hclog.Logger
+	Objects  plat.Objects
+	Hosts    plat.Hosts
+	// Listening, if set, is told the addresses for callers, operators and
+	// peers once they accept connections.
+	Listening func(callers, admin, peers netip.AddrPort)
+
+	incarnation work.Incarnation
+	numbers     atomic.Uint64
+	recorder    story.Recorder
+	streams     streams
+	sides       directory
+	entries     directory
+	tables      table.Holder
+	draining    atomic.Bool
+	started     time.Time
+	met         atomic.Bool
+	work        group.Group
+	workCtx     context.Context
+}
+
+// Run serves until ctx ends, then accepts nothing new, ends what is in
+// progress and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	callers, err := net.Listen("tcp", e.Settings.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "entry: listen")
+	}
+	admin, err := net.Listen("tcp", e.Settings.AdminListen.String())
+	if err != nil {
+		return errors.Wrap(err, "entry: admin_listen")
+	}
+	peers, err := net.Listen("tcp", e.peerListen().String())
+	if err != nil {
+		return errors.Wrap(err, "entry: peer_listen")
+	}
+	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
+	defer stopServing()
+	e.workCtx = serving
+
+	server := e.server(e.callersHandler())
+	var loops group.Group
+	loops.Go(serving, "work ends", e.reap)
+	loops.Go(serving, "sides", e.sides.run)
+	loops.Go(serving, "entries", e.entries.run)
+	loops.Go(serving, "members", e.watchMembers)
+	loops.Go(serving, "join", func(ctx context.Context) error { return e.joinEntries(ctx, address(peers)) })
+	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, peers, e.entryLocal()) })
+	loops.Go(serving, "confirm", e.confirmTable)
+	loops.Go(serving, "table", e.watchTable)
+	loops.Go(serving, "callers", func(context.Context) error { return serve(server, callers) })
+	if e.Listening != nil {
+		e.Listening(address(callers), address(admin), address(peers))
+	}
+	<-ctx.Done()
+	e.drain(server)
+	e.work.Close()
+	stopServing()
+	for _, end := range loops.Wait() {
+		e.Log.Warn("ended with an error", "goroutine", end.Name, "err", end.Err)
+	}
+	return nil
+}
+
+func (e *Entry) init() {
+	if e.Log == nil {
+		e.Log = hclog.NewNullLogger()
+	}
+	e.Settings.Limits = e.Settings.Limits.OrDefaults()
+	e.Settings.Timings = e.Settings.Timings.OrDefaults()
+	e.started = time.Now()
+	e.incarnation = work.NewIncarnation()
+	e.sides.local = &wire.Local{
+		Hello:   wire.Hello{Host: e.Settings.Name, Zone: e.Settings.Zone, Incarnation: e.incarnation, Role: "entry"},
+		Beat:    func() wire.Beat { return wire.Beat{Draining: e.draining.Load()} },
+		Notice:  e.notice,
+		Every:   e.Settings.Timings.Heartbeat,
+		Silence: e.Settings.Timings.SilenceAfter,
+	}
+	e.entries.local = e.entryLocal()
+}
+
+// peerListen is where other entries connect: any port of the callers' address
+// where the settings leave it open, since peers learn it from the record.
+func (e *Entry) peerListen() netip.AddrPort {
+	if e.Settings.PeerListen.IsValid() {
+		return e.Settings.PeerListen
+	}
+	return netip.AddrPortFrom(e.Settings.Listen.Addr(), 0)
+}
+
+func address(l net.Listener) netip.AddrPort { return l.Addr().(*net.TCPAddr).AddrPort() }
+
+func serve(s *http.Server, l net.Listener) error {
+	err := s.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "entry: serve")
+}
+
+// server bounds what a connection may ask for. A caller that sends slowly is
+// cut by the read timeout; one that reads slowly is cut at each write, by the
+// deadline that the writers of answers set.
+func (e *Entry) server(h http.Handler) *http.Server {
+	l := e.Settings.Limits
+	return &http.Server{
+		Handler:           h,
+		ReadHeaderTimeout: l.HeaderTimeout,
+		ReadTimeout:       l.ReadTimeout,
+		IdleTimeout:       l.IdleTimeout,
+		MaxHeaderBytes:    64 << 10,
+	}
+}
+
+func (e *Entry) reap(context.Context) error {
+	for end := range e.work.Ends() {
+		if end.Err != nil {
+			e.Log.Debug("work ended", "name", end.Name, "err", end.Err)
+		}
+	}
+	return nil
+}
+
+// drain answers new requests with a refusal, then closes the listener and
+// waits for what is in progress. The balancer takes an entry out that is not
+// ready, so refusals are few; closing first would reset its connections.
+func (e *Entry) drain(s *http.Server) {
+	e.draining.Store(true)
+	e.Log.Info("draining", "within", e.Settings.Timings.StopWithin)
+	ctx, cancel := context.WithTimeout(context.Background(), e.Settings.Timings.StopWithin)
+	defer cancel()
+	if err := s.Shutdown(ctx); err != nil {
+		e.Log.Warn("stop_within passed", "err", err)
+		_ = s.Close()
+	}
+}
+
+// later runs fn under the entry's own context, past the end of a request.
+func (e *Entry) later(name string, within time.Duration, fn func(context.Context) error) {
+	e.work.Go(e.workCtx, name, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		return fn(ctx)
+	})
+}
--- /dev/null
+++ b/entry/peers.go
@@ -0,0 +1,64 @@
+package entry
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net/netip"
+
+	"jacinthworks/member"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// entryLocal is what this entry brings to its connections with other entries.
+func (e *Entry) entryLocal() *wire.Local {
+	l := *e.sides.local
+	l.Notice = nil
+	l.Handle = e.handlePeer
+	return &l
+}
+
+// handlePeer answers another entry's calls.
+func (e *Entry) handlePeer(_ context.Context, p *wire.Peer, method string, params json.RawMessage) (any, error) {
+	switch method {
+	case wire.MethodTable:
+		return wire.Decode(params, e.giveTable)
+	case wire.MethodOffer:
+		return wire.Decode(params, func(t wire.Table) (any, error) { return e.takeTable(t, p.Remote().Host) })
+	case wire.MethodStory:
+		return wire.Decode(params, e.giveStory)
+	}
+	return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: "no method " + method}
+}
+
+// giveStory gives the stories that this entry itself has in memory.
+func (e *Entry) giveStory(a wire.StoryAsk) (any, error) {
+	s, found := e.recorder.Get(a.Request)
+	if !found {
+		return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.Unknown, Detail: "nothing is known here of the request"}
+	}
+	return s, nil
+}
+
+// joinEntries dials the peers in the settings, which are there also when the
+// platform is down, puts this entry into the entries' record, and follows it.
+func (e *Entry) joinEntries(ctx context.Context, address netip.AddrPort) error {
+	for i, a := range e.Settings.Peers {
+		e.entries.dial(member.Member{Host: work.Host(fmt.Sprintf("peer-%d", i+1)), Service: "peers", Address: a})
+	}
+	m := member.Member{
+		Host: e.Settings.Name, Zone: e.Settings.Zone, Service: member.Entries, Address: address, Incarnation: e.incarnation,
+	}
+	err := member.Keep(ctx, e.Objects, m, func(r member.Record) {
+		e.Log.Info("joined", "service", r.Service, "version", r.Version, "members", len(r.Members))
+	})
+	if err != nil {
+		return err
+	}
+	return e.watchRecord(ctx, member.Entries, func(r member.Record) bool {
+		others, _ := r.Without(e.Settings.Name, e.incarnation)
+		others.Version = r.Version
+		return e.entries.apply(others)
+	})
+}
--- /dev/null
+++ b/entry/read.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/check"
+	"jacinthworks/engine"
+	"jacinthworks/work"
+)
+
+// Bounds of a completion. Four bytes a token is the usual figure for English
+// text; it is only used to weigh requests, engines count for themselves.
+const (
+	bytesPerToken    = 4
+	defaultMaxTokens = 256
+	mostMaxTokens    = 32768
+)
+
+// completion is the body of /v1/completions and /v1/chat/completions.
+type completion struct {
+	Model     work.Service `json:"model"`
+	Prompt    string       `json:"prompt"`
+	Messages  []message    `json:"messages"`
+	MaxTokens int          `json:"max_tokens"`
+	Stream    bool         `json:"stream"`
+}
+
+type message struct {
+	Role    string `json:"role"`
+	Content string `json:"content"`
+}
+
+// readBody reads the body, bounded.
+func (e *Entry) readBody(w http.ResponseWriter, h *http.Request) ([]byte, *failure) {
+	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, e.Settings.Limits.MaxBody))
+	if errors.As(err, new(*http.MaxBytesError)) {
+		return nil, &failure{ran: work.NotRun, reason: work.ReasonTooLarge, detail: "the body is over the limit"}
+	}
+	if err != nil {
+		return nil, &failure{ran: work.NotRun, reason: work.ReasonBadInput, detail: "the body did not arrive whole"}
+	}
+	return body, nil
+}
+
+func readCompletion(r *request, _ *http.Request, body []byte) check.Findings {
+	c, found := parse(r, body)
+	if len(found) == 0 && c.Prompt == "" {
+		found.Add("/prompt", "is empty")
+	}
+	r.prompt = c.Prompt
+	r.weigh()
+	return found
+}
+
+func readChat(r *request, _ *http.Request, body []byte) check.Findings {
+	c, found := parse(r, body)
+	if len(found) == 0 && len(c.Messages) == 0 {
+		found.Add("/messages", "is empty")
+	}
+	var text strings.Builder
+	for _, m := range c.Messages {
+		text.WriteString(m.Role + ": " + m.Content + "\n")
+	}
+	r.prompt, r.chat = text.String(), true
+	r.weigh()
+	return found
+}
+
+func parse(r *request, body []byte) (completion, check.Findings) {
+	var c completion
+	var found check.Findings
+	if err := json.Unmarshal(body, &c); err != nil {
+		found.Add("body", "is not JSON of a completion: %v", err)
+		return c, found
+	}
+	if c.Model == "" {
+		found.Add("/model", "is empty")
+	}
+	if c.MaxTokens < 0 || c.MaxTokens > mostMaxTokens {
+		found.Add("/max_tokens", "is not between 0 and %d: %d", mostMaxTokens, c.MaxTokens)
+	}
+	if c.MaxTokens == 0 {
+		c.MaxTokens = defaultMaxTokens
+	}
+	r.service, r.stream, r.maxTokens = c.Model, c.Stream, c.MaxTokens
+	return c, found
+}
+
+func (r *request) weigh() { r.promptTokens = max(1, len(r.prompt)/bytesPerToken) }
+
+// hopHeaders belong to one connection and are not passed on. Authorization is
+// the caller's to us; it opens nothing at an upstream.
+var hopHeaders = []string{
+	"Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization", "Te", "Trailer",
+	"Transfer-Encoding", "Upgrade", "Authorization", "Content-Length",
+}
+
+func readCall(r *request, h *http.Request, body []byte) check.Findings {
+	header := h.Header.Clone()
+	for _, name := range hopHeaders {
+		header.Del(name)
+	}
+	header.Set(headerID, string(r.id))
+	r.service = work.Service(h.PathValue("service"))
+	path := "/" + h.PathValue("path")
+	if h.URL.RawQuery != "" {
+		path += "?" + h.URL.RawQuery
+	}
+	r.call = &engine.Call{Method: h.Method, Path: path, Header: header, Body: body}
+	return nil
+}
+
+func readNothing(_ *request, h *http.Request, _ []byte) check.Findings {
+	var found check.Findings
+	found.Add(h.Method+" "+h.URL.Path, "is not served here")
+	return found
+}
--- /dev/null
+++ b/entry/request.go
@@ -0,0 +1,143 @@
+package entry
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"jacinthworks/check"
+	"jacinthworks/engine"
+	"jacinthworks/story"
+	"jacinthworks/table"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// request is one accepted request until its end.
+type request struct {
+	id       work.RequestID
+	account  work.Account
+	service  work.Service
+	kind     work.Kind
+	row      table.Row
+	key      string
+	body     uint64
+	accepted time.Time
+	attempt  work.Attempt
+	tokens   int
+	// Of model work:
+	prompt       string
+	promptTokens int
+	maxTokens    int
+	stream       bool
+	chat         bool
+	// Of a plain call:
+	call   *engine.Call
+	answer *engine.Answer
+}
+
+// failure is an attempt that did not end in an answer.
+type failure struct {
+	ran    work.Ran
+	reason work.Reason
+	detail string
+	died   bool
+	// begun says that the caller has seen part of the answer.
+	begun bool
+	// retryAfter is set when a return makes sense.
+	retryAfter time.Duration
+	findings   check.Findings
+}
+
+func (e *Entry) nextID() work.RequestID {
+	return work.RequestID(fmt.Sprintf("%s.%x.%d", e.Settings.Name, uint64(e.incarnation), e.numbers.Add(1)))
+}
+
+// hashOf identifies a body.
+func hashOf(parts ...string) uint64 {
+	var d xxhash.Digest
+	d.Reset()
+	for _, p := range parts {
+		_, _ = d.WriteString(p)
+		_, _ = d.Write([]byte{0})
+	}
+	return d.Sum64()
+}
+
+// accept opens the request's story.
+func (e *Entry) accept(r *request) {
+	e.recorder.Record(story.Event{
+		Kind: story.Accepted, Time: r.accepted, Host: e.Settings.Name, Request: r.id,
+		Service: r.service, RequestKind: r.kind, Caller: r.account, Idempotent: r.row.Idempotent, Tokens: r.promptTokens,
+	})
+}
+
+// tell adds an event to the request's story.
+func (e *Entry) tell(r *request, v story.Event) {
+	v.Time, v.Host, v.Request = time.Now(), e.Settings.Name, r.id
+	if v.Attempt == 0 && v.Kind != story.Queued {
+		v.Attempt = r.attempt
+	}
+	e.recorder.Record(v)
+}
+
+// answered ends the request's story with its answer.
+func (e *Entry) answered(r *request) {
+	e.tell(r, story.Event{Kind: story.Answered, Ran: work.DidRun, Tokens: r.tokens})
+	e.Log.Info("answered", "request", r.id, "kind", r.kind, "account", r.account,
+		"attempts", r.attempt, "tokens", r.tokens, "took", time.Since(r.accepted))
+}
+
+// refusal ends the request's story with a refusal, and gives it.
+func (e *Entry) refusal(r *request, f *failure) *work.Refusal {
+	e.tell(r, story.Event{Kind: story.Refused, Ran: f.ran, Reason: f.reason, Detail: f.detail, Tokens: r.tokens})
+	e.Log.Info("refused", "request", r.id, "kind", r.kind, "account", r.account,
+		"attempts", r.attempt, "reason", f.reason, "ran", f.ran, "took", time.Since(r.accepted))
+	return &work.Refusal{RequestID: r.id, Reason: f.reason, Ran: f.ran, Detail: f.detail, RetryAfter: f.retryAfter, Findings: f.findings}
+}
+
+// failed turns an outcome into a failure.
+func failed(out wire.Outcome) *failure {
+	return &failure{ran: out.Ran, reason: out.Reason, detail: out.Detail, died: out.Died}
+}
+
+// attempts runs try until it succeeds or must not be repeated.
+func (e *Entry) attempts(ctx context.Context, r *request, try func(context.Context) *failure) *failure {
+	worst := work.NotRun
+	for {
+		r.attempt++
+		f := try(ctx)
+		if f == nil {
+			return nil
+		}
+		e.tell(r, story.Event{Kind: story.AttemptEnded, Ran: f.ran, Reason: f.reason, Detail: f.detail})
+		// An earlier attempt may have run although the last one did not.
+		worst = worse(worst, f.ran)
+		if ctx.Err() != nil {
+			f.reason = reasonOf(ctx)
+		}
+		if ctx.Err() != nil || !e.mayRetry(r, f) {
+			f.ran = worst
+			return f
+		}
+	}
+}
+
+// worse gives the account that admits more.
+func worse(a, b work.Ran) work.Ran {
+	rank := func(r work.Ran) int {
+		switch r {
+		case work.NotRun:
+			return 0
+		case work.DidRun:
+			return 2
+		}
+		return 1
+	}
+	if rank(b) > rank(a) {
+		return b
+	}
+	return a
+}
--- /dev/null
+++ b/entry/stage.go
@@ -0,0 +1,133 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// How long the entry tries to take up work whose connection was lost, and how
+// long it tries to bring a cancel order through. Both end after the side's own
+// sweep would have freed the work.
+const (
+	attachWithin = 1500 * time.Millisecond
+	cancelWithin = 2 * time.Second
+	callWithin   = 500 * time.Millisecond
+	redialPoll   = 20 * time.Millisecond
+)
+
+// stage runs one stage at a side and gives its outcome. It always gives one: a
+// lost connection is taken up again on a fresh one, and when that fails too
+// the attempt is settled or called unknown.
+func (e *Entry) stage(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
+	s.inFlight.Add(1)
+	defer s.inFlight.Add(-1)
+	var out wire.Outcome
+	err := s.link.Call(ctx, wire.MethodRun, r, &out)
+	if err == nil && complete(out, st) {
+		return out
+	}
+	var refused *wire.Refused
+	switch {
+	case errors.As(err, &refused):
+		return wire.Outcome{Ref: r.Ref, Ran: refused.Ran, Reason: refused.Reason, Detail: refused.Detail}
+	case errors.Is(err, wire.ErrNotSent):
+		return wire.Outcome{Ref: r.Ref, Ran: work.NotRun, Reason: work.ReasonNoUpstream, Detail: "no connection to the side"}
+	case ctx.Err() != nil:
+		return e.giveUp(ctx, s, r)
+	}
+	return e.takeUp(ctx, s, r, st)
+}
+
+// complete says whether every token of a whole answer has come.
+func complete(out wire.Outcome, st *stream) bool {
+	return st == nil || out.Reason != "" || st.next() == out.Tokens
+}
+
+// takeUp attaches to work whose connection was lost. The failure: a
+// connection that is silent for good, or cut, while both ends live. It shows
+// as a call without an answer. Attaching on a fresh connection, from the next
+// token wanted, holds because the side keeps the work and its tokens for as
+// long as this takes.
+func (e *Entry) takeUp(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
+	until := time.Now().Add(attachWithin)
+	for time.Now().Before(until) && ctx.Err() == nil {
+		a := wire.Attach{Ref: r.Ref}
+		if st != nil {
+			a.From = st.next()
+		}
+		var out wire.Outcome
+		err := s.link.Call(ctx, wire.MethodAttach, a, &out)
+		if err == nil && complete(out, st) {
+			e.Log.Info("taken up", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage, "side", s.member.Host)
+			return out
+		}
+		if err != nil && !errors.Is(err, wire.ErrNotSent) {
+			until = time.Now().Add(attachWithin)
+		}
+		pause(ctx, redialPoll)
+	}
+	if ctx.Err() != nil {
+		return e.giveUp(ctx, s, r)
+	}
+	return wire.Outcome{
+		Ref: r.Ref, Ran: work.Unknown, Reason: work.ReasonLost,
+		Detail: "the side was lost while it had the work",
+	}
+}
+
+// giveUp ends an attempt that is no longer wanted, and says what is known of
+// it: the side's own account where it still answers.
+func (e *Entry) giveUp(ctx context.Context, s *sideLink, r wire.Run) wire.Outcome {
+	out := wire.Outcome{Ref: r.Ref, Ran: work.Unknown, Reason: reasonOf(ctx)}
+	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
+	defer cancel()
+	var known wire.Outcome
+	if s.link.Call(settle, wire.MethodSettle, r.Ref, &known) == nil {
+		out.Ran = known.Ran
+	}
+	if r.Stage != wire.StageCall && out.Ran != work.NotRun {
+		e.cancel(s, r.Ref)
+	}
+	return out
+}
+
+// reasonOf says why a request's context ended.
+func reasonOf(ctx context.Context) work.Reason {
+	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+		return work.ReasonDeadline
+	}
+	return work.ReasonCallerGone
+}
+
+// cancel brings a cancel order through, past the end of the request. A lost
+// order is repeated until a side says that it has it; a side that is cut off
+// from here frees the work itself.
+func (e *Entry) cancel(s *sideLink, r wire.Ref) {
+	e.later("cancel", cancelWithin, func(ctx context.Context) error {
+		for ctx.Err() == nil {
+			try, stop := context.WithTimeout(ctx, callWithin)
+			err := s.link.Call(try, wire.MethodCancel, r, nil)
+			stop()
+			if err == nil {
+				return nil
+			}
+			pause(ctx, redialPoll)
+		}
+		return ctx.Err()
+	})
+}
+
+// pause waits for d or the end of the context.
+func pause(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/entry/stream.go
@@ -0,0 +1,96 @@
+package entry
+
+import (
+	"encoding/json"
+	"sync"
+
+	"jacinthworks/wire"
+)
+
+// stream takes the tokens of one attempt in their order.
+type stream struct {
+	mu     sync.Mutex
+	tokens []string
+	taken  int
+	// changed has room for one word: there is more.
+	changed chan struct{}
+}
+
+// take gives the tokens that came since the last take.
+func (s *stream) take() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fresh := s.tokens[s.taken:]
+	s.taken = len(s.tokens)
+	return fresh
+}
+
+// next is the offset of the token wanted next.
+func (s *stream) next() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.tokens)
+}
+
+// add takes a frame. What overlaps is skipped and what leaves a gap is
+// dropped; the gap is filled by attaching again from next.
+func (s *stream) add(f wire.Frame) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	skip := len(s.tokens) - f.Offset
+	if skip < 0 || skip >= len(f.Tokens) {
+		return
+	}
+	s.tokens = append(s.tokens, f.Tokens[skip:]...)
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// streams finds the stream that a frame belongs to. The failure: a late frame
+// of an older attempt, or of another request. It shows as tokens that are not
+// of this answer. Looking frames up by request, attempt and stage holds, since
+// an attempt's entry is gone from the map once the attempt is given up. The
+// zero value is ready to use; its lock is taken before no other.
+type streams struct {
+	mu  sync.Mutex
+	all map[wire.Ref]*stream
+}
+
+func (s *streams) open(r wire.Ref) *stream {
+	st := &stream{changed: make(chan struct{}, 1)}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[wire.Ref]*stream)
+	}
+	s.all[r] = st
+	return st
+}
+
+func (s *streams) shut(r wire.Ref) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.all, r)
+}
+
+func (s *streams) find(r wire.Ref) *stream {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.all[r]
+}
+
+// notice takes notifications from sides in the order of their arrival.
+func (e *Entry) notice(_ *wire.Peer, method string, params json.RawMessage) {
+	if method != wire.MethodFrame {
+		return
+	}
+	var f wire.Frame
+	if json.Unmarshal(params, &f) != nil {
+		return
+	}
+	if s := e.streams.find(f.Ref); s != nil {
+		s.add(f)
+	}
+}
--- a/side/reconcile.go
+++ b/side/reconcile.go
@@ -28,7 +28,6 @@
 				s.Log.Info("orphaned", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage)
 				s.free(r.Request)
 			}
-			s.room.Expire(now)
 		}
 	}
 }
@@ -70,7 +69,7 @@
 		return false
 	}
 	s.upstream.Store(&st)
-	s.room.Resize(st.Slots, st.MemoryTokens)
+	s.room.resize(st.Slots, st.MemoryTokens)
 	now := time.Now()
 	for _, id := range st.Running {
 		if !s.ledger.holds(id, now) {
--- a/side/run.go
+++ b/side/run.go
@@ -4,6 +4,8 @@
 	"context"
 	"time"
 
+	"jacinthworks/admit"
+	"jacinthworks/story"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
@@ -15,6 +17,12 @@
 	if refused := s.mayRun(r); refused != nil {
 		return nil, refused
 	}
+	if r.Stage == wire.StageDecode {
+		now := time.Now()
+		if err := s.room.confirm(now, key(r.Ref), r.Tokens, now.Add(r.Within)); err != nil {
+			return nil, &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
+		}
+	}
 	workCtx, cancel := context.WithTimeout(s.workCtx, r.Within)
 	o, refused := s.ledger.begin(r, p.Remote().Host, cancel)
 	if refused != nil {
@@ -23,9 +31,13 @@
 	}
 	started := s.work.Go(workCtx, string(r.Stage), func(ctx context.Context) error {
 		defer cancel()
+		s.record(o, story.Event{Kind: story.AttemptStarted})
 		out := s.perform(ctx, o)
 		s.ledger.end(o, out, time.Now())
-		s.room.Release(r.Request, r.Attempt)
+		s.room.release(r.Request, r.Attempt)
+		s.record(o, story.Event{
+			Kind: story.AttemptEnded, Tokens: o.outcome.Tokens, Ran: o.outcome.Ran, Reason: out.Reason, Detail: out.Detail,
+		})
 		s.Log.Info("ended", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage,
 			"ran", o.outcome.Ran, "reason", out.Reason, "tokens", o.outcome.Tokens)
 		return nil
@@ -44,7 +56,7 @@
 	if !s.draining.Load() {
 		return nil
 	}
-	if r.Stage == wire.StageDecode && s.room.Holds(r.Request, r.Attempt, time.Now()) {
+	if r.Stage == wire.StageDecode && s.room.renew(time.Now(), key(r.Ref), admit.Hold) == nil {
 		return nil
 	}
 	return &wire.Refused{Reason: work.ReasonDraining, Ran: work.NotRun, Detail: "the side is draining"}
@@ -89,15 +101,37 @@
 		return nil, &wire.Refused{Reason: work.ReasonNoUpstream, Ran: work.NotRun, Detail: "the upstream does not answer"}
 	}
 	now := time.Now()
-	if err := s.room.Reserve(now, r.Request, r.Attempt, r.Tokens, r.Hold); err != nil {
+	if err := s.room.reserve(now, key(r.Ref), r.Tokens, r.Hold); err != nil {
 		return nil, &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
 	}
-	free := s.room.Free(now)
-	return wire.Reserved{FreeSlots: free.Slots, FreeTokens: free.Tokens}, nil
+	free := s.room.free(now)
+	return wire.Reserved{FreeSlots: free.FreeRequests, FreeTokens: free.FreeTokens}, nil
 }
 
+func key(r wire.Ref) admit.Key { return admit.Key{Request: r.Request, Attempt: r.Attempt} }
+
 // cancel frees whatever an attempt holds here, reserved or running.
 func (s *Side) cancel(r wire.Ref) {
 	s.ledger.giveUp(r, time.Now())
-	s.room.Release(r.Request, r.Attempt)
+	s.room.release(r.Request, r.Attempt)
+}
+
+// record adds an event to the side's half of the story.
+func (s *Side) record(o *order, e story.Event) {
+	e.Time, e.Host = time.Now(), s.Settings.Name
+	e.Request, e.Attempt, e.Upstream = o.run.Request, o.run.Attempt, s.Settings.Name
+	e.RequestKind, e.Caller, e.Service = o.run.Kind, o.run.Account, s.Settings.Service
+	if e.Detail == "" {
+		e.Detail = string(o.run.Stage)
+	}
+	s.recorder.Record(e)
+}
+
+// story gives the side's half of a request's story.
+func (s *Side) story(id work.RequestID) (any, error) {
+	t, found := s.recorder.Get(id)
+	if !found {
+		return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.Unknown, Detail: "nothing is known here of the request"}
+	}
+	return t, nil
 }
--- a/side/side.go
+++ b/side/side.go
@@ -11,8 +11,6 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"encoding/binary"
 	"encoding/json"
 	"net"
 	"net/netip"
@@ -22,12 +20,12 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
-	"jacinthworks/admit"
 	"jacinthworks/conf"
 	"jacinthworks/engine"
 	"jacinthworks/group"
 	"jacinthworks/member"
 	"jacinthworks/plat"
+	"jacinthworks/story"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
@@ -53,7 +51,8 @@
 	Listening func(netip.AddrPort)
 
 	ledger      Ledger
-	room        admit.Pool
+	room        room
+	recorder    story.Recorder
 	incarnation work.Incarnation
 	upstream    atomic.Pointer[engine.State]
 	down        atomic.Bool
@@ -101,15 +100,8 @@
 		s.Log = hclog.NewNullLogger()
 	}
 	s.Settings.Timings = s.Settings.Timings.OrDefaults()
-	s.incarnation = NewIncarnation()
-}
-
-// NewIncarnation gives a number that no earlier life of a process had. It is
-// random, since a clock may have been set back; 52 bits stay exact in JSON.
-func NewIncarnation() work.Incarnation {
-	var b [8]byte
-	_, _ = rand.Read(b[:])
-	return work.Incarnation(binary.BigEndian.Uint64(b[:]) >> 12)
+	s.incarnation = work.NewIncarnation()
+	s.recorder.Half = story.HalfSide
 }
 
 func (s *Side) local() *wire.Local {
@@ -126,10 +118,10 @@
 }
 
 func (s *Side) beat() wire.Beat {
-	free := s.room.Free(time.Now())
+	free := s.room.free(time.Now())
 	load := &wire.Load{
-		Running: s.ledger.busy(), Slots: s.room.Slots, FreeSlots: free.Slots,
-		FreeTokens: free.Tokens, QueuedTokens: s.ledger.promptTokens(), Down: s.down.Load(),
+		Running: s.ledger.busy(), Slots: s.room.slots(), FreeSlots: free.FreeRequests,
+		FreeTokens: free.FreeTokens, QueuedTokens: s.ledger.promptTokens(), Down: s.down.Load(),
 	}
 	if st := s.upstream.Load(); st != nil {
 		load.Upstream = st.Incarnation
@@ -141,17 +133,17 @@
 func (s *Side) handle(ctx context.Context, p *wire.Peer, method string, params json.RawMessage) (any, error) {
 	switch method {
 	case wire.MethodReserve:
-		return decode(params, func(r wire.Reserve) (any, error) { return s.reserve(r) })
+		return wire.Decode(params, func(r wire.Reserve) (any, error) { return s.reserve(r) })
 	case wire.MethodRun:
-		return decode(params, func(r wire.Run) (any, error) { return s.run(ctx, p, r) })
+		return wire.Decode(params, func(r wire.Run) (any, error) { return s.run(ctx, p, r) })
 	case wire.MethodAttach:
-		return decode(params, func(a wire.Attach) (any, error) { return s.attach(ctx, p, a) })
+		return wire.Decode(params, func(a wire.Attach) (any, error) { return s.attach(ctx, p, a) })
 	case wire.MethodSettle:
-		return decode(params, func(r wire.Ref) (any, error) { return s.ledger.settle(r, time.Now()), nil })
+		return wire.Decode(params, func(r wire.Ref) (any, error) { return s.ledger.settle(r, time.Now()), nil })
 	case wire.MethodCancel:
-		return decode(params, func(r wire.Ref) (any, error) { s.cancel(r); return struct{}{}, nil })
+		return wire.Decode(params, func(r wire.Ref) (any, error) { s.cancel(r); return struct{}{}, nil })
 	case wire.MethodStory:
-		return decode(params, func(a wire.StoryAsk) (any, error) { return s.story(a.Request), nil })
+		return wire.Decode(params, func(a wire.StoryAsk) (any, error) { return s.story(a.Request) })
 	case wire.MethodDrain:
 		s.draining.Store(true)
 		return struct{}{}, nil
@@ -159,15 +151,6 @@
 	return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: "no method " + method}
 }
 
-// decode reads a call's parameters into the type that next takes.
-func decode[T any](params json.RawMessage, next func(T) (any, error)) (any, error) {
-	var v T
-	if err := json.Unmarshal(params, &v); err != nil {
-		return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: err.Error()}
-	}
-	return next(v)
-}
-
 func (s *Side) reap(context.Context) error {
 	for e := range s.work.Ends() {
 		if e.Err != nil {
--- a/wire/order.go
+++ b/wire/order.go
@@ -120,3 +120,23 @@
 type StoryAsk struct {
 	Request work.RequestID `json:"request"`
 }
+
+// The calls between entries.
+const (
+	// MethodTable asks for the operators' table: TableAsk to Table.
+	MethodTable = "table"
+	// MethodOffer hands over a table just written: Table to Table.
+	MethodOffer = "offer"
+)
+
+// TableAsk asks for the table if it is newer than the version given.
+type TableAsk struct {
+	Have uint64 `json:"have"`
+}
+
+// Table is a version of the operators' table. Value is its stored form, empty
+// where the asker has that version.
+type Table struct {
+	Version uint64          `json:"version"`
+	Value   json.RawMessage `json:"value,omitempty"`
+}
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -256,3 +256,12 @@
 	p.cancel()
 	_ = p.conn.Close()
 }
+
+// Decode reads a call's parameters into the type that next takes.
+func Decode[T any](params json.RawMessage, next func(T) (any, error)) (any, error) {
+	var v T
+	if err := json.Unmarshal(params, &v); err != nil {
+		return nil, &Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: err.Error()}
+	}
+	return next(v)
+}
--- a/work/work.go
+++ b/work/work.go
@@ -11,6 +11,8 @@
 package work
 
 import (
+	"crypto/rand"
+	"encoding/binary"
 	"fmt"
 	"time"
 
@@ -134,3 +136,11 @@
 func (r *Refusal) Error() string {
 	return fmt.Sprintf("refused: %s (%s) %s", r.Reason, r.Ran, r.Detail)
 }
+
+// NewIncarnation gives a number that no earlier life of a process had. It is
+// random, since a clock may have been set back; 52 bits stay exact in JSON.
+func NewIncarnation() Incarnation {
+	var b [8]byte
+	_, _ = rand.Read(b[:])
+	return Incarnation(binary.BigEndian.Uint64(b[:]) >> 12)
+}
