--- /dev/null
+++ b/story/bench_test.go
@@ -0,0 +1,70 @@
+package story
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"jacinthworks/work"
+)
+
+// BenchmarkRecord measures the five events of an entry's half, with Take.
+func BenchmarkRecord(b *testing.B) {
+	var r Recorder
+	b.ReportAllocs()
+	for n := range b.N {
+		entry, _, _ := appraisal(uint64(n))
+		record(&r, entry)
+		if n%FlushStories == 0 {
+			r.Take()
+		}
+	}
+}
+
+// BenchmarkFixture measures what building the events of BenchmarkRecord takes.
+func BenchmarkFixture(b *testing.B) {
+	b.ReportAllocs()
+	for n := range b.N {
+		entry, _, _ := appraisal(uint64(n))
+		_ = entry
+	}
+}
+
+// BenchmarkPack measures batches of entries' halves into segments.
+func BenchmarkPack(b *testing.B) {
+	x := rand.New(rand.NewPCG(1, 2))
+	side := func() work.Host { return work.Host(fmt.Sprintf("side-%d", x.IntN(9))) }
+	var batch []*Story
+	for n := range FlushStories {
+		entry, _, _ := appraisal(uint64(n))
+		entry[0].Caller = work.Account(fmt.Sprintf("stud-%d", x.IntN(2100)))
+		entry[4].Tokens = x.IntN(900)
+		for i := range entry { // times, choices and costs as uneven as real ones
+			entry[i].Time = start.Add(time.Duration(n*1000+i*20)*time.Millisecond + time.Duration(x.IntN(15e6)))
+			entry[i].Upstream, entry[i].Decode = side(), side()
+		}
+		for range 4 {
+			c := Candidate{Host: side(), Cost: time.Duration(x.IntN(1e9))}
+			entry[2].Grounds.Candidates = append(entry[2].Grounds.Candidates, c)
+		}
+		s := half(HalfEntry, entry)
+		batch = append(batch, &s)
+	}
+	p := Packer{Host: "entry-1", Incarnation: 3}
+	size := 0
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		segments, err := p.Pack(start, batch)
+		if err != nil {
+			b.Fatal(err)
+		}
+		size = 0
+		for _, s := range segments {
+			size += len(s.Data)
+		}
+	}
+	b.ReportMetric(float64(size)/float64(len(batch)), "bytes/story")
+	b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*len(batch)), "ns/story")
+}
