Heartbeats dated by their echo; a side measures its upstream's speed

A process that was frozen finds heartbeats from before in its sockets. Dated by their reading they would look fresh; the echo dates them by when the other end must have made them.

--- a/side/side.go
+++ b/side/side.go
@@ -52,6 +52,7 @@
 
 	ledger      Ledger
 	room        room
+	pace        pace
 	recorder    story.Recorder
 	incarnation work.Incarnation
 	upstream    atomic.Pointer[engine.State]
@@ -123,6 +124,7 @@
 		Running: s.ledger.busy(), Slots: s.room.slots(), FreeSlots: free.FreeRequests,
 		FreeTokens: free.FreeTokens, QueuedTokens: s.ledger.promptTokens(), Down: s.down.Load(),
 	}
+	load.Rate, load.LinkRate, load.GapBase, load.GapStep = s.pace.figures()
 	if st := s.upstream.Load(); st != nil {
 		load.Upstream = st.Incarnation
 	}
--- a/side/work.go
+++ b/side/work.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/pkg/errors"
 
@@ -18,14 +19,24 @@
 	r := o.run
 	switch {
 	case r.Stage == wire.StagePrefill && s.Model != nil && r.Prefill != nil:
+		began := time.Now()
 		kv, err := s.Model.Prefill(ctx, *r.Prefill)
 		if err != nil {
 			return s.failed(ctx, o, err)
 		}
+		s.pace.prefilled(r.Prefill.PromptTokens, time.Since(began))
 		return wire.Outcome{Ran: work.DidRun, KV: &kv}
 	case r.Stage == wire.StageDecode && s.Model != nil && r.Decode != nil:
+		last := time.Now()
 		err := s.Model.Decode(ctx, *r.Decode, func(t engine.Token) error {
 			s.ledger.token(o, t.Offset, t.Text, t.Last)
+			took := time.Since(last)
+			last = last.Add(took)
+			if t.Offset == 0 {
+				s.pace.imported(r.Decode.KV.Tokens, took)
+			} else {
+				s.pace.stepped(s.ledger.busy(), took)
+			}
 			return ctx.Err()
 		})
 		if err != nil {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -47,7 +47,8 @@
 	local   *Local
 	conn    *jsonrpc2.Conn
 	remote  Hello
-	beat    atomic.Pointer[Beat]
+	beat    atomic.Pointer[Heard]
+	sent    sentBeats
 	heard   atomic.Int64
 	started time.Time
 	calls   group.Group
@@ -144,10 +145,15 @@
 }
 
 func (p *Peer) nextBeat() Beat {
-	if p.local.Beat == nil {
-		return Beat{}
+	var b Beat
+	if p.local.Beat != nil {
+		b = p.local.Beat()
 	}
-	return p.local.Beat()
+	b.Number = p.sent.next(time.Now())
+	if last := p.beat.Load(); last != nil {
+		b.Echo = last.Number
+	}
+	return b
 }
 
 // Handle takes one message off the connection; it is called by jsonrpc2 in
@@ -174,7 +180,7 @@
 		if json.Unmarshal(params, &b) != nil {
 			return
 		}
-		p.beat.Store(&b)
+		p.beat.Store(&Heard{Beat: b, TrueAt: p.sent.at(b.Echo)})
 		p.notice(r.Method, params)
 	default:
 		p.notice(r.Method, params)
@@ -235,12 +241,12 @@
 func (p *Peer) Remote() Hello { return p.remote }
 
 // LastBeat is the last heartbeat heard; false before the first.
-func (p *Peer) LastBeat() (Beat, bool) {
-	b := p.beat.Load()
-	if b == nil {
-		return Beat{}, false
+func (p *Peer) LastBeat() (Heard, bool) {
+	h := p.beat.Load()
+	if h == nil {
+		return Heard{}, false
 	}
-	return *b, true
+	return *h, true
 }
 
 // SinceHeard is the time since anything was heard on this connection.
--- a/wire/wire.go
+++ b/wire/wire.go
@@ -66,8 +66,11 @@
 
 // Beat is the heartbeat. It is sent both ways on every connection.
 type Beat struct {
-	// TableVersion is the version in force at the sender; zero on a side.
-	TableVersion uint64 `json:"table_version,omitempty"`
+	// Number counts the heartbeats of one end; Echo is the number of the last
+	// one heard from the other, so that each end can tell since when, on its
+	// own clock, the content is known to be true.
+	Number uint64 `json:"number"`
+	Echo   uint64 `json:"echo"`
 	// Draining says that the sender takes no new work.
 	Draining bool `json:"draining,omitempty"`
 	// Load is a side's own exact account of its upstream.
@@ -76,15 +79,22 @@
 
 // Load is what a side knows of its upstream at the moment of a heartbeat.
 type Load struct {
-	// Running counts orders in progress; Slots how many may be.
+	// Running counts orders in progress; Slots how many decodes fit.
 	Running int `json:"running"`
 	Slots   int `json:"slots"`
-	// FreeSlots counts slots not reserved.
-	FreeSlots int `json:"free_slots"`
-	// FreeTokens is KV memory not reserved, in tokens.
+	// FreeSlots and FreeTokens are room that is not reserved.
+	FreeSlots  int `json:"free_slots"`
 	FreeTokens int `json:"free_tokens"`
-	// QueuedTokens is prompt tokens accepted and not yet prefilled.
-	QueuedTokens int `json:"queued_tokens"`
+	// QueuedTokens is prompt tokens accepted and not yet prefilled, Rate the
+	// measured speed of prefill in tokens a second.
+	QueuedTokens int     `json:"queued_tokens"`
+	Rate         float64 `json:"rate,omitempty"`
+	// GapBase and GapStep give the measured time between tokens: the base,
+	// and the step that each further decode in the batch adds.
+	GapBase time.Duration `json:"gap_base,omitempty"`
+	GapStep time.Duration `json:"gap_step,omitempty"`
+	// LinkRate is the measured speed of KV imports in tokens a second.
+	LinkRate float64 `json:"link_rate,omitempty"`
 	// Down says that the upstream does not answer its side.
 	Down bool `json:"down,omitempty"`
 	// Upstream is the upstream's incarnation.
