An edit carries a checksum; put sets or adds a row

Cause: an edit id used a second time for other changes would have been taken for the first edit sent again, and called accepted without being applied. And a CSV edit whose records became set or add by what the table held changed its meaning between its first send and its second. Conclusion: the checksum tells the two apart; a CSV record is always a put.

--- a/table/csv.go
+++ b/table/csv.go
@@ -61,9 +61,8 @@
 }
 
 // ChangesCSV reads an edit's changes: the three columns of the key and any
-// others. A row that t has gets those cells set, another one is added; rows
-// are not removed this way.
-func (t Table) ChangesCSV(text []byte) ([]Change, error) {
+// others. Each record is an OpPut; rows are not removed this way.
+func ChangesCSV(text []byte) ([]Change, error) {
 	s, found := readSheet(text)
 	for _, c := range []Column{ColumnService, ColumnZone, ColumnKind} {
 		if len(found) == 0 && !s.has(c) {
@@ -76,7 +75,7 @@
 	var changes []Change
 	for _, record := range s.records {
 		var r Row
-		c := Change{Op: OpSet}
+		c := Change{Op: OpPut}
 		for j, v := range record.values {
 			if isKeyColumn(s.header[j]) {
 				col, _ := columnNamed(s.header[j])
@@ -86,9 +85,6 @@
 			c.Cells = append(c.Cells, Cell{Column: s.header[j], Value: Value(v)})
 		}
 		c.Key = r.Key()
-		if _, ok := t.index[c.Key]; !ok {
-			c.Op = OpAdd
-		}
 		changes = append(changes, c)
 	}
 	return changes, nil
--- a/table/edit.go
+++ b/table/edit.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"fmt"
+	"hash/fnv"
 	"slices"
+	"strconv"
 	"strings"
 
 	"jacinthworks/check"
@@ -21,6 +23,8 @@
 type Applied struct {
 	ID       EditID `json:"id"`
 	Operator string `json:"operator"`
+	// Sum is the edit's checksum.
+	Sum string `json:"sum"`
 	// Base is the version that the edit was applied to.
 	Base Version `json:"base"`
 }
@@ -28,10 +32,15 @@
 // Op says what a change does to its row.
 type Op string
 
-// The three operations.
+// The operations.
 const (
-	OpSet    Op = "set"
-	OpAdd    Op = "add"
+	// OpSet changes cells of a row that must exist.
+	OpSet Op = "set"
+	// OpAdd makes a row that must not exist.
+	OpAdd Op = "add"
+	// OpPut changes cells of a row and makes it where it does not exist.
+	OpPut Op = "put"
+	// OpRemove takes a row away that must exist.
 	OpRemove Op = "remove"
 )
 
@@ -59,7 +68,7 @@
 type Change struct {
 	Op Op `json:"op"`
 	Key
-	// Cells are the new values; for OpAdd those left out are zero, for
+	// Cells are the new values; in a new row those left out are zero, for
 	// OpRemove there are none.
 	Cells []Cell `json:"cells,omitempty"`
 }
@@ -116,9 +125,26 @@
 	return fmt.Sprintf("table: rejected (%s)\n%s", r.Cause, r.Findings.Error())
 }
 
-// Contains reports whether the table remembers the edit.
-func (t Table) Contains(id EditID) bool {
-	return slices.ContainsFunc(t.edits, func(a Applied) bool { return a.ID == id })
+// Sum gives a checksum of the changes. It tells an edit that is sent again
+// from another edit under the same id.
+func (e Edit) Sum() string {
+	h := fnv.New64a()
+	for _, c := range e.Changes {
+		fmt.Fprintf(h, "%q %q", c.Op, c.Key)
+		for _, cell := range c.Cells {
+			fmt.Fprintf(h, " %q=%q", cell.Column, cell.Value)
+		}
+	}
+	return strconv.FormatUint(h.Sum64(), 16)
+}
+
+// Lookup finds an edit among those that the table remembers.
+func (t Table) Lookup(id EditID) (Applied, bool) {
+	i := slices.IndexFunc(t.edits, func(a Applied) bool { return a.ID == id })
+	if i < 0 {
+		return Applied{}, false
+	}
+	return t.edits[i], true
 }
 
 // Remembers reports whether the table knows every edit that was applied to
@@ -139,7 +165,7 @@
 		a.change(fmt.Sprintf("change %d %s", i+1, c.Key), c)
 	}
 	next := New(t.version, a.rows)
-	next.edits = append(t.Edits(), Applied{ID: e.ID, Operator: by.Name, Base: t.version})
+	next.edits = append(t.Edits(), Applied{ID: e.ID, Operator: by.Name, Sum: e.Sum(), Base: t.version})
 	if extra := len(next.edits) - HistoryLimit; extra > 0 {
 		next.edits = next.edits[extra:]
 	}
@@ -173,11 +199,11 @@
 func (a *applier) change(at string, c Change) {
 	i := slices.IndexFunc(a.rows, func(r Row) bool { return r.Key() == c.Key })
 	switch {
-	case c.Op != OpSet && c.Op != OpAdd && c.Op != OpRemove:
-		a.found.Add(at+" op", "must be set, add or remove, not %q", string(c.Op))
+	case !slices.Contains([]Op{OpSet, OpAdd, OpPut, OpRemove}, c.Op):
+		a.found.Add(at+" op", "must be set, add, put or remove, not %q", string(c.Op))
 	case c.Op == OpAdd && i >= 0:
 		a.found.Add(at, "there is such a row already")
-	case c.Op == OpAdd:
+	case c.Op == OpAdd, c.Op == OpPut && i < 0:
 		a.add(at, c)
 	case i < 0 && !knownService(a.rows, c.Service):
 		a.found.Add(at, "there is no service %q in the table", string(c.Service))
