Entry: fair queue and pair choice stand before every order

All choices of one entry for one service pass through a scheduler in order: the queue says who is next, route says where, and the decode room is reserved before the prefill. A side that had no room after all sends the request back to its place in the queue.

--- a/entry/call.go
+++ b/entry/call.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 
-	"jacinthworks/story"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
@@ -14,18 +13,25 @@
 }
 
 func (e *Entry) tryCall(ctx context.Context, r *request) *failure {
-	s := least(e.sides.of(r.service, work.RoleApp), nil)
+	t := e.newTurn(r)
+	got, f := e.takeTurn(ctx, r, t)
+	if f != nil {
+		return f
+	}
+	defer e.schedulers.of(r.service).finished(t, got)
+	e.logApp(r, got)
+	s := e.sides.find(got.app)
 	if s == nil {
-		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "no application server may be given work"}
+		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the side has just left"}
 	}
-	e.Log.Info("decision", "request", r.id, "attempt", r.attempt, "side", s.member.Host)
-	e.tell(r, story.Event{Kind: story.Decided, Upstream: s.member.Host})
 	out := e.stage(ctx, s, wire.Run{
 		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageCall}, Account: r.account, Kind: r.kind,
 		Within: e.timeLeft(r), Call: r.call,
 	}, nil)
 	if out.Reason != "" || out.Answer == nil {
-		return failed(out)
+		f := failed(out)
+		r.pass(s, f)
+		return f
 	}
 	r.answer = out.Answer
 	return nil
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"jacinthworks/conf"
 	"jacinthworks/group"
+	"jacinthworks/member"
 	"jacinthworks/plat"
 	"jacinthworks/story"
 	"jacinthworks/table"
@@ -45,6 +46,7 @@
 	sides       directory
 	entries     directory
 	tables      table.Holder
+	schedulers  schedulers
 	draining    atomic.Bool
 	started     time.Time
 	met         atomic.Bool
@@ -81,6 +83,7 @@
 	loops.Go(serving, "join", func(ctx context.Context) error { return e.joinEntries(ctx, address(peers)) })
 	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, peers, e.entryLocal()) })
 	loops.Go(serving, "confirm", e.confirmTable)
+	loops.Go(serving, "schedule", e.schedule)
 	loops.Go(serving, "table", e.watchTable)
 	loops.Go(serving, "callers", func(context.Context) error { return serve(server, callers) })
 	if e.Listening != nil {
@@ -108,10 +111,12 @@
 		Hello:   wire.Hello{Host: e.Settings.Name, Zone: e.Settings.Zone, Incarnation: e.incarnation, Role: "entry"},
 		Beat:    func() wire.Beat { return wire.Beat{Draining: e.draining.Load()} },
 		Notice:  e.notice,
+		Closed:  func(p *wire.Peer) { e.schedulers.of(p.Remote().Service).shut(p.Remote().Host) },
 		Every:   e.Settings.Timings.Heartbeat,
 		Silence: e.Settings.Timings.SilenceAfter,
 	}
 	e.entries.local = e.entryLocal()
+	e.sides.removed = func(m member.Member) { e.schedulers.of(m.Service).remove(m.Host) }
 }
 
 // peerListen is where other entries connect: any port of the callers' address
--- a/entry/http.go
+++ b/entry/http.go
@@ -130,7 +130,7 @@
 }
 
 // mayAccept refuses what this entry must not take now.
-func (e *Entry) mayAccept(*request) *failure {
+func (e *Entry) mayAccept(r *request) *failure {
 	if e.draining.Load() {
 		return &failure{ran: work.NotRun, reason: work.ReasonDraining, detail: "this entry is stopping", retryAfter: time.Second}
 	}
@@ -140,6 +140,9 @@
 	if !e.inTouch(time.Now()) {
 		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "this entry hears neither the platform nor another entry", retryAfter: time.Second}
 	}
+	if wait, ok := e.schedulers.take(time.Now(), r); !ok {
+		return &failure{ran: work.NotRun, reason: work.ReasonCallerShare, detail: "the caller is over its rate for this kind", retryAfter: wait}
+	}
 	return nil
 }
 
--- a/entry/model.go
+++ b/entry/model.go
@@ -35,19 +35,25 @@
 func (e *Entry) tryModel(ctx context.Context, r *request, to sink) *failure {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	p, f := e.reservePair(ctx, r)
+	t := e.newTurn(r)
+	p, got, f := e.reservePair(ctx, r, t)
 	if f != nil {
 		return f
 	}
+	defer e.schedulers.of(r.service).finished(t, got)
 	held := wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode}
 	release := func() { e.cancel(p.decode, held) }
 
 	kv, f := e.prefill(ctx, r, p)
 	if f != nil {
 		release()
+		r.pass(p.prefill, f)
 		return f
 	}
-	return e.decode(ctx, r, p, kv, to)
+	e.schedulers.of(r.service).sawLife(kv.Life)
+	f = e.decode(ctx, r, p, kv, to)
+	r.pass(p.decode, f)
+	return f
 }
 
 // prefill fills the cache while the decode room is kept.
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,7 +14,7 @@
 // entryLocal is what this entry brings to its connections with other entries.
 func (e *Entry) entryLocal() *wire.Local {
 	l := *e.sides.local
-	l.Notice = nil
+	l.Notice, l.Closed = nil, nil
 	l.Handle = e.handlePeer
 	return &l
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -27,6 +27,8 @@
 	accepted time.Time
 	attempt  work.Attempt
 	tokens   int
+	// avoid holds the hosts that failed this request.
+	avoid map[work.Host]bool
 	// Of model work:
 	prompt       string
 	promptTokens int
@@ -46,6 +48,8 @@
 	died   bool
 	// begun says that the caller has seen part of the answer.
 	begun bool
+	// final says that no other attempt may follow.
+	final bool
 	// retryAfter is set when a return makes sense.
 	retryAfter time.Duration
 	findings   check.Findings
@@ -141,3 +145,26 @@
 	}
 	return a
 }
+
+// pass notes the side of a failed attempt, so that the next goes elsewhere.
+func (r *request) pass(s *sideLink, f *failure) {
+	if f == nil {
+		return
+	}
+	if r.avoid == nil {
+		r.avoid = make(map[work.Host]bool)
+	}
+	r.avoid[s.member.Host] = true
+}
+
+// mostAttempts bounds the attempts of one request: the first, and two after
+// failures that a second upstream may not share.
+const mostAttempts = 3
+
+// mayRetry says whether a failed attempt may be followed by another.
+func (e *Entry) mayRetry(r *request, f *failure) bool {
+	if f.final || f.begun || r.attempt >= mostAttempts || e.timeLeft(r) <= 0 {
+		return false
+	}
+	return f.ran == work.NotRun || r.row.Idempotent
+}
--- /dev/null
+++ b/entry/schedule.go
@@ -0,0 +1,324 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jacinthworks/limit"
+	"jacinthworks/queue"
+	"jacinthworks/route"
+	"jacinthworks/table"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// tickEvery bounds how late a waiting request is refused once its target
+// cannot be met any more, and how late room is noticed that no heartbeat told.
+const tickEvery = 20 * time.Millisecond
+
+// turn is a request that waits to be sent, until it is answered on got.
+type turn struct {
+	item  queue.Item
+	job   route.Job
+	kind  work.Kind
+	plain bool
+	// avoid holds hosts that failed this request before.
+	avoid map[work.Host]bool
+	got   chan sent
+}
+
+// sent is the end of waiting: a choice, or a refusal.
+type sent struct {
+	pair    route.Pair
+	app     work.Host
+	model   route.Grounds
+	apps    route.AppGrounds
+	refused *queue.Refusal
+}
+
+// scheduler is one service's queue and the view of its upstreams. All choices
+// of one entry for one service pass through it in order. Its lock is a leaf.
+type scheduler struct {
+	mu       sync.Mutex
+	queue    queue.Queue
+	model    route.Model
+	apps     route.Apps
+	random   *rand.Rand
+	turns    map[work.RequestID]*turn
+	running  map[work.Kind]int
+	inFlight map[work.Kind]int // the table's limit, as of the kind's last arrival
+	held     map[work.Kind][]queue.Item
+	kvLife   time.Duration
+	prefill  float64 // measured tokens a second, of any engine of the service
+}
+
+// schedulers holds a scheduler for each service in the table.
+type schedulers struct {
+	mu    sync.Mutex
+	all   map[work.Service]*scheduler
+	rates limit.Rates
+}
+
+func (s *schedulers) of(name work.Service) *scheduler {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.all == nil {
+		s.all = make(map[work.Service]*scheduler)
+	}
+	if s.all[name] == nil {
+		s.all[name] = &scheduler{
+			random:   rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+			turns:    make(map[work.RequestID]*turn),
+			running:  make(map[work.Kind]int),
+			inFlight: make(map[work.Kind]int),
+			held:     make(map[work.Kind][]queue.Item),
+		}
+	}
+	return s.all[name]
+}
+
+// take counts a request against its caller's rate for the row.
+func (s *schedulers) take(now time.Time, r *request) (time.Duration, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	of := limit.Of{Account: r.account, Service: r.service, Kind: r.kind}
+	return s.rates.Take(now, of, r.row.CallerRate)
+}
+
+func (s *schedulers) each(do func(*scheduler)) {
+	s.mu.Lock()
+	all := make([]*scheduler, 0, len(s.all))
+	for _, one := range s.all {
+		all = append(all, one)
+	}
+	s.mu.Unlock()
+	for _, one := range all {
+		do(one)
+	}
+}
+
+// wait queues the turn until the request is sent or refused. The first gives a
+// place in the kind's in-flight limit, which finished gives back.
+func (s *scheduler) wait(ctx context.Context, t *turn, row table.Row) sent {
+	now := time.Now()
+	s.mu.Lock()
+	s.inFlight[t.kind] = row.InFlight
+	s.queue.Limits.Items = row.QueueLimit
+	s.turns[t.item.ID] = t
+	v := s.queue.Arrive(now, t.item, s.random)
+	if v.Refusal != nil {
+		delete(s.turns, t.item.ID)
+		s.mu.Unlock()
+		return sent{refused: v.Refusal}
+	}
+	s.refuse(v.Shed)
+	s.pump(now)
+	s.mu.Unlock()
+	select {
+	case got := <-t.got:
+		return got
+	case <-ctx.Done():
+		return s.leave(t)
+	}
+}
+
+// leave takes a turn out whose caller is gone; it may have been sent just now.
+func (s *scheduler) leave(t *turn) sent {
+	s.mu.Lock()
+	s.queue.Remove(time.Now(), t.item.ID)
+	s.unhold(t)
+	waiting := s.turns[t.item.ID] != nil
+	delete(s.turns, t.item.ID)
+	s.mu.Unlock()
+	if waiting {
+		return sent{refused: &queue.Refusal{Reason: work.ReasonCallerGone}}
+	}
+	return <-t.got
+}
+
+func (s *scheduler) unhold(t *turn) {
+	kept := s.held[t.kind][:0]
+	for _, i := range s.held[t.kind] {
+		if i.ID != t.item.ID {
+			kept = append(kept, i)
+		}
+	}
+	s.held[t.kind] = kept
+}
+
+// refuse answers turns that the queue gave up.
+func (s *scheduler) refuse(all []queue.Refused) {
+	for _, r := range all {
+		if t := s.turns[r.Item.ID]; t != nil {
+			delete(s.turns, r.Item.ID)
+			t.got <- sent{refused: &r.Refusal}
+		}
+	}
+}
+
+// pump sends what there is room for. A long prompt that no engine may take now
+// lets shorter work pass.
+func (s *scheduler) pump(now time.Time) {
+	s.refuse(s.queue.Lapsed(now, s.random))
+	s.lapseHeld(now)
+	longest := queue.AnyPrompt
+	for {
+		i, ok := s.queue.Next(now, longest)
+		if !ok {
+			return
+		}
+		t := s.turns[i.ID]
+		if t == nil {
+			continue
+		}
+		if limit := s.inFlight[t.kind]; limit > 0 && s.running[t.kind] >= limit {
+			s.held[t.kind] = append(s.held[t.kind], i)
+			continue
+		}
+		got, ok := s.choose(now, t)
+		if !ok {
+			s.queue.Return(now, i)
+			if i.Prompt < queue.LongPrompt || longest < queue.AnyPrompt {
+				return
+			}
+			longest = queue.LongPrompt - 1
+			continue
+		}
+		delete(s.turns, i.ID)
+		s.running[t.kind]++
+		t.got <- got
+	}
+}
+
+// lapseHeld refuses turns held back by their kind's in-flight limit that can
+// no longer meet their target.
+func (s *scheduler) lapseHeld(now time.Time) {
+	for kind, items := range s.held {
+		kept := items[:0]
+		for _, i := range items {
+			late := now.After(i.Deadline) || !i.MayWait && !i.FirstToken.IsZero() && now.After(i.FirstToken)
+			if !late {
+				kept = append(kept, i)
+				continue
+			}
+			s.refuse([]queue.Refused{{Item: i, Refusal: queue.Refusal{
+				Reason: work.ReasonTooLate, Detail: queue.DetailLapsed, RetryAfter: time.Second,
+			}}})
+		}
+		s.held[kind] = kept
+	}
+}
+
+// avoidDraws bounds how often a choice is drawn again because it fell on a
+// host that failed the request before.
+const avoidDraws = 4
+
+func (s *scheduler) choose(now time.Time, t *turn) (sent, bool) {
+	for range avoidDraws {
+		if t.plain {
+			h, g, ok := s.apps.Choose(now, t.job.Weights, s.random)
+			if !ok {
+				return sent{}, false
+			}
+			if !t.avoid[h] {
+				s.apps.Started(now, h)
+				return sent{app: h, apps: g}, true
+			}
+			continue
+		}
+		p, g, ok := s.model.Choose(now, t.job, s.random)
+		if !ok {
+			return sent{}, false
+		}
+		if !t.avoid[p.Prefill] && !t.avoid[p.Decode] {
+			s.model.Started(now, p, t.job)
+			return sent{pair: p, model: g}, true
+		}
+	}
+	return sent{}, false
+}
+
+// finished gives back the place of a turn that was sent.
+func (s *scheduler) finished(t *turn, got sent) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := time.Now()
+	s.running[t.kind]--
+	if t.plain {
+		s.apps.Ended(now, got.app)
+	} else {
+		s.model.Ended(now, got.pair, t.job)
+	}
+	if held := s.held[t.kind]; len(held) > 0 {
+		s.queue.Return(now, held[0])
+		s.held[t.kind] = held[1:]
+	}
+	s.pump(now)
+}
+
+// report takes a side's heartbeat.
+func (s *scheduler) report(m wire.Hello, b wire.Heard, leaving bool) {
+	if b.Load == nil || b.TrueAt.IsZero() {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	shut := b.Draining || b.Load.Down || leaving
+	switch work.Role(m.Role) {
+	case work.RolePrefill:
+		s.model.Prefills.Update(m.Host, m.Zone, b.TrueAt, route.PrefillReport{QueuedTokens: b.Load.QueuedTokens, Rate: b.Load.Rate})
+		s.model.Prefills.SetDraining(m.Host, shut)
+		s.prefill = b.Load.Rate
+	case work.RoleDecode:
+		s.model.Decodes.Update(m.Host, m.Zone, b.TrueAt, route.DecodeReport{
+			FreeRequests: b.Load.FreeSlots, FreeTokens: b.Load.FreeTokens, Batch: b.Load.Slots - b.Load.FreeSlots,
+			GapBase: b.Load.GapBase, GapStep: b.Load.GapStep,
+		})
+		s.model.Decodes.SetDraining(m.Host, shut)
+	case work.RoleApp:
+		s.apps.Pool.Update(m.Host, m.Zone, b.TrueAt, route.AppReport{InFlight: b.Load.Running})
+		s.apps.Pool.SetDraining(m.Host, shut)
+	}
+	s.pump(time.Now())
+}
+
+// shut keeps new work from a host that is not connected.
+func (s *scheduler) shut(h work.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.model.Prefills.SetDraining(h, true)
+	s.model.Decodes.SetDraining(h, true)
+	s.apps.Pool.SetDraining(h, true)
+}
+
+// remove forgets a host that left the record.
+func (s *scheduler) remove(h work.Host) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.model.Prefills.Remove(h)
+	s.model.Decodes.Remove(h)
+	s.apps.Pool.Remove(h)
+}
+
+// tick refuses what lapsed and sends what there is room for.
+func (s *scheduler) tick(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.pump(now)
+}
+
+// schedule ticks every scheduler until the context ends.
+func (e *Entry) schedule(ctx context.Context) error {
+	t := time.NewTicker(tickEvery)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case now := <-t.C:
+			e.schedulers.each(func(s *scheduler) { s.tick(now) })
+		}
+	}
+}
--- a/entry/sides.go
+++ b/entry/sides.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sort"
 	"sync"
 	"sync/atomic"
@@ -34,23 +35,12 @@
 	return heard && !b.Draining && (b.Load == nil || !b.Load.Down)
 }
 
-// load is the side's last report; zero before the first.
-func (s *sideLink) load() wire.Load {
-	p := s.link.Peer()
-	if p == nil {
-		return wire.Load{}
-	}
-	b, _ := p.LastBeat()
-	if b.Load == nil {
-		return wire.Load{}
-	}
-	return *b.Load
-}
-
 // directory holds a link to each side of the services in the table. The zero
 // value with local set is ready; its lock is a leaf.
 type directory struct {
 	local *wire.Local
+	// removed, if set, is told of members that left a record.
+	removed func(member.Member)
 
 	mu      sync.Mutex
 	sides   map[work.Host]*sideLink
@@ -105,6 +95,9 @@
 		if s.member.Service == r.Service && !kept[h] {
 			s.stop()
 			delete(d.sides, h)
+			if d.removed != nil {
+				d.removed(s.member)
+			}
 		}
 	}
 	return true
@@ -189,6 +182,26 @@
 	return found
 }
 
+// find gives the side under a host's name, or nil.
+func (d *directory) find(h work.Host) *sideLink {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sides[h]
+}
+
+// zones lists the availability zones of a service's members.
+func (d *directory) zones(s work.Service) []work.Zone {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []work.Zone
+	for _, m := range d.records[s].Members {
+		if !slices.Contains(found, m.Zone) {
+			found = append(found, m.Zone)
+		}
+	}
+	return found
+}
+
 // How long the watch of a record waits at the platform, and how long a
 // failed one rests. At 650 entries and ten services, thirty seconds are 217
 // calls a second, a tenth of the platform's reads.
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -82,8 +82,9 @@
 }
 
 // notice takes notifications from sides in the order of their arrival.
-func (e *Entry) notice(_ *wire.Peer, method string, params json.RawMessage) {
+func (e *Entry) notice(p *wire.Peer, method string, params json.RawMessage) {
 	if method != wire.MethodFrame {
+		e.hear(p)
 		return
 	}
 	var f wire.Frame
@@ -94,3 +95,16 @@
 		s.add(f)
 	}
 }
+
+// hear passes a side's heartbeat to its service's scheduler.
+func (e *Entry) hear(p *wire.Peer) {
+	b, heard := p.LastBeat()
+	if !heard {
+		return
+	}
+	side := e.sides.find(p.Remote().Host)
+	if side == nil || side.link.Peer() != p {
+		return
+	}
+	e.schedulers.of(p.Remote().Service).report(p.Remote(), b, side.leaving.Load())
+}
--- /dev/null
+++ b/entry/turn.go
@@ -0,0 +1,191 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/admit"
+	"jacinthworks/queue"
+	"jacinthworks/route"
+	"jacinthworks/story"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// Figures for estimates before anything was measured.
+const (
+	firstRate = 20_000                // prompt tokens a second
+	firstGap  = 30 * time.Millisecond // between tokens
+	firstKV   = 50 * time.Millisecond // for the transfer
+	// bytesPerKV is the size of a token's KV cache in bytes. Only its ratio to
+	// the measured rate of a link counts, and both are taken in tokens here.
+	bytesPerKV = 1
+)
+
+// turnTries bounds how often one attempt is sent back to its queue because the
+// side had no room after all. Each time the choice has a newer report to go by.
+const turnTries = 8
+
+// pair is the two sides of one model attempt.
+type pair struct{ prefill, decode *sideLink }
+
+// newTurn describes a request to its scheduler.
+func (e *Entry) newTurn(r *request) *turn {
+	s := e.schedulers.of(r.service)
+	rate, life := s.measured()
+	prefill := time.Duration(float64(r.promptTokens) / rate * float64(time.Second))
+	t := &turn{kind: r.kind, plain: r.call != nil, avoid: r.avoid, got: make(chan sent, 1)}
+	t.item = queue.Item{
+		ID: r.id, Account: r.account, Key: r.body, Priority: r.row.Priority, Prompt: r.promptTokens, Output: r.maxTokens,
+		Deadline: r.accepted.Add(time.Duration(r.row.Deadline)), MayWait: r.row.MayWait,
+	}
+	t.job = route.Job{Weights: e.weights(r)}
+	if t.plain {
+		return t
+	}
+	t.item.ToFirstToken = prefill + firstKV + firstGap
+	t.item.ToEnd = t.item.ToFirstToken + time.Duration(r.maxTokens)*firstGap
+	if r.row.FirstToken > 0 {
+		t.item.FirstToken = r.accepted.Add(time.Duration(r.row.FirstToken))
+	}
+	t.job.Prompt, t.job.Output = r.promptTokens, r.maxTokens
+	t.job.Prefix, t.job.PrefixTokens = prefixOf(r.prompt), min(r.promptTokens, prefixBytes/bytesPerToken)
+	t.job.KVBytes, t.job.KVLife = int64(r.promptTokens)*bytesPerKV, life
+	t.job.FirstToken, t.job.TokenGap = time.Duration(r.row.FirstToken), time.Duration(r.row.TokenGap)
+	t.job.LongestWait, t.job.WastedPrefillWeight = admit.PrefillQueue, r.row.WastedPrefillWeight
+	return t
+}
+
+// measured gives the speed of prefill in tokens a second and the life of KV
+// cache, with the figures to start from where nothing was measured.
+func (s *scheduler) measured() (rate float64, life time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	rate = s.prefill
+	if rate == 0 {
+		rate = firstRate
+	}
+	return rate, s.kvLife
+}
+
+// sawLife takes the life that an engine gave a KV cache.
+func (s *scheduler) sawLife(d time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.kvLife = d
+}
+
+// weights gives the zones' shares for the request's service and kind.
+func (e *Entry) weights(r *request) route.Weights {
+	t := e.tables.Table()
+	w := make(route.Weights)
+	for _, z := range e.sides.zones(r.service) {
+		if row, found := t.Find(r.service, z, r.kind); found {
+			w[z] = row.Weight
+		}
+	}
+	return w
+}
+
+// takeTurn waits until the request is sent somewhere.
+func (e *Entry) takeTurn(ctx context.Context, r *request, t *turn) (sent, *failure) {
+	began := time.Now()
+	got := e.schedulers.of(r.service).wait(ctx, t, r.row)
+	if took := time.Since(began); took > tickEvery || got.refused != nil {
+		e.tell(r, story.Event{Kind: story.Queued, Detail: "waited " + took.Round(time.Millisecond).String()})
+	}
+	if got.refused == nil {
+		return got, nil
+	}
+	f := &failure{
+		ran: work.NotRun, reason: got.refused.Reason, detail: string(got.refused.Detail),
+		retryAfter: got.refused.RetryAfter, final: true,
+	}
+	if ctx.Err() != nil {
+		f.reason = reasonOf(ctx)
+	}
+	e.Log.Info("decision", "request", r.id, "outcome", "refused", "reason", f.reason, "detail", f.detail,
+		"wait", got.refused.Grounds.Wait, "rate", got.refused.Grounds.Rate, "waiting", got.refused.Grounds.Items)
+	return sent{}, f
+}
+
+// reservePair waits for a pair and reserves the decode room before any
+// prefill. The place it gives back must be returned by finished.
+func (e *Entry) reservePair(ctx context.Context, r *request, t *turn) (pair, sent, *failure) {
+	s := e.schedulers.of(r.service)
+	var last error
+	for range turnTries {
+		got, f := e.takeTurn(ctx, r, t)
+		if f != nil {
+			return pair{}, sent{}, f
+		}
+		e.logPair(r, got)
+		p := pair{prefill: e.sides.find(got.pair.Prefill), decode: e.sides.find(got.pair.Decode)}
+		last = wire.ErrNotSent
+		if p.prefill != nil && p.decode != nil {
+			last = e.reserve(ctx, r, p.decode)
+		}
+		if last == nil {
+			e.tell(r, story.Event{Kind: story.Reserved, Upstream: p.decode.member.Host, Tokens: r.promptTokens + r.maxTokens})
+			return p, got, nil
+		}
+		s.bounced(t)
+		if p.decode != nil && !errors.As(last, new(*wire.Refused)) {
+			e.cancel(p.decode, wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode})
+		}
+	}
+	return pair{}, sent{}, &failure{
+		ran: work.NotRun, reason: work.ReasonNoRoom, detail: "no decode room: " + last.Error(),
+		retryAfter: time.Second, final: true,
+	}
+}
+
+// bounced gives back the in-flight place of a turn whose side had no room. The
+// side's load stays counted until its next report, so that the next choice
+// does not fall on it again.
+func (s *scheduler) bounced(t *turn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running[t.kind]--
+}
+
+func (e *Entry) reserve(ctx context.Context, r *request, s *sideLink) error {
+	ctx, cancel := context.WithTimeout(ctx, callWithin)
+	defer cancel()
+	return s.link.Call(ctx, wire.MethodReserve, wire.Reserve{
+		Ref:    wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode},
+		Tokens: r.promptTokens + r.maxTokens, Hold: admit.Hold,
+	}, new(wire.Reserved))
+}
+
+// logPair writes the decision's line and its event.
+func (e *Entry) logPair(r *request, got sent) {
+	g := got.model
+	e.Log.Info("decision", "request", r.id, "attempt", r.attempt, "prefill", got.pair.Prefill, "decode", got.pair.Decode,
+		"prefill_pool", g.PrefillPool, "decode_pool", g.DecodePool, "pairs", g.Pairs, "excluded", g.Excluded,
+		"prefills", g.Prefills[:g.PrefillsDrawn], "decodes", g.Decodes[:g.DecodesDrawn],
+		"first_token", g.Chosen.FirstToken, "token_gap", g.Chosen.TokenGap, "kv_wait", g.Chosen.KVWait,
+		"score", g.Chosen.Score, "table", e.tables.Version())
+	grounds := &story.Grounds{Policy: "lowest score of pairs", Considered: g.Pairs, TableVersion: uint64(e.tables.Version())}
+	for _, p := range g.Prefills[:g.PrefillsDrawn] {
+		grounds.Candidates = append(grounds.Candidates, story.Candidate{Host: p.Host, Cost: p.Queue + p.Prefill, Note: "prefill"})
+	}
+	for _, d := range g.Decodes[:g.DecodesDrawn] {
+		grounds.Candidates = append(grounds.Candidates, story.Candidate{Host: d.Host, Cost: d.TokenGap, Note: "decode"})
+	}
+	e.tell(r, story.Event{Kind: story.Decided, Upstream: got.pair.Prefill, Decode: got.pair.Decode, Grounds: grounds})
+}
+
+// logApp writes the decision's line and its event.
+func (e *Entry) logApp(r *request, got sent) {
+	g := got.apps
+	e.Log.Info("decision", "request", r.id, "attempt", r.attempt, "side", got.app, "pool", g.Pool,
+		"unusable", g.Unusable, "considered", g.Considered, "table", e.tables.Version())
+	grounds := &story.Grounds{Policy: "least in flight of two", Considered: len(g.Considered), TableVersion: uint64(e.tables.Version())}
+	for _, c := range g.Considered {
+		grounds.Candidates = append(grounds.Candidates, story.Candidate{Host: c.Host, Note: "in flight"})
+	}
+	e.tell(r, story.Event{Kind: story.Decided, Upstream: got.app, Grounds: grounds})
+}
