--- a/entry/call.go
+++ b/entry/call.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"jacinthworks/wire"
 	"jacinthworks/work"
@@ -24,15 +25,18 @@
 	if s == nil {
 		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the side has just left"}
 	}
+	began := time.Now()
 	out := e.stage(ctx, s, wire.Run{
 		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageCall}, Account: r.account, Kind: r.kind,
 		Within: e.timeLeft(r), Call: r.call,
 	}, nil)
 	if out.Reason != "" || out.Answer == nil {
 		f := failed(out)
+		e.judge(s, time.Since(began), 0, f)
 		r.pass(s, f)
 		return f
 	}
+	e.judge(s, time.Since(began), 0, nil)
 	r.answer = out.Answer
 	return nil
 }
--- a/entry/model.go
+++ b/entry/model.go
@@ -44,14 +44,18 @@
 	held := wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode}
 	release := func() { e.cancel(p.decode, held) }
 
+	began := time.Now()
 	kv, f := e.prefill(ctx, r, p)
+	e.judge(p.prefill, time.Since(began), r.promptTokens, f)
 	if f != nil {
 		release()
 		r.pass(p.prefill, f)
 		return f
 	}
 	e.schedulers.of(r.service).sawLife(kv.Life)
+	began = time.Now()
 	f = e.decode(ctx, r, p, kv, to)
+	e.judge(p.decode, time.Since(began), r.tokens, f)
 	r.pass(p.decode, f)
 	return f
 }
--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -50,6 +50,7 @@
 	running  map[work.Kind]int
 	inFlight map[work.Kind]int // the table's limit, as of the kind's last arrival
 	held     map[work.Kind][]queue.Item
+	health   health // has locks of its own, which are leaves too
 	kvLife   time.Duration
 	prefill  float64 // measured tokens a second, of any engine of the service
 }
@@ -313,11 +314,16 @@
 func (e *Entry) schedule(ctx context.Context) error {
 	t := time.NewTicker(tickEvery)
 	defer t.Stop()
+	evaluated := time.Now()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
+			if now.Sub(evaluated) >= evaluateEvery {
+				evaluated = now
+				e.evaluate(now)
+			}
 			e.schedulers.each(func(s *scheduler) { s.tick(now) })
 		}
 	}
--- a/entry/sides.go
+++ b/entry/sides.go
@@ -189,6 +189,19 @@
 	return d.sides[h]
 }
 
+// members lists the hosts of a service's record in a role.
+func (d *directory) members(s work.Service, r work.Role) []work.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []work.Host
+	for _, m := range d.records[s].Members {
+		if m.Role == r {
+			found = append(found, m.Host)
+		}
+	}
+	return found
+}
+
 // zones lists the availability zones of a service's members.
 func (d *directory) zones(s work.Service) []work.Zone {
 	d.mu.Lock()
