--- a/conf/conf.go
+++ b/conf/conf.go
@@ -66,6 +66,9 @@
 	AdminListen netip.AddrPort
 	// PeerListen is where other entries connect; optional.
 	PeerListen netip.AddrPort
+	// PeerAdvertise is where other entries reach PeerListen, if not there;
+	// optional.
+	PeerAdvertise netip.AddrPort
 	// Peers are other entries' PeerListen addresses.
 	Peers []netip.AddrPort
 	// Platform is the address of the platform's object API and host list.
@@ -88,6 +91,8 @@
 	Service work.Service
 	// Listen is where entries connect.
 	Listen netip.AddrPort
+	// Advertise is where entries reach Listen, if not there; optional.
+	Advertise netip.AddrPort
 	// Upstream is the address of the engine or application beside the side.
 	Upstream netip.AddrPort
 	// Platform is the address of the platform's object API and host list.
@@ -143,10 +148,11 @@
 
 // Timings set how soon a loss is noticed. Zero means the default.
 type Timings struct {
-	// Heartbeat is the time between heartbeats on a connection; default 250ms.
+	// Heartbeat is the time between heartbeats on a connection; default 200ms.
 	Heartbeat time.Duration
-	// SilenceAfter gives up a connection that has been silent; default 1s,
-	// four heartbeats, so that a single lost one blames nobody.
+	// SilenceAfter gives up a connection that has been silent; default 800ms,
+	// four heartbeats, so that a single lost one blames nobody. It is the
+	// first part of the two seconds in which an engine's memory is freed.
 	SilenceAfter time.Duration
 	// StaleAfter bounds the age of the newest word about the table before a
 	// host takes no new work; default 3s.
@@ -157,8 +163,8 @@
 
 // OrDefaults gives the timings with each zero replaced by its default.
 func (t Timings) OrDefaults() Timings {
-	orDefault(&t.Heartbeat, 250*time.Millisecond)
-	orDefault(&t.SilenceAfter, time.Second)
+	orDefault(&t.Heartbeat, 200*time.Millisecond)
+	orDefault(&t.SilenceAfter, 800*time.Millisecond)
 	orDefault(&t.StaleAfter, 3*time.Second)
 	orDefault(&t.StopWithin, 30*time.Second)
 	return t
--- a/conf/parse.go
+++ b/conf/parse.go
@@ -21,19 +21,20 @@
 		return Entry{}, err
 	}
 	e := Entry{
-		Name:        work.Host(r.name("name")),
-		Zone:        work.Zone(r.name("zone")),
-		Listen:      r.listenAddr("listen", true),
-		AdminListen: r.listenAddr("admin_listen", true),
-		PeerListen:  r.listenAddr("peer_listen", false),
-		Peers:       r.addrPorts("peers"),
-		Platform:    r.dialAddr("platform"),
-		Log:         r.log(),
-		TLS:         r.tls(),
-		Limits:      r.limits(),
-		Timings:     r.timings(),
-		Callers:     r.callers(),
-		Operators:   r.operators(),
+		Name:          work.Host(r.name("name")),
+		Zone:          work.Zone(r.name("zone")),
+		Listen:        r.listenAddr("listen", true),
+		AdminListen:   r.listenAddr("admin_listen", true),
+		PeerListen:    r.listenAddr("peer_listen", false),
+		PeerAdvertise: r.advertised("peer_advertise"),
+		Peers:         r.addrPorts("peers"),
+		Platform:      r.dialAddr("platform"),
+		Log:           r.log(),
+		TLS:           r.tls(),
+		Limits:        r.limits(),
+		Timings:       r.timings(),
+		Callers:       r.callers(),
+		Operators:     r.operators(),
 	}
 	r.distinct("listen", "admin_listen", "peer_listen")
 	r.tokens(e)
@@ -60,6 +61,7 @@
 		Role:        work.Role(r.oneOf("role", prefill, decode, app)),
 		Service:     work.Service(r.name("service")),
 		Listen:      r.listenAddr("listen", true),
+		Advertise:   r.advertised("advertise"),
 		Upstream:    r.dialAddr("upstream"),
 		Platform:    r.dialAddr("platform"),
 		AdminListen: r.listenAddr("admin_listen", false),
--- a/conf/reader.go
+++ b/conf/reader.go
@@ -228,6 +228,14 @@
 	return a
 }
 
+// advertised reads an optional address that others dial.
+func (r *reader) advertised(path string) netip.AddrPort {
+	if r.text(path) == "" {
+		return netip.AddrPort{}
+	}
+	return r.dialAddr(path)
+}
+
 func (r *reader) addrPorts(path string) []netip.AddrPort {
 	var addrs []netip.AddrPort
 	for i, s := range r.texts(path) {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -47,6 +47,9 @@
 	for i, a := range e.Settings.Peers {
 		e.entries.dial(member.Member{Host: work.Host(fmt.Sprintf("peer-%d", i+1)), Service: "peers", Address: a})
 	}
+	if e.Settings.PeerAdvertise.IsValid() {
+		address = e.Settings.PeerAdvertise
+	}
 	m := member.Member{
 		Host: e.Settings.Name, Zone: e.Settings.Zone, Service: member.Entries, Address: address, Incarnation: e.incarnation,
 	}
--- a/side/side.go
+++ b/side/side.go
@@ -168,6 +168,9 @@
 	if s.Objects == nil {
 		return nil
 	}
+	if s.Settings.Advertise.IsValid() {
+		address = s.Settings.Advertise
+	}
 	m := member.Member{
 		Host: s.Settings.Name, Zone: s.Settings.Zone, Role: s.Settings.Role, Service: s.Settings.Service,
 		Address: address, Incarnation: s.incarnation,
--- /dev/null
+++ b/test/call.go
@@ -0,0 +1,216 @@
+package test
+
+import (
+	"bufio"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"strings"
+	"sync"
+	"time"
+
+	"jacinthworks/work"
+)
+
+// call is one request as its caller saw it.
+type call struct {
+	name, entry, kind, key, account string
+	prompt                          string
+	maxTokens                       int
+	method, path, body              string
+	stream                          bool
+
+	cancel context.CancelFunc
+	done   chan struct{}
+
+	mu      sync.Mutex
+	more    chan struct{} // closed and replaced at each token
+	stalled chan struct{} // non-nil and open while the caller does not read
+	id      work.RequestID
+	status  int
+	text    strings.Builder
+	tokens  int
+	whole   bool // the answer came to its own end
+	problem problemView
+	err     error
+	ended   time.Time
+}
+
+// problemView is a refusal as a caller reads it.
+type problemView struct {
+	Reason     work.Reason    `json:"reason"`
+	Ran        work.Ran       `json:"ran"`
+	RequestID  work.RequestID `json:"request_id"`
+	RetryAfter float64        `json:"retry_after_seconds"`
+}
+
+func (c *call) hangUp() {
+	if c.cancel != nil {
+		c.cancel()
+		<-c.done
+	}
+}
+
+// send makes the request and reads its answer to the end.
+func (c *call) send(ctx context.Context, base, token string) {
+	ctx, c.cancel = context.WithCancel(ctx)
+	c.done, c.more = make(chan struct{}), make(chan struct{})
+	request, err := c.request(ctx, base)
+	if err == nil {
+		request.Header.Set("Authorization", "Bearer "+token)
+		request.Header.Set("Request-Kind", c.kind)
+		if c.key != "" {
+			request.Header.Set("Idempotency-Key", c.key)
+		}
+	}
+	go func() { // its end is c.done
+		defer close(c.done)
+		if err == nil {
+			err = c.exchange(request)
+		}
+		c.mu.Lock()
+		defer c.mu.Unlock()
+		c.err, c.ended = err, time.Now()
+		c.wake()
+	}()
+}
+
+func (c *call) request(ctx context.Context, base string) (*http.Request, error) {
+	if c.path != "" {
+		return http.NewRequestWithContext(ctx, c.method, base+"/services/marketplace-app"+c.path, strings.NewReader(c.body))
+	}
+	body, err := json.Marshal(map[string]any{
+		"model": "appraiser-lm", "prompt": c.prompt, "max_tokens": c.maxTokens, "stream": c.stream,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return http.NewRequestWithContext(ctx, http.MethodPost, base+"/v1/completions", strings.NewReader(string(body)))
+}
+
+// oneConnection keeps calls from sharing connections, so that a fault on one
+// is a fault of one.
+var oneConnection = &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+
+func (c *call) exchange(request *http.Request) error {
+	answer, err := oneConnection.Do(request)
+	if err != nil {
+		return err
+	}
+	defer answer.Body.Close()
+	c.mu.Lock()
+	c.id = work.RequestID(answer.Header.Get("Request-Id"))
+	c.status = answer.StatusCode
+	c.wake()
+	c.mu.Unlock()
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), "text/event-stream") {
+		return c.readStream(answer.Body)
+	}
+	text, err := io.ReadAll(answer.Body)
+	if err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if strings.HasPrefix(answer.Header.Get("Content-Type"), "application/problem+json") {
+		return json.Unmarshal(text, &c.problem)
+	}
+	c.whole = true
+	if c.path != "" {
+		c.text.Write(text)
+		return nil
+	}
+	var all chunkView
+	if err := json.Unmarshal(text, &all); err != nil {
+		return err
+	}
+	c.text.WriteString(all.Choices[0].Text)
+	c.tokens = all.Usage.CompletionTokens
+	return nil
+}
+
+// chunkView is a completion, or a part of one, as a caller reads it.
+type chunkView struct {
+	Choices []struct {
+		Text string `json:"text"`
+	} `json:"choices"`
+	Usage struct {
+		CompletionTokens int `json:"completion_tokens"`
+	} `json:"usage"`
+}
+
+func (c *call) readStream(body io.Reader) error {
+	lines := bufio.NewScanner(body)
+	lines.Buffer(nil, 1<<20)
+	failed := false
+	for lines.Scan() {
+		c.mu.Lock()
+		stalled := c.stalled
+		c.mu.Unlock()
+		if stalled != nil {
+			<-stalled
+		}
+		text, isData := strings.CutPrefix(lines.Text(), "data: ")
+		switch {
+		case lines.Text() == "event: error":
+			failed = true
+		case isData && failed:
+			c.mu.Lock()
+			err := json.Unmarshal([]byte(text), &c.problem)
+			c.mu.Unlock()
+			return err
+		case isData && text == "[DONE]":
+			c.mu.Lock()
+			c.whole = true
+			c.mu.Unlock()
+		case isData:
+			if err := c.take(text); err != nil {
+				return err
+			}
+		}
+	}
+	return lines.Err()
+}
+
+func (c *call) take(text string) error {
+	var part chunkView
+	if err := json.Unmarshal([]byte(text), &part); err != nil {
+		return err
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if part.Choices[0].Text != "" {
+		c.text.WriteString(part.Choices[0].Text)
+		c.tokens = len(strings.Fields(c.text.String()))
+		c.wake()
+	}
+	return nil
+}
+
+func (c *call) wake() {
+	close(c.more)
+	c.more = make(chan struct{})
+}
+
+// view is what the caller has seen so far.
+type view struct {
+	id      work.RequestID
+	status  int
+	text    string
+	tokens  int
+	whole   bool
+	problem problemView
+	err     error
+	ended   time.Time
+	more    <-chan struct{}
+}
+
+func (c *call) look() view {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return view{
+		id: c.id, status: c.status, text: c.text.String(), tokens: c.tokens, whole: c.whole,
+		problem: c.problem, err: c.err, ended: c.ended, more: c.more,
+	}
+}
--- /dev/null
+++ b/test/relay.go
@@ -0,0 +1,190 @@
+package test
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net"
+	"net/netip"
+	"regexp"
+	"sync"
+
+	"jacinthworks/group"
+)
+
+// relay stands between processes and one listener, so that scenarios can cut
+// or silence what goes through it. It knows who dials by the hello in the
+// first bytes, or by the name given for relays that only one process uses.
+type relay struct {
+	user string // the only process that dials, or empty
+	ln   net.Listener
+
+	mu     sync.Mutex
+	target netip.AddrPort
+	cut    map[string]bool // refuse and close, by dialler; "" is everybody
+	pairs  map[*pairing]bool
+}
+
+// pairing is one connection through a relay.
+type pairing struct {
+	from          string
+	client, serve net.Conn
+	silent        bool
+}
+
+var helloHost = regexp.MustCompile(`"host":"([a-z0-9-]+)"`)
+
+func newRelay(user string) (*relay, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, err
+	}
+	return &relay{user: user, ln: ln, cut: make(map[string]bool), pairs: make(map[*pairing]bool)}, nil
+}
+
+func (r *relay) address() netip.AddrPort { return r.ln.Addr().(*net.TCPAddr).AddrPort() }
+
+func (r *relay) aim(a netip.AddrPort) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.target = a
+}
+
+// run relays until the context ends.
+func (r *relay) run(ctx context.Context) error {
+	var g group.Group
+	done := make(chan struct{})
+	go func() { // ends once the group is closed below
+		defer close(done)
+		for range g.Ends() {
+		}
+	}()
+	stop := context.AfterFunc(ctx, func() { _ = r.ln.Close(); r.breakAll(nil) })
+	defer stop()
+	for {
+		c, err := r.ln.Accept()
+		if err != nil {
+			break
+		}
+		g.Go(ctx, "connection", func(ctx context.Context) error { r.carry(ctx, c, &g); return nil })
+	}
+	r.breakAll(nil)
+	g.Close()
+	<-done
+	return nil
+}
+
+func (r *relay) carry(ctx context.Context, c net.Conn, g *group.Group) {
+	r.mu.Lock()
+	target, everybody := r.target, r.cut[""]
+	r.mu.Unlock()
+	if everybody || !target.IsValid() {
+		_ = c.Close()
+		return
+	}
+	first := make([]byte, 64<<10)
+	n, err := c.Read(first)
+	if err != nil {
+		_ = c.Close()
+		return
+	}
+	p := &pairing{from: r.user, client: c}
+	if m := helloHost.FindSubmatch(first[:n]); r.user == "" && m != nil {
+		p.from = string(m[1])
+	}
+	p.serve, err = net.Dial("tcp", target.String())
+	if err != nil || !r.add(p) {
+		r.drop(p)
+		return
+	}
+	if _, err := p.serve.Write(first[:n]); err != nil {
+		r.drop(p)
+		return
+	}
+	back := make(chan struct{})
+	g.Go(ctx, "back", func(context.Context) error { defer close(back); r.pump(p, p.client, p.serve); return nil })
+	r.pump(p, p.serve, p.client)
+	<-back
+}
+
+// add keeps the pairing, unless its dialler is cut off.
+func (r *relay) add(p *pairing) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.cut[p.from] || r.cut[""] {
+		return false
+	}
+	r.pairs[p] = true
+	return true
+}
+
+func (r *relay) pump(p *pairing, to io.Writer, from io.Reader) {
+	defer r.drop(p)
+	buffer := make([]byte, 32<<10)
+	for {
+		n, err := from.Read(buffer)
+		if err != nil {
+			return
+		}
+		r.mu.Lock()
+		silent := p.silent
+		r.mu.Unlock()
+		if silent {
+			continue
+		}
+		if _, err := io.Copy(to, bytes.NewReader(buffer[:n])); err != nil {
+			return
+		}
+	}
+}
+
+func (r *relay) drop(p *pairing) {
+	_ = p.client.Close()
+	if p.serve != nil {
+		_ = p.serve.Close()
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	delete(r.pairs, p)
+}
+
+// sever closes the dialler's connections and refuses new ones.
+func (r *relay) sever(from string) {
+	r.mu.Lock()
+	r.cut[from] = true
+	r.mu.Unlock()
+	r.breakAll(func(p *pairing) bool { return from == "" || p.from == from })
+}
+
+// heal lets everybody through again.
+func (r *relay) heal() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	clear(r.cut)
+}
+
+// silence swallows what the dialler's open connections carry; new ones work.
+func (r *relay) silence(from string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for p := range r.pairs {
+		if from == "" || p.from == from {
+			p.silent = true
+		}
+	}
+}
+
+func (r *relay) breakAll(which func(*pairing) bool) {
+	r.mu.Lock()
+	var found []*pairing
+	for p := range r.pairs {
+		if which == nil || which(p) {
+			found = append(found, p)
+		}
+	}
+	r.mu.Unlock()
+	for _, p := range found {
+		_ = p.client.Close()
+		_ = p.serve.Close()
+	}
+}
