Retry budget, rule of may-run-again, and attribution of crashes

Cause: retries in an outage triple the load, and one request that crashes each upstream takes the pool with it as often as its caller sends it. Ruled out: counting deaths per request id (a fresh send starts anew), condemning all that ran in two deaths (refuses neighbours), strict isolation of every suspect (a place for each of some tens of suspects after one death). Conclusion: deaths explain each other, suspects are kept apart by the side; who cannot be told apart runs alone and clears itself by surviving.

--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,307 @@
+package retry
+
+import (
+	"encoding/json"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthworks/work"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+func TestOnlyNotRunOrIdempotentGoesAgain(t *testing.T) {
+	later := start.Add(time.Second)
+	for _, c := range []struct {
+		failure Failure
+		want    Verdict
+	}{
+		{Failure{Attempt: 1, Ran: work.NotRun, Deadline: later}, Again},
+		{Failure{Attempt: 1, Ran: work.Unknown, Deadline: later}, MayHaveRun},
+		{Failure{Attempt: 1, Ran: work.DidRun, Deadline: later}, MayHaveRun},
+		{Failure{Attempt: 1, Deadline: later}, MayHaveRun},
+		{Failure{Attempt: 1, Ran: work.Unknown, Idempotent: true, Deadline: later}, Again},
+		{Failure{Attempt: 3, Ran: work.NotRun, Deadline: later}, Exhausted},
+		{Failure{Attempt: 1, Ran: work.NotRun, Deadline: start}, TooLate},
+		{Failure{Attempt: 1, Ran: work.NotRun, Deadline: later, Needs: time.Second}, TooLate},
+	} {
+		require.Equal(t, c.want, May(start, c.failure), "%+v", c.failure)
+	}
+}
+
+// All upstreams refuse for a while. Three attempts a request are three times
+// the load on what has no room.
+func TestBudgetBoundsSendsInAnOutage(t *testing.T) {
+	sends := func(budget bool) int {
+		var p Policy
+		n := 0
+		for range 10000 {
+			p.Budget.Accepted()
+			for a := work.Attempt(1); ; a++ {
+				n++
+				f := Failure{Attempt: a, Ran: work.NotRun, Deadline: start.Add(time.Second)}
+				if budget && p.Decide(start, f) != Again || !budget && May(start, f) != Again {
+					break
+				}
+			}
+		}
+		return n
+	}
+	without, with := sends(false), sends(true)
+	t.Logf("sends for 10000 requests in an outage: without budget %d, with %d", without, with)
+	require.Equal(t, 30000, without)
+	require.LessOrEqual(t, with, 11000+int(Burst))
+}
+
+func TestBudgetAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b Budget
+		tenths := int(Burst * 10) // naive: counts in tenths
+		for _, take := range rapid.SliceOfN(rapid.Bool(), 1, 300).Draw(t, "take") {
+			if !take {
+				b.Accepted()
+				tenths = min(int(Burst*10), tenths+1)
+				continue
+			}
+			want := tenths >= 10
+			if want {
+				tenths -= 10
+			}
+			require.Equal(t, want, b.Take())
+		}
+	})
+}
+
+func TestIdentityIsCallerAndBody(t *testing.T) {
+	id := Identify("stud", "appraiser-lm", []byte("pedigree"))
+	require.Equal(t, id, Identify("stud", "appraiser-lm", []byte("pedigree")))
+	for _, other := range []Identity{
+		Identify("other", "appraiser-lm", []byte("pedigree")),
+		Identify("stud", "logwriter", []byte("pedigree")),
+		Identify("stud", "appraiser-lm", []byte("pedi"), []byte("gree")),
+	} {
+		require.NotEqual(t, id, other)
+	}
+}
+
+func death(upstream string, at int, running ...Identity) Death {
+	return Death{work.Host(upstream), 1, start.Add(time.Duration(at) * time.Second), running}
+}
+
+// A pedigree file crashes the engine that runs it; two other sellers' files
+// run beside it. The file is retried and crashes a second engine beside a
+// fourth. It is stopped then, and none of the four others is.
+func TestCulpritIsStoppedAndNeighboursAreNot(t *testing.T) {
+	var l Ledger
+	l.Died(death("side-1", 0, "bad", "near-1", "near-2"))
+	now := start.Add(time.Second)
+	require.Equal(t, Suspect, l.Standing(now, "bad"))
+	require.False(t, l.Beside(now, "near-1", []Identity{"bad"}), "two suspects apart")
+	require.True(t, l.Beside(now, "near-1", []Identity{"clear"}))
+	require.True(t, l.Beside(now, "clear", []Identity{"bad"}))
+	l.Survived(now, "near-1")
+	l.Died(death("side-2", 2, "bad", "near-3"))
+	now = start.Add(3 * time.Second)
+	require.Equal(t, Stopped, l.Standing(now, "bad"))
+	for _, id := range []Identity{"near-1", "near-2", "near-3"} {
+		require.Equal(t, Clear, l.Standing(now, id))
+	}
+	require.False(t, l.Beside(now, "bad", nil))
+	require.Equal(t, Clear, l.Standing(start.Add(2*time.Second+Memory+time.Millisecond), "bad"), "remembered for a bounded time")
+}
+
+// Evidence comes late to one side, and a neighbour dies beside the culprit a
+// second time. Nothing tells them apart: refusing both would refuse an
+// innocent. Each runs alone; the one that survives clears itself.
+func TestAmbiguousRunsAlone(t *testing.T) {
+	var l Ledger
+	l.Died(death("side-1", 0, "bad", "near"))
+	l.Died(death("side-2", 1, "bad", "near"))
+	now := start.Add(2 * time.Second)
+	require.Equal(t, Ambiguous, l.Standing(now, "near"))
+	require.False(t, l.Beside(now, "near", []Identity{"clear"}))
+	require.False(t, l.Beside(now, "clear", []Identity{"near"}))
+	require.True(t, l.Beside(now, "near", nil))
+	l.Survived(now, "near")
+	require.Equal(t, Clear, l.Standing(now, "near"))
+	require.Equal(t, Stopped, l.Standing(now, "bad"))
+}
+
+func drawRecord(t *rapid.T, name string) Record {
+	ids := rapid.SampledFrom([]Identity{"a", "b", "c", "d", "e"})
+	var r Record
+	for range rapid.IntRange(0, 5).Draw(t, name+" deaths") {
+		r.Deaths = append(r.Deaths, Death{
+			work.Host(rapid.SampledFrom([]string{"s1", "s2", "s3"}).Draw(t, "upstream")),
+			work.Incarnation(rapid.IntRange(1, 2).Draw(t, "incarnation")),
+			start.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "at")) * time.Second),
+			rapid.SliceOfN(ids, 0, 4).Draw(t, "running"),
+		})
+	}
+	for range rapid.IntRange(0, 2).Draw(t, name+" survivals") {
+		r.Survivals = append(r.Survivals, Survival{ids.Draw(t, "id"), start.Add(time.Duration(rapid.IntRange(0, 700).Draw(t, "at")) * time.Second)})
+	}
+	return r
+}
+
+func TestMergeIsIdempotentCommutativeAssociative(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b, c := drawRecord(t, "a"), drawRecord(t, "b"), drawRecord(t, "c")
+		ab := a.Merge(b)
+		require.Equal(t, ab, b.Merge(a))
+		require.Equal(t, ab, ab.Merge(a))
+		require.Equal(t, ab, ab.Merge(ab))
+		require.Equal(t, ab.Merge(c), a.Merge(b.Merge(c)))
+
+		data, err := json.Marshal(ab)
+		require.NoError(t, err)
+		var read Record
+		require.NoError(t, json.Unmarshal(data, &read))
+		require.Equal(t, ab, read)
+	})
+}
+
+func TestMergeIsBounded(t *testing.T) {
+	var a, b Record
+	for i := range 3 * MaxDeaths {
+		d := death(fmt.Sprint(i), i)
+		for n := range 2 * MaxRunning {
+			d.Running = append(d.Running, Identity(fmt.Sprint(n)))
+		}
+		a.Deaths = append(a.Deaths, d)
+		b.Deaths = append(b.Deaths, death(fmt.Sprint(i), i, "x"))
+	}
+	merged := a.Merge(b)
+	require.Equal(t, merged, b.Merge(a))
+	require.Equal(t, merged, merged.Merge(merged))
+	require.Len(t, merged.Deaths, MaxDeaths)
+	require.Len(t, merged.Deaths[0].Running, MaxRunning)
+	Judge(merged, start)
+}
+
+// naiveCondemned is the rule by lists: whoever is in at least two deaths which
+// no one else shares all of, the most deaths first, and again without those.
+func naiveCondemned(deaths [][]Identity) []Identity {
+	in := func(id Identity) (list []int) {
+		for i, d := range deaths {
+			if slices.Contains(d, id) {
+				list = append(list, i)
+			}
+		}
+		return list
+	}
+	ids := slices.Compact(slices.Sorted(slices.Values(slices.Concat(deaths...))))
+	var found []Identity
+	for score := len(deaths); score >= CrashLimit; score-- {
+		for _, id := range ids {
+			mine, alone := in(id), true
+			for _, other := range ids {
+				theirs := in(other)
+				covers := !slices.ContainsFunc(mine, func(i int) bool { return !slices.Contains(theirs, i) })
+				alone = alone && (other == id || !covers)
+			}
+			if len(mine) == score && alone {
+				found = append(found, id)
+			}
+		}
+		if len(found) > 0 {
+			rest := slices.DeleteFunc(slices.Clone(deaths), func(d []Identity) bool {
+				return slices.ContainsFunc(d, func(id Identity) bool { return slices.Contains(found, id) })
+			})
+			return append(found, naiveCondemned(rest)...)
+		}
+	}
+	return nil
+}
+
+func TestJudgeAgreesWithNaive(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := drawRecord(t, "r").Merge(drawRecord(t, "s"))
+		r.Survivals = nil
+		now := start.Add(700 * time.Second)
+		var lists [][]Identity
+		for _, d := range r.Since(now.Add(-Memory)).Deaths {
+			lists = append(lists, d.Running)
+		}
+		var got []Identity
+		for id, s := range Judge(r, now) {
+			if s == Stopped {
+				got = append(got, id)
+			}
+		}
+		require.ElementsMatch(t, naiveCondemned(lists), got)
+	})
+}
+
+// A file that crashes engines is sent anew every 2 s for two minutes, among
+// others of which eight run on each of nine engines at a time.
+func TestCrashingRequestInAPool(t *testing.T) {
+	type outcome struct{ deaths, stoppedInnocent int }
+	run := func(attribute bool) outcome {
+		var l Ledger
+		x := rand.New(rand.NewPCG(1, 2))
+		var o outcome
+		next := 0
+		for second := 0; second < 120; second += 2 {
+			now := start.Add(time.Duration(second) * time.Second)
+			for range MaxAttempts {
+				if attribute && l.Standing(now, "bad") == Stopped {
+					break
+				}
+				running := []Identity{"bad"}
+				for range 7 {
+					next++
+					id := Identity(fmt.Sprint("ok-", next-x.IntN(4))) // some are retried
+					if !attribute || l.Beside(now, id, running) {
+						running = append(running, id)
+					}
+				}
+				o.deaths++
+				l.Died(Death{work.Host(fmt.Sprint(x.IntN(9))), work.Incarnation(o.deaths), now, running})
+			}
+		}
+		for id, s := range l.standing {
+			if id != "bad" && s == Stopped {
+				o.stoppedInnocent++
+			}
+		}
+		return o
+	}
+	without, with := run(false), run(true)
+	t.Logf("upstreams that died in 120 s: without %d, with %d; innocents stopped with: %d", without.deaths, with.deaths, with.stoppedInnocent)
+	require.Equal(t, outcome{CrashLimit, 0}, with)
+	require.Equal(t, 180, without.deaths)
+}
+
+// BenchmarkStanding measures the look-up before each attempt.
+func BenchmarkStanding(b *testing.B) {
+	var l Ledger
+	l.Died(death("s", 0, "bad"))
+	for b.Loop() {
+		l.Standing(start, "other")
+	}
+}
+
+// BenchmarkIdentify measures a body of 64 KB.
+func BenchmarkIdentify(b *testing.B) {
+	body := make([]byte, 64<<10)
+	for b.Loop() {
+		Identify("stud", "appraiser-lm", body)
+	}
+}
