The side guards an engine that ignores fencing numbers

Cause: a side paused past its order lease goes on with old orders after another has taken over, and an engine that ignores fencing numbers obeys both. Conclusion: holder counts from before its write, successor from after its first reading; a pause longer than OrderTime between check and engine is not covered and is reported.

--- /dev/null
+++ b/fence/fence.go
@@ -0,0 +1,255 @@
+// Package fence guards an engine that ignores fencing numbers. The side beside
+// the engine gives orders only while it holds the order lease, and stops well
+// before the lease can pass on. It imports no network; times are passed in.
+//
+// Load pattern: none; the failure is a side that was paused, or cut from the
+// platform, and goes on giving orders after another has taken over. An engine
+// that honours fencing numbers refuses the old order. One that ignores them
+// loads the old model over the new one, and both sides believe that they have
+// had their way. The tests bring this about, and show that it appears when the
+// margin is taken away.
+//
+// The lease is a record in the platform, written by conditional update. Its
+// holder counts its time from before it sent the write that renewed it; another
+// counts from after it has read that renewal. So the holder's time ends first,
+// whatever their clocks show, as long as both run at nearly the same rate.
+// Times passed in must carry Go's monotonic reading: a wall clock that is set
+// back would lengthen the lease.
+//
+// What the guard does not cover: a pause longer than OrderTime between May and
+// the engine's taking of the order. Gave tells whether that came about, and
+// the next holder reads the engine's state and gives its own order again.
+//
+// # Usage
+//
+//	g := fence.Guard{Holder: host, Incarnation: incarnation}
+//	switch a := g.Next(now); a.Do {
+//	case fence.Read:  // read the record
+//		g.Saw(now, record, version)
+//	case fence.Write: // sent := now; write a.Record if at version a.At
+//		g.Wrote(sent, version) // or g.Conflicted() or g.NoAnswer(), as it went
+//	case fence.Wait:  // call Next again at a.Until
+//	}
+//	number, err := g.May(now)          // before an order; the number goes with it
+//	err = g.Gave(now, number)          // after it
+package fence
+
+import (
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/work"
+)
+
+const (
+	// TTL is how long the lease lasts from its last renewal. It bounds how
+	// long an engine takes no orders after its side died; placement changes
+	// over minutes, so that 15 s cost nothing, and one renewal each 5 s for
+	// an engine that is being changed fits the platform's rate.
+	TTL = 15 * time.Second
+	// Renew is the age at which a holder that has orders to give renews: two
+	// renewals may fail before the lease ends.
+	Renew = TTL / 3
+	// OrderTime is the longest that an order may take from May until the
+	// engine has taken it. The adapter's timeout must be shorter.
+	OrderTime = 4 * time.Second
+	// Drift is the share by which two monotonic clocks may differ in rate.
+	// Crystals stay within 0.02%; 1% covers a clock that is being slewed.
+	Drift = 0.01
+	// Retry is the pause after an answer that was lost or refused.
+	Retry = 500 * time.Millisecond
+)
+
+// The errors of May and Gave.
+var (
+	// ErrNotHolder says that the side does not hold the lease, or not for long
+	// enough to give an order.
+	ErrNotHolder = errors.New("fence: order lease not held")
+	// ErrOldNumber says that a higher number was given already.
+	ErrOldNumber = errors.New("fence: old fencing number")
+	// ErrOverrun says that the order may have reached the engine after the
+	// lease had passed on: read the engine's state before anything else.
+	ErrOverrun = errors.New("fence: order overran the lease")
+)
+
+// Number is a fencing number. It grows with every order, also from one holder
+// to the next.
+type Number uint64
+
+// sequenceBits leaves a million orders to one holding of the lease.
+const sequenceBits = 20
+
+func number(term, sequence uint64) Number { return Number(term<<sequenceBits | sequence) }
+
+// Term gives the platform's version of the record at which the number's holder
+// took the lease.
+func (n Number) Term() uint64 { return uint64(n) >> sequenceBits }
+
+// Record is the lease as the platform holds it.
+type Record struct {
+	Holder      work.Host        `json:"holder"`
+	Incarnation work.Incarnation `json:"incarnation"`
+	// Nonce tells two writes of one holder apart, so that a lost answer is
+	// settled by reading.
+	Nonce uint64 `json:"nonce"`
+}
+
+// Do is what the guard asks of its owner.
+type Do string
+
+// The actions.
+const (
+	Read  Do = "read"
+	Write Do = "write"
+	Wait  Do = "wait"
+)
+
+// Action is what to do next. Record and At are set for Write, Until for Wait.
+type Action struct {
+	Do     Do
+	Record Record
+	At     uint64
+	Until  time.Time
+}
+
+type state int
+
+const (
+	unread  state = iota // nothing known: read before anything else
+	waiting              // another holds it, or did: wait until it must have stopped
+	free                 // nobody can hold it: write
+	holding
+)
+
+// Guard is the state machine. Set Holder and Incarnation; the rest works from
+// zero. It belongs to one goroutine, which also gives the orders.
+type Guard struct {
+	Holder      work.Host
+	Incarnation work.Incarnation
+
+	state   state
+	version uint64    // of the record as last read or written
+	own     uint64    // of our last write that is known to have taken effect
+	seen    time.Time // when that version was first read
+	renewed time.Time // when the write that renewed our lease was sent
+	term    uint64    // version at which we took it
+	given   uint64    // orders given in this term
+	highest Number
+	nonce   uint64
+	sent    map[uint64]time.Time // our writes without a known outcome, by nonce
+	retry   time.Time
+}
+
+// Next says what to do now.
+func (g *Guard) Next(now time.Time) Action {
+	if g.state == holding && !now.Before(g.renewed.Add(shorter(TTL))) {
+		// Lapsed, such as after a pause. Another may hold it: read first.
+		g.state = unread
+	}
+	switch {
+	case now.Before(g.retry):
+		return Action{Do: Wait, Until: g.retry}
+	case g.state == unread:
+		return Action{Do: Read}
+	case g.state == waiting:
+		// Guard: the last holder may be alive and not yet know that its time
+		// is over. Its TTL, counted from our first reading of its renewal, and
+		// lengthened by drift, ends after its own count of it.
+		if end := g.seen.Add(longer(TTL)); now.Before(end) {
+			return Action{Do: Wait, Until: end}
+		}
+		return Action{Do: Read}
+	case g.state == holding && now.Before(g.renewed.Add(Renew)):
+		return Action{Do: Wait, Until: g.renewed.Add(Renew)}
+	}
+	return g.write(now)
+}
+
+func (g *Guard) write(now time.Time) Action {
+	g.nonce++
+	if g.sent == nil {
+		g.sent = make(map[uint64]time.Time)
+	}
+	g.sent[g.nonce] = now
+	return Action{Do: Write, At: g.version, Record: Record{g.Holder, g.Incarnation, g.nonce}}
+}
+
+// Saw takes a reading of the record that was answered at the given
+// time. Version zero says that there is no record.
+func (g *Guard) Saw(answered time.Time, r Record, version uint64) {
+	sent, ours := g.sent[r.Nonce]
+	self := r.Holder == g.Holder && r.Incarnation == g.Incarnation && version > 0
+	switch {
+	case self && ours:
+		// The write whose answer was lost took effect.
+		g.took(sent, version)
+	case self && version == g.own, version == 0:
+		// Nobody wrote since we did, or ever: nobody else can be giving
+		// orders, and the write is conditional on its staying so.
+		g.state, g.version = free, version
+	case version != g.version || g.seen.IsZero():
+		g.state, g.version, g.seen = waiting, version, answered
+	case answered.Sub(g.seen) >= longer(TTL):
+		g.state = free
+	default:
+		g.state = waiting
+	}
+}
+
+// Wrote says that the write took effect. It was sent at the given time.
+func (g *Guard) Wrote(sent time.Time, version uint64) { g.took(sent, version) }
+
+// Conflicted says that another wrote first: nothing was written.
+func (g *Guard) Conflicted() { g.state = unread }
+
+// NoAnswer says that the answer to a read or write was lost, or that the
+// platform refused it. A holder keeps what it has until that ends.
+func (g *Guard) NoAnswer(now time.Time) {
+	g.retry = now.Add(Retry)
+	g.state = unread
+}
+
+func (g *Guard) took(sent time.Time, version uint64) {
+	// A new term whenever the lease may have been out of our hands.
+	kept := g.term != 0 && sent.Before(g.renewed.Add(shorter(TTL)))
+	if !kept {
+		g.term, g.given = version, 0
+	}
+	g.state, g.version, g.own, g.renewed, g.seen = holding, version, version, sent, time.Time{}
+	clear(g.sent)
+}
+
+// May gives the fencing number for one order, or an error if the lease does
+// not last until the order has surely arrived.
+func (g *Guard) May(now time.Time) (Number, error) {
+	if g.term == 0 || !now.Before(g.stop()) {
+		return 0, errors.WithStack(ErrNotHolder)
+	}
+	g.given++
+	n := number(g.term, g.given)
+	if n <= g.highest || g.given >= 1<<sequenceBits {
+		return 0, errors.WithStack(ErrOldNumber)
+	}
+	g.highest = n
+	return n, nil
+}
+
+// Gave says that the engine has taken the order, or that its outcome is known
+// to be none. It returns ErrOverrun when the lease may have passed on by then.
+func (g *Guard) Gave(now time.Time, n Number) error {
+	if n.Term() != g.term || !now.Before(g.renewed.Add(shorter(TTL))) {
+		return errors.WithStack(ErrOverrun)
+	}
+	return nil
+}
+
+// Holds reports whether an order may be given now.
+func (g *Guard) Holds(now time.Time) bool { return g.term != 0 && now.Before(g.stop()) }
+
+// stop is when the holder gives its last order: OrderTime before the earliest
+// moment at which another may start.
+func (g *Guard) stop() time.Time { return g.renewed.Add(shorter(TTL) - OrderTime) }
+
+func shorter(d time.Duration) time.Duration { return time.Duration(float64(d) * (1 - Drift)) }
+func longer(d time.Duration) time.Duration  { return time.Duration(float64(d) * (1 + Drift)) }
--- /dev/null
+++ b/fence/fence_test.go
@@ -0,0 +1,278 @@
+package fence
+
+import (
+	"flag"
+	"math/rand/v2"
+	"os"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthworks/work"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		panic(err)
+	}
+	os.Exit(m.Run())
+}
+
+var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
+
+const tick = 100 * time.Millisecond
+
+// call is an operation on the platform on its way.
+type call struct {
+	action   Action
+	sent     time.Time // by the caller's clock
+	effect   time.Time // by the world's
+	answer   time.Time
+	done     bool
+	lost     bool
+	conflict bool
+	record   Record
+	version  uint64
+}
+
+// host is one side with its clock, pauses and orders.
+type host struct {
+	guard  Guard
+	rate   float64
+	naive  bool // gives orders until a write conflicts, whatever its clock says
+	paused time.Time
+	call   *call
+}
+
+type order struct {
+	number Number
+	effect time.Time
+}
+
+// world is the platform's record and an engine that takes any order.
+type world struct {
+	x       *rand.Rand
+	now     time.Time
+	record  Record
+	version uint64
+	hosts   []*host
+	orders  []order
+	last    Number
+	taken   int
+	older   int // orders taken after one of a later holder
+	holders map[work.Host]bool
+}
+
+func (w *world) after(most time.Duration) time.Time {
+	return w.now.Add(time.Duration(w.x.Int64N(int64(most))))
+}
+
+func (h *host) clock(now time.Time) time.Time {
+	return start.Add(time.Duration(float64(now.Sub(start)) * h.rate))
+}
+
+func (w *world) step(h *host) {
+	now := h.clock(w.now)
+	if w.x.IntN(400) == 0 {
+		h.paused = w.after(40 * time.Second)
+	}
+	if w.now.Before(h.paused) {
+		return
+	}
+	if h.call != nil {
+		w.answer(h, now)
+	}
+	if h.call == nil {
+		w.send(h, now)
+	}
+	if w.x.IntN(3) != 0 {
+		return
+	}
+	n, err := h.guard.May(now)
+	if h.naive && h.guard.term != 0 && h.guard.state == holding {
+		h.guard.given++
+		n, err = number(h.guard.term, h.guard.given), nil
+	}
+	if err == nil {
+		effect := w.after(OrderTime)
+		if w.x.IntN(2) == 0 { // as late as the adapter's timeout lets it be
+			effect = w.now.Add(OrderTime - 1)
+		}
+		w.orders = append(w.orders, order{n, effect})
+		w.holders[h.guard.Holder] = true
+	}
+}
+
+func (w *world) send(h *host, now time.Time) {
+	a := h.guard.Next(now)
+	if a.Do == Wait {
+		return
+	}
+	most := tick / 2
+	if w.x.IntN(10) == 0 {
+		most = 20 * time.Second
+	}
+	c := &call{action: a, sent: now, effect: w.after(most), lost: w.x.IntN(8) == 0}
+	c.answer = c.effect.Add(c.effect.Sub(w.now))
+	h.call = c
+}
+
+// effect lets a call take effect, also when its caller sleeps.
+func (w *world) effect(c *call) {
+	if c == nil || c.done || w.now.Before(c.effect) {
+		return
+	}
+	c.done = true
+	if c.action.Do == Read {
+		c.record, c.version = w.record, w.version
+		return
+	}
+	if c.action.At != w.version {
+		c.conflict = true
+		return
+	}
+	w.version++
+	w.record, c.version = c.action.Record, w.version
+}
+
+func (w *world) answer(h *host, now time.Time) {
+	c := h.call
+	if !c.done || w.now.Before(c.answer) {
+		return
+	}
+	h.call = nil
+	switch {
+	case c.lost:
+		h.guard.NoAnswer(now)
+	case c.action.Do == Read:
+		h.guard.Saw(now, c.record, c.version)
+	case c.conflict:
+		h.guard.Conflicted()
+	default:
+		h.guard.Wrote(c.sent, c.version)
+	}
+}
+
+func (w *world) takeOrders() {
+	rest := w.orders[:0]
+	for _, o := range w.orders {
+		if w.now.Before(o.effect) {
+			rest = append(rest, o)
+			continue
+		}
+		w.taken++
+		if o.number.Term() < w.last.Term() {
+			w.older++
+		}
+		w.last = max(w.last, o.number)
+	}
+	w.orders = rest
+}
+
+func run(seed uint64, naive bool, steps int) *world {
+	w := &world{x: rand.New(rand.NewPCG(seed, 2)), now: start, holders: make(map[work.Host]bool)}
+	for i, rate := range []float64{1, 0.996, 1.004} {
+		h := &host{rate: rate, naive: naive}
+		h.guard.Holder, h.guard.Incarnation = work.Host([]string{"a", "b", "c"}[i]), 1
+		w.hosts = append(w.hosts, h)
+	}
+	for range steps {
+		w.now = w.now.Add(tick)
+		for _, h := range w.hosts {
+			w.effect(h.call)
+		}
+		w.takeOrders()
+		for _, h := range w.hosts {
+			w.step(h)
+		}
+	}
+	return w
+}
+
+// A side is paused with an order to load last week's model in hand, past its
+// lease; the side that took over has loaded the new one. The engine ignores
+// fencing numbers and would load the old model over it when the first wakes.
+func TestNoOrderOfAnEarlierHolderComesAfterALaterOne(t *testing.T) {
+	older, taken, naiveOlder, naiveTaken, handovers := 0, 0, 0, 0, 0
+	for seed := range uint64(60) {
+		w := run(seed, false, 6000)
+		require.Zero(t, w.older, "seed %d", seed)
+		older, taken = older+w.older, taken+w.taken
+		if len(w.holders) > 1 {
+			handovers++
+		}
+		n := run(seed, true, 6000)
+		naiveOlder, naiveTaken = naiveOlder+n.older, naiveTaken+n.taken
+	}
+	t.Logf("60 runs of 600 s, %d with several holders: guard took %d orders, %d old; naive took %d, %d old",
+		handovers, taken, older, naiveTaken, naiveOlder)
+	require.Greater(t, taken, 10000)
+	require.Greater(t, handovers, 20)
+	require.Positive(t, naiveOlder, "the check must catch a holder that trusts its last write")
+}
+
+func TestOrdersStopBeforeTheLeaseCanPass(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		a, b := Guard{Holder: "a", Incarnation: 1}, Guard{Holder: "b", Incarnation: 1}
+		require.Equal(t, Read, a.Next(start).Do)
+		a.Saw(start, Record{}, 0)
+		w := a.Next(start)
+		require.Equal(t, Write, w.Do)
+		a.Wrote(start, 1)
+		first, err := a.May(start)
+		require.NoError(t, err)
+
+		seen := start.Add(time.Duration(rapid.IntRange(0, 5000).Draw(t, "seen")) * time.Millisecond)
+		b.Saw(seen, w.Record, 1)
+		wait := b.Next(seen)
+		require.Equal(t, Wait, wait.Do)
+		lastOrder := start
+		for now := start; now.Before(wait.Until); now = now.Add(tick) {
+			require.False(t, b.Holds(now))
+			if a.Holds(now) {
+				lastOrder = now
+			}
+		}
+		require.LessOrEqual(t, OrderTime, wait.Until.Sub(lastOrder))
+		require.Equal(t, Read, b.Next(wait.Until).Do, "re-reads before it starts")
+		b.Saw(wait.Until, w.Record, 1)
+		require.Equal(t, Action{Write, Record{"b", 1, 1}, 1, time.Time{}}, b.Next(wait.Until))
+		b.Wrote(wait.Until, 2)
+		second, err := b.May(wait.Until)
+		require.NoError(t, err)
+		require.Greater(t, second, first)
+		require.ErrorIs(t, a.Gave(wait.Until, first), ErrOverrun)
+		_, err = a.May(wait.Until)
+		require.ErrorIs(t, err, ErrNotHolder)
+	})
+}
+
+// The answer to the write that took the lease is lost. Writing again would
+// conflict with oneself for good; reading settles it, and the lease counts
+// from when that write was sent.
+func TestLostAnswerIsSettledByReading(t *testing.T) {
+	g := Guard{Holder: "a", Incarnation: 1}
+	g.Saw(start, Record{}, 0)
+	w := g.Next(start)
+	g.NoAnswer(start.Add(time.Second))
+	require.False(t, g.Holds(start.Add(time.Second)))
+	require.Equal(t, Wait, g.Next(start.Add(time.Second)).Do)
+	now := start.Add(2 * time.Second)
+	require.Equal(t, Read, g.Next(now).Do)
+	g.Saw(now, w.Record, 1)
+	require.True(t, g.Holds(now))
+	require.False(t, g.Holds(start.Add(TTL-OrderTime)), "counted from the write, not from the reading")
+
+	// Paused past its lease, with nobody after it: no wait for itself.
+	now = start.Add(time.Minute)
+	require.Equal(t, Read, g.Next(now).Do)
+	g.Saw(now, w.Record, 1)
+	require.Equal(t, Write, g.Next(now).Do)
+	g.Wrote(now, 2)
+	n, err := g.May(now)
+	require.NoError(t, err)
+	require.Equal(t, uint64(2), n.Term())
+}
