--- a/table/holder.go
+++ b/table/holder.go
@@ -35,13 +35,27 @@
 func (h *Holder) Offer(t Table, asked time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	newer := h.take(t, asked)
+	h.hear(t.version, asked)
+	return newer
+}
+
+// Push takes over a newer table that came without being asked for, and
+// reports whether it did. When it was sent is not known, so it says nothing of
+// whether this host is up to date.
+func (h *Holder) Push(t Table, now time.Time) bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.take(t, now)
+}
+
+func (h *Holder) take(t Table, since time.Time) bool {
 	old := h.held.Load()
 	newer := old == nil || t.version > old.table.version || h.takeLower && t.version != old.table.version
 	if newer {
-		h.held.Store(&held{table: t, since: asked})
+		h.held.Store(&held{table: t, since: since})
 		h.wake()
 	}
-	h.hear(t.version, asked)
 	return newer
 }
 
--- a/table/holder_test.go
+++ b/table/holder_test.go
@@ -59,6 +59,14 @@
 	require.True(t, h.Fresh(start.Add(5*time.Second), staleAfter))
 }
 
+func TestAPushedTableIsTakenButDoesNotMakeFresh(t *testing.T) {
+	var h Holder
+	require.True(t, h.Push(sampleTable(), start))
+	require.False(t, h.Fresh(start, staleAfter))
+	require.Equal(t, start, h.Since())
+	require.False(t, h.Push(sampleTable().At(6), start))
+}
+
 func TestAnOlderQuestionDoesNotTurnBackTheClock(t *testing.T) {
 	var h Holder
 	h.Offer(sampleTable(), start)
