Administration over HTTP: server and client of table, story, status and drain

A client that tells the operator 'failed' when its connection broke: it sends the edit again under its id, and says so when it stays unsettled. An edit sent again whose If-Match is further back than the table remembers is unsettled too, not stale.

--- /dev/null
+++ b/admin/client.go
@@ -0,0 +1,223 @@
+package admin
+
+import (
+	"bytes"
+	"context"
+	"crypto/tls"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"net/url"
+	"strings"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/conf"
+	"jacinthworks/editor"
+	"jacinthworks/story"
+	"jacinthworks/table"
+	"jacinthworks/work"
+)
+
+// ErrUnreachable says that no answer came. Anything sent may have arrived.
+var ErrUnreachable = errors.New("admin: no answer from the administration address")
+
+// clientTimeout is above the 3s within which an editor gives its outcome and
+// the second in which it hands the table to another host.
+const clientTimeout = 10 * time.Second
+
+// editTries bounds how often an edit that isn't settled is sent again.
+const editTries = 3
+
+// Client asks one entry's administration address. Address must be set.
+type Client struct {
+	Address netip.AddrPort
+	Token   conf.Secret
+	// TLS, if set, is how to connect; nil connects without TLS.
+	TLS *tls.Config
+	// Transport, if set, takes the place of one made for TLS.
+	Transport http.RoundTripper
+	// Pause is the time before an edit is sent again; default 1s.
+	Pause time.Duration
+}
+
+// EditRequest is an edit to send.
+type EditRequest struct {
+	Edit table.Edit
+	// IfMatch is the version that the edit was made for; nil for any.
+	IfMatch *table.Version
+}
+
+// Table gives the table in force on the host that answers.
+func (c *Client) Table(ctx context.Context) (table.Table, error) {
+	var t table.Table
+	err := c.call(ctx, http.MethodGet, pathTable, nil, nil, &t)
+	return t, err
+}
+
+// Edit sends an edit and gives its outcome. One that isn't settled, or got no
+// answer, is sent again under its id, which applies it at most once. An error
+// says that nothing was sent or that the request itself was wrong.
+func (c *Client) Edit(ctx context.Context, e EditRequest) (editor.Outcome, error) {
+	if e.Edit.ID == "" {
+		e.Edit.ID = NewEditID()
+	}
+	sent := false
+	for try := 1; ; try++ {
+		o, err := c.sendEdit(ctx, e, sent)
+		switch {
+		case err != nil && !sent && neverSent(err):
+			return editor.Outcome{}, err
+		case errors.Is(err, ErrUnreachable), err != nil && sent:
+			// Whatever this send met, an earlier one may have arrived.
+			o = editor.Outcome{State: editor.Unsettled, Detail: err.Error()}
+		case err != nil:
+			return editor.Outcome{}, err
+		case o.State != editor.Unsettled:
+			return o, nil
+		}
+		sent = true
+		if try == editTries || !c.pause(ctx) {
+			return o, nil
+		}
+	}
+}
+
+// sendEdit sends an edit once; an outcome of any kind is no error.
+func (c *Client) sendEdit(ctx context.Context, e EditRequest, sentBefore bool) (editor.Outcome, error) {
+	header := make(http.Header)
+	if e.IfMatch != nil {
+		header.Set("If-Match", etag(*e.IfMatch))
+	}
+	path := pathTable
+	if sentBefore {
+		path += "?sent_before=true"
+	}
+	var a Accepted
+	err := c.call(ctx, http.MethodPatch, path, header, e.Edit, &a)
+	var p *Problem
+	switch {
+	case errors.As(err, &p) && p.State != "":
+		return editor.Outcome{State: p.State, Reason: p.Reason, Version: p.Version, Findings: p.Findings, Detail: p.Detail}, nil
+	case err != nil:
+		return editor.Outcome{}, err
+	}
+	return editor.Outcome{State: a.State, Version: a.Version}, nil
+}
+
+// Story gives the account of a request.
+func (c *Client) Story(ctx context.Context, id work.RequestID) (story.Account, error) {
+	var a story.Account
+	err := c.call(ctx, http.MethodGet, pathRequests+url.PathEscape(string(id)), nil, nil, &a)
+	return a, err
+}
+
+// Status gives the state of the hosts as the host that answers knows it.
+func (c *Client) Status(ctx context.Context) (Status, error) {
+	var s Status
+	err := c.call(ctx, http.MethodGet, pathStatus, nil, nil, &s)
+	return s, err
+}
+
+// Drain makes a host take no new work.
+func (c *Client) Drain(ctx context.Context, host work.Host) error {
+	return c.call(ctx, http.MethodPost, pathDrain, nil, drainRequest{Host: host}, &drainRequest{})
+}
+
+// call sends a request once and reads its JSON answer. The error is a *Problem
+// that the server gave, or wraps ErrUnreachable.
+func (c *Client) call(ctx context.Context, method, path string, header http.Header, body, into any) error {
+	ctx, cancel := context.WithTimeout(ctx, clientTimeout)
+	defer cancel()
+	text, err := json.Marshal(body)
+	if err != nil {
+		return errors.Wrap(err, "admin: encoding the request")
+	}
+	r, err := http.NewRequestWithContext(ctx, method, c.base()+path, bytes.NewReader(text))
+	if err != nil {
+		return errors.Wrap(err, "admin: making the request")
+	}
+	if header != nil {
+		r.Header = header
+	}
+	r.Header.Set("Authorization", "Bearer "+string(c.Token))
+	r.Header.Set("Content-Type", typeJSON)
+	r.Header.Set("Accept", typeJSON+", "+typeProblem)
+	transport, closeIdle := c.transport()
+	defer closeIdle()
+	w, err := transport.RoundTrip(r)
+	if err != nil {
+		return &unreachable{cause: err}
+	}
+	defer func() { _ = w.Body.Close() }()
+	return readAnswer(w, into)
+}
+
+func readAnswer(w *http.Response, into any) error {
+	text, err := io.ReadAll(io.LimitReader(w.Body, 2*defaultMaxBody))
+	if err != nil {
+		return &unreachable{cause: err}
+	}
+	if strings.HasPrefix(w.Header.Get("Content-Type"), typeProblem) {
+		p := new(Problem)
+		if err := json.Unmarshal(text, p); err != nil {
+			return &unreachable{cause: err}
+		}
+		return p
+	}
+	if w.StatusCode != http.StatusOK {
+		return problem(w.StatusCode, strings.TrimSpace(string(text)))
+	}
+	if err := json.Unmarshal(text, into); err != nil {
+		return &unreachable{cause: err}
+	}
+	return nil
+}
+
+func (c *Client) base() string {
+	if c.TLS != nil {
+		return "https://" + c.Address.String()
+	}
+	return "http://" + c.Address.String()
+}
+
+// transport gives the way to send one request, and how to close it after.
+func (c *Client) transport() (http.RoundTripper, func()) {
+	if c.Transport != nil {
+		return c.Transport, func() {}
+	}
+	t := &http.Transport{TLSClientConfig: c.TLS, DisableKeepAlives: true}
+	return t, t.CloseIdleConnections
+}
+
+func (c *Client) pause(ctx context.Context) bool {
+	d := c.Pause
+	if d == 0 {
+		d = time.Second
+	}
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+// unreachable is an ErrUnreachable with its cause.
+type unreachable struct{ cause error }
+
+func (u *unreachable) Error() string   { return ErrUnreachable.Error() + ": " + u.cause.Error() }
+func (u *unreachable) Is(t error) bool { return t == ErrUnreachable }
+func (u *unreachable) Unwrap() error   { return u.cause }
+
+// neverSent reports whether no connection came about, so that nothing of the
+// request can have arrived.
+func neverSent(err error) bool {
+	var o *net.OpError
+	return errors.As(err, &o) && o.Op == "dial"
+}
--- /dev/null
+++ b/admin/fake_test.go
@@ -0,0 +1,117 @@
+package admin
+
+import (
+	"context"
+	"net/http/httptest"
+	"net/netip"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/conf"
+	"jacinthworks/editor"
+	"jacinthworks/plat"
+	"jacinthworks/story"
+	"jacinthworks/table"
+	"jacinthworks/work"
+)
+
+const (
+	ashaToken   = "operator-token-asha"
+	raviToken   = "operator-token-ravi"
+	callerToken = "a-callers-own-token"
+)
+
+// objects is a fake object API that holds the table and can be down.
+type objects struct {
+	plat.Objects // the calls that nothing here makes
+
+	mu      sync.Mutex
+	version plat.Version
+	value   []byte
+	down    bool
+}
+
+func (o *objects) Get(context.Context, string) (plat.Object, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return plat.Object{}, plat.ErrRefused
+	}
+	return plat.Object{Version: o.version, Value: o.value}, nil
+}
+
+func (o *objects) Put(_ context.Context, _ string, value []byte, at plat.Version) (plat.Version, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	if o.down {
+		return 0, plat.ErrRefused
+	}
+	if at != o.version {
+		return 0, plat.ErrConflict
+	}
+	o.version, o.value = at+1, value
+	return o.version, nil
+}
+
+// host answers for the rest of an entry.
+type host struct{ drained work.Host }
+
+func (h *host) Status(context.Context) (Status, error) {
+	return Status{Host: "entry-1", Version: 1, Hosts: []HostStatus{{Host: "entry-1", Zone: "salt-lake", State: HostServing, Version: 1,
+		Since: time.Date(2026, 12, 2, 9, 0, 0, 0, time.UTC)}, {Host: "side-1", Zone: "salt-lake", Role: work.RoleDecode, Service: "appraiser-lm", State: HostSilent}}}, nil
+}
+
+func (h *host) Story(_ context.Context, id work.RequestID) (story.Account, error) {
+	if id != "entry-1.1.7" {
+		return story.Account{}, ErrNoStory
+	}
+	return story.Account{Request: id, State: story.StateAnswered, Ran: work.DidRun}, nil
+}
+
+func (h *host) Drain(_ context.Context, target work.Host, _ string) error {
+	if target != "side-1" {
+		return ErrNoHost
+	}
+	h.drained = target
+	return nil
+}
+
+func row(kind work.Kind, team string) table.Row {
+	return table.Row{Service: "appraiser-lm", Zone: table.AnyZone, Kind: kind, Team: team, Weight: 1, InFlight: 8,
+		Deadline: table.Duration(time.Minute)}
+}
+
+// bench is a server with its fakes and a client for it.
+type bench struct {
+	objects *objects
+	host    *host
+	holder  *table.Holder
+	http    *httptest.Server
+	client  Client
+}
+
+func newBench(t *testing.T) *bench {
+	first := table.New(1, []table.Row{row("appraisal", "appraisal"), row("enquiry", "listing")})
+	text, err := first.Encode()
+	require.NoError(t, err)
+	b := &bench{objects: &objects{version: 1, value: text}, host: new(host), holder: new(table.Holder)}
+	b.holder.Offer(first, time.Now())
+	s := Server{
+		Operators: []conf.Operator{{Name: "asha", Token: ashaToken, Teams: []string{"appraisal"}},
+			{Name: "ravi", Token: raviToken, Teams: []string{"listing"}}, {Name: "nobody"}},
+		Tables: b.holder, Editor: &editor.Editor{Objects: b.objects, Holder: b.holder, Within: 20 * time.Millisecond, Pause: time.Millisecond},
+		Status: b.host, Stories: b.host, Drains: b.host, MaxBody: 2000,
+	}
+	b.http = httptest.NewServer(s.Handler())
+	t.Cleanup(b.http.Close)
+	b.client = Client{Address: netip.MustParseAddrPort(strings.TrimPrefix(b.http.URL, "http://")), Token: ashaToken, Pause: time.Nanosecond}
+	return b
+}
+
+func weightEdit(kind work.Kind, weight table.Value) table.Edit {
+	return table.Edit{ID: "e-1", Changes: []table.Change{table.Set(row(kind, "").Key(), table.Cell{Column: "weight", Value: weight})}}
+}
--- a/editor/attempt.go
+++ b/editor/attempt.go
@@ -86,6 +86,10 @@
 	if a.IfMatch == nil || t.Version() <= *a.IfMatch {
 		return Outcome{}, false
 	}
+	if a.SentBefore && !t.Remembers(*a.IfMatch) {
+		a.base = *a.IfMatch
+		return a.forgotten(t)
+	}
 	o := a.refused(ReasonStale, nil)
 	o.Detail = fmt.Sprintf("the edit was made for version %d, the table is at %d", *a.IfMatch, t.Version())
 	return o, true
--- a/editor/editor_test.go
+++ b/editor/editor_test.go
@@ -163,6 +163,11 @@
 	require.True(t, done)
 	require.Equal(t, Unsettled, o.State)
 	require.Zero(t, p.puts)
+
+	again := Submission{Edit: weightEdit("e-1", "appraisal", "5"), By: asha, IfMatch: version(1), SentBefore: true}
+	require.Equal(t, Unsettled, (&Editor{Objects: p}).Submit(t.Context(), again).State)
+	again.SentBefore = false
+	require.Equal(t, ReasonStale, (&Editor{Objects: p}).Submit(t.Context(), again).Reason)
 }
 
 // The writer is the only host that heard of the edit when the platform fails
