Commands table, story, status, drain and check

Ruled out: the token as an argument, which other users of the host can read; apply against whatever the table is now, since a file made an hour ago holds other people's cells as they were then and would undo their accepted edits. Conclusion: apply works for the version that the file was made from, 0 for a file that names none; 0 ok, 1 refused, 2 usage, 3 no answer or not settled.

--- /dev/null
+++ b/admin_args.go
@@ -0,0 +1,78 @@
+package main
+
+import (
+	"crypto/tls"
+	"crypto/x509"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/admin"
+	"jacinthworks/conf"
+)
+
+// adminArgs are the arguments of the commands that ask an entry.
+type adminArgs struct {
+	Admin     netip.AddrPort `arg:"--admin,required,env:JACINTHWORKS_ADMIN" help:"administration address of any entry" placeholder:"IP:PORT"`
+	TokenFile string         `arg:"--token-file" help:"file with the operator's token; without it JACINTHWORKS_TOKEN is read" placeholder:"FILE"`
+	CAFile    string         `arg:"--ca-file" help:"connect by TLS and trust this certificate" placeholder:"FILE"`
+}
+
+// client gives the client that the arguments ask for. The token is never an
+// argument: other users of the host see those.
+func (a adminArgs) client() (*admin.Client, error) {
+	c := &admin.Client{Address: a.Admin, Token: conf.Secret(os.Getenv("JACINTHWORKS_TOKEN"))}
+	if a.TokenFile != "" {
+		text, err := os.ReadFile(a.TokenFile)
+		if err != nil {
+			return nil, err
+		}
+		c.Token = conf.Secret(strings.TrimSpace(string(text)))
+	}
+	if c.Token == "" {
+		return nil, errors.New("no token: give --token-file or set JACINTHWORKS_TOKEN")
+	}
+	if a.CAFile == "" {
+		return c, nil
+	}
+	text, err := os.ReadFile(a.CAFile)
+	if err != nil {
+		return nil, err
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(text) {
+		return nil, errors.Errorf("%s holds no certificate in PEM form", a.CAFile)
+	}
+	c.TLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return c, nil
+}
+
+// connect reads a command's arguments into dest and gives the client that they
+// ask for. When there is nothing to ask, done is true.
+func connect(name string, args []string, dest any, to *adminArgs, out, errs io.Writer) (c *admin.Client, code int, done bool) {
+	if code, done := parseArgs(name, args, dest, out, errs); done {
+		return nil, code, true
+	}
+	c, err := to.client()
+	if err != nil {
+		fmt.Fprintln(errs, "jacinthworks:", err)
+		return nil, exitUsage, true
+	}
+	return c, exitOK, false
+}
+
+// report prints an error of a command and gives the exit code for it.
+func report(err error, errs io.Writer) int {
+	if err == nil {
+		return exitOK
+	}
+	fmt.Fprintln(errs, "jacinthworks:", err)
+	if errors.Is(err, admin.ErrUnreachable) {
+		return exitUnreachable
+	}
+	return exitRefused
+}
--- /dev/null
+++ b/cmd_drain.go
@@ -0,0 +1,29 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"jacinthworks/work"
+)
+
+type drainArgs struct {
+	adminArgs
+	Host work.Host `arg:"positional,required" help:"name of an entry or a side" placeholder:"HOST"`
+}
+
+var cmdDrain = command{name: "drain", help: "let a host take no new work and end what it has", run: runDrain}
+
+func runDrain(ctx context.Context, args []string, out, errs io.Writer) int {
+	var a drainArgs
+	c, code, done := connect("drain", args, &a, &a.adminArgs, out, errs)
+	if done {
+		return code
+	}
+	if err := c.Drain(ctx, a.Host); err != nil {
+		return report(err, errs)
+	}
+	fmt.Fprintf(out, "%s is draining\n", a.Host)
+	return exitOK
+}
--- /dev/null
+++ b/cmd_story.go
@@ -0,0 +1,39 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"io"
+
+	"jacinthworks/work"
+)
+
+type storyArgs struct {
+	adminArgs
+	Request work.RequestID `arg:"positional,required" help:"the Request-Id of the answer" placeholder:"REQUEST_ID"`
+	JSON    bool           `arg:"--json" help:"print JSON"`
+}
+
+var cmdStory = command{name: "story", help: "tell what became of one request", run: runStory}
+
+func runStory(ctx context.Context, args []string, out, errs io.Writer) int {
+	var a storyArgs
+	c, code, done := connect("story", args, &a, &a.adminArgs, out, errs)
+	if done {
+		return code
+	}
+	account, err := c.Story(ctx, a.Request)
+	if err != nil {
+		return report(err, errs)
+	}
+	if a.JSON {
+		return report(writeIndented(out, account), errs)
+	}
+	return report(account.WriteText(out), errs)
+}
+
+func writeIndented(out io.Writer, v any) error {
+	e := json.NewEncoder(out)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
--- /dev/null
+++ b/cmd_table.go
@@ -0,0 +1,195 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/admin"
+	"jacinthworks/editor"
+	"jacinthworks/table"
+	"jacinthworks/work"
+)
+
+type tableArgs struct {
+	adminArgs
+	Get   *tableGetArgs   `arg:"subcommand:get" help:"print the table"`
+	Set   *tableSetArgs   `arg:"subcommand:set" help:"change cells of one row"`
+	Diff  *tableDiffArgs  `arg:"subcommand:diff" help:"print what apply would change; exit code 1 if anything"`
+	Apply *tableApplyArgs `arg:"subcommand:apply" help:"make the table like a file, whole or not at all"`
+}
+
+type tableGetArgs struct {
+	CSV bool `arg:"--csv" help:"print CSV; its version goes to the error output"`
+}
+
+type tableSetArgs struct {
+	Row   string   `arg:"positional,required" help:"SERVICE/ZONE/KIND; zone * for all without a row of their own" placeholder:"ROW"`
+	Cells []string `arg:"positional,required" help:"COLUMN=VALUE" placeholder:"CELL"`
+}
+
+type tableDiffArgs struct {
+	File string `arg:"positional,required" help:"table as JSON or .csv" placeholder:"FILE"`
+}
+
+type tableApplyArgs struct {
+	File    string  `arg:"positional,required" help:"table as JSON or .csv" placeholder:"FILE"`
+	Version *uint64 `arg:"--version" help:"version that the file was made from; default what the JSON file says, or 0" placeholder:"N"`
+}
+
+var cmdTable = command{name: "table", help: "get, set, diff or apply the operators' table", run: runTable}
+
+func runTable(ctx context.Context, args []string, out, errs io.Writer) int {
+	var a tableArgs
+	c, code, done := connect("table", args, &a, &a.adminArgs, out, errs)
+	if done {
+		return code
+	}
+	switch {
+	case a.Get != nil:
+		return a.Get.run(ctx, c, out, errs)
+	case a.Set != nil:
+		return a.Set.run(ctx, c, out, errs)
+	case a.Diff != nil:
+		return a.Diff.run(ctx, c, out, errs)
+	case a.Apply != nil:
+		return a.Apply.run(ctx, c, out, errs)
+	}
+	fmt.Fprintln(errs, "jacinthworks: table needs get, set, diff or apply")
+	return exitUsage
+}
+
+func (a *tableGetArgs) run(ctx context.Context, c *admin.Client, out, errs io.Writer) int {
+	t, err := c.Table(ctx)
+	if err != nil {
+		return report(err, errs)
+	}
+	if !a.CSV {
+		return report(writeIndented(out, t), errs)
+	}
+	text, err := t.EncodeCSV()
+	if err != nil {
+		return report(err, errs)
+	}
+	fmt.Fprintf(errs, "version %d\n", t.Version())
+	_, err = out.Write(text)
+	return report(err, errs)
+}
+
+func (a *tableSetArgs) run(ctx context.Context, c *admin.Client, out, errs io.Writer) int {
+	change, err := a.change()
+	if err != nil {
+		fmt.Fprintln(errs, "jacinthworks:", err)
+		return exitUsage
+	}
+	return submit(ctx, c, admin.EditRequest{Edit: table.Edit{Changes: []table.Change{change}}}, out, errs)
+}
+
+func (a *tableSetArgs) change() (table.Change, error) {
+	parts := strings.Split(a.Row, "/")
+	if len(parts) != 3 {
+		return table.Change{}, errors.Errorf("a row is SERVICE/ZONE/KIND: %q", a.Row)
+	}
+	key := table.Key{Service: work.Service(parts[0]), Zone: work.Zone(parts[1]), Kind: work.Kind(parts[2])}
+	var cells []table.Cell
+	for _, text := range a.Cells {
+		name, value, ok := strings.Cut(text, "=")
+		if !ok {
+			return table.Change{}, errors.Errorf("a cell is COLUMN=VALUE: %q", text)
+		}
+		cells = append(cells, table.Cell{Column: table.Column(name), Value: table.Value(value)})
+	}
+	return table.Set(key, cells...), nil
+}
+
+func (a *tableDiffArgs) run(ctx context.Context, c *admin.Client, out, errs io.Writer) int {
+	wanted, err := readTable(a.File)
+	if err != nil {
+		return report(err, errs)
+	}
+	now, err := c.Table(ctx)
+	if err != nil {
+		return report(err, errs)
+	}
+	changes := table.Diff(now, wanted)
+	fmt.Fprint(out, changes)
+	if len(changes) > 0 {
+		return exitRefused
+	}
+	return exitOK
+}
+
+// run sends the difference for the version that the file was made from.
+//
+// A file made an hour ago also holds the cells of others as they were then.
+// Applied to whatever the table is now, it would undo their accepted edits.
+func (a *tableApplyArgs) run(ctx context.Context, c *admin.Client, out, errs io.Writer) int {
+	wanted, err := readTable(a.File)
+	if err != nil {
+		return report(err, errs)
+	}
+	from := wanted.Version()
+	if a.Version != nil {
+		from = table.Version(*a.Version)
+	}
+	now, err := c.Table(ctx)
+	if err != nil {
+		return report(err, errs)
+	}
+	if now.Version() != from {
+		return report(errors.Errorf("%s was made from version %d and the table is at %d: get it again, or look at the diff and give --version",
+			a.File, from, now.Version()), errs)
+	}
+	changes := table.Diff(now, wanted)
+	if len(changes) == 0 {
+		fmt.Fprintf(out, "nothing to change at version %d\n", from)
+		return exitOK
+	}
+	fmt.Fprint(out, changes)
+	return submit(ctx, c, admin.EditRequest{Edit: table.Edit{Changes: changes}, IfMatch: &from}, out, errs)
+}
+
+func readTable(file string) (table.Table, error) {
+	text, err := os.ReadFile(file)
+	if err != nil {
+		return table.Table{}, err
+	}
+	t, err := decodeTable(file, text)
+	if err != nil {
+		return t, errors.Errorf("%s refused\n%s", file, findingsText(err))
+	}
+	return t, nil
+}
+
+// submit sends an edit and says what became of it.
+func submit(ctx context.Context, c *admin.Client, e admin.EditRequest, out, errs io.Writer) int {
+	e.Edit.ID = admin.NewEditID()
+	o, err := c.Edit(ctx, e)
+	if err != nil {
+		return report(err, errs)
+	}
+	switch o.State {
+	case editor.Accepted:
+		fmt.Fprintf(out, "accepted at version %d\n", o.Version)
+		return exitOK
+	case editor.Refused:
+		fmt.Fprintf(errs, "jacinthworks: edit refused (%s), nothing of it is in force\n", o.Reason)
+		printLines(errs, o.Detail, o.Findings.Error())
+		return exitRefused
+	}
+	fmt.Fprintf(errs, "jacinthworks: edit %s is not settled: it may be in force or come into force; see `jacinthworks table get`\n", e.Edit.ID)
+	printLines(errs, o.Detail)
+	return exitUnreachable
+}
+
+func printLines(w io.Writer, lines ...string) {
+	for _, l := range lines {
+		if l != "" {
+			fmt.Fprintln(w, l)
+		}
+	}
+}
--- a/commands.go
+++ b/commands.go
@@ -25,6 +25,11 @@
 	return []command{
 		cmdEntry,
 		cmdSide,
+		cmdTable,
+		cmdStory,
+		cmdStatus,
+		cmdDrain,
+		cmdCheck,
 		cmdVersion,
 	}
 }
