Scenarios for callers, entries and sides that are lost, and a planned stop

Two fail as they should at this point: a request that crashes its engines is not yet known as such, and an entry closes its listener at once when told to stop. The check of engine memory first passed vacuously, since it read the engine's lagging report; it now reads the stand-in's present state, and a scenario shows that it can fail.

--- a/fakes/model/model.go
+++ b/fakes/model/model.go
@@ -108,6 +108,7 @@
 	e.mux.HandleFunc("POST /cancel", e.gated(e.cancel))
 	e.mux.HandleFunc("POST /order", e.gated(e.order))
 	e.mux.HandleFunc("GET /state", e.gated(e.state))
+	e.mux.HandleFunc("GET /now", func(w http.ResponseWriter, _ *http.Request) { serve.Write(w, http.StatusOK, e.Now()) })
 	e.mux.HandleFunc("GET /events", e.gated(e.cacheEvents))
 	e.mux.HandleFunc("GET /kv/{handle}", e.gated(e.export))
 	e.mux.HandleFunc("GET /fault", func(w http.ResponseWriter, _ *http.Request) { serve.Write(w, http.StatusOK, e.Fault()) })
--- a/test/judge.go
+++ b/test/judge.go
@@ -81,7 +81,7 @@
 				return err
 			}
 			var s engine.State
-			if err := getJSON(w.ctx, "http://"+p.address.String()+"/state", &s); err != nil {
+			if err := getJSON(w.ctx, "http://"+p.address.String()+"/now", &s); err != nil {
 				return err
 			}
 			if len(s.Running) > 0 {
--- a/test/script.go
+++ b/test/script.go
@@ -12,6 +12,8 @@
 
 	"github.com/pkg/errors"
 	"github.com/rogpeppe/go-internal/testscript"
+
+	"jacinthworks/fakes/apps"
 )
 
 // worldKey finds the world in a script's environment.
@@ -35,10 +37,11 @@
 	all := map[string]func(*testscript.TestScript, bool, []string){}
 	for name, do := range map[string]step{
 		"world": stepWorld, "call": stepCall, "await": stepAwait, "hangup": stepHangUp,
-		"kill": stepKill, "term": stepTerm, "freeze": stepFreeze, "thaw": stepThaw, "restart": stepRestart, "gone": stepGone,
+		"sigkill": stepKill, "sigterm": stepTerm, "sigstop": stepFreeze, "sigcont": stepThaw, "restart": stepRestart, "gone": stepGone,
 		"cut": stepCut, "silence": stepSilence, "heal": stepHeal, "fault": stepFault,
 		"expect": stepExpect, "runs": stepRuns, "free": stepFree, "ready": stepReady,
-		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst,
+		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "answered": stepAnswered, "within": stepWithin, "idle": stepIdle,
+		"stall": stepStall, "resume": stepResume,
 	} {
 		all[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			err := do(ts.Value(worldKey{}).(*world), args)
@@ -421,3 +424,63 @@
 	}
 	return nil
 }
+
+// stepAnswered checks that N calls of a burst were answered in full.
+func stepAnswered(w *world, args []string) error {
+	n := number(args[1], 1)
+	for i := range n {
+		if err := stepExpect(w, []string{fmt.Sprintf("%s-%d", args[0], i+1), "status=200", "whole"}); err != nil {
+			return errors.Wrapf(err, "%s-%d", args[0], i+1)
+		}
+	}
+	return nil
+}
+
+// stepWithin lets the time pass in which a promise need not hold yet, and
+// remembers what ran so far.
+func stepWithin(w *world, args []string) error {
+	d, err := time.ParseDuration(args[0])
+	if err != nil {
+		return err
+	}
+	pause(w.ctx, d)
+	w.before, err = w.upstreams()
+	return err
+}
+
+// stepIdle checks that an application server ran nothing since within.
+func stepIdle(w *world, args []string) error {
+	p, err := w.find("server-" + args[0])
+	if err != nil {
+		return err
+	}
+	var r apps.Report
+	if err := getJSON(w.ctx, "http://"+p.address.String()+"/runs", &r); err != nil {
+		return err
+	}
+	for _, run := range r.Runs {
+		if !slices.ContainsFunc(w.before.apps, func(o apps.Run) bool { return o.Request == run.Request }) {
+			return errors.Errorf("%s ran %s", args[0], run.Request)
+		}
+	}
+	return nil
+}
+
+// stepStall stops a caller from reading; stepResume lets it read on.
+func stepStall(w *world, args []string) error {
+	w.faults++
+	c := w.calls[args[0]]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stalled = make(chan struct{})
+	return nil
+}
+
+func stepResume(w *world, args []string) error {
+	c := w.calls[args[0]]
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.stalled)
+	c.stalled = nil
+	return nil
+}
--- a/test/world.go
+++ b/test/world.go
@@ -63,6 +63,7 @@
 	calls     map[string]*call
 	order     []string // names of calls as made
 	faults    int
+	before    upstreams
 	worst     time.Duration
 	entries   []string
 	engines   []string
