In force since the table was taken, not since it was asked for; secrets under any verb

Cause: a holder dated its table by the question that brought it. The question of a watch may be tens of seconds old, so the status could say that an edit was in force before it was made. And a Secret under a wrong verb such as %d printed itself in fmt's complaint. Conclusion: Holder has its own clock for Since; Secret is a fmt.Formatter. Freshness is still dated by the question.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -50,6 +50,8 @@
 package conf
 
 import (
+	"fmt"
+	"io"
 	"net/netip"
 	"time"
 
@@ -190,8 +192,9 @@
 // String hides the secret.
 func (s Secret) String() string { return "[secret]" }
 
-// GoString hides the secret from %#v.
-func (s Secret) GoString() string { return "[secret]" }
+// Format hides the secret from every verb of package fmt, the wrong ones too:
+// without it %d prints the text in its complaint.
+func (s Secret) Format(f fmt.State, _ rune) { _, _ = io.WriteString(f, s.String()) }
 
 // MarshalText hides the secret from JSON and other encoders.
 func (s Secret) MarshalText() ([]byte, error) { return []byte("[secret]"), nil }
--- a/conf/conf_test.go
+++ b/conf/conf_test.go
@@ -172,8 +172,12 @@
 	c := conf.Caller{Account: "stud", Token: "caller-token-0123"}
 	encoded, err := json.Marshal(c)
 	require.NoError(t, err)
-	for _, text := range []string{fmt.Sprint(c), fmt.Sprintf("%+v", c), fmt.Sprintf("%#v", c),
-		fmt.Sprintf("%s %q", c.Token, c.Token), string(encoded)} {
+	texts := []string{string(encoded)}
+	for _, verb := range []string{"%v", "%+v", "%#v", "%s", "%q", "%x", "%d"} {
+		texts = append(texts, fmt.Sprintf(verb, c), fmt.Sprintf(verb, c.Token))
+	}
+	for _, text := range texts {
 		require.NotContains(t, text, "0123")
+		require.NotContains(t, text, "63616c6c6572", "the token in hexadecimal")
 	}
 }
--- a/table/holder.go
+++ b/table/holder.go
@@ -10,6 +10,9 @@
 // is ready to use. Its methods may be called from several goroutines; reading
 // takes no lock.
 type Holder struct {
+	// Now is the clock by which Since is told; default time.Now.
+	Now func() time.Time
+
 	mu      sync.Mutex // guards changed and all writes of held and heard
 	changed chan struct{}
 	held    atomic.Pointer[held]
@@ -35,7 +38,7 @@
 func (h *Holder) Offer(t Table, asked time.Time) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	newer := h.take(t, asked)
+	newer := h.take(t)
 	h.hear(t.version, asked)
 	return newer
 }
@@ -43,17 +46,19 @@
 // Push takes over a newer table that came without being asked for, and
 // reports whether it did. When it was sent is not known, so it says nothing of
 // whether this host is up to date.
-func (h *Holder) Push(t Table, now time.Time) bool {
+func (h *Holder) Push(t Table) bool {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.take(t, now)
+	return h.take(t)
 }
 
-func (h *Holder) take(t Table, since time.Time) bool {
+// take dates the table by this moment and not by the question: a watch may
+// have been asked long before the edit that ended it was made.
+func (h *Holder) take(t Table) bool {
 	old := h.held.Load()
 	newer := old == nil || t.version > old.table.version || h.takeLower && t.version != old.table.version
 	if newer {
-		h.held.Store(&held{table: t, since: since})
+		h.held.Store(&held{table: t, since: h.now()})
 		h.wake()
 	}
 	return newer
@@ -132,6 +137,13 @@
 	return h.changed
 }
 
+func (h *Holder) now() time.Time {
+	if h.Now == nil {
+		return time.Now()
+	}
+	return h.Now()
+}
+
 func (h *Holder) wake() {
 	if h.changed != nil {
 		close(h.changed)
--- a/table/holder_test.go
+++ b/table/holder_test.go
@@ -25,8 +25,10 @@
 // weight back on one host a moment later. A relay sent before the edit had
 // arrived after it. The holder keeps the higher version, whoever offers less.
 func TestAHolderNeverGoesBack(t *testing.T) {
-	var h Holder
+	now := start
+	h := Holder{Now: func() time.Time { return now }}
 	require.True(t, h.Offer(sampleTable().At(8), start))
+	now = start.Add(time.Second)
 	require.False(t, h.Offer(sampleTable().At(7), start.Add(time.Second)))
 	require.False(t, h.Offer(sampleTable().At(8), start.Add(time.Second)))
 	require.Equal(t, Version(8), h.Version())
@@ -61,10 +63,21 @@
 
 func TestAPushedTableIsTakenButDoesNotMakeFresh(t *testing.T) {
 	var h Holder
-	require.True(t, h.Push(sampleTable(), start))
+	require.True(t, h.Push(sampleTable()))
 	require.False(t, h.Fresh(start, staleAfter))
-	require.Equal(t, start, h.Since())
-	require.False(t, h.Push(sampleTable().At(6), start))
+	require.False(t, h.Push(sampleTable().At(6)))
+}
+
+// The status told an operator that their edit was in force on a host 20
+// seconds before they had made it: the host dated it by the watch that brought
+// it, and that had waited since then.
+func TestATableIsInForceFromWhenItIsTaken(t *testing.T) {
+	made := start.Add(20 * time.Second)
+	h := Holder{Now: func() time.Time { return made }}
+	h.Offer(sampleTable(), start)
+	require.Equal(t, made, h.Since())
+	age, _ := h.LastHeard(made)
+	require.Equal(t, 20*time.Second, age, "the watch may have been answered late")
 }
 
 func TestAnOlderQuestionDoesNotTurnBackTheClock(t *testing.T) {
--- a/table/model_test.go
+++ b/table/model_test.go
@@ -39,7 +39,14 @@
 	version Version
 }
 
-func (m message) String() string { return fmt.Sprintf("%d %t %d", m.to, m.ack, m.version) }
+// code orders messages.
+func (m message) code() int {
+	c := 2*int(m.version) + m.to
+	if m.ack {
+		c += 100
+	}
+	return c
+}
 
 // modelState is one state, comparable through its text.
 type modelState struct {
@@ -66,9 +73,7 @@
 // send puts a message under way; the order in the list means nothing.
 func (s modelState) send(m message) modelState {
 	s.inFlight = append(slices.Clone(s.inFlight), m)
-	slices.SortFunc(s.inFlight, func(a, b message) int {
-		return slices.Compare([]byte(a.String()), []byte(b.String()))
-	})
+	slices.SortFunc(s.inFlight, func(a, b message) int { return a.code() - b.code() })
 	return s
 }
 
@@ -163,9 +168,10 @@
 
 // offer gives what the real Holder makes of a version.
 func (m model) offer(held, offered Version) Version {
-	h := Holder{takeLower: m.takeLower}
-	h.Offer(New(held, nil), start)
-	h.Offer(New(offered, nil), start)
+	var h Holder
+	h.takeLower = m.takeLower
+	h.Offer(Table{}.At(held), start)
+	h.Offer(Table{}.At(offered), start)
 	return h.Version()
 }
 
