--- a/table/table_test.go
+++ b/table/table_test.go
@@ -184,3 +184,43 @@
 		})
 	}
 }
+
+// BenchmarkDecode gives what a host pays for each new version.
+func BenchmarkDecode(b *testing.B) {
+	for _, n := range []int{18, 516, 3000} {
+		var rows []Row
+		for i := range n {
+			rows = append(rows, sample(work.Zone(fmt.Sprintf("zone-%d", i)), "appraisal"))
+		}
+		text, err := New(1, rows).Encode()
+		require.NoError(b, err)
+		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
+			b.ReportMetric(float64(len(text)), "stored-B")
+			for b.Loop() {
+				if _, err := Decode(text); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
+
+// BenchmarkApply gives what an entry pays for an edit, check and encoding
+// included.
+func BenchmarkApply(b *testing.B) {
+	for _, n := range []int{18, 516, 3000} {
+		var rows []Row
+		for i := range n {
+			rows = append(rows, sample(work.Zone(fmt.Sprintf("zone-%d", i)), "appraisal"))
+		}
+		t := New(1, rows)
+		e := Edit{ID: "e-1", Changes: []Change{Set(rows[0].Key(), Cell{Column: "weight", Value: "3"})}}
+		b.Run(fmt.Sprintf("rows=%d", n), func(b *testing.B) {
+			for b.Loop() {
+				if _, err := t.Apply(e, asha); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
