A request that crashes its upstreams is known and stopped after two

Cause: attempts were counted by request alone, so a poison request took three engines, and its caller's next send three more. The side now asks its upstream afresh when it breaks off, and passes on what ran in that life; entries and sides judge by the same evidence. Before: refused as upstream_lost after three engines, again on the second send. After: stopped after two, and the second send is refused as not_run.

--- a/entry/answer.go
+++ b/entry/answer.go
@@ -68,6 +68,10 @@
 	return a.event(a.chunk(text, nil))
 }
 
+// restart empties a whole answer that was not written yet. Without it the
+// tokens of an attempt whose engine died stood before those of the next.
+func (a *answer) restart() { a.whole.Reset() }
+
 func (a *answer) chunk(text string, finish *string) chunk {
 	c := choice{FinishReason: finish}
 	object := "text_completion"
--- a/entry/call.go
+++ b/entry/call.go
@@ -27,7 +27,7 @@
 	}
 	began := time.Now()
 	out := e.stage(ctx, s, wire.Run{
-		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageCall}, Account: r.account, Kind: r.kind,
+		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageCall}, Account: r.account, Kind: r.kind, Identity: r.identity,
 		Within: e.timeLeft(r), Call: r.call,
 	}, nil)
 	if out.Reason != "" || out.Answer == nil {
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -23,6 +23,7 @@
 	"jacinthworks/group"
 	"jacinthworks/member"
 	"jacinthworks/plat"
+	"jacinthworks/retry"
 	"jacinthworks/story"
 	"jacinthworks/table"
 	"jacinthworks/wire"
@@ -47,13 +48,15 @@
 	entries     directory
 	tables      table.Holder
 	schedulers  schedulers
+	retries     retry.Policy
+	crashes     retry.Ledger
 	// leaving: unready to the balancer, and still serving; draining: refusing.
-	leaving     atomic.Bool
-	draining    atomic.Bool
-	started     time.Time
-	met         atomic.Bool
-	work        group.Group
-	workCtx     context.Context
+	leaving  atomic.Bool
+	draining atomic.Bool
+	started  time.Time
+	met      atomic.Bool
+	work     group.Group
+	workCtx  context.Context
 }
 
 // Run serves until ctx ends, then accepts nothing new, ends what is in
--- a/entry/health.go
+++ b/entry/health.go
@@ -33,7 +33,7 @@
 	switch {
 	case f == nil:
 		p.Answered(now, s.member.Host, took, tokens)
-	case f.died:
+	case f.death != nil:
 		p.Failed(now, s.member.Host, eject.FreshCall)
 	case s.link.FailedDials() > 0:
 		p.Failed(now, s.member.Host, eject.FreshDial)
--- a/entry/http.go
+++ b/entry/http.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jacinthworks/check"
+	"jacinthworks/retry"
 	"jacinthworks/story"
 	"jacinthworks/work"
 )
@@ -113,6 +114,7 @@
 		return &failure{ran: work.NotRun, reason: work.ReasonBadInput, detail: "the request cannot be read", findings: found}
 	}
 	r.body = hashOf(h.Method, h.URL.RequestURI(), string(body))
+	r.identity = retry.Identify(r.account, r.service, []byte(h.URL.RequestURI()), body)
 	return e.findRow(r)
 }
 
--- a/entry/model.go
+++ b/entry/model.go
@@ -17,6 +17,8 @@
 type sink interface {
 	// put passes tokens on; an error says that the caller takes no more.
 	put(tokens []string) error
+	// restart drops what an earlier attempt put and the caller has not seen.
+	restart()
 	// begun says whether the caller has seen part of the answer.
 	begun() bool
 }
@@ -24,6 +26,8 @@
 // model runs a request on a prefill and a decode engine.
 func (e *Entry) model(ctx context.Context, r *request, to sink) *failure {
 	return e.attempts(ctx, r, func(ctx context.Context) *failure {
+		to.restart()
+		r.tokens = 0
 		f := e.tryModel(ctx, r, to)
 		if f != nil {
 			f.begun = to.begun()
@@ -66,7 +70,7 @@
 	defer stop()
 	e.work.Go(keep, "keep room", func(ctx context.Context) error { return e.keepRoom(ctx, r, p.decode) })
 	out := e.stage(ctx, p.prefill, wire.Run{
-		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StagePrefill}, Account: r.account, Kind: r.kind,
+		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StagePrefill}, Account: r.account, Kind: r.kind, Identity: r.identity,
 		Within: e.timeLeft(r),
 		Prefill: &engine.PrefillOrder{
 			Request: r.id, Attempt: r.attempt, Prompt: r.prompt, PromptTokens: r.promptTokens,
@@ -101,7 +105,7 @@
 	ended := make(chan wire.Outcome, 1)
 	e.work.Go(ctx, "decode", func(ctx context.Context) error {
 		ended <- e.stage(ctx, p.decode, wire.Run{
-			Ref: ref, Account: r.account, Kind: r.kind, Within: e.timeLeft(r), Tokens: r.promptTokens + r.maxTokens,
+			Ref: ref, Account: r.account, Kind: r.kind, Identity: r.identity, Within: e.timeLeft(r), Tokens: r.promptTokens + r.maxTokens,
 			Decode: &engine.DecodeOrder{
 				Request: r.id, Attempt: r.attempt, KV: kv, MaxTokens: r.maxTokens, Priority: r.row.Priority,
 			},
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -14,7 +14,12 @@
 // entryLocal is what this entry brings to its connections with other entries.
 func (e *Entry) entryLocal() *wire.Local {
 	l := *e.sides.local
-	l.Notice, l.Closed = nil, nil
+	l.Closed = nil
+	l.Notice = func(_ *wire.Peer, method string, params json.RawMessage) {
+		if method == wire.MethodEvidence {
+			e.takeEvidence(params)
+		}
+	}
 	l.Handle = e.handlePeer
 	return &l
 }
--- a/entry/request.go
+++ b/entry/request.go
@@ -8,6 +8,7 @@
 
 	"jacinthworks/check"
 	"jacinthworks/engine"
+	"jacinthworks/retry"
 	"jacinthworks/story"
 	"jacinthworks/table"
 	"jacinthworks/wire"
@@ -23,6 +24,7 @@
 	row      table.Row
 	key      string
 	body     uint64
+	identity retry.Identity
 	accepted time.Time
 	attempt  work.Attempt
 	tokens   int
@@ -44,7 +46,7 @@
 	ran    work.Ran
 	reason work.Reason
 	detail string
-	died   bool
+	death  *retry.Death
 	// begun says that the caller has seen part of the answer.
 	begun bool
 	// final says that no other attempt may follow.
@@ -71,6 +73,7 @@
 
 // accept opens the request's story.
 func (e *Entry) accept(r *request) {
+	e.retries.Budget.Accepted()
 	e.recorder.Record(story.Event{
 		Kind: story.Accepted, Time: r.accepted, Host: e.Settings.Name, Request: r.id,
 		Service: r.service, RequestKind: r.kind, Caller: r.account, Idempotent: r.row.Idempotent, Tokens: r.promptTokens,
@@ -103,13 +106,17 @@
 
 // failed turns an outcome into a failure.
 func failed(out wire.Outcome) *failure {
-	return &failure{ran: out.Ran, reason: out.Reason, detail: out.Detail, died: out.Died}
+	return &failure{ran: out.Ran, reason: out.Reason, detail: out.Detail, death: out.Death}
 }
 
 // attempts runs try until it succeeds or must not be repeated.
 func (e *Entry) attempts(ctx context.Context, r *request, try func(context.Context) *failure) *failure {
 	worst := work.NotRun
 	for {
+		if f := e.stopped(r); f != nil {
+			f.ran = worst
+			return f
+		}
 		r.attempt++
 		f := try(ctx)
 		if f == nil {
@@ -155,15 +162,3 @@
 	}
 	r.avoid[s.member.Host] = true
 }
-
-// mostAttempts bounds the attempts of one request: the first, and two after
-// failures that a second upstream may not share.
-const mostAttempts = 3
-
-// mayRetry says whether a failed attempt may be followed by another.
-func (e *Entry) mayRetry(r *request, f *failure) bool {
-	if f.final || f.begun || r.attempt >= mostAttempts || e.timeLeft(r) <= 0 {
-		return false
-	}
-	return f.ran == work.NotRun || r.row.Idempotent
-}
--- a/entry/sides.go
+++ b/entry/sides.go
@@ -19,8 +19,6 @@
 	member member.Member
 	link   wire.Link
 	stop   context.CancelFunc
-	// inFlight counts this entry's own orders there.
-	inFlight atomic.Int64
 	// leaving is what the host list says; it lags.
 	leaving atomic.Bool
 }
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -24,8 +24,12 @@
 // lost connection is taken up again on a fresh one, and when that fails too
 // the attempt is settled or called unknown.
 func (e *Entry) stage(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
-	s.inFlight.Add(1)
-	defer s.inFlight.Add(-1)
+	out := e.runStage(ctx, s, r, st)
+	e.blame(s, out.Death)
+	return out
+}
+
+func (e *Entry) runStage(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
 	var out wire.Outcome
 	err := s.link.Call(ctx, wire.MethodRun, r, &out)
 	if err == nil && complete(out, st) {
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -83,7 +83,12 @@
 
 // notice takes notifications from sides in the order of their arrival.
 func (e *Entry) notice(p *wire.Peer, method string, params json.RawMessage) {
-	if method != wire.MethodFrame {
+	switch method {
+	case wire.MethodEvidence:
+		e.takeEvidence(params)
+		return
+	case wire.MethodFrame:
+	default:
 		e.hear(p)
 		return
 	}
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -156,7 +156,7 @@
 	defer cancel()
 	return s.link.Call(ctx, wire.MethodReserve, wire.Reserve{
 		Ref:    wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode},
-		Tokens: r.promptTokens + r.maxTokens, Hold: admit.Hold,
+		Tokens: r.promptTokens + r.maxTokens, Hold: admit.Hold, Identity: r.identity,
 	}, new(wire.Reserved))
 }
 
--- a/side/run.go
+++ b/side/run.go
@@ -10,6 +10,12 @@
 	"jacinthworks/work"
 )
 
+// errApart refuses a request that has to run apart from what is here.
+var errApart = &wire.Refused{
+	Reason: work.ReasonNoRoom, Ran: work.NotRun,
+	Detail: "suspected of crashing upstreams, beside another that is",
+}
+
 // run takes an order in, starts it under the side's own context, and follows
 // it for the entry. The work outlives the connection: a lost one is taken up
 // again by attach, or by nobody and then swept.
@@ -17,6 +23,9 @@
 	if refused := s.mayRun(r); refused != nil {
 		return nil, refused
 	}
+	if r.Stage == wire.StageCall && !s.beside(time.Now(), r.Identity) {
+		return nil, errApart
+	}
 	if r.Stage == wire.StageDecode {
 		now := time.Now()
 		if err := s.room.confirm(now, key(r.Ref), r.Tokens, now.Add(r.Within)); err != nil {
@@ -35,6 +44,10 @@
 		out := s.perform(ctx, o)
 		s.ledger.end(o, out, time.Now())
 		s.room.release(r.Request, r.Attempt)
+		s.deaths.forget(key(r.Ref))
+		if out.Reason == "" {
+			s.crashes.Survived(time.Now(), r.Identity)
+		}
 		if s.ledger.untaken(o) {
 			s.orphans.add(r.Request)
 		}
@@ -100,13 +113,17 @@
 	if s.draining.Load() {
 		return nil, &wire.Refused{Reason: work.ReasonDraining, Ran: work.NotRun, Detail: "the side is draining"}
 	}
+	now := time.Now()
+	if !s.beside(now, r.Identity) {
+		return nil, errApart
+	}
 	if s.down.Load() {
 		return nil, &wire.Refused{Reason: work.ReasonNoUpstream, Ran: work.NotRun, Detail: "the upstream does not answer"}
 	}
-	now := time.Now()
 	if err := s.room.reserve(now, key(r.Ref), r.Tokens, r.Hold); err != nil {
 		return nil, &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
 	}
+	s.deaths.expect(key(r.Ref), expected{id: r.Identity, until: now.Add(r.Hold)})
 	free := s.room.free(now)
 	return wire.Reserved{FreeSlots: free.FreeRequests, FreeTokens: free.FreeTokens}, nil
 }
@@ -117,6 +134,7 @@
 func (s *Side) cancel(r wire.Ref) {
 	s.ledger.giveUp(r, time.Now())
 	s.room.release(r.Request, r.Attempt)
+	s.deaths.forget(key(r))
 }
 
 // record adds an event to the side's half of the story.
--- a/side/side.go
+++ b/side/side.go
@@ -25,6 +25,7 @@
 	"jacinthworks/group"
 	"jacinthworks/member"
 	"jacinthworks/plat"
+	"jacinthworks/retry"
 	"jacinthworks/story"
 	"jacinthworks/wire"
 	"jacinthworks/work"
@@ -55,6 +56,8 @@
 	pace        pace
 	recorder    story.Recorder
 	orphans     orphaned
+	deaths      deaths
+	crashes     retry.Ledger
 	incarnation work.Incarnation
 	upstream    atomic.Pointer[engine.State]
 	down        atomic.Bool
@@ -117,6 +120,8 @@
 		},
 		Beat:    s.beat,
 		Handle:  s.handle,
+		Notice:  s.notice,
+		Opened:  s.tellEvidence,
 		Every:   s.Settings.Timings.Heartbeat,
 		Silence: s.Settings.Timings.SilenceAfter,
 	}
@@ -135,6 +140,14 @@
 	return wire.Beat{Draining: s.draining.Load(), Load: load}
 }
 
+// notice takes evidence of crashes from entries.
+func (s *Side) notice(_ *wire.Peer, method string, params json.RawMessage) {
+	var r retry.Record
+	if method == wire.MethodEvidence && json.Unmarshal(params, &r) == nil {
+		s.crashes.Merge(time.Now(), r)
+	}
+}
+
 // handle answers an entry's calls.
 func (s *Side) handle(ctx context.Context, p *wire.Peer, method string, params json.RawMessage) (any, error) {
 	switch method {
--- a/side/work.go
+++ b/side/work.go
@@ -63,7 +63,10 @@
 	case errors.Is(err, engine.ErrEvicted):
 		out.Ran, out.Detail = work.NotRun, "the prompt's KV cache was gone"
 	case errors.Is(err, engine.ErrDied) && ctx.Err() == nil:
-		out.Reason, out.Died = work.ReasonLost, true
+		if d := s.died(ctx, o); d != nil {
+			out.Reason, out.Death = work.ReasonLost, d
+			s.crashes.Died(*d)
+		}
 	}
 	if s.Model == nil || out.Ran == work.NotRun {
 		return out
--- a/wire/order.go
+++ b/wire/order.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthworks/engine"
+	"jacinthworks/retry"
 	"jacinthworks/work"
 )
 
@@ -28,6 +29,9 @@
 	MethodDrain = "drain"
 )
 
+// MethodEvidence is the notification that carries a retry.Record each way.
+const MethodEvidence = "evidence"
+
 // MethodFrame is the notification that carries a token to the entry.
 const MethodFrame = "frame"
 
@@ -54,7 +58,8 @@
 	// Tokens is prompt and answer together, the KV memory at the end.
 	Tokens int `json:"tokens"`
 	// Hold is how long the room is kept; it ends by itself.
-	Hold time.Duration `json:"hold"`
+	Hold     time.Duration  `json:"hold"`
+	Identity retry.Identity `json:"identity"`
 }
 
 // Reserved is the room that was kept.
@@ -69,6 +74,8 @@
 	Ref
 	Account work.Account `json:"account"`
 	Kind    work.Kind    `json:"kind"`
+	// Identity is what the caller sends, whatever its request id.
+	Identity retry.Identity `json:"identity"`
 	// Within is the time left for this stage.
 	Within time.Duration `json:"within"`
 	// Tokens is the KV memory needed in the end.
@@ -100,8 +107,8 @@
 	Tokens int            `json:"tokens,omitempty"`
 	KV     *engine.KV     `json:"kv,omitempty"`
 	Answer *engine.Answer `json:"answer,omitempty"`
-	// Died says that the upstream was lost while it ran the work.
-	Died bool `json:"died,omitempty"`
+	// Death is set when the upstream died while it ran the work.
+	Death *retry.Death `json:"death,omitempty"`
 }
 
 // Frame carries tokens of one attempt from one offset on. The entry takes it
