--- a/cmd_admin_test.go
+++ b/cmd_admin_test.go
@@ -3,6 +3,10 @@
 import (
 	"bytes"
 	"context"
+	"encoding/pem"
+	"io"
+	"log"
+	"net/http"
 	"net/http/httptest"
 	"os"
 	"path/filepath"
@@ -67,6 +71,13 @@
 
 // startAdmin serves an administration address and names it in the environment.
 func startAdmin(t *testing.T) {
+	server := httptest.NewServer(adminHandler(t))
+	t.Cleanup(server.Close)
+	t.Setenv("JACINTHWORKS_ADMIN", strings.TrimPrefix(server.URL, "http://"))
+	t.Setenv("JACINTHWORKS_TOKEN", operatorToken)
+}
+
+func adminHandler(t *testing.T) http.Handler {
 	first := table.New(1, []table.Row{{Service: "appraiser-lm", Zone: "*", Kind: "appraisal", Team: "appraisal",
 		Weight: 1, InFlight: 8, Deadline: table.Duration(time.Minute)}})
 	text, err := first.Encode()
@@ -78,10 +89,7 @@
 		Tables:    &h, Editor: &editor.Editor{Objects: &oneObject{version: 1, value: text}, Holder: &h},
 		Status: entryHost{}, Stories: entryHost{}, Drains: entryHost{},
 	}
-	server := httptest.NewServer(s.Handler())
-	t.Cleanup(server.Close)
-	t.Setenv("JACINTHWORKS_ADMIN", strings.TrimPrefix(server.URL, "http://"))
-	t.Setenv("JACINTHWORKS_TOKEN", operatorToken)
+	return s.Handler()
 }
 
 // run gives a command's exit code and both of its outputs.
@@ -180,6 +188,21 @@
 	require.Equal(t, exitOK, code)
 }
 
+func TestTLSIsTrustedByItsCertificateOnly(t *testing.T) {
+	server := httptest.NewUnstartedServer(adminHandler(t))
+	server.Config.ErrorLog = log.New(io.Discard, "", 0)
+	server.StartTLS()
+	t.Cleanup(server.Close)
+	t.Setenv("JACINTHWORKS_ADMIN", strings.TrimPrefix(server.URL, "https://"))
+	t.Setenv("JACINTHWORKS_TOKEN", operatorToken)
+	own := pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: server.Certificate().Raw})
+	code, out, errs := run("status", "--ca-file", writeFile(t, "ca.pem", string(own)))
+	require.Equal(t, exitOK, code, errs)
+	require.Contains(t, out, "side-1")
+	code, _, _ = run("status")
+	require.Equal(t, exitRefused, code, "without TLS the server refuses")
+}
+
 func TestCheckTellsEveryFinding(t *testing.T) {
 	code, _, errs := run("check", writeFile(t, "side.toml", "role = \"baker\"\nname = \"a.b\"\n"))
 	require.Equal(t, exitRefused, code)
--- /dev/null
+++ b/conf/fuzz_test.go
@@ -0,0 +1,31 @@
+package conf_test
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/check"
+	"jacinthworks/conf"
+)
+
+// FuzzSettings looks for a text that makes a parser panic, or end with an
+// error that is not findings.
+func FuzzSettings(f *testing.F) {
+	f.Add(goodEntry)
+	f.Add(goodSide)
+	for _, c := range badInput {
+		f.Add(c.text)
+	}
+	f.Fuzz(func(t *testing.T, text string) {
+		_, err := conf.ParseEntry("f.toml", []byte(text))
+		_, sideErr := conf.ParseSide("f.toml", []byte(text))
+		require.False(t, err == nil && sideErr == nil, "a file is an entry's or a side's")
+		for _, err := range []error{err, sideErr, conf.CheckFile("f.toml", []byte(text))} {
+			var found check.Findings
+			if err != nil {
+				require.ErrorAs(t, err, &found)
+			}
+		}
+	})
+}
--- a/conf/lines.go
+++ b/conf/lines.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"maps"
-	"slices"
 	"strconv"
 	"strings"
 
@@ -90,8 +88,6 @@
 	return name, i
 }
 
-func sortedKeys(m map[string]any) []string { return slices.Sorted(maps.Keys(m)) }
-
 // typeName names a TOML type for a person.
 func typeName(v any) string {
 	switch v.(type) {
--- a/conf/reader.go
+++ b/conf/reader.go
@@ -2,7 +2,9 @@
 
 import (
 	"fmt"
+	"maps"
 	"net/netip"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -279,7 +281,7 @@
 	}
 	switch v := v.(type) {
 	case map[string]any:
-		for _, name := range sortedKeys(v) {
+		for _, name := range slices.Sorted(maps.Keys(v)) {
 			r.walk(strings.TrimPrefix(path+"."+name, "."), v[name], unknown)
 		}
 	case []any:
