--- a/table/model_test.go
+++ b/table/model_test.go
@@ -48,7 +48,8 @@
 	return c
 }
 
-// modelState is one state, comparable through its text.
+// modelState is one state. It is comparable: messages under way stand in an
+// array, sorted, with empty places behind them.
 type modelState struct {
 	platform Version
 	// edit is the version that first contains the writer's edit.
@@ -58,11 +59,8 @@
 	phase    phase
 	base     Version
 	late     bool
-	inFlight []message
-}
-
-func (s modelState) key() string {
-	return fmt.Sprint(s.platform, s.edit, s.held, s.phase, s.base, s.late, s.inFlight)
+	inFlight [modelInFlight + 1]message // one more than is kept
+	count    int
 }
 
 func (s modelState) in(p phase) modelState {
@@ -72,8 +70,17 @@
 
 // send puts a message under way; the order in the list means nothing.
 func (s modelState) send(m message) modelState {
-	s.inFlight = append(slices.Clone(s.inFlight), m)
-	slices.SortFunc(s.inFlight, func(a, b message) int { return a.code() - b.code() })
+	s.inFlight[s.count] = m
+	s.count++
+	slices.SortFunc(s.inFlight[:s.count], func(a, b message) int { return a.code() - b.code() })
+	return s
+}
+
+// without takes a message away.
+func (s modelState) without(i int) modelState {
+	copy(s.inFlight[i:], s.inFlight[i+1:s.count])
+	s.count--
+	s.inFlight[s.count] = message{}
 	return s
 }
 
@@ -91,13 +98,12 @@
 		all = append(all, s.send(message{to: to, version: s.platform}))
 		all = append(all, s.send(message{to: to, version: s.held[1-to]}))
 	}
-	for i := range s.inFlight {
-		lost := s
-		lost.inFlight = slices.Delete(slices.Clone(s.inFlight), i, i+1)
+	for i := range s.count {
+		lost := s.without(i)
 		all = append(all, lost, m.deliver(lost, s.inFlight[i]))
 		all = append(all, m.deliver(s, s.inFlight[i])) // and it comes again
 	}
-	return slices.DeleteFunc(all, func(n modelState) bool { return len(n.inFlight) > modelInFlight })
+	return slices.DeleteFunc(all, func(n modelState) bool { return n.count > modelInFlight })
 }
 
 // writes gives what the other operator, the writer and the platform do.
@@ -198,7 +204,7 @@
 // that a step breaks.
 func (m model) explore() (int, string) {
 	first := modelState{phase: idle}
-	seen := map[string]bool{first.key(): true}
+	seen := map[modelState]bool{first: true}
 	queue := []modelState{first}
 	for len(queue) > 0 {
 		s := queue[0]
@@ -207,8 +213,8 @@
 			if why := broken(s, n); why != "" {
 				return len(seen), why
 			}
-			if k := n.key(); !seen[k] {
-				seen[k] = true
+			if !seen[n] {
+				seen[n] = true
 				queue = append(queue, n)
 			}
 		}
