--- a/commands.go
+++ b/commands.go
@@ -23,6 +23,13 @@
 // commands lists every command in the order in which help shows them.
 func commands() []command {
 	return []command{
+		cmdEntry,
+		cmdSide,
+		cmdTable,
+		cmdStory,
+		cmdStatus,
+		cmdDrain,
+		cmdCheck,
 		cmdVersion,
 	}
 }
--- /dev/null
+++ b/entry/call.go
@@ -0,0 +1,42 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// plain runs a call on an application server and leaves its answer in r.
+func (e *Entry) plain(ctx context.Context, r *request) *failure {
+	return e.attempts(ctx, r, func(ctx context.Context) *failure { return e.tryCall(ctx, r) })
+}
+
+func (e *Entry) tryCall(ctx context.Context, r *request) *failure {
+	t := e.newTurn(r)
+	got, f := e.takeTurn(ctx, r, t)
+	if f != nil {
+		return f
+	}
+	defer e.schedulers.of(r.service).finished(t, got)
+	e.logApp(r, got)
+	s := e.sides.find(got.app)
+	if s == nil {
+		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the side has just left"}
+	}
+	began := time.Now()
+	out := e.stage(ctx, s, wire.Run{
+		Ref: wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageCall}, Account: r.account, Kind: r.kind, Identity: r.identity,
+		Within: e.timeLeft(r), Call: r.call,
+	}, nil)
+	if out.Reason != "" || out.Answer == nil {
+		f := failed(out)
+		e.judge(s, time.Since(began), 0, f)
+		r.pass(s, f)
+		return f
+	}
+	e.judge(s, time.Since(began), 0, nil)
+	r.answer = out.Answer
+	return nil
+}
--- /dev/null
+++ b/side/run.go
@@ -0,0 +1,158 @@
+package side
+
+import (
+	"context"
+	"time"
+
+	"jacinthworks/admit"
+	"jacinthworks/story"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// errApart refuses a request that has to run apart from what is here.
+var errApart = &wire.Refused{
+	Reason: work.ReasonNoRoom, Ran: work.NotRun,
+	Detail: "suspected of crashing upstreams, beside another that is",
+}
+
+// run takes an order in, starts it under the side's own context, and follows
+// it for the entry. The work outlives the connection: a lost one is taken up
+// again by attach, or by nobody and then swept.
+func (s *Side) run(ctx context.Context, p *wire.Peer, r wire.Run) (any, error) {
+	if refused := s.mayRun(r); refused != nil {
+		return nil, refused
+	}
+	if r.Stage == wire.StageCall && !s.beside(time.Now(), r.Identity) {
+		return nil, errApart
+	}
+	if r.Stage == wire.StageDecode {
+		now := time.Now()
+		if err := s.room.confirm(now, key(r.Ref), r.Tokens, now.Add(r.Within)); err != nil {
+			return nil, &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
+		}
+	}
+	workCtx, cancel := context.WithTimeout(s.workCtx, r.Within)
+	o, refused := s.ledger.begin(r, p.Remote().Host, cancel)
+	if refused != nil {
+		cancel()
+		return nil, refused
+	}
+	started := s.work.Go(workCtx, string(r.Stage), func(ctx context.Context) error {
+		defer cancel()
+		s.record(o, story.Event{Kind: story.AttemptStarted})
+		out := s.perform(ctx, o)
+		s.ledger.end(o, out, time.Now())
+		s.room.release(r.Request, r.Attempt)
+		s.deaths.forget(key(r.Ref))
+		if out.Reason == "" {
+			s.crashes.Survived(time.Now(), r.Identity)
+		}
+		if s.ledger.untaken(o) {
+			s.orphans.add(r.Request)
+		}
+		s.record(o, story.Event{
+			Kind: story.AttemptEnded, Tokens: o.outcome.Tokens, Ran: o.outcome.Ran, Reason: out.Reason, Detail: out.Detail,
+		})
+		s.Log.Info("ended", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage,
+			"ran", o.outcome.Ran, "reason", out.Reason, "tokens", o.outcome.Tokens)
+		return nil
+	})
+	if !started {
+		cancel()
+		s.ledger.end(o, wire.Outcome{Reason: work.ReasonDraining}, time.Now())
+	}
+	defer func() { s.ledger.detach(o, time.Now()) }()
+	return s.follow(ctx, p, o, 0)
+}
+
+// mayRun refuses new work while draining. A decode whose room was reserved
+// before still runs: refusing it would waste its prefill.
+func (s *Side) mayRun(r wire.Run) *wire.Refused {
+	if !s.draining.Load() {
+		return nil
+	}
+	if r.Stage == wire.StageDecode && s.room.renew(time.Now(), key(r.Ref), admit.Hold) == nil {
+		return nil
+	}
+	return &wire.Refused{Reason: work.ReasonDraining, Ran: work.NotRun, Detail: "the side is draining"}
+}
+
+func (s *Side) attach(ctx context.Context, p *wire.Peer, a wire.Attach) (any, error) {
+	o := s.ledger.attach(a.Ref)
+	if o == nil {
+		return s.ledger.settle(a.Ref, time.Now()), nil
+	}
+	defer func() { s.ledger.detach(o, time.Now()) }()
+	return s.follow(ctx, p, o, a.From)
+}
+
+// follow sends the order's tokens from an offset on and gives its outcome.
+func (s *Side) follow(ctx context.Context, p *wire.Peer, o *order, from int) (any, error) {
+	for {
+		tokens, ended, changed := s.ledger.follow(o, from)
+		if len(tokens) > 0 {
+			f := wire.Frame{Ref: o.run.Ref, Offset: from, Tokens: tokens}
+			if err := p.Notify(wire.MethodFrame, f); err != nil {
+				return nil, err
+			}
+			from += len(tokens)
+		}
+		if ended {
+			return s.ledger.settle(o.run.Ref, time.Now()), nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		}
+	}
+}
+
+func (s *Side) reserve(r wire.Reserve) (any, error) {
+	if s.draining.Load() {
+		return nil, &wire.Refused{Reason: work.ReasonDraining, Ran: work.NotRun, Detail: "the side is draining"}
+	}
+	now := time.Now()
+	if !s.beside(now, r.Identity) {
+		return nil, errApart
+	}
+	if s.down.Load() {
+		return nil, &wire.Refused{Reason: work.ReasonNoUpstream, Ran: work.NotRun, Detail: "the upstream does not answer"}
+	}
+	if err := s.room.reserve(now, key(r.Ref), r.Tokens, r.Hold); err != nil {
+		return nil, &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
+	}
+	s.deaths.expect(key(r.Ref), expected{id: r.Identity, until: now.Add(r.Hold)})
+	free := s.room.free(now)
+	return wire.Reserved{FreeSlots: free.FreeRequests, FreeTokens: free.FreeTokens}, nil
+}
+
+func key(r wire.Ref) admit.Key { return admit.Key{Request: r.Request, Attempt: r.Attempt} }
+
+// cancel frees whatever an attempt holds here, reserved or running.
+func (s *Side) cancel(r wire.Ref) {
+	s.ledger.giveUp(r, time.Now())
+	s.room.release(r.Request, r.Attempt)
+	s.deaths.forget(key(r))
+}
+
+// record adds an event to the side's half of the story.
+func (s *Side) record(o *order, e story.Event) {
+	e.Time, e.Host = time.Now(), s.Settings.Name
+	e.Request, e.Attempt, e.Upstream = o.run.Request, o.run.Attempt, s.Settings.Name
+	e.RequestKind, e.Caller, e.Service = o.run.Kind, o.run.Account, s.Settings.Service
+	if e.Detail == "" {
+		e.Detail = string(o.run.Stage)
+	}
+	s.recorder.Record(e)
+}
+
+// story gives the side's half of a request's story.
+func (s *Side) story(id work.RequestID) (any, error) {
+	t, found := s.recorder.Get(id)
+	if !found {
+		return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.Unknown, Detail: "nothing is known here of the request"}
+	}
+	return t, nil
+}
