--- a/entry/tables.go
+++ b/entry/tables.go
@@ -155,7 +155,9 @@
 	if err != nil {
 		return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: err.Error()}
 	}
-	e.offer(t.At(table.Version(got.Version)), time.Time{}, from)
+	if e.tables.Push(t.At(table.Version(got.Version))) {
+		e.Log.Info("table in force", "version", got.Version, "rows", t.Len(), "from", from)
+	}
 	return wire.Table{Version: uint64(e.tables.Version())}, nil
 }
 
