queue: work that may wait yields for half its time

Cause: after a burst the Registry took 10 s to recover: long summaries that may wait and have the higher priority were all served before briefs, which were refused meanwhile. Ruled out: returning callers (recovery the same with a fixed Retry-After). Work that may wait now goes after all that may not, until half of its time has passed.

--- a/bench/entry.go
+++ b/bench/entry.go
@@ -82,6 +82,10 @@
 		i.Account = ""
 	case "priority":
 		i.Priority = 0
+	case "yielding":
+		if i.MayWait { // without a target the item is as patient, but never yields
+			i.MayWait, i.FirstToken = false, time.Time{}
+		}
 	case "hot_key":
 		i.Key = 0
 	case "lanes":
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -101,10 +101,12 @@
 	ToFirstToken time.Duration
 	ToEnd        time.Duration
 
-	// class is the priority that the item is served by, 0 for a caller over
-	// its share; charged is who paid when Next gave the item, and waited says
-	// that it counted in the drain.
-	class   int
+	// class is where the item waits: its priority, 0 for a caller over its
+	// share, or a class of those that yield until the time yields.
+	class  int
+	yields time.Time
+	// charged is who paid when Next gave the item, and waited says that it
+	// counted in the drain.
 	charged caller
 	waited  bool
 }
@@ -135,8 +137,9 @@
 	// lapse is kept from arrival.
 	lapse time.Time
 	flow  *flow
-	// place is the position in the heap of lapses, or -1.
-	place int
+	// place is the position in the heap of lapses, or -1; yieldPlace that in
+	// the heap of yielding entries.
+	place, yieldPlace int
 	// older and newer are the neighbours by arrival in the class.
 	older, newer *entry
 }
@@ -146,12 +149,14 @@
 type Queue struct {
 	Limits Limits
 
-	classes [Priorities]class
+	classes [classes]class
 	items   map[work.RequestID]*entry
 	callers map[caller]int
 	shares  shares
 	lapses  heap[*entry]
-	waiting int
+	// yielding holds the entries that get their own priority later.
+	yielding heap[*entry]
+	waiting  int
 	// lanes count and measure each lane over all classes.
 	lanes   [lanes]laneTotal
 	returns returns
@@ -169,6 +174,8 @@
 	i.class = i.Priority
 	if over {
 		i.class = 0
+	} else {
+		i.yield(now)
 	}
 	g := q.grounds(now, i, c)
 	if r := q.refusal(now, i, c, g, random); r != nil {
@@ -177,7 +184,7 @@
 	v := Verdict{Grounds: g}
 	if len(q.items) >= q.limit() {
 		victim := q.newestLowest()
-		if victim.item.class >= i.class {
+		if victim.item.rank() >= i.rank() {
 			v.Refusal = q.refuse(now, i, work.ReasonNoRoom, DetailFull, g, random)
 			return v
 		}
@@ -190,7 +197,8 @@
 // Next takes the item that is to be served next among those whose prompt is no
 // longer than the given number of tokens. Take out Lapsed items first.
 func (q *Queue) Next(now time.Time, longest int) (Item, bool) {
-	var tried [Priorities]bool
+	q.promote(now)
+	var tried [classes]bool
 	for range q.classes {
 		p := q.pick(now, &tried)
 		if p < 0 {
@@ -267,6 +275,10 @@
 		less: func(a, b *entry) bool { return a.lapse.Before(b.lapse) },
 		move: func(e *entry, place int) { e.place = place },
 	}
+	q.yielding = heap[*entry]{
+		less: func(a, b *entry) bool { return a.item.yields.Before(b.item.yields) },
+		move: func(e *entry, place int) { e.yieldPlace = place },
+	}
 	for p := range q.classes {
 		q.classes[p].init()
 	}
@@ -290,7 +302,7 @@
 func (q *Queue) link(now time.Time, i Item, c caller, at end) *entry {
 	q.advance(now)
 	k := &q.classes[i.class]
-	e := &entry{item: i, arrived: now, lapse: i.lapse(), place: -1}
+	e := &entry{item: i, arrived: now, lapse: i.lapse(), place: -1, yieldPlace: -1}
 	e.flow = k.enter(now, e, c, at)
 	q.items[i.ID] = e
 	q.callers[c]++
@@ -299,6 +311,9 @@
 	if !e.lapse.IsZero() {
 		q.lapses.push(e)
 	}
+	if !i.yields.IsZero() {
+		q.yielding.push(e)
+	}
 	return e
 }
 
@@ -316,6 +331,9 @@
 	if e.place >= 0 {
 		q.lapses.remove(e.place)
 	}
+	if e.yieldPlace >= 0 {
+		q.yielding.remove(e.yieldPlace)
+	}
 }
 
 // serve takes the head of the lane's first flow and charges it.
@@ -359,14 +377,17 @@
 
 // pick gives the class that is to be served: the highest priority, each lifted
 // by the time it has gone without service, or -1.
-func (q *Queue) pick(now time.Time, tried *[Priorities]bool) int {
+func (q *Queue) pick(now time.Time, tried *[classes]bool) int {
 	best, level := -1, time.Duration(0)
-	for p := Priorities - 1; p >= 0; p-- {
+	for p := classes - 1; p >= 0; p-- {
 		k := &q.classes[p]
 		if tried[p] || k.newest == nil {
 			continue
 		}
-		lifted := time.Duration(p)*AgingStep + now.Sub(k.served)
+		lifted := now.Sub(k.served)
+		if p < Priorities {
+			lifted += time.Duration(p) * AgingStep
+		}
 		if best < 0 || lifted > level {
 			best, level = p, lifted
 		}
@@ -376,10 +397,12 @@
 
 // newestLowest gives the entry that a full queue sheds first.
 func (q *Queue) newestLowest() *entry {
+	var lowest *entry
 	for p := range q.classes {
-		if e := q.classes[p].newest; e != nil {
-			return e
+		e := q.classes[p].newest
+		if e != nil && (lowest == nil || e.item.rank() < lowest.item.rank()) {
+			lowest = e
 		}
 	}
-	return nil
+	return lowest
 }
--- a/queue/queue_test.go
+++ b/queue/queue_test.go
@@ -89,10 +89,11 @@
 				i := item(n, work.Account(rapid.StringMatching("[abc]").Draw(t, "account")), rapid.SampledFrom([]int{10, 500, 20_000}).Draw(t, "prompt"))
 				i.Priority = rapid.IntRange(0, 9).Draw(t, "priority")
 				i.Key = uint64(rapid.IntRange(0, 2).Draw(t, "key"))
-				i.FirstToken = now.Add(time.Second)
+				i.FirstToken, i.Deadline = now.Add(time.Second), now.Add(3*time.Second)
+				i.MayWait = rapid.Bool().Draw(t, "may wait")
 				v := q.Arrive(now, i, random())
 				for _, r := range v.Shed {
-					require.Less(t, r.Item.class, v.Grounds.Class)
+					require.Less(t, r.Item.rank(), v.Grounds.Class)
 					leave(r.Item)
 				}
 				if v.Refusal == nil {
@@ -335,3 +336,22 @@
 	}
 	t.Fatal("the lowest class was never served")
 }
+
+// Climbers' briefs are refused for ten seconds after a burst has ended. Long
+// summaries of a higher priority, which may wait, came in the burst and are all
+// served first. While they have time they have to yield, and no longer.
+func TestWorkThatMayWaitYieldsForHalfItsTime(t *testing.T) {
+	var q Queue
+	summary := item(1, "setter", 20_000)
+	summary.Priority, summary.MayWait, summary.Deadline = 4, true, at(20*time.Second)
+	require.True(t, q.Arrive(start, summary, random()).Grounds.Yields)
+	brief := item(2, "climber", 500)
+	brief.Priority = 3
+	q.Arrive(start, brief, random())
+	i, _ := q.Next(start, AnyPrompt)
+	require.Equal(t, brief.ID, i.ID)
+	brief.ID = "later"
+	q.Arrive(at(9*time.Second), brief, random())
+	i, _ = q.Next(at(10*time.Second), AnyPrompt)
+	require.Equal(t, summary.ID, i.ID)
+}
--- a/queue/verdict.go
+++ b/queue/verdict.go
@@ -38,6 +38,8 @@
 	// that it is served by.
 	HotKey bool `json:"hot_key"`
 	Class  int  `json:"class"`
+	// Yields says that the item first goes after all that may not wait.
+	Yields bool `json:"yields"`
 }
 
 // Refusal says why an item was refused and when to return.
@@ -84,33 +86,43 @@
 	l := q.classes[i.class].lane(i)
 	l.drain.advance(now, l.count > 0)
 	rate, _ := q.lanes[l.number].drain.rate()
-	higher := q.higher(i)
 	return Grounds{
-		Wait:        q.wait(l, higher, l.ahead(c)),
-		FreshWait:   q.wait(l, higher, l.aheadOfFresh()),
+		Wait:        q.wait(i, l, l.ahead(c)),
+		FreshWait:   q.wait(i, l, l.aheadOfFresh()),
 		Rate:        rate,
 		Items:       len(q.items),
 		CallerItems: q.callers[c],
 		CallerLimit: q.callerLimit(),
 		HotKey:      c.key != 0,
-		Class:       i.class,
+		Class:       i.class % Priorities,
+		Yields:      i.class >= Priorities,
 	}
 }
 
-// higher is the cost of the waiting items of higher priority in the same lane.
+// higher is the cost of the waiting items in the same lane that are served
+// before those of the item's class. For an item that yields these are those of
+// its priority too, which it joins later.
 func (q *Queue) higher(i Item) int {
 	var cost int
-	for p := i.class + 1; p < Priorities; p++ {
+	for p := i.rank() + 1; p < Priorities; p++ {
 		cost += q.classes[p].lane(i).cost
 	}
+	if i.class >= Priorities {
+		cost += q.classes[i.rank()].lane(i).cost
+	}
 	return cost
 }
 
 // wait is the longer of two estimates: the class's own drain rate, which knows
 // what higher classes have been taking; and that of the lane over all classes,
-// which sees a burst of higher priority at once.
-func (q *Queue) wait(l *lane, higher, ahead int) time.Duration {
-	return max(l.drain.wait(ahead), q.lanes[l.number].drain.wait(higher+ahead))
+// which sees a burst of higher priority at once. The class of an item that
+// yields says nothing of when it is served.
+func (q *Queue) wait(i Item, l *lane, ahead int) time.Duration {
+	wait := q.lanes[l.number].drain.wait(q.higher(i) + ahead)
+	if i.class < Priorities {
+		wait = max(wait, l.drain.wait(ahead))
+	}
+	return wait
 }
 
 // ahead estimates the cost that fair queueing serves before a further item of
