--- a/bench/clock.go
+++ b/bench/clock.go
@@ -23,7 +23,7 @@
 
 func (c *clock) at(t time.Time, fn func()) {
 	c.made++
-	heap.Push(&c.events, event{at: t, order: c.made, fn: fn})
+	heap.Push(&c.events, &event{at: t.Sub(epoch), order: c.made, fn: fn})
 }
 
 // every runs fn at each interval from the given first time on.
@@ -36,35 +36,36 @@
 
 // run runs events until the given time.
 func (c *clock) run(until time.Time) {
-	for len(c.events) > 0 && !c.events[0].at.After(until) {
-		e := heap.Pop(&c.events).(event)
-		c.now = e.at
+	for len(c.events) > 0 && c.events[0].at <= until.Sub(epoch) {
+		e := heap.Pop(&c.events).(*event)
+		c.now = epoch.Add(e.at)
 		e.fn()
 	}
 	c.now = until
 }
 
+// event is due at a time from the epoch.
 type event struct {
-	at    time.Time
+	at    time.Duration
 	order int
 	fn    func()
 }
 
-type events []event
+type events []*event
 
 func (e events) Len() int { return len(e) }
 func (e events) Less(a, b int) bool {
-	if e[a].at.Equal(e[b].at) {
+	if e[a].at == e[b].at {
 		return e[a].order < e[b].order
 	}
-	return e[a].at.Before(e[b].at)
+	return e[a].at < e[b].at
 }
 func (e events) Swap(a, b int) { e[a], e[b] = e[b], e[a] }
-func (e *events) Push(v any)   { *e = append(*e, v.(event)) }
+func (e *events) Push(v any)   { *e = append(*e, v.(*event)) }
 func (e *events) Pop() any {
 	last := len(*e) - 1
 	v := (*e)[last]
-	(*e)[last] = event{}
+	(*e)[last] = nil
 	*e = (*e)[:last]
 	return v
 }
--- a/bench/side.go
+++ b/bench/side.go
@@ -67,33 +67,59 @@
 	}
 }
 
+// reports is what all sides know at one time.
+type reports struct {
+	made     time.Time
+	prefills map[*prefillEngine]route.PrefillReport
+	decodes  map[*decodeEngine]route.DecodeReport
+	links    map[*link]route.LinkReport
+}
+
 // report sends what each engine's side knows now to the entries.
 func (s *sides) report() {
-	made := s.w.now
+	now := reports{
+		made:     s.w.now,
+		prefills: make(map[*prefillEngine]route.PrefillReport),
+		decodes:  make(map[*decodeEngine]route.DecodeReport),
+		links:    make(map[*link]route.LinkReport),
+	}
 	for _, p := range s.w.prefills {
-		if r := p.report(); !p.dead {
-			s.tell(func(e *entry) { e.model.Prefills.Update(p.host, p.zone, made, r) })
+		if !p.dead {
+			now.prefills[p] = p.report()
 		}
 	}
 	for _, d := range s.w.decodes {
-		if r := d.report(); !d.dead {
-			s.tell(func(e *entry) { e.model.Decodes.Update(d.host, d.zone, made, r) })
+		if !d.dead {
+			now.decodes[d] = d.report()
 		}
 	}
 	for _, l := range s.w.links {
-		r := route.LinkReport{Rate: l.rate, QueuedBytes: l.queued(made)}
-		s.tell(func(e *entry) { e.model.UpdateLink(l.path, made, r) })
+		now.links[l] = route.LinkReport{Rate: l.rate, QueuedBytes: l.queued(s.w.now)}
+	}
+	if s.w.now.Equal(epoch) {
+		s.deliver(now)
+		return
 	}
-	s.tell(func(e *entry) { e.pump() })
+	s.w.after(reportLag, func() { s.deliver(now) })
 }
 
-func (s *sides) tell(fn func(e *entry)) {
+// deliver gives reports to every entry, in the order of the world's lists.
+func (s *sides) deliver(r reports) {
 	for _, e := range s.entries {
-		if s.w.now.Equal(epoch) {
-			fn(e)
-			continue
+		for _, p := range s.w.prefills {
+			if report, ok := r.prefills[p]; ok && !s.lost[p.host] {
+				e.model.Prefills.Update(p.host, p.zone, r.made, report)
+			}
+		}
+		for _, d := range s.w.decodes {
+			if report, ok := r.decodes[d]; ok && !s.lost[d.host] {
+				e.model.Decodes.Update(d.host, d.zone, r.made, report)
+			}
+		}
+		for _, l := range s.w.links {
+			e.model.UpdateLink(l.path, r.made, r.links[l])
 		}
-		s.w.after(reportLag, func() { fn(e) })
+		e.pump()
 	}
 }
 
@@ -132,6 +158,7 @@
 }
 
 func (s *sides) down(h work.Host, lost []*request) {
+	s.lost[h] = true
 	for _, e := range s.entries {
 		e.model.Prefills.Remove(h)
 		e.model.Decodes.Remove(h)
