--- a/entry/admin.go
+++ b/entry/admin.go
@@ -14,6 +14,7 @@
 
 	"jacinthworks/admin"
 	"jacinthworks/editor"
+	"jacinthworks/links"
 	"jacinthworks/member"
 	"jacinthworks/table"
 	"jacinthworks/wire"
@@ -47,8 +48,8 @@
 	add("stories_dropped", c.Dropped)
 	add("stories_pending", c.Pending)
 	add("table_version", int64(e.tables.Version()))
-	add("sides_connected", int64(len(e.sides.connected())))
-	add("entries_connected", int64(len(e.entries.connected())))
+	add("sides_connected", int64(len(e.sides.Connected())))
+	add("entries_connected", int64(len(e.entries.Connected())))
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	fmt.Fprintln(w, v.String())
 }
@@ -61,7 +62,7 @@
 		s.Version = max(s.Version, h.Version)
 		s.Hosts = append(s.Hosts, h)
 	}
-	for _, l := range e.sides.all() {
+	for _, l := range e.sides.All() {
 		s.Hosts = append(s.Hosts, sideStatus(l))
 	}
 	sort.Slice(s.Hosts, func(i, j int) bool { return s.Hosts[i].Host < s.Hosts[j].Host })
@@ -94,13 +95,13 @@
 func (e *Entry) askEntries(ctx context.Context) []admin.HostStatus {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
-	others := e.entries.of(member.Entries)
+	others := e.entries.Of(member.Entries)
 	answers := make(chan admin.HostStatus, len(others))
 	for _, l := range others {
 		e.work.Go(ctx, "status", func(ctx context.Context) error {
 			var s wire.State
-			if err := l.link.Call(ctx, wire.MethodState, struct{}{}, &s); err != nil {
-				answers <- admin.HostStatus{Host: l.member.Host, Zone: l.member.Zone, Role: "entry", State: admin.HostSilent}
+			if err := l.Call(ctx, wire.MethodState, struct{}{}, &s); err != nil {
+				answers <- admin.HostStatus{Host: l.Member.Host, Zone: l.Member.Zone, Role: "entry", State: admin.HostSilent}
 				return err
 			}
 			answers <- hostStatus(s, time.Now())
@@ -114,11 +115,11 @@
 	return found
 }
 
-func sideStatus(l *sideLink) admin.HostStatus {
+func sideStatus(l *links.Link) admin.HostStatus {
 	h := admin.HostStatus{
-		Host: l.member.Host, Zone: l.member.Zone, Role: l.member.Role, Service: l.member.Service, State: admin.HostSilent,
+		Host: l.Member.Host, Zone: l.Member.Zone, Role: l.Member.Role, Service: l.Member.Service, State: admin.HostSilent,
 	}
-	p := l.link.Peer()
+	p := l.Peer()
 	if p == nil {
 		return h
 	}
@@ -127,7 +128,7 @@
 		return h
 	}
 	h.State, h.Heard = admin.HostServing, b.TrueAt
-	if b.Draining || l.leaving.Load() {
+	if b.Draining || l.Leaving.Load() {
 		h.State = admin.HostDraining
 	}
 	if b.Load != nil {
@@ -143,14 +144,14 @@
 		e.leaving.Store(true)
 		return nil
 	}
-	l := e.sides.find(host)
+	l := e.sides.Find(host)
 	if l == nil {
-		l = e.entries.find(host)
+		l = e.entries.Find(host)
 	}
 	if l == nil {
 		return admin.ErrNoHost
 	}
-	return errors.Wrapf(l.link.Call(ctx, wire.MethodDrain, struct{}{}, nil), "entry: drain %s", host)
+	return errors.Wrapf(l.Call(ctx, wire.MethodDrain, struct{}{}, nil), "entry: drain %s", host)
 }
 
 // secure wraps a listener in TLS where the settings give a certificate.
--- a/entry/call.go
+++ b/entry/call.go
@@ -21,7 +21,7 @@
 	}
 	defer e.schedulers.of(r.service).finished(t, got)
 	e.logApp(r, got)
-	s := e.sides.find(got.app)
+	s := e.sides.Find(got.app)
 	if s == nil {
 		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the side has just left"}
 	}
--- a/entry/crashes.go
+++ b/entry/crashes.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"time"
 
+	"jacinthworks/links"
 	"jacinthworks/retry"
 	"jacinthworks/wire"
 	"jacinthworks/work"
@@ -35,19 +36,19 @@
 
 // blame takes the evidence of an attempt during which its upstream died, and
 // passes it on at once: the next attempt may come from another entry.
-func (e *Entry) blame(s *sideLink, d *retry.Death) {
+func (e *Entry) blame(s *links.Link, d *retry.Death) {
 	if d == nil {
 		return
 	}
 	e.crashes.Died(*d)
 	record := e.crashes.Record(time.Now())
-	for _, l := range e.sides.of(s.member.Service) {
-		if p := l.link.Peer(); p != nil {
+	for _, l := range e.sides.Of(s.Member.Service) {
+		if p := l.Peer(); p != nil {
 			_ = p.Notify(wire.MethodEvidence, record)
 		}
 	}
-	for _, l := range e.entries.connected() {
-		_ = l.link.Peer().Notify(wire.MethodEvidence, record)
+	for _, l := range e.entries.Connected() {
+		_ = l.Peer().Notify(wire.MethodEvidence, record)
 	}
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -21,6 +21,7 @@
 
 	"jacinthworks/conf"
 	"jacinthworks/group"
+	"jacinthworks/links"
 	"jacinthworks/member"
 	"jacinthworks/plat"
 	"jacinthworks/retry"
@@ -47,8 +48,8 @@
 	numbers     atomic.Uint64
 	recorder    story.Recorder
 	streams     streams
-	sides       directory
-	entries     directory
+	sides       links.Directory
+	entries     links.Directory
 	joined      atomic.Pointer[member.Record] // of entries, this one included
 	tables      table.Holder
 	schedulers  schedulers
@@ -93,8 +94,8 @@
 	server := e.server(e.callersHandler())
 	var loops group.Group
 	loops.Go(serving, "work ends", e.reap)
-	loops.Go(serving, "sides", e.sides.run)
-	loops.Go(serving, "entries", e.entries.run)
+	loops.Go(serving, "sides", e.sides.Run)
+	loops.Go(serving, "entries", e.entries.Run)
 	loops.Go(serving, "members", e.watchMembers)
 	loops.Go(serving, "join", func(ctx context.Context) error { return e.joinEntries(ctx, address(peers)) })
 	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, peers, e.entryLocal()) })
@@ -128,7 +129,7 @@
 	e.Settings.Timings = e.Settings.Timings.OrDefaults()
 	e.started = time.Now()
 	e.incarnation = work.NewIncarnation()
-	e.sides.local = &wire.Local{
+	e.sides.Local = &wire.Local{
 		Hello:   wire.Hello{Host: e.Settings.Name, Zone: e.Settings.Zone, Incarnation: e.incarnation, Role: "entry"},
 		Beat:    func() wire.Beat { return wire.Beat{Draining: e.draining.Load()} },
 		Notice:  e.notice,
@@ -136,8 +137,8 @@
 		Every:   e.Settings.Timings.Heartbeat,
 		Silence: e.Settings.Timings.SilenceAfter,
 	}
-	e.entries.local = e.entryLocal()
-	e.sides.removed = func(m member.Member) { e.schedulers.of(m.Service).remove(m.Host) }
+	e.entries.Local = e.entryLocal()
+	e.sides.Removed = func(m member.Member) { e.schedulers.of(m.Service).remove(m.Host) }
 }
 
 // peerListen is where other entries connect: any port of the callers' address
--- a/entry/health.go
+++ b/entry/health.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthworks/eject"
+	"jacinthworks/links"
 	"jacinthworks/work"
 )
 
@@ -27,18 +28,18 @@
 // judge reports how long one stage took, or that it failed. What the upstream
 // refused or never had says nothing about its speed; a lost connection says
 // nothing before a fresh dial has failed as well.
-func (e *Entry) judge(s *sideLink, took time.Duration, tokens int, f *failure) {
-	p := e.schedulers.of(s.member.Service).health.of(s.member.Role)
+func (e *Entry) judge(s *links.Link, took time.Duration, tokens int, f *failure) {
+	p := e.schedulers.of(s.Member.Service).health.of(s.Member.Role)
 	now := time.Now()
 	switch {
 	case f == nil:
-		p.Answered(now, s.member.Host, took, tokens)
+		p.Answered(now, s.Member.Host, took, tokens)
 	case f.death != nil:
-		p.Failed(now, s.member.Host, eject.FreshCall)
-	case s.link.FailedDials() > 0:
-		p.Failed(now, s.member.Host, eject.FreshDial)
+		p.Failed(now, s.Member.Host, eject.FreshCall)
+	case s.FailedDials() > 0:
+		p.Failed(now, s.Member.Host, eject.FreshDial)
 	case f.reason == work.ReasonLost:
-		p.Failed(now, s.member.Host, eject.SilentConnection)
+		p.Failed(now, s.Member.Host, eject.SilentConnection)
 	}
 }
 
@@ -47,7 +48,7 @@
 	for _, service := range e.services() {
 		s := e.schedulers.of(service)
 		for _, role := range []work.Role{work.RolePrefill, work.RoleDecode, work.RoleApp} {
-			hosts := e.sides.members(service, role)
+			hosts := e.sides.Members(service, role)
 			p := s.health.of(role)
 			changes := append(p.Members(now, hosts), p.Evaluate(now)...)
 			for _, c := range changes {
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -20,7 +20,7 @@
 // watchHosts keeps new work from hosts that the platform lists as leaving.
 func (e *Entry) watchHosts(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, max(hostsEvery, time.Duration(len(e.entries.all()))*hostsPerEntry))
+		pause(ctx, max(hostsEvery, time.Duration(len(e.entries.All()))*hostsPerEntry))
 		read, cancel := context.WithTimeout(ctx, callWithin)
 		listed, err := e.Hosts.Hosts(read)
 		cancel()
@@ -31,12 +31,12 @@
 		for _, h := range listed {
 			leaving[h.Host] = h.State == plat.HostLeaving
 		}
-		for _, l := range e.sides.all() {
-			if was := l.leaving.Swap(leaving[l.member.Host]); was != leaving[l.member.Host] {
-				e.Log.Info("host list", "host", l.member.Host, "leaving", !was)
+		for _, l := range e.sides.All() {
+			if was := l.Leaving.Swap(leaving[l.Member.Host]); was != leaving[l.Member.Host] {
+				e.Log.Info("host list", "host", l.Member.Host, "leaving", !was)
 			}
-			if leaving[l.member.Host] {
-				e.schedulers.of(l.member.Service).shut(l.member.Host)
+			if leaving[l.Member.Host] {
+				e.schedulers.of(l.Member.Service).shut(l.Member.Host)
 			}
 		}
 	}
--- a/entry/http.go
+++ b/entry/http.go
@@ -58,7 +58,7 @@
 		return true
 	}
 	for _, s := range e.services() {
-		if !e.sides.serves(s) {
+		if !e.sides.Serves(s) {
 			return false
 		}
 	}
--- a/entry/model.go
+++ b/entry/model.go
@@ -8,6 +8,7 @@
 
 	"jacinthworks/admit"
 	"jacinthworks/engine"
+	"jacinthworks/links"
 	"jacinthworks/steps"
 	"jacinthworks/story"
 	"jacinthworks/wire"
@@ -83,12 +84,12 @@
 	if out.Reason != "" || out.KV == nil {
 		return engine.KV{}, failed(out)
 	}
-	e.tell(r, story.Event{Kind: story.PrefillDone, Upstream: p.prefill.member.Host, Tokens: r.promptTokens})
+	e.tell(r, story.Event{Kind: story.PrefillDone, Upstream: p.prefill.Member.Host, Tokens: r.promptTokens})
 	return *out.KV, nil
 }
 
 // keepRoom renews the reservation at the decode side until ctx ends.
-func (e *Entry) keepRoom(ctx context.Context, r *request, s *sideLink) error {
+func (e *Entry) keepRoom(ctx context.Context, r *request, s *links.Link) error {
 	for {
 		pause(ctx, admit.Hold/3)
 		if ctx.Err() != nil {
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -13,7 +13,7 @@
 
 // entryLocal is what this entry brings to its connections with other entries.
 func (e *Entry) entryLocal() *wire.Local {
-	l := *e.sides.local
+	l := *e.sides.Local
 	l.Closed = nil
 	l.Notice = func(_ *wire.Peer, method string, params json.RawMessage) {
 		if method == wire.MethodEvidence {
@@ -36,7 +36,7 @@
 			if a.Service == member.Entries {
 				return e.entriesRecord(), nil
 			}
-			return e.sides.record(a.Service), nil
+			return e.sides.Record(a.Service), nil
 		})
 	case wire.MethodState:
 		return e.state(), nil
@@ -62,7 +62,7 @@
 // platform is down, puts this entry into the entries' record, and follows it.
 func (e *Entry) joinEntries(ctx context.Context, address netip.AddrPort) error {
 	for i, a := range e.Settings.Peers {
-		e.entries.dial(member.Member{Host: work.Host(fmt.Sprintf("peer-%d", i+1)), Service: "peers", Address: a})
+		e.entries.Dial(member.Member{Host: work.Host(fmt.Sprintf("peer-%d", i+1)), Service: "peers", Address: a})
 	}
 	if e.Settings.PeerAdvertise.IsValid() {
 		address = e.Settings.PeerAdvertise
@@ -79,7 +79,7 @@
 		e.joined.Store(&r)
 		others, _ := r.Without(e.Settings.Name, e.incarnation)
 		others.Version = r.Version
-		return e.entries.apply(others)
+		return e.entries.Apply(others)
 	})
 }
 
--- a/entry/request.go
+++ b/entry/request.go
@@ -8,6 +8,7 @@
 
 	"jacinthworks/check"
 	"jacinthworks/engine"
+	"jacinthworks/links"
 	"jacinthworks/retry"
 	"jacinthworks/story"
 	"jacinthworks/table"
@@ -153,12 +154,12 @@
 }
 
 // pass notes the side of a failed attempt, so that the next goes elsewhere.
-func (r *request) pass(s *sideLink, f *failure) {
+func (r *request) pass(s *links.Link, f *failure) {
 	if f == nil {
 		return
 	}
 	if r.avoid == nil {
 		r.avoid = make(map[work.Host]bool)
 	}
-	r.avoid[s.member.Host] = true
+	r.avoid[s.Member.Host] = true
 }
--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -321,7 +321,7 @@
 func (e *Entry) refuseUnserved(now time.Time) {
 	for _, name := range e.services() {
 		s := e.schedulers.of(name)
-		served := e.sides.canServe(name)
+		served := e.sides.CanServe(name)
 		s.mu.Lock()
 		if served || s.served.IsZero() {
 			s.served = now
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/links"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
@@ -23,15 +24,15 @@
 // stage runs one stage at a side and gives its outcome. It always gives one: a
 // lost connection is taken up again on a fresh one, and when that fails too
 // the attempt is settled or called unknown.
-func (e *Entry) stage(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
+func (e *Entry) stage(ctx context.Context, s *links.Link, r wire.Run, st *stream) wire.Outcome {
 	out := e.runStage(ctx, s, r, st)
 	e.blame(s, out.Death)
 	return out
 }
 
-func (e *Entry) runStage(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
+func (e *Entry) runStage(ctx context.Context, s *links.Link, r wire.Run, st *stream) wire.Outcome {
 	var out wire.Outcome
-	err := s.link.Call(ctx, wire.MethodRun, r, &out)
+	err := s.Call(ctx, wire.MethodRun, r, &out)
 	if err == nil && complete(out, st) {
 		return out
 	}
@@ -57,7 +58,7 @@
 // as a call without an answer. Attaching on a fresh connection, from the next
 // token wanted, holds because the side keeps the work and its tokens for as
 // long as this takes.
-func (e *Entry) takeUp(ctx context.Context, s *sideLink, r wire.Run, st *stream) wire.Outcome {
+func (e *Entry) takeUp(ctx context.Context, s *links.Link, r wire.Run, st *stream) wire.Outcome {
 	until := time.Now().Add(attachWithin)
 	for time.Now().Before(until) && ctx.Err() == nil {
 		a := wire.Attach{Ref: r.Ref}
@@ -65,9 +66,9 @@
 			a.From = st.next()
 		}
 		var out wire.Outcome
-		err := s.link.Call(ctx, wire.MethodAttach, a, &out)
+		err := s.Call(ctx, wire.MethodAttach, a, &out)
 		if err == nil && complete(out, st) {
-			e.Log.Info("taken up", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage, "side", s.member.Host)
+			e.Log.Info("taken up", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage, "side", s.Member.Host)
 			return out
 		}
 		if err != nil && !errors.Is(err, wire.ErrNotSent) {
@@ -86,12 +87,12 @@
 
 // giveUp ends an attempt that is no longer wanted, and says what is known of
 // it: the side's own account where it still answers.
-func (e *Entry) giveUp(ctx context.Context, s *sideLink, r wire.Run) wire.Outcome {
+func (e *Entry) giveUp(ctx context.Context, s *links.Link, r wire.Run) wire.Outcome {
 	out := wire.Outcome{Ref: r.Ref, Ran: work.Unknown, Reason: reasonOf(ctx)}
 	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
 	defer cancel()
 	var known wire.Outcome
-	if s.link.Call(settle, wire.MethodSettle, r.Ref, &known) == nil {
+	if s.Call(settle, wire.MethodSettle, r.Ref, &known) == nil {
 		out.Ran = known.Ran
 	}
 	if r.Stage != wire.StageCall && out.Ran != work.NotRun {
@@ -111,11 +112,11 @@
 // cancel brings a cancel order through, past the end of the request. A lost
 // order is repeated until a side says that it has it; a side that is cut off
 // from here frees the work itself.
-func (e *Entry) cancel(s *sideLink, r wire.Ref) {
+func (e *Entry) cancel(s *links.Link, r wire.Ref) {
 	e.later("cancel", cancelWithin, func(ctx context.Context) error {
 		for ctx.Err() == nil {
 			try, stop := context.WithTimeout(ctx, callWithin)
-			err := s.link.Call(try, wire.MethodCancel, r, nil)
+			err := s.Call(try, wire.MethodCancel, r, nil)
 			stop()
 			if err == nil {
 				return nil
--- a/entry/stories.go
+++ b/entry/stories.go
@@ -31,7 +31,7 @@
 	var last time.Time
 	for ctx.Err() == nil {
 		pause(ctx, flushPoll)
-		every := time.Duration(len(e.entries.all())) * flushPerEntry
+		every := time.Duration(len(e.entries.All())) * flushPerEntry
 		if now := time.Now(); e.recorder.Due(now) && now.Sub(last) >= every {
 			e.pack(&p, &o, now)
 			last = now
@@ -97,12 +97,12 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
-	asked := append(e.sides.connected(), e.entries.connected()...)
+	asked := append(e.sides.Connected(), e.entries.Connected()...)
 	answers := make(chan *story.Story, len(asked))
 	for _, l := range asked {
 		e.work.Go(ctx, "story", func(ctx context.Context) error {
 			var s story.Story
-			if l.link.Call(ctx, wire.MethodStory, wire.StoryAsk{Request: id}, &s) != nil {
+			if l.Call(ctx, wire.MethodStory, wire.StoryAsk{Request: id}, &s) != nil {
 				answers <- nil
 				return nil
 			}
--- a/entry/stream.go
+++ b/entry/stream.go
@@ -107,9 +107,9 @@
 	if !heard {
 		return
 	}
-	side := e.sides.find(p.Remote().Host)
-	if side == nil || side.link.Peer() != p {
+	side := e.sides.Find(p.Remote().Host)
+	if side == nil || side.Peer() != p {
 		return
 	}
-	e.schedulers.of(p.Remote().Service).report(p.Remote(), b, side.leaving.Load())
+	e.schedulers.of(p.Remote().Service).report(p.Remote(), b, side.Leaving.Load())
 }
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/editor"
+	"jacinthworks/links"
 	"jacinthworks/plat"
 	"jacinthworks/table"
 	"jacinthworks/wire"
@@ -84,7 +85,7 @@
 	turn := 0
 	for ctx.Err() == nil {
 		heard := 0
-		peers := e.entries.connected()
+		peers := e.entries.Connected()
 		for i := range min(confirmPeers, len(peers)) {
 			if e.askPeer(ctx, peers[(turn+i)%len(peers)]) {
 				heard++
@@ -99,12 +100,12 @@
 	return nil
 }
 
-func (e *Entry) askPeer(ctx context.Context, s *sideLink) bool {
+func (e *Entry) askPeer(ctx context.Context, s *links.Link) bool {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
 	asked := time.Now()
 	var got wire.Table
-	err := s.link.Call(ctx, wire.MethodTable, wire.TableAsk{Have: uint64(e.tables.Version())}, &got)
+	err := s.Call(ctx, wire.MethodTable, wire.TableAsk{Have: uint64(e.tables.Version())}, &got)
 	if err != nil {
 		return false
 	}
@@ -113,7 +114,7 @@
 		if err != nil {
 			return false
 		}
-		e.offer(t.At(table.Version(got.Version)), asked, s.member.Host)
+		e.offer(t.At(table.Version(got.Version)), asked, s.Member.Host)
 	}
 	e.tables.Hear(table.Version(got.Version), asked)
 	return true
@@ -171,7 +172,7 @@
 		return errors.Wrap(err, "entry: table")
 	}
 	e.offer(t, time.Now(), e.Settings.Name)
-	others := e.entries.connected()
+	others := e.entries.Connected()
 	if len(others) == 0 {
 		return nil
 	}
@@ -180,7 +181,7 @@
 	took := make(chan error, len(others))
 	for _, o := range others {
 		e.work.Go(ctx, "spread", func(ctx context.Context) error {
-			took <- o.link.Call(ctx, wire.MethodOffer, wire.Table{Version: uint64(t.Version()), Value: text}, nil)
+			took <- o.Call(ctx, wire.MethodOffer, wire.Table{Version: uint64(t.Version()), Value: text}, nil)
 			return nil
 		})
 	}
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/admit"
+	"jacinthworks/links"
 	"jacinthworks/queue"
 	"jacinthworks/route"
 	"jacinthworks/story"
@@ -29,7 +30,7 @@
 const turnTries = 8
 
 // pair is the two sides of one model attempt.
-type pair struct{ prefill, decode *sideLink }
+type pair struct{ prefill, decode *links.Link }
 
 // newTurn describes a request to its scheduler.
 func (e *Entry) newTurn(r *request) *turn {
@@ -81,7 +82,7 @@
 func (e *Entry) weights(r *request) route.Weights {
 	t := e.tables.Table()
 	w := make(route.Weights)
-	for _, z := range e.sides.zones(r.service) {
+	for _, z := range e.sides.Zones(r.service) {
 		if row, found := t.Find(r.service, z, r.kind); found {
 			w[z] = row.Weight
 		}
@@ -122,13 +123,13 @@
 			return pair{}, sent{}, f
 		}
 		e.logPair(r, got)
-		p := pair{prefill: e.sides.find(got.pair.Prefill), decode: e.sides.find(got.pair.Decode)}
+		p := pair{prefill: e.sides.Find(got.pair.Prefill), decode: e.sides.Find(got.pair.Decode)}
 		last = wire.ErrNotSent
 		if p.prefill != nil && p.decode != nil {
 			last = e.reserve(ctx, r, p.decode)
 		}
 		if last == nil {
-			e.tell(r, story.Event{Kind: story.Reserved, Upstream: p.decode.member.Host, Tokens: r.promptTokens + r.maxTokens})
+			e.tell(r, story.Event{Kind: story.Reserved, Upstream: p.decode.Member.Host, Tokens: r.promptTokens + r.maxTokens})
 			return p, got, nil
 		}
 		s.bounced(t)
@@ -151,10 +152,10 @@
 	s.running[t.kind]--
 }
 
-func (e *Entry) reserve(ctx context.Context, r *request, s *sideLink) error {
+func (e *Entry) reserve(ctx context.Context, r *request, s *links.Link) error {
 	ctx, cancel := context.WithTimeout(ctx, callWithin)
 	defer cancel()
-	return s.link.Call(ctx, wire.MethodReserve, wire.Reserve{
+	return s.Call(ctx, wire.MethodReserve, wire.Reserve{
 		Ref:    wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode},
 		Tokens: r.promptTokens + r.maxTokens, Hold: admit.Hold, Identity: r.identity,
 	}, new(wire.Reserved))
--- /dev/null
+++ b/links/links.go
@@ -0,0 +1,240 @@
+// Package links keeps a connection to each member of the services that a
+// process deals with, and knows which of them may be given new work.
+//
+// # Usage
+//
+//	d := links.Directory{Local: &local}
+//	g.Go(ctx, "links", d.Run)
+//	d.Apply(record) // on each newer record
+//	for _, l := range d.Of("wallapp") { ... }
+package links
+
+import (
+	"context"
+	"slices"
+	"sort"
+	"sync"
+	"sync/atomic"
+
+	"jacinthworks/group"
+	"jacinthworks/member"
+	"jacinthworks/wire"
+	"jacinthworks/work"
+)
+
+// Link is one member as this process sees it.
+type Link struct {
+	Member member.Member
+	wire.Link
+	stop context.CancelFunc
+	// Leaving is what the host list says; it lags.
+	Leaving atomic.Bool
+}
+
+// Usable says whether the member may be given new work.
+func (l *Link) Usable() bool {
+	p := l.Peer()
+	if p == nil || l.Leaving.Load() {
+		return false
+	}
+	b, heard := p.LastBeat()
+	return heard && !b.Draining && (b.Load == nil || !b.Load.Down)
+}
+
+// Directory holds a link to each side of the services in the table. The zero
+// value with Local set is ready; its lock is a leaf.
+type Directory struct {
+	Local *wire.Local
+	// Removed, if set, is told of members that left a record.
+	Removed func(member.Member)
+
+	mu      sync.Mutex
+	sides   map[work.Host]*Link
+	records map[work.Service]member.Record
+	links   group.Group
+	ctx     context.Context
+	ready   chan struct{}
+	once    sync.Once
+}
+
+func (d *Directory) init() {
+	d.once.Do(func() { d.ready = make(chan struct{}) })
+}
+
+// Run owns the links until the context ends.
+func (d *Directory) Run(ctx context.Context) error {
+	d.init()
+	d.mu.Lock()
+	d.ctx = ctx
+	d.mu.Unlock()
+	close(d.ready)
+	stop := context.AfterFunc(ctx, d.links.Close)
+	defer stop()
+	for range d.links.Ends() {
+	}
+	return nil
+}
+
+// Apply takes a service's record, if it is newer than the one held: new
+// Members are dialled, those replaced or gone are let go.
+func (d *Directory) Apply(r member.Record) bool {
+	d.init()
+	<-d.ready
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sides == nil {
+		d.sides = make(map[work.Host]*Link)
+		d.records = make(map[work.Service]member.Record)
+	}
+	if r.Version <= d.records[r.Service].Version {
+		return false
+	}
+	d.records[r.Service] = r
+	kept := make(map[work.Host]bool)
+	for _, m := range r.Members {
+		kept[m.Host] = true
+		if s := d.sides[m.Host]; s == nil || s.Member != m {
+			d.replace(m)
+		}
+	}
+	for h, s := range d.sides {
+		if s.Member.Service == r.Service && !kept[h] {
+			s.stop()
+			delete(d.sides, h)
+			if d.Removed != nil {
+				d.Removed(s.Member)
+			}
+		}
+	}
+	return true
+}
+
+func (d *Directory) replace(m member.Member) {
+	if old := d.sides[m.Host]; old != nil {
+		old.stop()
+	}
+	ctx, stop := context.WithCancel(d.ctx)
+	s := &Link{Member: m, stop: stop, Link: wire.Link{Target: m.Address, Local: d.Local}}
+	d.sides[m.Host] = s
+	d.links.Go(ctx, string(m.Host), s.Run)
+}
+
+// Dial adds a link that no record speaks of.
+func (d *Directory) Dial(m member.Member) {
+	d.init()
+	<-d.ready
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.sides == nil {
+		d.sides = make(map[work.Host]*Link)
+		d.records = make(map[work.Service]member.Record)
+	}
+	d.replace(m)
+}
+
+// Connected lists one link to each process that is connected, by host name.
+// The same process may stand under two names, in the settings and the record.
+func (d *Directory) Connected() []*Link {
+	var found []*Link
+	seen := make(map[work.Host]bool)
+	for _, l := range d.All() {
+		p := l.Peer()
+		if p == nil || p.Remote().Host == d.Local.Hello.Host || seen[p.Remote().Host] {
+			continue
+		}
+		seen[p.Remote().Host] = true
+		found = append(found, l)
+	}
+	return found
+}
+
+// Of lists the links to a service's members, by host name.
+func (d *Directory) Of(s work.Service) []*Link {
+	var found []*Link
+	for _, l := range d.All() {
+		if l.Member.Service == s {
+			found = append(found, l)
+		}
+	}
+	return found
+}
+
+// Serves says whether every role that the service's record names has a side
+// that may be given work.
+func (d *Directory) Serves(s work.Service) bool {
+	d.mu.Lock()
+	r := d.records[s]
+	d.mu.Unlock()
+	usable := make(map[work.Role]bool)
+	for _, l := range d.Of(s) {
+		usable[l.Member.Role] = usable[l.Member.Role] || l.Usable()
+	}
+	for _, m := range r.Members {
+		if !usable[m.Role] {
+			return false
+		}
+	}
+	return len(r.Members) > 0
+}
+
+// All lists every side known, by host.
+func (d *Directory) All() []*Link {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	found := make([]*Link, 0, len(d.sides))
+	for _, l := range d.sides {
+		found = append(found, l)
+	}
+	sort.Slice(found, func(i, j int) bool { return found[i].Member.Host < found[j].Member.Host })
+	return found
+}
+
+// CanServe says whether a service has sides for a whole request: an
+// application server, or an engine of each role.
+func (d *Directory) CanServe(s work.Service) bool {
+	usable := make(map[work.Role]bool)
+	for _, l := range d.Of(s) {
+		usable[l.Member.Role] = usable[l.Member.Role] || l.Usable()
+	}
+	return usable[work.RoleApp] || usable[work.RolePrefill] && usable[work.RoleDecode]
+}
+
+// Find gives the side under a host's name, or nil.
+func (d *Directory) Find(h work.Host) *Link {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.sides[h]
+}
+
+// Members lists the hosts of a service's record in a role.
+func (d *Directory) Members(s work.Service, r work.Role) []work.Host {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []work.Host
+	for _, m := range d.records[s].Members {
+		if m.Role == r {
+			found = append(found, m.Host)
+		}
+	}
+	return found
+}
+
+// Zones lists the availability zones of a service's members.
+func (d *Directory) Zones(s work.Service) []work.Zone {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	var found []work.Zone
+	for _, m := range d.records[s].Members {
+		if !slices.Contains(found, m.Zone) {
+			found = append(found, m.Zone)
+		}
+	}
+	return found
+}
+
+// Record gives a service's record; an empty one if none is known.
+func (d *Directory) Record(s work.Service) member.Record {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.records[s]
+}
