--- a/bench/tally.go
+++ b/bench/tally.go
@@ -39,15 +39,15 @@
 
 // add takes in the outcome of a send.
 func (t *tally) add(r *request) {
-	passed := r.sent.Sub(epoch)
-	if passed >= stop {
-		return
-	}
 	good := 0
 	if r.good() {
 		good = 1
 	}
 	t.allGood += good
+	passed := r.sent.Sub(epoch)
+	if passed >= stop {
+		return
+	}
 	second := &t.seconds[passed/time.Second]
 	second.good += good
 	if r.send == 1 {
