load: an open-loop client, and its command

Cause: nothing measured what callers receive from separate processes. Ruled out: closed-loop workers (a slow system slows its own load).

--- a/commands.go
+++ b/commands.go
@@ -30,6 +30,7 @@
 		cmdStatus,
 		cmdDrain,
 		cmdCheck,
+		cmdLoad,
 		cmdVersion,
 	}
 }
