--- a/claim/adopt.go
+++ b/claim/adopt.go
@@ -5,16 +5,26 @@
 	"time"
 )
 
-// Adopt takes a newer record. An owner goes on at its new epoch whatever its
-// rank, so that a change of the record moves no shard that works; one that is
-// no longer a member hands its table to rank 0. Under the first record ever,
-// rank 0 starts at once. In every other case the caller decides when to Start.
+// Adopt takes a newer record. An owner that is rank 0 goes on at its new epoch;
+// any other hands its table to rank 0. Under the first record ever, rank 0
+// starts at once. In every other case the caller decides when to Start.
+//
+// Failure: an owner of another rank may be in the zone of its shard's runners.
+// Losing that one host then loses owner and runner together, and every key of
+// the shard is unvouched until the host is back. Rank 0 is never in a runner's
+// zone, so the table goes there whenever the record changes.
 func (o *Owner) Adopt(rec Record, now time.Time) error {
 	for _, p := range replaced(rec) {
 		o.Lost(p, now)
 	}
 	rank, member := rec.Rank(o.Shard, o.Self)
 	switch {
+	case member && o.owns() && rank > 0:
+		heir := rec.Ranked(o.Shard)[0].Process()
+		if _, given := o.Retire(heir, Epoch{Version: rec.Version}, now); given {
+			return nil
+		}
+		return o.Start(rec, now)
 	case member && o.owns():
 		return o.Start(rec, now)
 	case member && rec.First && rank == 0:
