--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -101,6 +101,11 @@
 	require.NoError(t, err)
 	err = m.Decode(ctx, decode(kv), func(engine.Token) error { return mine })
 	require.ErrorIs(t, err, mine)
+	require.Eventually(t, func() bool {
+		runs := e.Runs()
+		last := runs[len(runs)-1]
+		return last.Outcome == model.Done && last.Tokens == 6
+	}, 10*time.Second, time.Millisecond, "a reader that has gone cancels nothing")
 
 	e.Misbehave(model.Fault{Frozen: true})
 	frozen := &engine.HTTPModel{Base: m.Base, PrefillSilence: silence, TokenSilence: silence}
