--- a/load/load.go
+++ b/load/load.go
@@ -14,7 +14,9 @@
 //
 // A request is good when its whole answer came with its time to first token
 // and the mean time between its tokens within both targets; a plain call has
-// only the first. Times count from the planned arrival, returns included.
+// only the first. Times count from the planned arrival, returns included;
+// client_lag says how late the client itself sent, for want of a finer timer or
+// of processor time. Smaller differences than that it does not show.
 package load
 
 import (
--- a/load/load_test.go
+++ b/load/load_test.go
@@ -127,6 +127,7 @@
 	require.Equal(t, "5", whole["good"], "without targets every whole answer is good")
 	require.Contains(t, whole, "ttft_p99_ms")
 	require.Contains(t, whole, "tbt_p95_ms")
+	require.Contains(t, whole, "client_lag_p50_ms")
 
 	late := metrics(Work{Kind: "appraisal", MaxTokens: 3, FirstToken: time.Nanosecond})
 	require.Equal(t, "5", late["answered"])
--- a/load/report.go
+++ b/load/report.go
@@ -77,6 +77,7 @@
 	first    *hdrhistogram.Histogram
 	between  *hdrhistogram.Histogram
 	plain    *hdrhistogram.Histogram
+	lag      *hdrhistogram.Histogram
 	refused  map[work.Reason]int
 	failed   map[work.Reason]int
 }
@@ -84,7 +85,7 @@
 func newReport() *Report {
 	histogram := func() *hdrhistogram.Histogram { return hdrhistogram.New(1, mostMicroseconds, significantDigits) }
 	return &Report{
-		first: histogram(), between: histogram(), plain: histogram(),
+		first: histogram(), between: histogram(), plain: histogram(), lag: histogram(),
 		refused: map[work.Reason]int{}, failed: map[work.Reason]int{},
 	}
 }
@@ -101,6 +102,14 @@
 	*count++
 }
 
+// began records how late the client itself was: the share of every time that
+// is not the system's.
+func (r *Report) began(planned time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	record(r.lag, time.Since(planned))
+}
+
 // ended records the end of one request.
 func (r *Report) ended(s sample, err error) {
 	r.mu.Lock()
@@ -168,6 +177,7 @@
 	lines = append(lines, quantiles("ttft", r.first)...)
 	lines = append(lines, quantiles("tbt", r.between)...)
 	lines = append(lines, quantiles("plain", r.plain)...)
+	lines = append(lines, quantiles("client_lag", r.lag)...)
 	lines = append(lines, counts("refused_", r.refused)...)
 	lines = append(lines, counts("failed_", r.failed)...)
 	for _, l := range lines {
--- a/load/request.go
+++ b/load/request.go
@@ -49,6 +49,7 @@
 // request sends one arrival, returns if it is refused and honours Retry-After,
 // and records its end.
 func (r *runner) request(ctx context.Context, a arrival, planned time.Time) {
+	r.report.began(planned)
 	for sends := 0; ; sends++ {
 		s := sample{work: a.work, planned: planned}
 		err := r.exchange(ctx, a, sends, &s)
