Every step between accept and answer is driven, by exit and by pause

TestEveryStep takes the list of steps from the code, loses or pauses a process at each, sends the key again through another entry, and judges. It found a refusal as not_run of a request whose prefill had run, given three times over: a side that was paused woke and ran what was given up, so the runner refused the key, and the entry tried on. Such a refusal is final and unknown now, and a request that was prefilled is never called not_run.

--- a/entry/model.go
+++ b/entry/model.go
@@ -97,6 +97,7 @@
 			Prefix: prefixOf(r.prompt), Priority: r.row.Priority,
 		},
 	}, nil)
+	r.prefilled = r.prefilled || out.Ran != work.NotRun
 	if out.Reason != "" || out.KV == nil {
 		return engine.KV{}, failed(out)
 	}
--- a/entry/request.go
+++ b/entry/request.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jacinthworks/check"
+	"jacinthworks/claim"
 	"jacinthworks/engine"
 	"jacinthworks/links"
 	"jacinthworks/retry"
@@ -31,6 +32,9 @@
 	bounces  work.Attempt // attempts that no side took
 	tries    work.Attempt // of claims, each with a number of its own
 	tokens   int
+	// prefilled says that an engine has begun a prefill of it, whatever came
+	// of the decode: it cannot be called not_run any more.
+	prefilled bool
 	// avoid holds the hosts that failed this request.
 	avoid map[work.Host]bool
 	// Of model work:
@@ -110,9 +114,10 @@
 // failed turns an outcome into a failure.
 func failed(out wire.Outcome) *failure {
 	f := &failure{ran: out.Ran, reason: out.Reason, detail: out.Detail, death: out.Death}
-	if c := out.Claim; c != nil && !c.TryNotRun {
-		// This attempt did not run, but its key may have, or has.
-		f.ran, f.final = c.Ran, true
+	if c := out.Claim; c != nil && (c.Code == claim.CodeKeyTaken || !c.TryNotRun) {
+		// This attempt did not run, but another under its key may have: a
+		// side that was paused wakes and runs what was given up meanwhile.
+		f.ran, f.final = worse(c.Ran, work.Unknown), true
 	}
 	return f
 }
@@ -133,6 +138,9 @@
 		e.tell(r, story.Event{Kind: story.AttemptEnded, Ran: f.ran, Reason: f.reason, Detail: f.detail})
 		// An earlier attempt may have run although the last one did not.
 		worst = worse(worst, f.ran)
+		if r.prefilled {
+			worst = worse(worst, work.DidRun)
+		}
 		if ctx.Err() != nil {
 			f.reason = reasonOf(ctx)
 		}
--- a/test/world.go
+++ b/test/world.go
@@ -22,6 +22,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"slices"
 	"strings"
 	"sync"
 	"syscall"
@@ -66,6 +67,7 @@
 	before    upstreams
 	edits     map[string]*edit
 	watch     *watcher
+	drills    map[string]string // of processes, until they are restarted
 	worst     time.Duration
 	entries   []string
 	engines   []string
@@ -232,7 +234,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := w.launch(name, w.bin.Router, "side", "--settings", path)
+	p, err := w.launch(name, w.bin.Router, append([]string{"side", "--settings", path}, w.drill(name)...)...)
 	if err != nil {
 		return err
 	}
@@ -240,6 +242,14 @@
 	return nil
 }
 
+// drill gives a process's drill as arguments.
+func (w *world) drill(name string) []string {
+	if w.drills[name] == "" {
+		return nil
+	}
+	return []string{"--drill", w.drills[name]}
+}
+
 // Tokens of the scenarios' callers and operators.
 const (
 	callerToken   = "caller-token-of-scenarios"
@@ -278,7 +288,7 @@
 	if err != nil {
 		return err
 	}
-	p, err := w.launch(name, w.bin.Router, "entry", "--settings", path)
+	p, err := w.launch(name, w.bin.Router, append([]string{"entry", "--settings", path}, w.drill(name)...)...)
 	if err != nil {
 		return err
 	}
@@ -299,6 +309,9 @@
 		args = append(args[:1:1], "--listen", old.address.String())
 		args = append(args, old.args[2:]...)
 	}
+	if i := slices.Index(args, "--drill"); i >= 0 {
+		args = args[:i] // a drill happens once
+	}
 	p, err := w.launch(name, old.args[0], args...)
 	if err != nil || old.args[0] == w.bin.Fakes {
 		return err
