--- a/queue/flow.go
+++ b/queue/flow.go
@@ -58,8 +58,8 @@
 	drain drain
 }
 
-func laneOf(i Item) int {
-	if i.Prompt >= LongPrompt {
+func laneOf(prompt int) int {
+	if prompt >= LongPrompt {
 		return laneLong
 	}
 	return laneShort
@@ -93,7 +93,7 @@
 	}
 }
 
-func (k *class) lane(i Item) *lane { return &k.lanes[laneOf(i)] }
+func (k *class) lane(i Item) *lane { return &k.lanes[laneOf(i.Prompt)] }
 
 // enter counts the entry in and gives the flow it belongs to.
 func (k *class) enter(now time.Time, e *entry, c caller, at end) *flow {
--- a/queue/pace.go
+++ b/queue/pace.go
@@ -25,9 +25,11 @@
 // that each takes and a time for each token. Its estimates are an Item's
 // ToFirstToken and ToEnd. The zero value is ready to use.
 type Pace struct {
-	// extra is seconds to the first token beyond the prefill itself, gap is
-	// seconds between tokens.
-	extra, gap average
+	// extra is seconds to the first token beyond the prefill itself, apart for
+	// short and long prompts: a slow engine adds many times more to a long one.
+	extra [lanes]average
+	// gap is seconds between tokens.
+	gap average
 }
 
 // average is a decaying mean with its mean deviation.
@@ -50,7 +52,7 @@
 // Observe takes in a request that was answered: the times from leaving the queue
 // to its first and its last token.
 func (p *Pace) Observe(prompt, output int, first, end time.Duration) {
-	p.extra.add(max(0, first-prefill(prompt)).Seconds())
+	p.extra[laneOf(prompt)].add(max(0, first-prefill(prompt)).Seconds())
 	if output > 1 {
 		p.gap.add((end - first).Seconds() / float64(output-1))
 	}
@@ -63,7 +65,7 @@
 	if p.gap.seen {
 		gap = p.gap.high()
 	}
-	first = prefill(prompt) + seconds(p.extra.high())
+	first = prefill(prompt) + seconds(p.extra[laneOf(prompt)].high())
 	return first, first + seconds(gap*float64(output))
 }
 
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -307,7 +307,7 @@
 	q.items[i.ID] = e
 	q.callers[c]++
 	q.waiting += i.Cost()
-	q.lanes[laneOf(i)].cost += i.Cost()
+	q.lanes[laneOf(i.Prompt)].cost += i.Cost()
 	if !e.lapse.IsZero() {
 		q.lapses.push(e)
 	}
@@ -327,7 +327,7 @@
 		delete(q.callers, c)
 	}
 	q.waiting -= e.item.Cost()
-	q.lanes[laneOf(e.item)].cost -= e.item.Cost()
+	q.lanes[laneOf(e.item.Prompt)].cost -= e.item.Cost()
 	if e.place >= 0 {
 		q.lapses.remove(e.place)
 	}
--- a/queue/verdict.go
+++ b/queue/verdict.go
@@ -180,7 +180,7 @@
 	return &Refusal{
 		Reason:     reason,
 		Detail:     detail,
-		RetryAfter: q.returns.after(now, excess, q.lanes[laneOf(i)].drain.wait(i.Cost()), random),
+		RetryAfter: q.returns.after(now, excess, q.lanes[laneOf(i.Prompt)].drain.wait(i.Cost()), random),
 		Grounds:    g,
 	}
 }
