--- a/bench/main.go
+++ b/bench/main.go
@@ -25,6 +25,7 @@
 //   - worst_caller_goodput: smallest part of a caller's work answered in time
 //   - goodput_cost: goodput weighed by cost, in thousands of prompt tokens a
 //     second
+//   - worst_kind_goodput: the same of a kind's work
 //   - recovery_s: until goodput stays at 95% of that before a burst, or of that
 //     in the end after a loss
 package main
--- a/bench/run.go
+++ b/bench/run.go
@@ -13,7 +13,7 @@
 
 // decisions can each be switched off, as policy without_<name>.
 var decisions = []string{
-	"reservations", "refusal", "fair_queueing", "priority", "yielding", "lanes", "hot_key", "retry_spacing",
+	"reservations", "refusal", "fair_queueing", "priority", "aging", "yielding", "lanes", "hot_key", "retry_spacing",
 	"own_counts", "cache_belief", "kv_life", "token_gap", "prefill_bound", "short_only", "ejection",
 }
 
@@ -120,7 +120,8 @@
 	line("ttft_p95_ms", p95(t.firsts), 0)
 	line("tbt_p95_ms", p95(t.gaps), 1)
 	line("refused", t.refusedPart(), 3)
-	line("worst_caller_goodput", t.worstCaller(), 3)
+	line("worst_caller_goodput", worst(t.callers), 3)
+	line("worst_kind_goodput", worst(t.kinds), 3)
 	if c.scenario.hotCaller > 0 || c.scenario.hotKey > 0 {
 		line("others_goodput", t.othersGoodput(), 3)
 	}
--- a/bench/tally.go
+++ b/bench/tally.go
@@ -17,7 +17,9 @@
 	goodCost                      int
 	othersGood, othersOffered     int
 	firsts, gaps                  []time.Duration
-	callers                       map[string]*share
+	// callers and kinds hold first sends and all good sends of each, extra
+	// callers aside.
+	callers, kinds map[string]*share
 	// seconds holds the first sends and all good sends of each second.
 	seconds              [stop / time.Second]share
 	filledTokens, wasted int
@@ -35,7 +37,9 @@
 	return float64(s.good) / float64(s.offered)
 }
 
-func newTally() *tally { return &tally{callers: make(map[string]*share)} }
+func newTally() *tally {
+	return &tally{callers: make(map[string]*share), kinds: make(map[string]*share)}
+}
 
 // add takes in the outcome of a send.
 func (t *tally) add(r *request) {
@@ -79,16 +83,23 @@
 		return
 	}
 	t.othersGood += good
-	c, ok := t.callers[string(r.caller.account)]
-	if !ok {
-		c = &share{}
-		t.callers[string(r.caller.account)] = c
-	}
-	c.good += good
 	if r.send == 1 {
-		c.offered++
 		t.othersOffered++
 	}
+	record(t.callers, string(r.caller.account), r.send, good)
+	record(t.kinds, string(r.kind.row.Kind), r.send, good)
+}
+
+func record(all map[string]*share, name string, send, good int) {
+	s, ok := all[name]
+	if !ok {
+		s = &share{}
+		all[name] = s
+	}
+	s.good += good
+	if send == 1 {
+		s.offered++
+	}
 }
 
 // window is the judged time of all seeds, in seconds.
@@ -110,14 +121,14 @@
 	return float64(t.refused) / math.Max(1, float64(t.sends))
 }
 
-// worstCaller is the smallest part of its work that a caller had answered in
-// time, extra callers aside.
-func (t *tally) worstCaller() float64 {
-	worst := 1.0
-	for _, c := range t.callers {
-		worst = min(worst, c.part())
+// worst is the smallest part of its work that a caller or a kind had answered in
+// time.
+func worst(all map[string]*share) float64 {
+	least := 1.0
+	for _, s := range all {
+		least = min(least, s.part())
 	}
-	return worst
+	return least
 }
 
 // recoveryWindow is in seconds: about 180 first sends over six seeds, whose
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -77,6 +77,9 @@
 type Limits struct {
 	// Items is the table's queue limit; zero stands for DefaultItems.
 	Items int
+	// Aging is the time without service that lifts a class by one level; zero
+	// stands for AgingStep, negative for no aging.
+	Aging time.Duration
 }
 
 // Item is one request that waits.
@@ -182,7 +185,7 @@
 		return Verdict{Grounds: g, Refusal: r}
 	}
 	v := Verdict{Grounds: g}
-	if len(q.items) >= q.limit() {
+	if len(q.items) >= q.Limits.items() {
 		victim := q.newestLowest()
 		if victim.item.rank() >= i.rank() {
 			v.Refusal = q.refuse(now, i, work.ReasonNoRoom, DetailFull, g, random)
@@ -284,13 +287,23 @@
 	}
 }
 
-func (q *Queue) limit() int {
-	if q.Limits.Items > 0 {
-		return q.Limits.Items
+func (l Limits) items() int {
+	if l.Items > 0 {
+		return l.Items
 	}
 	return DefaultItems
 }
 
+func (l Limits) aging() time.Duration {
+	switch {
+	case l.Aging > 0:
+		return l.Aging
+	case l.Aging < 0:
+		return maxWait
+	}
+	return AgingStep
+}
+
 // add appends the item to its caller's flow.
 func (q *Queue) add(now time.Time, i Item, c caller) {
 	e := q.link(now, i, c, newest)
@@ -378,7 +391,7 @@
 // pick gives the class that is to be served: the highest priority, each lifted
 // by the time it has gone without service, or -1.
 func (q *Queue) pick(now time.Time, tried *[classes]bool) int {
-	best, level := -1, time.Duration(0)
+	step, best, level := q.Limits.aging(), -1, time.Duration(0)
 	for p := classes - 1; p >= 0; p-- {
 		k := &q.classes[p]
 		if tried[p] || k.newest == nil {
@@ -386,7 +399,7 @@
 		}
 		lifted := now.Sub(k.served)
 		if p < Priorities {
-			lifted += time.Duration(p) * AgingStep
+			lifted += time.Duration(p) * step
 		}
 		if best < 0 || lifted > level {
 			best, level = p, lifted
--- a/queue/verdict.go
+++ b/queue/verdict.go
@@ -150,7 +150,7 @@
 // waiting, n parts in n+1 are taken at the most: a place is left for one who
 // comes with nothing waiting.
 func (q *Queue) callerLimit() int {
-	return max(1, q.limit()/(len(q.callers)+1))
+	return max(1, q.Limits.items()/(len(q.callers)+1))
 }
 
 // refusal says why the item is refused on arrival, or gives nil.
