--- a/bench/deployment.go
+++ b/bench/deployment.go
@@ -18,6 +18,8 @@
 	callers           int
 	// prefixes is the number of documents that prompts begin with.
 	prefixes int
+	// apps are plain application servers in each zone, in place of engines.
+	apps int
 }
 
 // kind is a row of the table and the requests that come under it.
@@ -30,6 +32,8 @@
 	minOutput, maxOutput int
 	// shared is the part of a prompt that its document makes, in percent.
 	shared int
+	// service is the mean time that a plain call takes.
+	service time.Duration
 }
 
 // The engines of both sites. A prefill engine fills 20,000 tokens a second. A
@@ -92,9 +96,31 @@
 	}
 }
 
+// wallapp is the Registry's plain service; Tollygunge's marketplace-app has the
+// same size. All its calls take alike, so that goodput in calls does not depend
+// on which are served, and longer than real ones, which changes nothing but the
+// number of events.
+func wallapp() deployment {
+	row := func(k work.Kind, priority int) table.Row {
+		return table.Row{Kind: k, Priority: priority, Idempotent: priority < 8, Deadline: target(2 * time.Second)}
+	}
+	const takes = 200 * time.Millisecond
+	return deployment{
+		name: "wallapp", zones: registry().zones, apps: 1, callers: 24,
+		kinds: []kind{
+			{share: 30, service: takes, row: row("ascent", 8)},
+			{share: 50, service: takes, row: row("route_card", 5)},
+			{share: 20, service: takes, row: row("wall_list", 2)},
+		},
+	}
+}
+
 // capacity is the number of requests a second that would keep the busier pool
 // just busy with perfect packing and no cached prefix: load 1x.
 func (d deployment) capacity() float64 {
+	if d.apps > 0 {
+		return d.appCapacity()
+	}
 	var prompt, output float64
 	for _, k := range d.kinds {
 		prompt += float64(k.share) / 100 * float64(k.minPrompt+k.maxPrompt) / 2
@@ -105,6 +131,14 @@
 	return min(zones*float64(d.prefills)*prefillRate/prompt, zones*float64(d.decodes)*full/output)
 }
 
+func (d deployment) appCapacity() float64 {
+	var mean float64
+	for _, k := range d.kinds {
+		mean += float64(k.share) / 100 * k.service.Seconds()
+	}
+	return float64(len(d.zones)*d.apps*appWorkers) / mean
+}
+
 // draw makes a request of the mix, or of the kind with the given index.
 func (d *deployment) draw(random *rand.Rand, index int) *request {
 	if index < 0 {
@@ -114,6 +148,9 @@
 		}
 	}
 	k := &d.kinds[index]
+	if d.apps > 0 {
+		return &request{kind: k, key: random.Uint64() | 1}
+	}
 	r := &request{
 		kind:   k,
 		prompt: k.minPrompt + random.IntN(k.maxPrompt-k.minPrompt+1),
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -19,6 +19,7 @@
 	random  *rand.Rand
 	queue   queue.Queue
 	model   route.Model
+	apps    route.Apps
 	pace    queue.Pace
 	waiting map[work.RequestID]*request
 	// filling and giving compare the prefill and the decode engines.
@@ -76,11 +77,20 @@
 		Priority:   r.kind.row.Priority,
 		Prompt:     r.prompt,
 		Output:     r.output,
-		FirstToken: r.firstTarget(),
+		FirstToken: r.firstTarget(), // for a plain call its deadline
 		Deadline:   r.deadline(),
 		MayWait:    r.kind.row.MayWait,
 	}
+	if len(e.w.apps) > 0 {
+		i.ToEnd, i.ToFirstToken = r.kind.service, r.kind.service
+		return e.withoutOne(i)
+	}
 	i.ToFirstToken, i.ToEnd = e.pace.Estimate(i.Prompt, i.Output)
+	return e.withoutOne(i)
+}
+
+// withoutOne takes out of an item what the switched-off decision is made of.
+func (e *entry) withoutOne(i queue.Item) queue.Item {
 	switch e.off {
 	case "refusal":
 		i.FirstToken, i.Deadline = time.Time{}, time.Time{}
@@ -163,6 +173,9 @@
 
 // place reserves a pair and starts the prefill; false when none has room.
 func (e *entry) place(r *request) bool {
+	if len(e.w.apps) > 0 {
+		return e.placeApp(r)
+	}
 	j := e.job(r)
 	for range 3 {
 		pair, g, ok := e.model.Choose(e.w.now, j, e.random)
@@ -211,7 +224,7 @@
 
 // again puts a request back whose engines failed it.
 func (e *entry) again(r *request) {
-	if r.attempt >= maxAttempts || !r.first.IsZero() {
+	if r.attempt >= maxAttempts || !r.first.IsZero() || !r.kind.row.Idempotent {
 		e.w.end(r, failed)
 		return
 	}
@@ -222,6 +235,9 @@
 
 // free releases what the request holds at the sides.
 func (e *entry) free(r *request) {
+	if r.app != nil {
+		e.freeApp(r)
+	}
 	if r.prefill == nil {
 		return
 	}
--- a/bench/naive.go
+++ b/bench/naive.go
@@ -20,6 +20,10 @@
 func newNaive(w *world) *naive { return &naive{w: w, lost: make(map[work.Host]bool)} }
 
 func (n *naive) arrive(r *request) {
+	if len(n.w.apps) > 0 {
+		n.call(r)
+		return
+	}
 	for range n.w.prefills {
 		r.prefill = n.w.prefills[n.nextFill%len(n.w.prefills)]
 		n.nextFill++
@@ -30,6 +34,18 @@
 	r.prefill.add(r)
 }
 
+// call sends a plain call to the next application server.
+func (n *naive) call(r *request) {
+	for range n.w.apps {
+		r.app = n.w.apps[n.nextFill%len(n.w.apps)]
+		n.nextFill++
+		if !n.lost[r.app.host] {
+			break
+		}
+	}
+	r.app.add(r)
+}
+
 func (n *naive) filled(r *request, evict time.Time) {
 	if r.over() {
 		n.w.filledTokens += r.filled
@@ -50,7 +66,7 @@
 	if r.over() {
 		return
 	}
-	if r.attempt >= maxAttempts {
+	if r.attempt >= maxAttempts || !r.kind.row.Idempotent {
 		n.w.end(r, failed)
 		return
 	}
--- a/bench/request.go
+++ b/bench/request.go
@@ -44,6 +44,7 @@
 	// The engines that have the request, and what they hold for it.
 	prefill *prefillEngine
 	decode  *decodeEngine
+	app     *appServer
 	pair    route.Pair
 	// filled counts prompt tokens that engines filled for the request.
 	filled int
@@ -58,6 +59,9 @@
 }
 
 func (r *request) firstTarget() time.Time {
+	if r.kind.row.FirstToken == 0 {
+		return r.deadline()
+	}
 	return r.sent.Add(time.Duration(r.kind.row.FirstToken))
 }
 
--- a/bench/run.go
+++ b/bench/run.go
@@ -32,6 +32,15 @@
 	return list
 }
 
+// plainPolicy says whether a policy differs from the others for plain services.
+func plainPolicy(name string) bool {
+	switch strings.TrimPrefix(name, policyLess) {
+	case policyNaive, policyOurs, "refusal", "fair_queueing", "priority", "aging", "hot_key", "retry_spacing", "own_counts":
+		return true
+	}
+	return false
+}
+
 func newPolicy(w *world, name string, seed uint64) policy {
 	if name == policyNaive {
 		return newNaive(w)
@@ -62,13 +71,17 @@
 // two policies that are compared.
 func cells(s settings) []*cell {
 	var list []*cell
+	deployments := []deployment{tollygunge(), registry(), wallapp()}
 	add := func(policies []string, seed uint64, label string) {
-		for _, d := range []deployment{tollygunge(), registry()} {
+		for _, d := range deployments {
 			for _, x := range scenarios() {
-				if len(s.Scenario) > 0 && !slices.Contains(s.Scenario, x.name) {
+				if x.models && d.apps > 0 || len(s.Scenario) > 0 && !slices.Contains(s.Scenario, x.name) {
 					continue
 				}
 				for _, p := range policies {
+					if d.apps > 0 && !plainPolicy(p) {
+						continue
+					}
 					if len(s.Policy) == 0 || slices.Contains(s.Policy, p) {
 						list = append(list, &cell{scenario: x, deployment: d, policy: p, seed: seed, seeds: s.Seeds, label: p + label})
 					}
--- a/bench/scenario.go
+++ b/bench/scenario.go
@@ -24,6 +24,8 @@
 	fault  func(w *world)
 	// hotCaller and hotKey are further load, as multiples of capacity.
 	hotCaller, hotKey float64
+	// models says that the scenario makes sense for model engines only.
+	models bool
 	// recovery says from which second and against which seconds recovery is
 	// measured; zero for none.
 	recovery [3]int
@@ -41,11 +43,11 @@
 		{name: "hot_caller", load: steady(0.6), hotCaller: 1.4},
 		{name: "hot_key", load: steady(0.6), hotKey: 1.4},
 		{name: "slow_upstream", load: steady(0.8), fault: slowPrefill},
-		{name: "slow_decode", load: steady(0.8), fault: slowDecode},
-		{name: "long_among_short", load: steady(0.8), change: fewLong},
-		{name: "shared_prefix", load: steady(1.5), change: fewDocuments},
+		{name: "slow_decode", load: steady(0.8), fault: slowDecode, models: true},
+		{name: "long_among_short", load: steady(0.8), change: fewLong, models: true},
+		{name: "shared_prefix", load: steady(1.5), change: fewDocuments, models: true},
 		{name: "upstream_lost", load: steady(0.8), fault: loseOne, recovery: [3]int{25, 40, 50}},
-		{name: "zone_lost", load: steady(0.6), fault: loseZone, recovery: [3]int{25, 40, 50}},
+		{name: "zone_lost", load: steady(0.6), fault: loseZone, models: true, recovery: [3]int{25, 40, 50}},
 	}
 	for _, x := range []float64{0.5, 1, 2, 3, 4} {
 		list = append(list, scenario{name: fmt.Sprintf("overload_%gx", x), load: steady(x)})
@@ -78,8 +80,15 @@
 	}
 }
 
-func slowPrefill(w *world) { w.prefills[0].slow = 5 }
-func slowDecode(w *world)  { w.decodes[0].slow = 3 }
+func slowPrefill(w *world) {
+	if len(w.apps) > 0 {
+		w.apps[0].slow = 5
+		return
+	}
+	w.prefills[0].slow = 5
+}
+
+func slowDecode(w *world) { w.decodes[0].slow = 3 }
 
 func loseOne(w *world) {
 	w.at(epoch.Add(faultAt), func() { w.loseZone(w.deployment.zones[0], false) })
--- a/bench/side.go
+++ b/bench/side.go
@@ -95,6 +95,7 @@
 	made     time.Time
 	prefills map[*prefillEngine]route.PrefillReport
 	decodes  map[*decodeEngine]route.DecodeReport
+	apps     map[*appServer]route.AppReport
 	links    map[*link]route.LinkReport
 }
 
@@ -104,6 +105,7 @@
 		made:     s.w.now,
 		prefills: make(map[*prefillEngine]route.PrefillReport),
 		decodes:  make(map[*decodeEngine]route.DecodeReport),
+		apps:     make(map[*appServer]route.AppReport),
 		links:    make(map[*link]route.LinkReport),
 	}
 	for _, p := range s.w.prefills {
@@ -116,6 +118,11 @@
 			now.decodes[d] = d.report()
 		}
 	}
+	for _, a := range s.w.apps {
+		if !a.dead {
+			now.apps[a] = a.report()
+		}
+	}
 	for _, l := range s.w.links {
 		now.links[l] = route.LinkReport{Rate: l.rate, QueuedBytes: l.queued(s.w.now)}
 	}
@@ -139,6 +146,11 @@
 				e.model.Decodes.Update(d.host, d.zone, r.made, report)
 			}
 		}
+		for _, a := range s.w.apps {
+			if report, ok := r.apps[a]; ok && !s.lost[a.host] {
+				e.apps.Pool.Update(a.host, a.zone, r.made, report)
+			}
+		}
 		for _, l := range s.w.links {
 			e.model.UpdateLink(l.path, r.made, r.links[l])
 		}
@@ -186,6 +198,7 @@
 	for _, e := range s.entries {
 		e.model.Prefills.Remove(h)
 		e.model.Decodes.Remove(h)
+		e.apps.Pool.Remove(h)
 	}
 	for _, r := range lost {
 		s.evicted(r)
--- a/bench/world.go
+++ b/bench/world.go
@@ -36,6 +36,7 @@
 	random     *rand.Rand
 	prefills   []*prefillEngine
 	decodes    []*decodeEngine
+	apps       []*appServer
 	links      []*link
 	policy     policy
 	ids        int
@@ -48,6 +49,11 @@
 	w := &world{clock: newClock(), deployment: d}
 	w.random = rand.New(rand.NewPCG(seed, 1))
 	for _, z := range d.zones {
+		for n := range d.apps {
+			w.apps = append(w.apps, &appServer{
+				c: w.clock, random: w.random, zone: z, host: work.Host(fmt.Sprintf("app-%s-%d", z, n)), ended: w.answered,
+			})
+		}
 		for n := range d.prefills {
 			e := &prefillEngine{c: w.clock, random: w.random, zone: z, host: work.Host(fmt.Sprintf("prefill-%s-%d", z, n))}
 			e.cache.changed = func(uint64, int, bool) {}
@@ -127,6 +133,10 @@
 
 // loseZone loses every engine of the zone, or only the first prefill engine.
 func (w *world) loseZone(z work.Zone, all bool) {
+	if len(w.apps) > 0 {
+		w.loseApp()
+		return
+	}
 	for _, e := range w.prefills {
 		if e.zone == z && !e.dead {
 			w.losePrefill(e)
