Stories: a side's late news opens no half, and a live half is not lost

Cause: any event but AttemptEnded opened a half at a side, so that a late caller_gone waited ten minutes for an end and then gave a false finding; and an open half read from a live side was told as lost. Ejection: mixed lengths eject nobody in 600 s.

--- a/eject/eject.go
+++ b/eject/eject.go
@@ -151,8 +151,9 @@
 	return changes
 }
 
-// Answered reports an answer of so many tokens; zero tokens, as of a plain
-// call, counts as one.
+// Answered reports an answer of so many tokens, and the time from its start at
+// the upstream to its last token, without the wait before. A prefill counts the
+// tokens of its prompt; zero tokens, as of a plain call, count as one.
 func (p *Pool) Answered(_ time.Time, h work.Host, elapsed time.Duration, tokens int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
--- a/eject/eject_test.go
+++ b/eject/eject_test.go
@@ -3,6 +3,7 @@
 import (
 	"flag"
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"os"
 	"slices"
@@ -181,6 +182,25 @@
 	require.InDelta(t, 1.0, new(Pool).Weight(now, "unknown"), 0)
 }
 
+// Short look-ups and long files take their turns at random, each with 50 ms
+// before its first token: a healthy upstream that met short ones looks slow by
+// the token. None must be ejected for that.
+func TestMixedLengthsEjectNobody(t *testing.T) {
+	var p Pool
+	x := rand.New(rand.NewPCG(1, 2))
+	hosts := pool(9)
+	p.Members(start, hosts)
+	for second := range 600 {
+		now := start.Add(time.Duration(second) * time.Second)
+		for range 200 {
+			tokens := int(math.Exp(x.Float64() * math.Log(500)))
+			elapsed := 50*time.Millisecond + time.Duration(tokens)*10*time.Millisecond
+			p.Answered(now, hosts[x.IntN(len(hosts))], elapsed, tokens)
+		}
+		require.Empty(t, p.Evaluate(now), "second %d", second)
+	}
+}
+
 // naiveSlow is isSlow as one would write it down first.
 func naiveSlow(values []time.Duration, own int) bool {
 	peers := slices.Concat(values[:own], values[own+1:])
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -154,6 +154,34 @@
 	batch := r.Take()
 	require.Len(t, batch, 1)
 	require.Contains(t, batch[0].Findings[0].Problem, "did not end")
+	require.False(t, r.Due(at(2000).Add(FlushAge)), "nothing waits")
+
+	// Late news opens no half that would wait for an end.
+	r.Record(Event{Kind: CallerGone, Time: at(2001), Host: "side-4", Request: "entry-1.3.9"})
+	require.False(t, r.Due(at(2002)))
+	require.True(t, r.Due(at(2001).Add(FlushAge)))
+	require.Len(t, r.Take(), 1)
+}
+
+// The entry is lost while the side still runs its request. The side's half is
+// read from the live side: it has no end yet, and that is not a loss.
+func TestOpenHalfIsNotLost(t *testing.T) {
+	r := Recorder{Half: HalfSide}
+	entry, prefill, _ := appraisal(1)
+	record(&r, prefill[:3])
+	s, ok := r.Get(entry[0].Request)
+	require.True(t, ok && s.Open)
+	a := Merge(s.Request, s)
+	require.Equal(t, StateLost, a.State)
+	require.Len(t, a.Missing, 2)
+	require.NotContains(t, strings.Join(a.Missing, "\n"), "side side-4: lost")
+
+	var e Recorder
+	record(&e, entry[:4])
+	s, _ = e.Get(entry[0].Request)
+	a = Merge(s.Request, s)
+	require.Equal(t, StateOpen, a.State)
+	require.Empty(t, a.Missing)
 }
 
 // The entry is killed right after the answer. An engineer asks another entry,
