make slopes: what each mechanism costs per peer, request, token and row

CAPACITY.md needs slopes measured on one machine. Go benchmarks alone were ruled out: they do not see sockets, logs and the garbage collector of the real processes. The scenarios' world starts them, now also without relays, and /proc tells their processor time, memory and bytes. An entry's metrics gain the runtime's memstats.

--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,7 @@
 .PHONY: bench
 bench: ## decisions under load in virtual time, tab-separated
 	go run ./bench
+
+.PHONY: slopes
+slopes: ## cost of each mechanism on this machine, for docs/CAPACITY.md; under 3 minutes
+	go run ./test/slopes
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -49,6 +49,7 @@
 	add("table_version", int64(e.tables.Version()))
 	add("sides_connected", int64(len(e.sides.connected())))
 	add("entries_connected", int64(len(e.entries.connected())))
+	v.Set("memstats", expvar.Get("memstats"))
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	fmt.Fprintln(w, v.String())
 }
--- /dev/null
+++ b/test/direct.go
@@ -0,0 +1,110 @@
+package test
+
+import (
+	"fmt"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+
+	"github.com/pkg/errors"
+)
+
+// CallerToken is the bearer token of the callers in every world.
+const CallerToken = callerToken
+
+// Build builds the programs under test into dir.
+func Build(dir string) (Binaries, error) {
+	b := Binaries{Router: filepath.Join(dir, "jacinthworks"), Fakes: filepath.Join(dir, "fakes")}
+	for out, from := range map[string]string{b.Router: "jacinthworks", b.Fakes: "jacinthworks/fakes"} {
+		if text, err := exec.Command("go", "build", "-o", out, from).CombinedOutput(); err != nil {
+			return b, errors.Errorf("test: building %s: %s", from, text)
+		}
+	}
+	return b, nil
+}
+
+// Direct is a world for programs that measure: its processes reach each other
+// without relays and log only what a deployment logs.
+type Direct struct{ w *world }
+
+// Running is a process of a Direct world.
+type Running struct {
+	PID     int
+	Address netip.AddrPort
+	// Admin and Peers are where an entry answers operators and other entries.
+	Admin, Peers netip.AddrPort
+}
+
+// NewDirect starts a platform with the given table. Logs and settings go to
+// dir. The caller must Close it.
+func NewDirect(bin Binaries, dir string, table []byte) (*Direct, error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return nil, err
+	}
+	w := newWorld(bin, dir)
+	w.direct = true
+	if err := w.startPlatform(table); err != nil {
+		w.close()
+		return nil, err
+	}
+	return &Direct{w: w}, nil
+}
+
+// Close ends what was started, by pid.
+func (d *Direct) Close() { d.w.close() }
+
+// Fake starts a stand-in.
+func (d *Direct) Fake(name string, args ...string) (Running, error) {
+	p, err := d.w.launch(name, d.w.bin.Fakes, args...)
+	if err != nil {
+		return Running{}, err
+	}
+	return running(p), nil
+}
+
+// Upstream makes an address known under a name, for Side.
+func (d *Direct) Upstream(name string, at netip.AddrPort) {
+	d.w.mu.Lock()
+	defer d.w.mu.Unlock()
+	if d.w.outside == nil {
+		d.w.outside = make(map[string]netip.AddrPort)
+	}
+	d.w.outside[name] = at
+}
+
+// Side starts a side before an upstream, which is a stand-in's name or one
+// made known by Upstream.
+func (d *Direct) Side(name, zone, role, service, upstream string) (Running, error) {
+	if err := d.w.startSide(name, zone, role, service, upstream); err != nil {
+		return Running{}, err
+	}
+	return d.Process(name)
+}
+
+// Entry starts an entry and waits until it is ready.
+func (d *Direct) Entry(name, zone string) (Running, error) {
+	if err := d.w.startEntry(name, zone); err != nil {
+		return Running{}, err
+	}
+	if err := stepReady(d.w, []string{name}); err != nil {
+		return Running{}, err
+	}
+	return d.Process(name)
+}
+
+// Process gives a process by its name; the platform's is "platform".
+func (d *Direct) Process(name string) (Running, error) {
+	p, err := d.w.find(name)
+	if err != nil {
+		return Running{}, err
+	}
+	return running(p), nil
+}
+
+func running(p *process) Running {
+	return Running{PID: p.command.Process.Pid, Address: p.address, Admin: p.admin, Peers: p.peers}
+}
+
+// String names the process for a message.
+func (r Running) String() string { return fmt.Sprintf("pid %d at %s", r.PID, r.Address) }
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"os"
-	"os/exec"
 	"path/filepath"
 	"testing"
 
@@ -21,11 +20,8 @@
 		panic(err)
 	}
 	defer os.RemoveAll(dir)
-	built = Binaries{Router: filepath.Join(dir, "jacinthworks"), Fakes: filepath.Join(dir, "fakes")}
-	for out, from := range map[string]string{built.Router: "jacinthworks", built.Fakes: "jacinthworks/fakes"} {
-		if text, err := exec.Command("go", "build", "-o", out, from).CombinedOutput(); err != nil {
-			panic(string(text))
-		}
+	if built, err = Build(dir); err != nil {
+		panic(err)
 	}
 	return m.Run()
 }
--- /dev/null
+++ b/test/slopes/fit.go
@@ -0,0 +1,40 @@
+package main
+
+// point is one measurement: a cost Y at a size X.
+type point struct{ X, Y float64 }
+
+// line is a cost that grows with a size.
+type line struct {
+	Slope, Intercept float64
+	// R2 is the share of the points' spread that the line explains.
+	R2 float64
+}
+
+// fit gives the line of least squares; a flat one through the mean where all
+// points have one size.
+func fit(points []point) line {
+	n := float64(len(points))
+	if n == 0 {
+		return line{}
+	}
+	var x, y float64
+	for _, p := range points {
+		x += p.X / n
+		y += p.Y / n
+	}
+	var xx, xy, yy float64
+	for _, p := range points {
+		xx += (p.X - x) * (p.X - x)
+		xy += (p.X - x) * (p.Y - y)
+		yy += (p.Y - y) * (p.Y - y)
+	}
+	if xx == 0 {
+		return line{Intercept: y}
+	}
+	l := line{Slope: xy / xx}
+	l.Intercept = y - l.Slope*x
+	if yy > 0 {
+		l.R2 = xy * xy / (xx * yy)
+	}
+	return l
+}
--- a/test/world.go
+++ b/test/world.go
@@ -70,6 +70,12 @@
 	entries   []string
 	engines   []string
 	apps      []string
+
+	// direct says that processes reach each other without relays, and log only
+	// what a deployment logs.
+	direct bool
+	// outside are upstreams that the world did not start, by name.
+	outside map[string]netip.AddrPort
 }
 
 func newWorld(bin Binaries, dir string) *world {
@@ -198,6 +204,13 @@
 
 // platformFor gives the address at which one process finds the platform.
 func (w *world) platformFor(name string) (netip.AddrPort, error) {
+	if w.direct {
+		p, err := w.find("platform")
+		if err != nil {
+			return netip.AddrPort{}, err
+		}
+		return p.address, nil
+	}
 	r, err := w.link(name+">platform", name)
 	if err != nil {
 		return netip.AddrPort{}, err
@@ -210,11 +223,46 @@
 	return r.address(), nil
 }
 
-const logSettings = "\n[log]\nlevel = \"debug\"\nformat = \"text\"\n"
+// logSettings is the log section of a settings file.
+func (w *world) logSettings() string {
+	level := "debug"
+	if w.direct {
+		level = "info"
+	}
+	return fmt.Sprintf("\n[log]\nlevel = %q\nformat = \"text\"\n", level)
+}
+
+// advertise gives the line of a settings file by which others find a process
+// at its relay, and the relay. Both are empty where there are no relays.
+func (w *world) advertise(key, name string) (string, *relay, error) {
+	if w.direct {
+		return "", nil, nil
+	}
+	r, err := w.link(name, "")
+	if err != nil {
+		return "", nil, err
+	}
+	return fmt.Sprintf("%s = %q\n", key, r.address()), r, nil
+}
+
+// upstream gives the address of an upstream.
+func (w *world) upstream(name string) (netip.AddrPort, error) {
+	w.mu.Lock()
+	at, found := w.outside[name]
+	w.mu.Unlock()
+	if found {
+		return at, nil
+	}
+	p, err := w.find(name)
+	if err != nil {
+		return netip.AddrPort{}, err
+	}
+	return p.address, nil
+}
 
 // startSide starts a side before an upstream that runs.
 func (w *world) startSide(name, zone, role, service, upstream string) error {
-	up, err := w.find(upstream)
+	at, err := w.upstream(upstream)
 	if err != nil {
 		return err
 	}
@@ -222,13 +270,13 @@
 	if err != nil {
 		return err
 	}
-	r, err := w.link(name, "")
+	advertise, r, err := w.advertise("advertise", name)
 	if err != nil {
 		return err
 	}
 	path, err := w.settings(name, fmt.Sprintf(
-		"name = %q\nzone = %q\nrole = %q\nservice = %q\nlisten = \"127.0.0.1:0\"\nadvertise = %q\nupstream = %q\nplatform = %q\n%s",
-		name, zone, role, service, r.address(), up.address, platform, logSettings))
+		"name = %q\nzone = %q\nrole = %q\nservice = %q\nlisten = \"127.0.0.1:0\"\n%supstream = %q\nplatform = %q\n%s",
+		name, zone, role, service, advertise, at, platform, w.logSettings()))
 	if err != nil {
 		return err
 	}
@@ -236,7 +284,9 @@
 	if err != nil {
 		return err
 	}
-	r.aim(p.address)
+	if r != nil {
+		r.aim(p.address)
+	}
 	return nil
 }
 
@@ -254,13 +304,13 @@
 	if err != nil {
 		return err
 	}
-	own, err := w.link(name, "")
+	advertise, own, err := w.advertise("peer_advertise", name)
 	if err != nil {
 		return err
 	}
 	var peers []string
 	for _, other := range w.entries {
-		if other != name {
+		if other != name && !w.direct { // else they meet by their record
 			r, err := w.link(other, "")
 			if err != nil {
 				return err
@@ -269,11 +319,11 @@
 		}
 	}
 	path, err := w.settings(name, fmt.Sprintf(
-		"name = %q\nzone = %q\nlisten = \"127.0.0.1:0\"\nadmin_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\npeer_advertise = %q\npeers = [%s]\nplatform = %q\n%s"+
+		"name = %q\nzone = %q\nlisten = \"127.0.0.1:0\"\nadmin_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\n%speers = [%s]\nplatform = %q\n%s"+
 			"\n[[caller]]\naccount = \"first\"\ntoken = %q\n\n[[caller]]\naccount = \"second\"\ntoken = %q\n"+
 			"\n[[operator]]\nname = \"asha\"\ntoken = %q\nteams = [\"appraisal\", \"marketplace\"]\n"+
 			"\n[[operator]]\nname = \"bola\"\ntoken = %q\nteams = [\"appraisal\", \"marketplace\"]\n",
-		name, zone, own.address(), strings.Join(peers, ", "), platform, logSettings,
+		name, zone, advertise, strings.Join(peers, ", "), platform, w.logSettings(),
 		callerToken, otherToken, operatorToken, rivalToken))
 	if err != nil {
 		return err
@@ -282,7 +332,9 @@
 	if err != nil {
 		return err
 	}
-	own.aim(p.peers)
+	if own != nil {
+		own.aim(p.peers)
+	}
 	return nil
 }
 
