make bench-path: what entry and side add to a call and to a token

A direct decode has to run before the sides start, since a side cancels what its engine runs and it did not order: found by a stream that was cut.

--- a/Makefile
+++ b/Makefile
@@ -31,3 +31,7 @@
 .PHONY: slopes
 slopes: ## cost of each mechanism on this machine, for docs/CAPACITY.md; under 3 minutes
 	go run ./test/slopes
+
+.PHONY: bench-path
+bench-path: ## time that entry and side add to a call and to a token
+	go run ./test/path
--- /dev/null
+++ b/test/path/main.go
@@ -0,0 +1,78 @@
+// Command path measures what entry and side add to a plain call and to a token
+// of a stream, against the stand-in called directly in the same run, and how
+// many plain calls one entry takes.
+//
+// # Usage
+//
+//	make bench-path
+//
+// Each line is `path metric direct through ratio`, separated by tabs; times
+// are in microseconds. Wall time is measured, so other work on the machine
+// shows in both columns.
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alexflint/go-arg"
+
+	"jacinthworks/test"
+)
+
+// mostTime bounds the whole run.
+const mostTime = 2 * time.Minute
+
+type arguments struct {
+	Calls   int `arg:"--calls" default:"4000" help:"plain calls one after the other, each way"`
+	Workers int `arg:"--workers" default:"64" help:"callers of the closed loop"`
+	Load    int `arg:"--load" default:"60000" help:"plain calls of the closed loop, each way"`
+	Streams int `arg:"--streams" default:"8" help:"streams at once"`
+	Tokens  int `arg:"--tokens" default:"200" help:"tokens of a stream"`
+}
+
+// Description is shown by --help.
+func (arguments) Description() string {
+	return "path measures what entry and side add to a plain call and to a token."
+}
+
+func main() {
+	var a arguments
+	arg.MustParse(&a)
+	log.SetOutput(io.Discard) // jsonrpc2 logs each connection that a process drops at its end
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	ctx, cancel := context.WithTimeout(ctx, mostTime)
+	defer cancel()
+	if err := run(ctx, a); err != nil {
+		fmt.Fprintln(os.Stderr, "path:", err)
+		os.Exit(1)
+	}
+}
+
+func run(ctx context.Context, a arguments) error {
+	dir, err := os.MkdirTemp("", "path")
+	if err != nil {
+		return err
+	}
+	defer os.RemoveAll(dir)
+	bin, err := test.Build(dir)
+	if err != nil {
+		return err
+	}
+	if err := measurePlain(ctx, bin, dir, a); err != nil {
+		return err
+	}
+	return measureTokens(ctx, bin, dir, a)
+}
+
+// report prints one line.
+func report(path, metric string, direct, through float64) {
+	fmt.Printf("%s\t%s\t%.1f\t%.1f\t%.2f\n", path, metric, direct, through, through/direct)
+}
