--- a/Makefile
+++ b/Makefile
@@ -35,3 +35,7 @@
 .PHONY: bench-path
 bench-path: ## time that entry and side add to a call and to a token
 	go run ./test/path
+
+SECONDS ?= 300
+soak: ## random failures with fresh seeds, for SECONDS
+	go test -count=1 -timeout $$(( $(SECONDS) + 120 ))s ./test -run TestSoakFreshSeeds -v -args -soak $(SECONDS)
--- a/test/script.go
+++ b/test/script.go
@@ -32,10 +32,9 @@
 // step is one command of the language.
 type step func(w *world, args []string) error
 
-// Commands is the language of the scripts.
-func Commands() map[string]func(*testscript.TestScript, bool, []string) {
-	all := map[string]func(*testscript.TestScript, bool, []string){}
-	for name, do := range map[string]step{
+// language lists the commands.
+func language() map[string]step {
+	return map[string]step{
 		"world": stepWorld, "call": stepCall, "await": stepAwait, "hangup": stepHangUp,
 		"sigkill": stepKill, "sigterm": stepTerm, "sigstop": stepFreeze, "sigcont": stepThaw, "restart": stepRestart, "gone": stepGone,
 		"cut": stepCut, "silence": stepSilence, "heal": stepHeal, "fault": stepFault,
@@ -43,7 +42,13 @@
 		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "answered": stepAnswered, "refused": stepRefused, "within": stepWithin, "idle": stepIdle,
 		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "story": stepStory,
 		"stall": stepStall, "resume": stepResume,
-	} {
+	}
+}
+
+// Commands is the language of the scripts.
+func Commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, do := range language() {
 		all[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			err := do(ts.Value(worldKey{}).(*world), args)
 			if neg && err == nil {
@@ -243,6 +248,9 @@
 	return nil
 }
 
+// errEnded says that a process has ended already.
+var errEnded = errors.New("process has ended")
+
 func (w *world) signal(args []string, s syscall.Signal, wait bool) error {
 	w.faults++
 	for _, name := range args {
@@ -251,7 +259,7 @@
 			return err
 		}
 		if err := p.command.Process.Signal(s); err != nil {
-			return err
+			return errors.Wrap(errEnded, name)
 		}
 		if wait {
 			<-p.done
--- a/test/world.go
+++ b/test/world.go
@@ -67,6 +67,7 @@
 	before    upstreams
 	edits     map[string]*edit
 	watch     *watcher
+	restarts  sync.Mutex
 	drills    map[string]string // of processes, until they are restarted
 	worst     time.Duration
 	entries   []string
@@ -355,7 +356,16 @@
 	if err != nil {
 		return err
 	}
-	<-old.done
+	w.restarts.Lock() // two faults may end the same process
+	defer w.restarts.Unlock()
+	if old, err = w.find(name); err != nil {
+		return err
+	}
+	select {
+	case <-old.done:
+	default:
+		return nil
+	}
 	args := old.args[1:]
 	if old.args[0] == w.bin.Fakes {
 		args = append(args[:1:1], "--listen", old.address.String())
