Claims: two tries of one key free neither; a stale table is dropped whole

A successor merged two runners' lists that named different tries of the key and kept one of them; "not run" of that one freed the key while the other ran. Two tries now become one unknown without a try. A runner keeps what it was sent by Restore apart from its own keys, since Ask and Settle speak for its own only.

A table brought along is now kept apart until one runner's direct step shows that it is good, and dropped whole if the lists complete the view instead.

Also: at a change of the record an owner hands its table to a live rank 0.

--- a/claim/adopt.go
+++ b/claim/adopt.go
@@ -5,23 +5,27 @@
 	"time"
 )
 
-// Adopt takes a newer record. An owner goes on at its new epoch whatever its
-// rank, so that a change of the record moves no shard that works; one that is
-// no longer a member hands its table to rank 0. Under the first record ever,
-// rank 0 starts at once. In every other case the caller decides when to Start.
-func (o *Owner) Adopt(rec Record, now time.Time) error {
+// Adopt takes a newer record. An owner goes on at its new epoch, but hands its
+// table to rank 0 if that is another process and live says so, or if it is no
+// member itself. Under the first record ever, rank 0 starts at once. In every
+// other case the caller decides when to Start. A nil live stands for "no": the
+// answer decides where the shard is owned and never whether a key runs twice.
+func (o *Owner) Adopt(rec Record, live func(Process) bool, now time.Time) error {
 	for _, p := range replaced(rec) {
 		o.Lost(p, now)
 	}
-	rank, member := rec.Rank(o.Shard, o.Self)
-	switch {
-	case member && o.owns():
-		return o.Start(rec, now)
-	case member && rec.First && rank == 0:
+	if len(rec.Members) == 0 {
+		return nil
+	}
+	first := rec.Ranked(o.Shard)[0].Process()
+	_, member := rec.Rank(o.Shard, o.Self)
+	gives := first != o.Self && (!member || live != nil && live(first))
+	if o.phase == phaseComplete && gives {
+		o.Retire(first, Epoch{Version: rec.Version}, now)
+		return nil
+	}
+	if member && (o.owns() || rec.First && first == o.Self) {
 		return o.Start(rec, now)
-	case !member && len(rec.Members) > 0:
-		heir := rec.Ranked(o.Shard)[0].Process()
-		o.Retire(heir, Epoch{Version: rec.Version}, now)
 	}
 	return nil
 }
--- a/claim/owner.go
+++ b/claim/owner.go
@@ -41,8 +41,9 @@
 	scopes []scope // eligible runners, newest version first
 	heard  map[Process]answer
 	lost   map[Process]time.Time
-	keys   keyTable
-	from   Epoch    // whose table keys goes on from; zero if none
+	keys   keyTable // in force, or being collected from the runners' lists
+	legacy keyTable // the table of the epoch from, until it is known to be good
+	from   Epoch    // zero if there is no legacy
 	target Handover // what Retire promised, without its entries
 	off    disabled
 }
@@ -61,6 +62,9 @@
 	if k, listed := o.keys[ask.Key]; listed {
 		return Grant{}, o.listed(ask, k)
 	}
+	if k, listed := o.legacy[ask.Key]; listed {
+		return Grant{}, o.listed(ask, k)
+	}
 	// Failure: the key ran under an earlier owner, the runner that knows of
 	// it has not answered yet, and a grant would run it again. An unlisted
 	// key is new only where all runners' lists are in.
@@ -104,17 +108,8 @@
 // Resolve notes how a try ended. StateNotRun frees the key; it must come from
 // the try's own runner (Settle, Ask or a refusal with TryNotRun).
 func (o *Owner) Resolve(res Resolution, now time.Time) {
-	k, listed := o.keys[res.Key]
-	if !listed || k.try != res.Try || k.state == StateRan {
-		return
-	}
-	switch res.State {
-	case StateNotRun:
-		delete(o.keys, res.Key)
-	case StateRan, StateUnknown:
-		k.state, k.at = res.State, now
-		o.keys[res.Key] = k
-	}
+	o.keys.resolve(res, now)
+	o.legacy.resolve(res, now)
 }
 
 // Lost notes that a process has ended: a newer incarnation of its host stands
@@ -132,12 +127,8 @@
 	if _, known := o.lost[p]; !known {
 		o.lost[p] = now
 	}
-	for key, k := range o.keys {
-		if k.runner == p && k.state == StateGranted {
-			k.state, k.at = StateUnknown, now
-			o.keys[key] = k
-		}
-	}
+	o.keys.lose(p, now)
+	o.legacy.lose(p, now)
 }
 
 // Superseded notes that a runner knows of a newer epoch. It saves callers a
@@ -151,6 +142,7 @@
 // Expire forgets what was settled longer than the retention ago.
 func (o *Owner) Expire(now time.Time) {
 	o.keys.expire(now, o.Limits.retention())
+	o.legacy.expire(now, o.Limits.retention())
 }
 
 // owns tells whether the owner claims the shard, with a complete view or not.
--- a/claim/runner.go
+++ b/claim/runner.go
@@ -26,9 +26,12 @@
 	fenced  Epoch // no dispatch of an older epoch is accepted
 	before  Epoch // where the fence stood before it was raised to fenced
 	vouched uint64
-	keys    keyTable
-	refused map[keyTry]time.Time
-	off     disabled
+	keys    keyTable // what this runner was given to run
+	// restored is what runners that left may have run. It stands apart from
+	// keys, as Ask and Settle speak for this runner's own tries only.
+	restored keyTable
+	refused  map[keyTry]time.Time
+	off      disabled
 }
 
 // Learn takes from a record whether this incarnation stood in the first
@@ -48,6 +51,9 @@
 	if k, listed := r.keys[d.Stamp.Key]; listed {
 		return r.taken(d, k, now)
 	}
+	if k, listed := r.restored[d.Stamp.Key]; listed {
+		return r.taken(d, k, now)
+	}
 	// Failure: an entry dies, another entry asks about its try, hears "not
 	// run" and sends the request again; then the first dispatch arrives late
 	// and the request runs twice. Ask left the try here, so it is refused.
@@ -108,7 +114,7 @@
 	}
 	r.raise(o.Epoch)
 	return FenceReply{Shard: r.Shard, Epoch: o.Epoch, Runner: o.To, Before: r.before,
-		Vouched: r.vouched, Entries: r.keys.entries(now, nil)}, nil
+		Vouched: r.vouched, Entries: append(r.keys.entries(now, nil), r.restored.entries(now, nil)...)}, nil
 }
 
 func (r *Runner) raise(e Epoch) {
@@ -122,7 +128,7 @@
 // the message for the owner.
 func (r *Runner) Settle(key Key, try Try, state State, now time.Time) (Resolution, error) {
 	k, listed := r.keys[key]
-	if !listed || k.try != try || k.runner != r.Self {
+	if !listed || k.try != try {
 		return Resolution{}, &Refusal{Code: CodeOtherRunner, Ran: work.Unknown, Epoch: r.fenced}
 	}
 	if k.state == StateRan || state == StateGranted {
@@ -184,17 +190,14 @@
 		return RestoreReply{}, &Refusal{Code: CodeFenced, Ran: work.Unknown, Epoch: r.fenced}
 	}
 	r.raise(o.Epoch)
-	if r.keys == nil {
-		r.keys = keyTable{}
+	if r.restored == nil {
+		r.restored = keyTable{}
 	}
 	for _, e := range o.Entries {
-		if k, listed := r.keys[e.Key]; listed && k.runner == r.Self {
-			continue // what this runner did itself it knows best
-		}
 		if e.State != StateRan {
 			e.State = StateUnknown
 		}
-		r.keys.merge(e, now)
+		r.restored.merge(e, now)
 	}
 	r.vouched = max(r.vouched, o.Epoch.Version)
 	return RestoreReply{Shard: r.Shard, Epoch: o.Epoch, Runner: r.Self, Vouched: r.vouched}, nil
@@ -204,6 +207,7 @@
 func (r *Runner) Expire(now time.Time) {
 	keep := r.Limits.retention()
 	r.keys.expire(now, keep)
+	r.restored.expire(now, keep)
 	for kt, at := range r.refused {
 		if now.Sub(at) > keep {
 			delete(r.refused, kt)
@@ -212,5 +216,9 @@
 }
 
 func (r *Runner) full() bool {
-	return len(r.keys)+len(r.refused) >= r.Limits.maxKeys()
+	return r.size() >= r.Limits.maxKeys()
+}
+
+func (r *Runner) size() int {
+	return len(r.keys) + len(r.restored) + len(r.refused)
 }
--- a/claim/table.go
+++ b/claim/table.go
@@ -39,12 +39,24 @@
 // keyTable holds the remembered keys of one shard. The zero value is empty.
 type keyTable map[Key]remembered
 
-// merge adds a key that another process lists. Of two accounts the one that
-// forbids more stays: ran, then unknown, then granted.
+// merge adds a key that another process lists. Of two accounts of one try the
+// one that forbids more stays: ran, then unknown, then granted.
+//
+// Failure: a paused owner learns that try 1 did not run and grants try 2 while
+// its successor collects the lists. The successor gets try 1 from a list made
+// before that, then try 2, and "not run" of try 1 frees the key while try 2
+// runs. Two tries of a key therefore become one unknown without a try, which
+// nothing frees before it expires.
 func (t keyTable) merge(e Entry, now time.Time) {
 	old, listed := t[e.Key]
-	if listed && severity(old.state) >= severity(e.State) {
+	same := old.try == e.Try
+	switch {
+	case listed && old.state == StateRan:
 		return
+	case listed && same && severity(old.state) >= severity(e.State):
+		return
+	case listed && !same && e.State != StateRan:
+		e.Try, e.Runner, e.State, e.Age = Try{}, Process{}, StateUnknown, 0
 	}
 	t[e.Key] = remembered{try: e.Try, body: e.Body, runner: e.Runner, state: e.State,
 		at: now.Add(-max(0, e.Age))}
@@ -60,6 +72,31 @@
 	return 1
 }
 
+// resolve notes how a try ended; "not run" frees its key.
+func (t keyTable) resolve(res Resolution, now time.Time) {
+	k, listed := t[res.Key]
+	if !listed || k.try != res.Try || res.Try == (Try{}) || k.state == StateRan {
+		return
+	}
+	switch res.State {
+	case StateNotRun:
+		delete(t, res.Key)
+	case StateRan, StateUnknown:
+		k.state, k.at = res.State, now
+		t[res.Key] = k
+	}
+}
+
+// lose marks what was granted to a process that has ended.
+func (t keyTable) lose(p Process, now time.Time) {
+	for key, k := range t {
+		if k.runner == p && k.state == StateGranted {
+			k.state, k.at = StateUnknown, now
+			t[key] = k
+		}
+	}
+}
+
 // entries lists the keys that keep holds for.
 func (t keyTable) entries(now time.Time, keep func(remembered) bool) []Entry {
 	var list []Entry
--- a/claim/view.go
+++ b/claim/view.go
@@ -23,15 +23,13 @@
 	}
 	switch {
 	case o.phase == phaseComplete:
-		o.from = o.epoch
+		o.from, o.legacy = o.epoch, o.keys
 	case o.phase == phaseBarrier && o.from != Epoch{}:
 		// The table has not been used at the epoch that is left.
 	default:
-		o.from, o.keys = Epoch{}, nil
-	}
-	if o.keys == nil {
-		o.keys = keyTable{}
+		o.from, o.legacy = Epoch{}, nil
 	}
+	o.keys = keyTable{}
 	o.epoch, o.phase, o.scopes = next, phaseBarrier, rec.scopes(o.Shard)
 	o.heard = map[Process]answer{}
 	o.refresh(now)
@@ -55,12 +53,21 @@
 	o.refresh(now)
 }
 
-// refresh makes the view complete once it is.
+// refresh makes the view complete once it is. Of the two tables one is kept:
+// a good legacy holds all there is, and lists made before a key was freed must
+// not bring it back; one that was superseded would bring back what others
+// freed since.
 func (o *Owner) refresh(now time.Time) {
-	if o.phase == phaseBarrier && (o.inherited() || o.covered(now)) {
-		o.phase = phaseComplete
-		o.from = Epoch{}
+	if o.phase != phaseBarrier {
+		return
+	}
+	switch {
+	case o.stepped():
+		o.keys = o.legacy
+	case !o.covered(now):
+		return
 	}
+	o.phase, o.from, o.legacy = phaseComplete, Epoch{}, nil
 }
 
 // covered tells whether the runners' lists hold every key that may have run.
@@ -100,7 +107,7 @@
 	return lost && now.Sub(at) > o.Limits.retention()
 }
 
-// inherited tells whether the table of the epoch o.from may be used at this
+// stepped tells whether the table of the epoch o.from may be used at this
 // epoch: one runner eligible at o.from has stepped from o.from, or an older
 // epoch, straight to this one.
 //
@@ -111,7 +118,7 @@
 // earlier, the step did not start at o.from, and if it comes later, it is
 // refused. The one is whoever else inherits the same table, and a table is
 // handed to one epoch only.
-func (o *Owner) inherited() bool {
+func (o *Owner) stepped() bool {
 	if o.from == (Epoch{}) {
 		return false
 	}
@@ -162,9 +169,9 @@
 	if o.phase != phaseBarrier || !o.from.Less(h.From) {
 		return true
 	}
-	o.from = h.From
+	o.from, o.legacy = h.From, keyTable{}
 	for _, e := range h.Entries {
-		o.keys.merge(e, now)
+		o.legacy.merge(e, now)
 	}
 	o.refresh(now)
 	return true
