--- /dev/null
+++ b/claim/bench_test.go
@@ -0,0 +1,146 @@
+package claim
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"strconv"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/work"
+)
+
+// benchAsk gives a claim as entries send it: a UUID as key and a request id
+// with the entry's name.
+func benchAsk(i int, runner Process) ClaimAsk {
+	return ClaimAsk{Key: Key{Account: "tollygunge", Name: fmt.Sprintf("%032x-key", i)},
+		Try:  Try{Request: work.RequestID("entry-12.1764700000." + strconv.Itoa(i)), Attempt: 1},
+		Body: Body(i), Runner: runner}
+}
+
+func benchOwner(t require.TestingT) (*Owner, Process) {
+	f := newFleet(t, 9)
+	o := &f.owner(0).shards[0].owner
+	o.Limits.MaxKeys = 1 << 30
+	return o, o.scopes[0].eligible[0]
+}
+
+func BenchmarkClaim(b *testing.B) {
+	o, runner := benchOwner(b)
+	asks := make([]ClaimAsk, b.N)
+	for i := range asks {
+		asks[i] = benchAsk(i, runner)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range asks {
+		if _, err := o.Claim(asks[i], modelNow); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkAccept(b *testing.B) {
+	r := Runner{Self: Process{"side-1", 1}, Limits: Limits{MaxKeys: 1 << 30}}
+	list := make([]Dispatch, b.N)
+	for i := range list {
+		ask := benchAsk(i, r.Self)
+		list[i] = Dispatch{Stamp: Stamp{Key: ask.Key, Epoch: Epoch{1, 0}}, Try: ask.Try, Body: ask.Body, To: r.Self}
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for i := range list {
+		if err := r.Accept(list[i], modelNow); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+// BenchmarkRepeat is a claim that is refused, as in a burst of one key.
+func BenchmarkRepeat(b *testing.B) {
+	o, runner := benchOwner(b)
+	ask := benchAsk(1, runner)
+	_, err := o.Claim(ask, modelNow)
+	require.NoError(b, err)
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		if _, err := o.Claim(ask, modelNow); err == nil {
+			b.Fatal("granted twice")
+		}
+	}
+}
+
+// BenchmarkBytesPerKey reports what one key takes in an owner's memory, with
+// its strings, and in a message.
+func BenchmarkBytesPerKey(b *testing.B) {
+	const keys = 32768
+	var memory, message float64
+	for range b.N {
+		o, runner := benchOwner(b)
+		before := heap()
+		for i := range keys {
+			if _, err := o.Claim(benchAsk(i, runner), modelNow); err != nil {
+				b.Fatal(err)
+			}
+		}
+		memory += (heap() - before) / keys
+		message += jsonBytes(b, o) / keys
+	}
+	b.ReportMetric(memory/float64(b.N), "owner_B/key")
+	b.ReportMetric(message/float64(b.N), "message_B/key")
+}
+
+func jsonBytes(t require.TestingT, o *Owner) float64 {
+	text, err := json.Marshal(o.keys.entries(modelNow, nil))
+	require.NoError(t, err)
+	o.keys = nil
+	return float64(len(text))
+}
+
+// heap gives the live bytes. What a pool holds is freed by the second cycle.
+func heap() float64 {
+	var m runtime.MemStats
+	runtime.GC()
+	runtime.GC()
+	runtime.ReadMemStats(&m)
+	return float64(m.HeapAlloc)
+}
+
+// BenchmarkTakeover is a successor that merges six runners' lists of 341 keys:
+// one shard of 2,048 keys, or 131,072 keys in all.
+func BenchmarkTakeover(b *testing.B) {
+	f := newFleet(b, 9)
+	runners := f.record.Eligible(0)
+	var replies []FenceReply
+	for i, p := range runners {
+		r := FenceReply{Epoch: Epoch{1, 1}, Runner: p, Before: Epoch{1, 0}, Vouched: 1}
+		for j := range 341 {
+			ask := benchAsk(i*341+j, p)
+			r.Entries = append(r.Entries, Entry{Key: ask.Key, Try: ask.Try, Runner: p, State: StateRan})
+		}
+		replies = append(replies, r)
+	}
+	b.ReportAllocs()
+	b.ResetTimer()
+	for range b.N {
+		o := Owner{Self: f.record.Ranked(0)[1].Process()}
+		require.NoError(b, o.Start(f.record, modelNow))
+		for _, r := range replies {
+			o.Fenced(r, modelNow)
+		}
+		if _, complete := o.Epoch(); !complete {
+			b.Fatal("view is not complete")
+		}
+	}
+}
+
+func BenchmarkRanked(b *testing.B) {
+	f := newFleet(b, 9)
+	b.ReportAllocs()
+	for i := range b.N {
+		f.record.Ranked(Shard(i % Shards))
+	}
+}
--- /dev/null
+++ b/claim/naive_test.go
@@ -0,0 +1,124 @@
+package claim
+
+import (
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"jacinthworks/work"
+)
+
+// naive is the whole of it where nothing fails: one map.
+type naive map[Key]*naiveKey
+
+type naiveKey struct {
+	grant Grant
+	body  Body
+	ran   bool
+}
+
+func (n naive) code(k Key, body Body) Code {
+	old, listed := n[k]
+	switch {
+	case !listed:
+		return ""
+	case old.body != body:
+		return CodeOtherBody
+	case old.ran:
+		return CodeAlreadyRan
+	}
+	return CodeInProgress
+}
+
+// Where nothing fails, any sequence of sends, ends, planned stops, needless
+// takeovers and new records gives callers what one map would.
+func TestLikeOneMapWithoutFailures(t *testing.T) {
+	t.Parallel()
+	rapid.Check(t, func(r *rapid.T) {
+		f, n, tries := newFleet(r, 5), naive{}, 0
+		key := rapid.Custom(func(r *rapid.T) Key {
+			return Key{Account: "stud", Name: rapid.SampledFrom([]string{"p", "q", "r", "s"}).Draw(r, "name")}
+		})
+		r.Repeat(map[string]func(*rapid.T){
+			"send": func(r *rapid.T) {
+				k, body := key.Draw(r, "key"), Body(rapid.IntRange(1, 2).Draw(r, "body"))
+				tries++
+				want := n.code(k, body)
+				g, err := f.send(k, try(tries), body, rapid.IntRange(0, 9).Draw(r, "runner"))
+				if want != "" {
+					requireCode(r, want, err)
+					return
+				}
+				require.NoError(r, err)
+				n[k] = &naiveKey{grant: g, body: body}
+			},
+			"end": func(r *rapid.T) {
+				k := key.Draw(r, "key")
+				old, listed := n[k]
+				if !listed || old.ran {
+					r.Skip("not running")
+				}
+				if old.ran = rapid.Bool().Draw(r, "ran"); old.ran {
+					f.settle(old.grant, StateRan)
+					return
+				}
+				f.settle(old.grant, StateNotRun)
+				delete(n, k)
+			},
+			"planned stop": func(r *rapid.T) {
+				s := key.Draw(r, "key").Shard()
+				old := f.owner(s)
+				rank, _ := f.record.Rank(s, old.Self)
+				if int(rank)+1 == len(f.record.Members) {
+					r.Skip("last rank")
+				}
+				out, err := old.Retire(s, f.record.Ranked(s)[rank+1].Process(), f.now)
+				require.NoError(r, err)
+				f.deliver(out)
+			},
+			"takeover": func(r *rapid.T) {
+				s := key.Draw(r, "key").Shard()
+				m := rapid.SampledFrom(f.record.Members).Draw(r, "member")
+				out, err := f.books[m.Host].TakeOver(s, f.now)
+				require.NoError(r, err)
+				f.deliver(out)
+			},
+			"record": func(r *rapid.T) {
+				next := f.record.Succeed(f.record.Members)
+				next.Version = f.record.Version + 1
+				f.publish(next)
+			},
+		})
+	})
+}
+
+// Eight entries send the same thousand keys at once, to an owner and runners
+// under load. Each key is accepted by one runner once.
+func TestBooksAcceptEachKeyOnceUnderConcurrentEntries(t *testing.T) {
+	f := newFleet(t, 9)
+	owners := map[Shard]*Book{}
+	for s := Shard(0); s < Shards; s++ {
+		owners[s] = f.owner(s)
+	}
+	var accepted atomic.Int64
+	var entries sync.WaitGroup
+	for e := range 8 {
+		entries.Go(func() {
+			for i := range 1000 {
+				k := Key{Account: "stud", Name: string(rune('a'+i%26)) + string(rune('0'+i/26))}
+				runners := f.record.Eligible(k.Shard())
+				ask := ClaimAsk{Key: k, Try: Try{Request: work.RequestID(rune('0' + e)), Attempt: work.Attempt(i)},
+					Runner: runners[(e+i)%len(runners)]}
+				g, err := owners[k.Shard()].Claim(ask, f.now)
+				if err == nil && f.accept(g, 0) == nil {
+					accepted.Add(1)
+				}
+			}
+		})
+	}
+	entries.Wait()
+	require.EqualValues(t, 1000, accepted.Load())
+}
