--- a/test/world.go
+++ b/test/world.go
@@ -352,13 +352,10 @@
 // restart starts a process again as it was started before. A stand-in comes
 // back on its own address, one of ours behind its relay.
 func (w *world) restart(name string) error {
-	old, err := w.find(name)
-	if err != nil {
-		return err
-	}
 	w.restarts.Lock() // two faults may end the same process
 	defer w.restarts.Unlock()
-	if old, err = w.find(name); err != nil {
+	old, err := w.find(name)
+	if err != nil {
 		return err
 	}
 	select {
