--- a/side/claims.go
+++ b/side/claims.go
@@ -57,6 +57,7 @@
 	c := &s.claims
 	c.book.Self = claim.Process{Host: s.Settings.Name, Incarnation: s.incarnation}
 	c.book.Limits = claim.Limits{Retention: retention}
+	c.book.Live = c.live
 	c.peers = make(map[*wire.Peer]bool)
 	c.owners = make(map[claim.Shard]ownerSeen)
 	c.missed = make(map[claim.Shard]time.Time)
@@ -71,6 +72,13 @@
 	c.members.Local = &local
 }
 
+// live says whether a member may be given a shard: connected, or so new that
+// it has not been dialled yet.
+func (c *claims) live(p claim.Process) bool {
+	l := c.members.Find(p.Host)
+	return l != nil && l.Member.Process() == p && (l.Peer() != nil || l.FailedDials() < 2)
+}
+
 // opened and closed keep the connections that others made to this side.
 func (c *claims) opened(p *wire.Peer, s work.Service) {
 	c.mu.Lock()
