Claims settle at a service's start and while its record changes

Cause: a service that starts changes its record a dozen times in a tenth of a second; tables handed on for one version arrived under the next and were dropped, so shards stood without an owner for 0.8 s, and a host lost within that time left keys unvouched. Sides learn a record once it has stood for 150 ms, and an entry is not ready before every shard is granted. An owner and an entry that go by different versions of the record bounce the request to its queue where it was refused. Ruled out: re-aiming a table that was handed on, which could give it two heirs.

--- a/entry/http.go
+++ b/entry/http.go
@@ -47,8 +47,8 @@
 }
 
 // settleWithin is how long a fresh entry stays unready while some service has
-// no side that may be given work: time for a record to be read, a dial and a
-// heartbeat, several times over. Later a service without sides is refused by
+// no side that may be given work, or keys that nobody grants: time for a record
+// to be read, a dial and a heartbeat, several times over. Later a service without sides is refused by
 // name, and the entry goes on serving the others.
 const settleWithin = 5 * time.Second
 
@@ -58,7 +58,7 @@
 		return true
 	}
 	for _, s := range e.services() {
-		if !e.sides.Serves(s) {
+		if !e.sides.Serves(s) || !e.owners.served(s) {
 			return false
 		}
 	}
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -103,6 +103,10 @@
 	switch refused.Code {
 	case claim.CodeNotOwner, claim.CodeUnvouched:
 		return f, true
+	case claim.CodeOtherRunner, claim.CodeFenced:
+		// The owner goes by another version of the record than this entry.
+		// Both will soon hold the newer: choose the runner again then.
+		return &failure{ran: work.NotRun, reason: work.ReasonNoRoom, detail: refused.Error()}, false
 	case claim.CodeInProgress:
 		if refused.Try.Request != r.id && e.isOpen(ctx, refused.Try.Request) {
 			return f, false
--- a/entry/owners.go
+++ b/entry/owners.go
@@ -24,8 +24,9 @@
 }
 
 type ownerSeen struct {
-	host  work.Host
-	epoch claim.Epoch
+	host     work.Host
+	epoch    claim.Epoch
+	complete bool
 }
 
 // hear takes a side's list of what it owns.
@@ -38,7 +39,7 @@
 	for _, s := range list.Shards {
 		at := ownedShard{service: list.Service, shard: s.Shard}
 		if seen := o.all[at]; !s.Epoch.Less(seen.epoch) {
-			o.all[at] = ownerSeen{host: from, epoch: s.Epoch}
+			o.all[at] = ownerSeen{host: from, epoch: s.Epoch, complete: s.Complete}
 		}
 	}
 }
@@ -49,6 +50,18 @@
 	return o.all[ownedShard{service: s, shard: n}].host
 }
 
+// served says whether every shard of a service has an owner that grants keys.
+func (o *owners) served(s work.Service) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for n := range claim.Shards {
+		if !o.all[ownedShard{service: s, shard: claim.Shard(n)}].complete {
+			return false
+		}
+	}
+	return true
+}
+
 // ownerOf gives the link to the owner of the request's shard, if connected.
 func (e *Entry) ownerOf(r *request) *links.Link {
 	l := e.sides.Find(e.owners.of(r.service, r.claimKey().Shard()))
--- a/side/claims.go
+++ b/side/claims.go
@@ -24,12 +24,21 @@
 	claimEvery    = 100 * time.Millisecond
 	takeOverAfter = 600 * time.Millisecond
 	takeOverStep  = 400 * time.Millisecond
-	expireEvery   = time.Minute
-	claimWithin   = 400 * time.Millisecond
+	// firstOwnerAfter is the wait where no owner was ever heard of, as when a
+	// service starts: long enough to hear of one that there is.
+	firstOwnerAfter = 300 * time.Millisecond
+	expireEvery     = time.Minute
+	claimWithin     = 400 * time.Millisecond
 	// retention is how long a key is remembered: a caller's retries over an
 	// evening. At the letter's two keyed requests a second and side it is
 	// 43,200 keys.
 	retention = 6 * time.Hour
+	// recordQuiet is how long a record must stand before the book learns it,
+	// recordLatest the longest that it waits. A service that starts changes
+	// its record a dozen times in a tenth of a second, and each change would
+	// move shards on before the last move has arrived.
+	recordQuiet  = 150 * time.Millisecond
+	recordLatest = time.Second
 )
 
 // claims is the side's part in claiming: its book, the other members, and who
@@ -43,6 +52,9 @@
 	owners map[claim.Shard]ownerSeen
 	missed map[claim.Shard]time.Time
 	told   []claim.Ownership
+	// next is the newest record not learned yet.
+	next              *claim.Record
+	nextAt, nextSince time.Time
 	// asked is when another member last asked for something.
 	asked time.Time
 }
@@ -111,7 +123,7 @@
 	}
 }
 
-// followRecord learns each record and dials its members.
+// followRecord dials the members of each record.
 func (s *Side) followRecord(ctx context.Context) error {
 	return member.Follow(ctx, s.Objects, s.Settings.Service, func(r member.Record) bool {
 		others := r
@@ -124,11 +136,36 @@
 		if !s.claims.members.Apply(others) {
 			return false
 		}
-		s.learn(ctx, r.Claims)
+		s.claims.expect(r.Claims, time.Now())
 		return true
 	}, nil)
 }
 
+// expect keeps a record until it has stood long enough to be learned.
+func (c *claims) expect(r claim.Record, now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if r.Version <= c.book.Record().Version {
+		return
+	}
+	if c.next == nil {
+		c.nextSince = now
+	}
+	c.next, c.nextAt = &r, now
+}
+
+// due gives the record to learn now, or nil.
+func (c *claims) due(now time.Time) *claim.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.next == nil || now.Sub(c.nextAt) < recordQuiet && now.Sub(c.nextSince) < recordLatest {
+		return nil
+	}
+	r := c.next
+	c.next = nil
+	return r
+}
+
 func (s *Side) learn(ctx context.Context, r claim.Record) {
 	out, err := s.claims.book.Learn(r, time.Now())
 	if err != nil {
@@ -149,6 +186,9 @@
 		case <-ctx.Done():
 			return nil
 		case now := <-t.C:
+			if r := s.claims.due(now); r != nil {
+				s.learn(ctx, *r)
+			}
 			s.deliver(ctx, s.claims.book.Pending(now))
 			s.takeOver(ctx, now)
 			s.tellOwned()
@@ -177,7 +217,11 @@
 			s.claims.forgive(shard)
 			continue
 		}
-		wait := takeOverAfter + time.Duration(rank)*takeOverStep
+		wait := takeOverAfter
+		if !s.claims.heardOwner(shard) {
+			wait = firstOwnerAfter
+		}
+		wait += time.Duration(rank) * takeOverStep
 		if s.claims.miss(shard, now) < wait {
 			continue
 		}
@@ -200,6 +244,14 @@
 	return l != nil && l.Peer() != nil
 }
 
+// heardOwner says whether any owner of the shard was ever heard of.
+func (c *claims) heardOwner(n claim.Shard) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	_, known := c.owners[n]
+	return known
+}
+
 func (c *claims) forgive(n claim.Shard) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
