queue: no aging

Work is refused at its target or deadline, which every row has, before aging lifts it; work that may wait gets its priority after half its time. So it is taken out.

--- a/queue/flow.go
+++ b/queue/flow.go
@@ -68,8 +68,6 @@
 // class is the work of one priority.
 type class struct {
 	lanes [lanes]lane
-	// served is when the class was last served or last became backlogged.
-	served time.Time
 	// oldest and newest are the ends of the list by age.
 	oldest, newest *entry
 }
@@ -97,9 +95,6 @@
 
 // enter counts the entry in and gives the flow it belongs to.
 func (k *class) enter(now time.Time, e *entry, c caller, at end) *flow {
-	if k.newest == nil {
-		k.served = now
-	}
 	k.insert(e, at)
 	l := k.lane(e.item)
 	if l.count == 0 {
--- a/queue/patience.go
+++ b/queue/patience.go
@@ -6,6 +6,26 @@
 // each priority of those that yield.
 const classes = 2 * Priorities
 
+// order is that in which classes are served: by priority, the class of priority 0
+// with its callers over their share last, after those that yield.
+var order = servingOrder()
+
+func servingOrder() (list [classes]int) {
+	n := 0
+	add := func(class int) {
+		list[n] = class
+		n++
+	}
+	for p := Priorities - 1; p > 0; p-- {
+		add(p)
+	}
+	for p := Priorities - 1; p >= 0; p-- {
+		add(Priorities + p)
+	}
+	add(0)
+	return list
+}
+
 // patience is the part of its time in which work that may wait yields to work
 // that may not. In the other half it has its own priority, which is enough to
 // be served before its deadline: it is accepted only when its expected wait is
--- a/queue/queue.go
+++ b/queue/queue.go
@@ -15,7 +15,9 @@
 //     to nothing while the engines are busy. Here an arrival is refused at once
 //     when its expected wait passes its target, and told when to return.
 //   - Too little room for all kinds: the table's priorities say who is served
-//     first and, in a full queue, who is shed first.
+//     first and, in a full queue, who is shed first. There is no aging: work
+//     waits no longer than its target or deadline, and in runs with and without
+//     aging callers received the same.
 //
 // Fair queueing is by virtual time (start-time fair queueing) and not by
 // deficit round robin: a quantum would have to be as large as the largest
@@ -65,11 +67,6 @@
 // engine gives about 400 tokens a second, a prefill engine takes 20,000.
 const OutputCost = 50
 
-// AgingStep is the time without service that lifts a priority class by one
-// level. With deadlines of tens of seconds, the lowest class gets a request
-// through every 9 s at the least, which costs the highest under 1%.
-const AgingStep = time.Second
-
 // AnyPrompt is the room for a prompt of any length.
 const AnyPrompt = math.MaxInt
 
@@ -77,9 +74,6 @@
 type Limits struct {
 	// Items is the table's queue limit; zero stands for DefaultItems.
 	Items int
-	// Aging is the time without service that lifts a class by one level; zero
-	// stands for AgingStep, negative for no aging.
-	Aging time.Duration
 }
 
 // Item is one request that waits.
@@ -201,15 +195,13 @@
 // longer than the given number of tokens. Take out Lapsed items first.
 func (q *Queue) Next(now time.Time, longest int) (Item, bool) {
 	q.promote(now)
-	var tried [classes]bool
-	for range q.classes {
-		p := q.pick(now, &tried)
-		if p < 0 {
-			break
+	for _, p := range order {
+		k := &q.classes[p]
+		if k.newest == nil {
+			continue
 		}
-		tried[p] = true
-		if l := q.classes[p].pick(longest); l != nil {
-			return q.serve(now, &q.classes[p], l), true
+		if l := k.pick(longest); l != nil {
+			return q.serve(now, l), true
 		}
 	}
 	return Item{}, false
@@ -294,16 +286,6 @@
 	return DefaultItems
 }
 
-func (l Limits) aging() time.Duration {
-	switch {
-	case l.Aging > 0:
-		return l.Aging
-	case l.Aging < 0:
-		return maxWait
-	}
-	return AgingStep
-}
-
 // add appends the item to its caller's flow.
 func (q *Queue) add(now time.Time, i Item, c caller) {
 	e := q.link(now, i, c, newest)
@@ -350,7 +332,7 @@
 }
 
 // serve takes the head of the lane's first flow and charges it.
-func (q *Queue) serve(now time.Time, k *class, l *lane) Item {
+func (q *Queue) serve(now time.Time, l *lane) Item {
 	f := l.flows.list[0]
 	e := f.items[0]
 	e.item.charged = f.caller
@@ -359,7 +341,6 @@
 	l.virtual = f.tag
 	l.charge(f, cost)
 	q.serveShares(now, e.item, cost)
-	k.served = now
 	e.item.waited = now.After(e.arrived)
 	if e.item.waited {
 		q.handed(now, l, cost)
@@ -388,26 +369,6 @@
 	}
 }
 
-// pick gives the class that is to be served: the highest priority, each lifted
-// by the time it has gone without service, or -1.
-func (q *Queue) pick(now time.Time, tried *[classes]bool) int {
-	step, best, level := q.Limits.aging(), -1, time.Duration(0)
-	for p := classes - 1; p >= 0; p-- {
-		k := &q.classes[p]
-		if tried[p] || k.newest == nil {
-			continue
-		}
-		lifted := now.Sub(k.served)
-		if p < Priorities {
-			lifted += time.Duration(p) * step
-		}
-		if best < 0 || lifted > level {
-			best, level = p, lifted
-		}
-	}
-	return best
-}
-
 // newestLowest gives the entry that a full queue sheds first.
 func (q *Queue) newestLowest() *entry {
 	var lowest *entry
