--- a/bench/main.go
+++ b/bench/main.go
@@ -34,6 +34,7 @@
 	"bufio"
 	"fmt"
 	"os"
+	"runtime/debug"
 
 	"github.com/alexflint/go-arg"
 )
@@ -55,6 +56,8 @@
 func main() {
 	var s settings
 	arg.MustParse(&s)
+	// Runs are short and hold little; collecting less often saves a fifth.
+	debug.SetGCPercent(400)
 	out := bufio.NewWriter(os.Stdout)
 	fmt.Fprintln(out, "scenario\tdeployment\tpolicy\tmetric\tvalue")
 	runAll(out, s)
