Revert "bench: ejection of slow engines, and its switch"

This commit is the revert: ejection brings nothing measurable to the choice of engines, the output is the same to the byte without it. Sides measure and report an engine's rate and token gap, and routing sends little to a slow one, so there are too few answers to compare; eject.MinGap (2 ms a token) is forty times a prefill token. Taken out of the bench only; the entry keeps it, where it also covers failing dials and plain services.

--- a/bench/entry.go
+++ b/bench/entry.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"jacinthworks/admit"
-	"jacinthworks/eject"
 	"jacinthworks/queue"
 	"jacinthworks/route"
 	"jacinthworks/work"
@@ -22,8 +21,6 @@
 	apps    route.Apps
 	pace    queue.Pace
 	waiting map[work.RequestID]*request
-	// filling and giving compare the prefill and the decode engines.
-	filling, giving eject.Pool
 	// lapse is the time of the next look at lapsed items.
 	lapse time.Time
 }
@@ -245,23 +242,6 @@
 	}
 	if r.outcome == answered {
 		e.pace.Observe(r.toFill, r.output, r.first.Sub(r.left), r.end.Sub(r.left))
-		e.filling.Answered(e.w.now, r.prefill.host, r.first.Sub(r.left), r.toFill)
-		e.giving.Answered(e.w.now, r.decode.host, r.end.Sub(r.first), r.output)
 	}
 	e.pump()
 }
-
-// compare ejects engines that are much slower than their peers.
-func (e *entry) compare() {
-	if e.off == "ejection" {
-		return
-	}
-	e.filling.Evaluate(e.w.now)
-	e.giving.Evaluate(e.w.now)
-	for _, p := range e.w.prefills {
-		e.model.Prefills.SetShare(p.host, e.filling.Weight(e.w.now, p.host))
-	}
-	for _, d := range e.w.decodes {
-		e.model.Decodes.SetShare(d.host, e.giving.Weight(e.w.now, d.host))
-	}
-}
--- a/bench/run.go
+++ b/bench/run.go
@@ -14,7 +14,7 @@
 // decisions can each be switched off, as policy without_<name>.
 var decisions = []string{
 	"reservations", "refusal", "fair_queueing", "priority", "yielding", "lanes", "hot_key", "retry_spacing",
-	"own_counts", "cache_belief", "kv_life", "token_gap", "prefill_bound", "short_only", "ejection",
+	"own_counts", "cache_belief", "kv_life", "token_gap", "prefill_bound", "short_only",
 }
 
 const (
--- a/bench/side.go
+++ b/bench/side.go
@@ -44,34 +44,11 @@
 	for _, e := range w.prefills {
 		s.listen(e, seed)
 	}
-	s.members()
 	s.report()
 	w.every(reportEvery, reportEvery, s.report)
-	for _, e := range s.entries {
-		w.every(time.Second, time.Second, e.compare)
-	}
 	return s
 }
 
-// members tells the entries which engines are compared.
-func (s *sides) members() {
-	var filling, giving []work.Host
-	for _, p := range s.w.prefills {
-		if !s.lost[p.host] {
-			filling = append(filling, p.host)
-		}
-	}
-	for _, d := range s.w.decodes {
-		if !s.lost[d.host] {
-			giving = append(giving, d.host)
-		}
-	}
-	for _, e := range s.entries {
-		e.filling.Members(s.w.now, filling)
-		e.giving.Members(s.w.now, giving)
-	}
-}
-
 // listen passes an engine's cache events on, late and with gaps.
 func (s *sides) listen(p *prefillEngine, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 4))
@@ -194,7 +171,6 @@
 
 func (s *sides) down(h work.Host, lost []*request) {
 	s.lost[h] = true
-	s.members()
 	for _, e := range s.entries {
 		e.model.Prefills.Remove(h)
 		e.model.Decodes.Remove(h)
