bench: pace of plain calls is measured

Cause: at 4x wallapp's goodput fell 8.5% against 3x: a call was started up to its mean time before the deadline, and with times spread as they are a third of those came late. Nothing else was ruled out.

--- a/bench/app.go
+++ b/bench/app.go
@@ -86,6 +86,9 @@
 	if e.off != "own_counts" {
 		e.apps.Ended(e.w.now, r.app.host)
 	}
+	if r.outcome == answered {
+		e.pace.Observe(0, 0, r.end.Sub(r.left), r.end.Sub(r.left))
+	}
 	e.pump()
 }
 
--- a/bench/entry.go
+++ b/bench/entry.go
@@ -75,10 +75,6 @@
 		Deadline:   r.deadline(),
 		MayWait:    r.kind.row.MayWait,
 	}
-	if len(e.w.apps) > 0 {
-		i.ToEnd, i.ToFirstToken = r.kind.service, r.kind.service
-		return e.withoutOne(i)
-	}
 	i.ToFirstToken, i.ToEnd = e.pace.Estimate(i.Prompt, i.Output)
 	return e.withoutOne(i)
 }
