side: an outcome that an entry took is no orphan

Cause: the side asked whether an entry was attached after it had told of the end; an entry that let go in between made the order look orphaned, and the side wrote the story to the platform. The test fails without the change. Conclusion: decided at the end itself, under the ledger's lock.

--- a/side/ledger.go
+++ b/side/ledger.go
@@ -42,6 +42,8 @@
 	cancel   context.CancelFunc
 	// gone says that nobody wants the outcome any more.
 	gone bool
+	// untaken says that no entry was attached when the order ended.
+	untaken bool
 	// changed is closed and replaced at each change.
 	changed chan struct{}
 }
@@ -118,6 +120,9 @@
 	}
 	out.Ref, out.Tokens = o.run.Ref, len(o.tokens)
 	o.step, o.outcome, o.ended = stepEnded, out, now
+	// The entry that follows lets go as soon as it hears of the end: whether
+	// one was there is decided now.
+	o.untaken = o.attached == 0
 	delete(l.live, o.run.Ref)
 	l.ended = append(l.ended, o.run.Ref)
 	o.wake()
@@ -244,7 +249,7 @@
 func (l *Ledger) untaken(o *order) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return o.attached == 0
+	return o.untaken
 }
 
 func (l *Ledger) init() {
--- a/side/ledger_test.go
+++ b/side/ledger_test.go
@@ -45,6 +45,24 @@
 	require.Empty(t, l.orphans(now.Add(time.Second), time.Second))
 }
 
+// The failure: an entry takes an outcome and lets go of the order before the
+// side looks whether anybody was there. The side then took the story for an
+// orphan and wrote it to the platform itself: 398 of 16,000 plain calls with
+// nothing wrong, which at 12,000 sides is more writes than the platform takes.
+func TestAnOutcomeThatWasTakenIsNoOrphan(t *testing.T) {
+	var l Ledger
+	now := time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)
+	taken, _ := l.begin(orderOf(1, wire.StageCall), "entry-1", func() {})
+	l.end(taken, wire.Outcome{Ran: work.DidRun}, now)
+	l.detach(taken, now) // the entry has its outcome
+	require.False(t, l.untaken(taken))
+
+	lost, _ := l.begin(orderOf(2, wire.StageCall), "entry-1", func() {})
+	l.detach(lost, now) // the entry was lost
+	l.end(lost, wire.Outcome{Ran: work.DidRun}, now)
+	require.True(t, l.untaken(lost))
+}
+
 // BenchmarkIdentities gives what each call and reservation pays for the question
 // beside whom it would run, at a side that remembers thousands of ended orders.
 func BenchmarkIdentities(b *testing.B) {
