--- a/bench/entry.go
+++ b/bench/entry.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthworks/admit"
+	"jacinthworks/eject"
 	"jacinthworks/queue"
 	"jacinthworks/route"
 	"jacinthworks/work"
@@ -18,8 +19,11 @@
 	random  *rand.Rand
 	queue   queue.Queue
 	model   route.Model
+	apps    route.Apps
 	pace    queue.Pace
 	waiting map[work.RequestID]*request
+	// filling and giving compare the prefill and the decode engines.
+	filling, giving eject.Pool
 	// lapse is the time of the next look at lapsed items.
 	lapse time.Time
 }
@@ -28,8 +32,11 @@
 	e := &entry{w: w, off: off, waiting: make(map[work.RequestID]*request)}
 	e.random = rand.New(rand.NewPCG(seed, 2))
 	e.queue.Limits.Items = 200
-	if off == "short_only" {
+	switch off {
+	case "short_only":
 		e.model.Prefills.ShortOnly = -1
+	case "aging":
+		e.queue.Limits.Aging = -1
 	}
 	return e
 }
@@ -70,11 +77,20 @@
 		Priority:   r.kind.row.Priority,
 		Prompt:     r.prompt,
 		Output:     r.output,
-		FirstToken: r.firstTarget(),
+		FirstToken: r.firstTarget(), // for a plain call its deadline
 		Deadline:   r.deadline(),
 		MayWait:    r.kind.row.MayWait,
 	}
+	if len(e.w.apps) > 0 {
+		i.ToEnd, i.ToFirstToken = r.kind.service, r.kind.service
+		return e.withoutOne(i)
+	}
 	i.ToFirstToken, i.ToEnd = e.pace.Estimate(i.Prompt, i.Output)
+	return e.withoutOne(i)
+}
+
+// withoutOne takes out of an item what the switched-off decision is made of.
+func (e *entry) withoutOne(i queue.Item) queue.Item {
 	switch e.off {
 	case "refusal":
 		i.FirstToken, i.Deadline = time.Time{}, time.Time{}
@@ -157,6 +173,9 @@
 
 // place reserves a pair and starts the prefill; false when none has room.
 func (e *entry) place(r *request) bool {
+	if len(e.w.apps) > 0 {
+		return e.placeApp(r)
+	}
 	j := e.job(r)
 	for range 3 {
 		pair, g, ok := e.model.Choose(e.w.now, j, e.random)
@@ -205,7 +224,7 @@
 
 // again puts a request back whose engines failed it.
 func (e *entry) again(r *request) {
-	if r.attempt >= maxAttempts || !r.first.IsZero() {
+	if r.attempt >= maxAttempts || !r.first.IsZero() || !r.kind.row.Idempotent {
 		e.w.end(r, failed)
 		return
 	}
@@ -216,6 +235,9 @@
 
 // free releases what the request holds at the sides.
 func (e *entry) free(r *request) {
+	if r.app != nil {
+		e.freeApp(r)
+	}
 	if r.prefill == nil {
 		return
 	}
@@ -226,6 +248,23 @@
 	}
 	if r.outcome == answered {
 		e.pace.Observe(r.toFill, r.output, r.first.Sub(r.left), r.end.Sub(r.left))
+		e.filling.Answered(e.w.now, r.prefill.host, r.first.Sub(r.left), r.toFill)
+		e.giving.Answered(e.w.now, r.decode.host, r.end.Sub(r.first), r.output)
 	}
 	e.pump()
 }
+
+// compare ejects engines that are much slower than their peers.
+func (e *entry) compare() {
+	if e.off == "ejection" {
+		return
+	}
+	e.filling.Evaluate(e.w.now)
+	e.giving.Evaluate(e.w.now)
+	for _, p := range e.w.prefills {
+		e.model.Prefills.SetShare(p.host, e.filling.Weight(e.w.now, p.host))
+	}
+	for _, d := range e.w.decodes {
+		e.model.Decodes.SetShare(d.host, e.giving.Weight(e.w.now, d.host))
+	}
+}
--- a/bench/side.go
+++ b/bench/side.go
@@ -44,11 +44,34 @@
 	for _, e := range w.prefills {
 		s.listen(e, seed)
 	}
+	s.members()
 	s.report()
 	w.every(reportEvery, reportEvery, s.report)
+	for _, e := range s.entries {
+		w.every(time.Second, time.Second, e.compare)
+	}
 	return s
 }
 
+// members tells the entries which engines are compared.
+func (s *sides) members() {
+	var filling, giving []work.Host
+	for _, p := range s.w.prefills {
+		if !s.lost[p.host] {
+			filling = append(filling, p.host)
+		}
+	}
+	for _, d := range s.w.decodes {
+		if !s.lost[d.host] {
+			giving = append(giving, d.host)
+		}
+	}
+	for _, e := range s.entries {
+		e.filling.Members(s.w.now, filling)
+		e.giving.Members(s.w.now, giving)
+	}
+}
+
 // listen passes an engine's cache events on, late and with gaps.
 func (s *sides) listen(p *prefillEngine, seed uint64) {
 	random := rand.New(rand.NewPCG(seed, 4))
@@ -72,6 +95,7 @@
 	made     time.Time
 	prefills map[*prefillEngine]route.PrefillReport
 	decodes  map[*decodeEngine]route.DecodeReport
+	apps     map[*appServer]route.AppReport
 	links    map[*link]route.LinkReport
 }
 
@@ -81,6 +105,7 @@
 		made:     s.w.now,
 		prefills: make(map[*prefillEngine]route.PrefillReport),
 		decodes:  make(map[*decodeEngine]route.DecodeReport),
+		apps:     make(map[*appServer]route.AppReport),
 		links:    make(map[*link]route.LinkReport),
 	}
 	for _, p := range s.w.prefills {
@@ -93,6 +118,11 @@
 			now.decodes[d] = d.report()
 		}
 	}
+	for _, a := range s.w.apps {
+		if !a.dead {
+			now.apps[a] = a.report()
+		}
+	}
 	for _, l := range s.w.links {
 		now.links[l] = route.LinkReport{Rate: l.rate, QueuedBytes: l.queued(s.w.now)}
 	}
@@ -116,6 +146,11 @@
 				e.model.Decodes.Update(d.host, d.zone, r.made, report)
 			}
 		}
+		for _, a := range s.w.apps {
+			if report, ok := r.apps[a]; ok && !s.lost[a.host] {
+				e.apps.Pool.Update(a.host, a.zone, r.made, report)
+			}
+		}
 		for _, l := range s.w.links {
 			e.model.UpdateLink(l.path, r.made, r.links[l])
 		}
@@ -159,9 +194,11 @@
 
 func (s *sides) down(h work.Host, lost []*request) {
 	s.lost[h] = true
+	s.members()
 	for _, e := range s.entries {
 		e.model.Prefills.Remove(h)
 		e.model.Decodes.Remove(h)
+		e.apps.Pool.Remove(h)
 	}
 	for _, r := range lost {
 		s.evicted(r)
--- a/entry/request.go
+++ b/entry/request.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"jacinthworks/check"
+	"jacinthworks/claim"
 	"jacinthworks/engine"
 	"jacinthworks/links"
 	"jacinthworks/retry"
@@ -28,7 +29,12 @@
 	identity retry.Identity
 	accepted time.Time
 	attempt  work.Attempt
+	bounces  work.Attempt // attempts that no side took
+	tries    work.Attempt // of claims, each with a number of its own
 	tokens   int
+	// prefilled says that an engine has begun a prefill of it, whatever came
+	// of the decode: it cannot be called not_run any more.
+	prefilled bool
 	// avoid holds the hosts that failed this request.
 	avoid map[work.Host]bool
 	// Of model work:
@@ -107,7 +113,13 @@
 
 // failed turns an outcome into a failure.
 func failed(out wire.Outcome) *failure {
-	return &failure{ran: out.Ran, reason: out.Reason, detail: out.Detail, death: out.Death}
+	f := &failure{ran: out.Ran, reason: out.Reason, detail: out.Detail, death: out.Death}
+	if c := out.Claim; c != nil && (c.Code == claim.CodeKeyTaken || !c.TryNotRun) {
+		// This attempt did not run, but another under its key may have: a
+		// side that was paused wakes and runs what was given up meanwhile.
+		f.ran, f.final = worse(c.Ran, work.Unknown), true
+	}
+	return f
 }
 
 // attempts runs try until it succeeds or must not be repeated.
@@ -126,9 +138,17 @@
 		e.tell(r, story.Event{Kind: story.AttemptEnded, Ran: f.ran, Reason: f.reason, Detail: f.detail})
 		// An earlier attempt may have run although the last one did not.
 		worst = worse(worst, f.ran)
+		if r.prefilled {
+			worst = worse(worst, work.DidRun)
+		}
 		if ctx.Err() != nil {
 			f.reason = reasonOf(ctx)
 		}
+		if ctx.Err() == nil && f.bounced() {
+			r.bounces++
+			pause(ctx, bouncePause)
+			continue
+		}
 		if ctx.Err() != nil || !e.mayRetry(r, f) {
 			f.ran = worst
 			return f
@@ -136,6 +156,16 @@
 	}
 }
 
+// bouncePause is the wait before a request that a side did not take is queued
+// again; a heartbeat or a record that says why is on its way.
+const bouncePause = 20 * time.Millisecond
+
+// bounced says whether the attempt only met a side that takes no work. That
+// costs nothing and is no failure: the queue decides how long it goes on.
+func (f *failure) bounced() bool {
+	return !f.final && f.ran == work.NotRun && (f.reason == work.ReasonDraining || f.reason == work.ReasonNoRoom)
+}
+
 // worse gives the account that admits more.
 func worse(a, b work.Ran) work.Ran {
 	rank := func(r work.Ran) int {
