--- a/claim/book.go
+++ b/claim/book.go
@@ -19,6 +19,9 @@
 	Self Process
 	// Limits bounds what each shard remembers.
 	Limits Limits
+	// Live tells whether a process is heard, as far as is known. At a change
+	// of the record, shards return to a rank 0 that is live. May be nil.
+	Live func(Process) bool
 
 	mu     sync.Mutex
 	record Record
@@ -80,7 +83,7 @@
 			return out, err
 		}
 		s.runner.Learn(rec)
-		err = s.owner.Adopt(rec, now)
+		err = s.owner.Adopt(rec, b.Live, now)
 		out.add(s.owner.Pending(now))
 		s.mu.Unlock()
 		if err != nil {
@@ -108,7 +111,8 @@
 // Retire hands a shard to a member of a later rank at a planned stop, and
 // claims nothing for it from then on. Send the handover until Delivered. It
 // gives an empty Outbox if this process does not own the shard with a complete
-// view, or if the heir's rank does not come after its own.
+// view, or if the heir's rank does not come after its own; then leave by
+// writing a record without this process: Learn hands the shard to rank 0.
 func (b *Book) Retire(number Shard, heir Process, now time.Time) (Outbox, error) {
 	rec := b.Record()
 	rank, member := rec.Rank(number, heir)
@@ -193,8 +197,8 @@
 // Keys gives the number of keys remembered as owner and as runner.
 func (b *Book) Keys() (owned, run int) {
 	b.each(func(s *shard) {
-		owned += len(s.owner.keys)
-		run += len(s.runner.keys) + len(s.runner.refused)
+		owned += len(s.owner.keys) + len(s.owner.legacy)
+		run += s.runner.size()
 	})
 	return owned, run
 }
