--- a/test/drive/caller.go
+++ b/test/drive/caller.go
@@ -18,6 +18,7 @@
 	App        = "marketplace-app"
 	Model      = "appraiser-lm"
 	PlainKind  = "card"
+	KeyedKind  = "enquiry"
 	StreamKind = "appraisal"
 )
 
@@ -55,6 +56,21 @@
 		return err
 	}
 	c.sign(q, PlainKind)
+	return c.whole(q)
+}
+
+// Keyed makes one call that may not be repeated, under the given key.
+func (c *Caller) Keyed(ctx context.Context, key string) error {
+	q, err := http.NewRequestWithContext(ctx, http.MethodPost, c.Base+"/services/"+App+"/enquiry", strings.NewReader(key))
+	if err != nil {
+		return err
+	}
+	c.sign(q, KeyedKind)
+	q.Header.Set("Idempotency-Key", key)
+	return c.whole(q)
+}
+
+func (c *Caller) whole(q *http.Request) error {
 	answer, err := c.open().Do(q)
 	if err != nil {
 		return err
--- a/test/slopes/main.go
+++ b/test/slopes/main.go
@@ -34,7 +34,7 @@
 const mostTime = 3 * time.Minute
 
 type arguments struct {
-	Only []string `arg:"--only" help:"sections to run: calls, links, orders, requests, streams, packages"`
+	Only []string `arg:"--only" help:"sections to run: calls, links, orders, requests, claims, streams, packages"`
 }
 
 // Description is shown by --help.
@@ -54,7 +54,7 @@
 // sections are run in this order, with callsSection beside them.
 func sections() []section {
 	return []section{
-		{"links", measureLinks}, {"orders", measureOrders}, {"requests", measureRequests},
+		{"links", measureLinks}, {"orders", measureOrders}, {"requests", measureRequests}, {"claims", measureClaims},
 		{"streams", measureStreams}, {"packages", measurePackages},
 	}
 }
--- a/test/slopes/packages.go
+++ b/test/slopes/packages.go
@@ -8,6 +8,7 @@
 	"runtime"
 	"time"
 
+	"jacinthworks/claim"
 	"jacinthworks/member"
 	"jacinthworks/plat"
 	"jacinthworks/table"
@@ -16,7 +17,7 @@
 
 var (
 	rowSizes    = []int{100, 500, 1000, 2500}
-	memberSizes = []int{9, 290, 1000, 2000}
+	memberSizes = []int{50, 290, 1000, 2000}
 	listSizes   = []int{100, 1000, 4000}
 )
 
@@ -80,7 +81,6 @@
 	if err != nil {
 		return err
 	}
-	fmt.Println("claim\tside\tremembered_key\tnot yet carried / not measured\t-\t0")
 	fmt.Println("cache_events\tside\tall\tnot yet carried / not measured\t-\t0")
 	return nil
 }
@@ -126,14 +126,26 @@
 	return table.New(1, rows).Encode()
 }
 
+// joins is how many members join one by one: as many as fill the generations
+// that a record keeps for claims.
+const joins = claim.MaxPast + 1
+
+// recordOf gives a service's record as it is after some changes of its
+// members: each is an application server or a decode engine, which own shards
+// of keys.
 func recordOf(n int) ([]byte, error) {
 	r := member.Record{Service: "appraiser-lm-1"}
 	for i := range n {
-		r.Members = append(r.Members, member.Member{
+		m := member.Member{
 			Host: work.Host(fmt.Sprintf("appraiser-%05d", i)), Zone: work.Zone(fmt.Sprintf("region-%d-zone-%d", i%11, i%4)),
 			Role: work.RoleDecode, Service: r.Service, Incarnation: work.NewIncarnation(),
 			Address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 20, byte(i >> 8), byte(i)}), 17201),
-		})
+		}
+		if i < n-joins {
+			r.Members = append(r.Members, m)
+			continue
+		}
+		r, _ = r.With(m)
 	}
 	return json.Marshal(r)
 }
--- a/test/slopes/requests.go
+++ b/test/slopes/requests.go
@@ -36,7 +36,7 @@
 	at   test.Running
 	idle float64 // us a second
 	// cpu and alloc hold the costs at each size.
-	cpu, alloc, resident []point
+	cpu, alloc, bytes, resident []point
 }
 
 func newParts(ctx context.Context, processes map[string]test.Running) ([]*part, error) {
@@ -90,6 +90,7 @@
 		}
 		spent := micros(after.cpu-before[i].cpu) - p.idle*after.at.Sub(before[i].at).Seconds()
 		p.cpu = append(p.cpu, point{x, spent / per})
+		p.bytes = append(p.bytes, point{x, (after.bytes - before[i].bytes) / per})
 		p.resident = append(p.resident, point{x, after.resident})
 		if p.role != "entry" {
 			continue
@@ -146,6 +147,7 @@
 	}
 	for _, part := range parts {
 		reportLine("plain_call", part.role, "cpu", "us", "call", part.cpu)
+		reportLine("plain_call", part.role, "bytes", "B", "call", part.bytes)
 		if part.alloc != nil {
 			reportLine("plain_call", part.role, "allocated", "B", "call", part.alloc)
 		}
@@ -174,6 +176,7 @@
 	for _, part := range parts {
 		// The intercept is the request without its tokens.
 		reportLine("token", part.role, "cpu", "us", "token", part.cpu)
+		reportLine("token", part.role, "bytes", "B", "token", part.bytes)
 		if part.alloc != nil {
 			reportLine("token", part.role, "allocated", "B", "token", part.alloc)
 		}
