Scenarios name their promises; bad input; make demo, make promises

Cause: nothing summed up what the scenarios say of each promise, and bad input was tested only at the level of packages, against fakes. The judge's checks now count against the promise that each guards, and only waits of a promise are timed: the wait for a world to be ready was counted before. A continued process no longer counts as a failure brought about, and a signal to several counts for each. No check is changed: judgeKeys is split in two, for two promises.

--- a/Makefile
+++ b/Makefile
@@ -17,6 +17,14 @@
 	go test -race $$(go list ./... | grep -v /test$$)
 	go test -count=1 ./test # builds the programs itself, so a cached verdict says nothing
 
+.PHONY: demo
+demo: build ## the whole path on loopback: four requests and the story of each
+	test/demo.sh
+
+.PHONY: promises
+promises: ## what the scenarios say of each promise, tab-separated
+	@out=$$(mktemp); go test -count=1 ./test -run TestScenarios -args -promises="$$out" >&2; code=$$?; cat "$$out"; rm -f "$$out"; exit $$code
+
 clean:
 	rm -rf bin
 
--- a/test/judge.go
+++ b/test/judge.go
@@ -75,7 +75,7 @@
 	if err != nil {
 		return err
 	}
-	return w.eventually(within, func() error {
+	return w.timed(MemoryFree, within, func() error {
 		for _, name := range w.engines {
 			p, err := w.find(name)
 			if err != nil {
@@ -101,20 +101,27 @@
 		return err
 	}
 	var found check.Findings
-	w.judgeAnswers(&found)
-	w.judgeRefusals(u, &found)
-	w.judgeKeys(u, &found)
-	w.judgeCounts(&found)
-	if w.watch != nil {
-		w.watch.mu.Lock()
-		defer w.watch.mu.Unlock()
-		for _, name := range w.watch.reverted {
-			found.Add(name, "went back to an older version of the table")
-		}
-	}
+	w.judged(OwnWhole, &found, w.judgeAnswers)
+	w.judged(NotRunIsTrue, &found, func(f *check.Findings) { w.judgeRefusals(u, f) })
+	w.judged(AtMostOnce, &found, func(f *check.Findings) { w.judgeRuns(u, f) })
+	w.judged(AnsweredOnce, &found, w.judgeSecondAnswers)
+	w.judged(AnsweredOnce, &found, w.judgeCounts)
+	w.judged(EditsHold, &found, w.judgeTable)
 	return found.Err()
 }
 
+// judgeTable: no entry that was watched went back to an older table.
+func (w *world) judgeTable(found *check.Findings) {
+	if w.watch == nil {
+		return
+	}
+	w.watch.mu.Lock()
+	defer w.watch.mu.Unlock()
+	for _, name := range w.watch.reverted {
+		found.Add(name, "went back to an older version of the table")
+	}
+}
+
 // judgeAnswers: each answer is whole and belongs to its own request, and
 // nothing that broke off looks complete.
 func (w *world) judgeAnswers(found *check.Findings) {
@@ -156,9 +163,8 @@
 	}
 }
 
-// judgeKeys: a key of unrepeatable work ran at most once, and nobody was
-// answered twice under one key.
-func (w *world) judgeKeys(u upstreams, found *check.Findings) {
+// judgeRuns: a key of unrepeatable work ran at most once.
+func (w *world) judgeRuns(u upstreams, found *check.Findings) {
 	accounts := map[work.RequestID]string{} // a key is its account's own
 	for _, name := range w.order {
 		accounts[w.calls[name].look().id] = w.calls[name].account
@@ -179,6 +185,10 @@
 			found.Add("key "+key, "ran %d times", n)
 		}
 	}
+}
+
+// judgeSecondAnswers: nobody was answered twice under one key.
+func (w *world) judgeSecondAnswers(found *check.Findings) {
 	answered := map[string][]string{}
 	for _, name := range w.order {
 		c, v := w.calls[name], w.calls[name].look()
--- a/test/operator.go
+++ b/test/operator.go
@@ -124,7 +124,7 @@
 			if !strings.HasPrefix(entry, "entry-") {
 				continue
 			}
-			if err := w.eventually(within, func() error { return w.holds(entry, key, name, value) }); err != nil {
+			if err := w.timed(EditsHold, within, func() error { return w.holds(entry, key, name, value) }); err != nil {
 				return err
 			}
 		}
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -1,9 +1,11 @@
 package test
 
 import (
+	"flag"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"testing"
 
 	"github.com/rogpeppe/go-internal/testscript"
@@ -12,6 +14,11 @@
 
 var built Binaries
 
+// Where to write what the scenarios say of each promise; `make promises`.
+var promisesFile = flag.String("promises", "", "file to write a line for each promise to")
+
+var results Results
+
 // TestMain builds the programs under test once.
 func TestMain(m *testing.M) { os.Exit(runAll(m)) }
 
@@ -27,12 +34,52 @@
 			panic(string(text))
 		}
 	}
-	return m.Run()
+	flag.Parse()
+	code := m.Run()
+	if *promisesFile != "" {
+		if err := writeResults(*promisesFile); err != nil {
+			panic(err)
+		}
+	}
+	return code
+}
+
+func writeResults(path string) error {
+	f, err := os.Create(path)
+	if err != nil {
+		return err
+	}
+	if err := results.Write(f); err != nil {
+		return err
+	}
+	return f.Close()
 }
 
 func TestScenarios(t *testing.T) {
 	found, err := filepath.Glob("scripts/*.txtar")
 	require.NoError(t, err)
 	require.NotEmpty(t, found)
-	testscript.Run(t, testscript.Params{Files: found, Setup: Setup(built), Cmds: Commands()})
+	testscript.Run(t, testscript.Params{Files: found, Setup: setup, Cmds: Commands()})
+}
+
+// setup gives the script its world, and takes what it says of the promises
+// before the world is closed.
+func setup(env *testscript.Env) error {
+	if err := Setup(built)(env); err != nil {
+		return err
+	}
+	t := env.T().(interface {
+		Name() string
+		Failed() bool
+		Errorf(string, ...any)
+	})
+	name := t.Name()
+	script := filepath.Join("scripts", name[strings.LastIndex(name, "/")+1:]+".txtar")
+	w := env.Values[worldKey{}].(*world)
+	env.Defer(func() {
+		if err := results.take(script, w, t.Failed()); err != nil {
+			t.Errorf("%v", err)
+		}
+	})
+	return nil
 }
--- a/test/script.go
+++ b/test/script.go
@@ -43,6 +43,7 @@
 		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "answered": stepAnswered, "refused": stepRefused, "within": stepWithin, "idle": stepIdle,
 		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "story": stepStory,
 		"stall": stepStall, "resume": stepResume,
+		"send": stepSend, "router": stepRouter, "portof": stepPortOf,
 	} {
 		all[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			err := do(ts.Value(worldKey{}).(*world), args)
@@ -80,8 +81,7 @@
 	began := time.Now()
 	for {
 		err := try()
-		if took := time.Since(began); err == nil || took > within {
-			w.worst = max(w.worst, took)
+		if err == nil || time.Since(began) > within {
 			return err
 		}
 		pause(w.ctx, 10*time.Millisecond)
@@ -244,7 +244,9 @@
 }
 
 func (w *world) signal(args []string, s syscall.Signal, wait bool) error {
-	w.faults++
+	if s != syscall.SIGCONT {
+		w.faults += len(args)
+	}
 	for _, name := range args {
 		p, err := w.find(name)
 		if err != nil {
--- a/test/world.go
+++ b/test/world.go
@@ -66,10 +66,12 @@
 	before    upstreams
 	edits     map[string]*edit
 	watch     *watcher
-	worst     time.Duration
-	entries   []string
-	engines   []string
-	apps      []string
+	// worst and violations are what the scenario says of each promise.
+	worst      map[Promise]time.Duration
+	violations map[Promise]int
+	entries    []string
+	engines    []string
+	apps       []string
 }
 
 func newWorld(bin Binaries, dir string) *world {
@@ -77,6 +79,7 @@
 	return &world{
 		bin: bin, dir: dir, ctx: ctx, stop: stop, processes: make(map[string]*process),
 		links: make(map[string]*relay), calls: make(map[string]*call),
+		worst: make(map[Promise]time.Duration), violations: make(map[Promise]int),
 	}
 }
 
