--- a/Makefile
+++ b/Makefile
@@ -22,8 +22,8 @@
 	test/demo.sh
 
 .PHONY: promises
-promises: ## what the scenarios say of each promise, tab-separated
-	@out=$$(mktemp); go test -count=1 ./test -run TestScenarios -args -promises="$$out" >&2; code=$$?; cat "$$out"; rm -f "$$out"; exit $$code
+promises: ## what scenarios and drills say of each promise, tab-separated
+	@out=$$(mktemp); go test -count=1 ./test -run 'TestScenarios|TestEveryStep' -args -promises="$$out" >&2; code=$$?; cat "$$out"; rm -f "$$out"; exit $$code
 
 clean:
 	rm -rf bin
@@ -35,3 +35,11 @@
 .PHONY: bench
 bench: ## decisions under load in virtual time, tab-separated
 	go run ./bench
+
+.PHONY: slopes
+slopes: ## cost of each mechanism on this machine, for docs/CAPACITY.md; under 3 minutes
+	go run ./test/slopes
+
+.PHONY: bench-path
+bench-path: ## time that entry and side add to a call and to a token
+	go run ./test/path
--- a/queue/verdict.go
+++ b/queue/verdict.go
@@ -150,7 +150,7 @@
 // waiting, n parts in n+1 are taken at the most: a place is left for one who
 // comes with nothing waiting.
 func (q *Queue) callerLimit() int {
-	return max(1, q.limit()/(len(q.callers)+1))
+	return max(1, q.Limits.items()/(len(q.callers)+1))
 }
 
 // refusal says why the item is refused on arrival, or gives nil.
@@ -180,7 +180,7 @@
 	return &Refusal{
 		Reason:     reason,
 		Detail:     detail,
-		RetryAfter: q.returns.after(now, excess, q.lanes[laneOf(i)].drain.wait(i.Cost()), random),
+		RetryAfter: q.returns.after(now, excess, q.lanes[laneOf(i.Prompt)].drain.wait(i.Cost()), random),
 		Grounds:    g,
 	}
 }
--- a/test/promises.go
+++ b/test/promises.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -72,15 +71,7 @@
 // take adds a scenario that has ended. One that failed at a check of its own,
 // and not at the judge, counts as one violation of each promise that it is
 // about.
-func (r *Results) take(script string, w *world, failed bool) error {
-	text, err := os.ReadFile(script)
-	if err != nil {
-		return err
-	}
-	promises, err := PromisesOf(string(text))
-	if err != nil {
-		return errors.Wrap(err, script)
-	}
+func (r *Results) take(promises []Promise, w *world, failed bool) {
 	if failed && len(w.violations) == 0 {
 		for _, p := range promises {
 			w.violations[p] = 1
@@ -94,7 +85,6 @@
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.all = append(r.all, result{promises: promises, passed: !failed, faults: w.faults, violations: w.violations, worst: w.worst})
-	return nil
 }
 
 // Write prints a line for each promise: promise, scenarios, passed, failures
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -3,7 +3,6 @@
 import (
 	"flag"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"strings"
 	"testing"
@@ -28,11 +27,8 @@
 		panic(err)
 	}
 	defer os.RemoveAll(dir)
-	built = Binaries{Router: filepath.Join(dir, "jacinthworks"), Fakes: filepath.Join(dir, "fakes")}
-	for out, from := range map[string]string{built.Router: "jacinthworks", built.Fakes: "jacinthworks/fakes"} {
-		if text, err := exec.Command("go", "build", "-o", out, from).CombinedOutput(); err != nil {
-			panic(string(text))
-		}
+	if built, err = Build(dir); err != nil {
+		panic(err)
 	}
 	flag.Parse()
 	code := m.Run()
@@ -71,15 +67,17 @@
 	t := env.T().(interface {
 		Name() string
 		Failed() bool
-		Errorf(string, ...any)
 	})
 	name := t.Name()
-	script := filepath.Join("scripts", name[strings.LastIndex(name, "/")+1:]+".txtar")
+	text, err := os.ReadFile(filepath.Join("scripts", name[strings.LastIndex(name, "/")+1:]+".txtar"))
+	if err != nil {
+		return err
+	}
+	promises, err := PromisesOf(string(text))
+	if err != nil {
+		return err
+	}
 	w := env.Values[worldKey{}].(*world)
-	env.Defer(func() {
-		if err := results.take(script, w, t.Failed()); err != nil {
-			t.Errorf("%v", err)
-		}
-	})
+	env.Defer(func() { results.take(promises, w, t.Failed()) })
 	return nil
 }
