--- a/test/promises.go
+++ b/test/promises.go
@@ -84,7 +84,7 @@
 	}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.all = append(r.all, result{promises: promises, passed: !failed, faults: w.faults, violations: w.violations, worst: w.worst})
+	r.all = append(r.all, result{promises: promises, passed: !failed, faults: int(w.faults.Load()), violations: w.violations, worst: w.worst})
 }
 
 // Write prints a line for each promise: promise, scenarios, passed, failures
--- a/test/script.go
+++ b/test/script.go
@@ -32,10 +32,9 @@
 // step is one command of the language.
 type step func(w *world, args []string) error
 
-// Commands is the language of the scripts.
-func Commands() map[string]func(*testscript.TestScript, bool, []string) {
-	all := map[string]func(*testscript.TestScript, bool, []string){}
-	for name, do := range map[string]step{
+// language lists the commands.
+func language() map[string]step {
+	return map[string]step{
 		"world": stepWorld, "call": stepCall, "await": stepAwait, "hangup": stepHangUp,
 		"sigkill": stepKill, "sigterm": stepTerm, "sigstop": stepFreeze, "sigcont": stepThaw, "restart": stepRestart, "gone": stepGone,
 		"cut": stepCut, "silence": stepSilence, "heal": stepHeal, "fault": stepFault,
@@ -44,7 +43,13 @@
 		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "story": stepStory,
 		"stall": stepStall, "resume": stepResume,
 		"send": stepSend, "router": stepRouter, "portof": stepPortOf,
-	} {
+	}
+}
+
+// Commands is the language of the scripts.
+func Commands() map[string]func(*testscript.TestScript, bool, []string) {
+	all := map[string]func(*testscript.TestScript, bool, []string){}
+	for name, do := range language() {
 		all[name] = func(ts *testscript.TestScript, neg bool, args []string) {
 			err := do(ts.Value(worldKey{}).(*world), args)
 			if neg && err == nil {
@@ -238,14 +243,17 @@
 
 // stepHangUp ends a call from its caller's side.
 func stepHangUp(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	w.calls[args[0]].hangUp()
 	return nil
 }
 
+// errEnded says that a process has ended already.
+var errEnded = errors.New("process has ended")
+
 func (w *world) signal(args []string, s syscall.Signal, wait bool) error {
 	if s != syscall.SIGCONT {
-		w.faults += len(args)
+		w.faults.Add(int32(len(args)))
 	}
 	for _, name := range args {
 		p, err := w.find(name)
@@ -253,7 +261,7 @@
 			return err
 		}
 		if err := p.command.Process.Signal(s); err != nil {
-			return err
+			return errors.Wrap(errEnded, name)
 		}
 		if wait {
 			<-p.done
@@ -308,7 +316,7 @@
 
 // stepCut cuts FROM off TO: open connections close and new ones fail.
 func stepCut(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	r, from, err := w.relayBetween(args[0], args[1])
 	if err == nil {
 		r.sever(from)
@@ -318,7 +326,7 @@
 
 // stepSilence makes FROM's open connections to TO silent; new ones work.
 func stepSilence(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	r, from, err := w.relayBetween(args[0], args[1])
 	if err == nil {
 		r.silence(from)
@@ -339,7 +347,7 @@
 // stepFault tells a stand-in to misbehave: fault NAME JSON.
 func stepFault(w *world, args []string) error {
 	if args[1] != "{}" {
-		w.faults++
+		w.faults.Add(1)
 	}
 	return w.post(args[0], "/fault", strings.Join(args[1:], " "))
 }
@@ -482,7 +490,7 @@
 
 // stepStall stops a caller from reading; stepResume lets it read on.
 func stepStall(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	c := w.calls[args[0]]
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -55,7 +55,7 @@
 			t.Parallel()
 			w := newWorld(built, t.TempDir())
 			defer w.close()
-			w.faults = 1
+			w.faults.Store(1)
 			defer func() { results.take(promisesOfSteps, w, t.Failed()) }()
 			w.drills = make(map[string]string)
 			for _, v := range c.victims {
--- a/test/world.go
+++ b/test/world.go
@@ -25,6 +25,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,11 +63,12 @@
 	processes map[string]*process
 	links     map[string]*relay // by "to", or "from>to" for the platform
 	calls     map[string]*call
-	order     []string // names of calls as made
-	faults    int
+	order     []string     // names of calls as made
+	faults    atomic.Int32 // brought about, also at once
 	before    upstreams
 	edits     map[string]*edit
 	watch     *watcher
+	restarts  sync.Mutex
 	drills    map[string]string // of processes, until they are restarted
 	entries   []string
 	engines   []string
@@ -358,7 +360,16 @@
 	if err != nil {
 		return err
 	}
-	<-old.done
+	w.restarts.Lock() // two faults may end the same process
+	defer w.restarts.Unlock()
+	if old, err = w.find(name); err != nil {
+		return err
+	}
+	select {
+	case <-old.done:
+	default:
+		return nil
+	}
 	args := old.args[1:]
 	if old.args[0] == w.bin.Fakes {
 		args = append(args[:1:1], "--listen", old.address.String())
