--- a/claim/adopt.go
+++ b/claim/adopt.go
@@ -5,33 +5,27 @@
 	"time"
 )
 
-// Adopt takes a newer record. An owner that is rank 0 goes on at its new epoch;
-// any other hands its table to rank 0. Under the first record ever, rank 0
-// starts at once. In every other case the caller decides when to Start.
-//
-// Failure: an owner of another rank may be in the zone of its shard's runners.
-// Losing that one host then loses owner and runner together, and every key of
-// the shard is unvouched until the host is back. Rank 0 is never in a runner's
-// zone, so the table goes there whenever the record changes.
-func (o *Owner) Adopt(rec Record, now time.Time) error {
+// Adopt takes a newer record. An owner goes on at its new epoch, but hands its
+// table to rank 0 if that is another process and live says so, or if it is no
+// member itself. Under the first record ever, rank 0 starts at once. In every
+// other case the caller decides when to Start. A nil live stands for "no": the
+// answer decides where the shard is owned and never whether a key runs twice.
+func (o *Owner) Adopt(rec Record, live func(Process) bool, now time.Time) error {
 	for _, p := range replaced(rec) {
 		o.Lost(p, now)
 	}
-	rank, member := rec.Rank(o.Shard, o.Self)
-	switch {
-	case member && o.owns() && rank > 0:
-		heir := rec.Ranked(o.Shard)[0].Process()
-		if _, given := o.Retire(heir, Epoch{Version: rec.Version}, now); given {
-			return nil
-		}
-		return o.Start(rec, now)
-	case member && o.owns():
-		return o.Start(rec, now)
-	case member && rec.First && rank == 0:
+	if len(rec.Members) == 0 {
+		return nil
+	}
+	first := rec.Ranked(o.Shard)[0].Process()
+	_, member := rec.Rank(o.Shard, o.Self)
+	gives := first != o.Self && (!member || live != nil && live(first))
+	if o.phase == phaseComplete && gives {
+		o.Retire(first, Epoch{Version: rec.Version}, now)
+		return nil
+	}
+	if member && (o.owns() || rec.First && first == o.Self) {
 		return o.Start(rec, now)
-	case !member && len(rec.Members) > 0:
-		heir := rec.Ranked(o.Shard)[0].Process()
-		o.Retire(heir, Epoch{Version: rec.Version}, now)
 	}
 	return nil
 }
