--- a/test/script.go
+++ b/test/script.go
@@ -42,6 +42,7 @@
 		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "answered": stepAnswered, "refused": stepRefused, "within": stepWithin, "idle": stepIdle,
 		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "story": stepStory,
 		"stall": stepStall, "resume": stepResume,
+		"send": stepSend, "router": stepRouter, "portof": stepPortOf,
 	}
 }
 
@@ -85,8 +86,7 @@
 	began := time.Now()
 	for {
 		err := try()
-		if took := time.Since(began); err == nil || took > within {
-			w.worst = max(w.worst, took)
+		if err == nil || time.Since(began) > within {
 			return err
 		}
 		pause(w.ctx, 10*time.Millisecond)
@@ -243,7 +243,7 @@
 
 // stepHangUp ends a call from its caller's side.
 func stepHangUp(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	w.calls[args[0]].hangUp()
 	return nil
 }
@@ -252,7 +252,9 @@
 var errEnded = errors.New("process has ended")
 
 func (w *world) signal(args []string, s syscall.Signal, wait bool) error {
-	w.faults++
+	if s != syscall.SIGCONT {
+		w.faults.Add(int32(len(args)))
+	}
 	for _, name := range args {
 		p, err := w.find(name)
 		if err != nil {
@@ -314,7 +316,7 @@
 
 // stepCut cuts FROM off TO: open connections close and new ones fail.
 func stepCut(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	r, from, err := w.relayBetween(args[0], args[1])
 	if err == nil {
 		r.sever(from)
@@ -324,7 +326,7 @@
 
 // stepSilence makes FROM's open connections to TO silent; new ones work.
 func stepSilence(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	r, from, err := w.relayBetween(args[0], args[1])
 	if err == nil {
 		r.silence(from)
@@ -345,7 +347,7 @@
 // stepFault tells a stand-in to misbehave: fault NAME JSON.
 func stepFault(w *world, args []string) error {
 	if args[1] != "{}" {
-		w.faults++
+		w.faults.Add(1)
 	}
 	return w.post(args[0], "/fault", strings.Join(args[1:], " "))
 }
@@ -488,7 +490,7 @@
 
 // stepStall stops a caller from reading; stepResume lets it read on.
 func stepStall(w *world, args []string) error {
-	w.faults++
+	w.faults.Add(1)
 	c := w.calls[args[0]]
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/test/world.go
+++ b/test/world.go
@@ -25,6 +25,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -62,18 +63,20 @@
 	processes map[string]*process
 	links     map[string]*relay // by "to", or "from>to" for the platform
 	calls     map[string]*call
-	order     []string // names of calls as made
-	faults    int
+	order     []string     // names of calls as made
+	faults    atomic.Int32 // brought about, also at once
 	before    upstreams
 	edits     map[string]*edit
 	watch     *watcher
 	restarts  sync.Mutex
 	drills    map[string]string // of processes, until they are restarted
-	worst     time.Duration
 	entries   []string
 	engines   []string
 	apps      []string
 
+	// worst and violations are what the scenario says of each promise.
+	worst      map[Promise]time.Duration
+	violations map[Promise]int
 	// direct says that processes reach each other without relays, and log only
 	// what a deployment logs.
 	direct bool
@@ -86,6 +89,7 @@
 	return &world{
 		bin: bin, dir: dir, ctx: ctx, stop: stop, processes: make(map[string]*process),
 		links: make(map[string]*relay), calls: make(map[string]*call),
+		worst: make(map[Promise]time.Duration), violations: make(map[Promise]int),
 	}
 }
 
