side: an order that was forgotten is not called not run

Cause: the ledger keeps 4,096 ended orders. An attempt asked after once 4,097 others had ended was unknown to it, and an unknown attempt is settled as not_run: the entry then refuses with not_run, or runs an enquiry again. Ruled out: a larger count, which moves the rate at which it shows; keeping all of ten minutes, which at 10,000 calls a second is 6 million orders; answering unknown for every attempt not remembered, which makes each lost order unknown. Before: TestForgottenOrderIsNotCalledNotRun got not_run; after: unknown. An attempt numbered above all that were dropped is still not_run. Conclusion: the ledger remembers the highest number dropped for each life of an entry; at or below it, what is not remembered is unknown.

--- a/side/ledger.go
+++ b/side/ledger.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"jacinthworks/story"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
@@ -59,6 +60,9 @@
 	live    map[wire.Ref]*order
 	refused map[wire.Ref]time.Time
 	ended   []wire.Ref
+	// forgotten is the highest number of a request that was dropped, by the
+	// life of the entry that numbered it.
+	forgotten map[story.ID]uint64
 }
 
 // begin takes an order in, or refuses it.
@@ -133,7 +137,7 @@
 	o := l.orders[ref]
 	if o == nil {
 		l.refused[ref] = now
-		return wire.Outcome{Ref: ref, Ran: work.NotRun, Reason: work.ReasonLost}
+		return wire.Outcome{Ref: ref, Ran: l.ranUnseen(ref), Reason: work.ReasonLost}
 	}
 	switch o.step {
 	case stepWaiting:
@@ -252,7 +256,31 @@
 		l.orders = make(map[wire.Ref]*order)
 		l.live = make(map[wire.Ref]*order)
 		l.refused = make(map[wire.Ref]time.Time)
+		l.forgotten = make(map[story.ID]uint64)
+	}
+}
+
+// ranUnseen is the account of an attempt that is not remembered. The failure:
+// it ran, and thousands of short calls have ended since. It shows as a true
+// "ran" that is told as "not run". An entry numbers its requests in order, so
+// that only one above all those dropped can never have been here.
+func (l *Ledger) ranUnseen(ref wire.Ref) work.Ran {
+	life, number := numbered(ref.Request)
+	if highest, dropped := l.forgotten[life]; dropped && number <= highest {
+		return work.Unknown
+	}
+	return work.NotRun
+}
+
+// numbered takes a request id apart into the entry's life, which is the id
+// without its number, and the number.
+func numbered(id work.RequestID) (life story.ID, number uint64) {
+	parts, err := story.ParseID(id)
+	if err != nil {
+		return story.ID{}, 0
 	}
+	number, parts.Number = parts.Number, 0
+	return parts, number
 }
 
 // forget drops what ended too long ago, and the oldest beyond the bound.
@@ -262,6 +290,8 @@
 		if len(l.ended) <= keepMost && now.Sub(o.ended) < keepEnded {
 			break
 		}
+		life, number := numbered(o.run.Request)
+		l.forgotten[life] = max(l.forgotten[life], number)
 		delete(l.orders, l.ended[0])
 		l.ended = l.ended[1:]
 	}
--- a/side/model_test.go
+++ b/side/model_test.go
@@ -233,3 +233,20 @@
 		}
 	})
 }
+
+// The story: an enquiry is refused with "not run", and its stud has it already.
+// Its connection went silent; thousands of short calls ended at the same side
+// before the entry asked after it. The cause would be a side that takes what it
+// has forgotten for what never came.
+func TestForgottenOrderIsNotCalledNotRun(t *testing.T) {
+	var l Ledger
+	now := time.Date(2026, 12, 2, 20, 0, 0, 0, time.UTC)
+	for n := range keepMost + 2 {
+		o, refused := l.begin(orderOf(n+1, wire.StageCall), "entry-1", func() {})
+		require.Nil(t, refused)
+		require.True(t, l.hand(o))
+		l.end(o, wire.Outcome{Ran: work.DidRun}, now)
+	}
+	require.Equal(t, work.Unknown, l.settle(orderOf(1, wire.StageCall).Ref, now).Ran)
+	require.Equal(t, work.NotRun, l.settle(orderOf(keepMost+3, wire.StageCall).Ref, now).Ran)
+}
