Claims: ask about what was granted long ago; stories beside the model's guards

Cause: the message that says how a try ended may be lost. Its key was then in progress for good, as granted keys are never forgotten, and such keys would in the end fill a shard. Overdue gives the questions to ask. A retired owner frees its table once the heir has it, and keeps it for the heir when it is told that it was superseded.

Ruled out: forgetting granted keys after a time (a request may run for longer, and its repeat would run beside it).

Conclusion: no key stays in progress longer than its runner takes to answer.

--- a/claim/book.go
+++ b/claim/book.go
@@ -182,6 +182,14 @@
 	})
 }
 
+// Overdue gives the questions to ask about keys granted longer than age ago;
+// see Owner.Overdue. Give the answers to Resolve.
+func (b *Book) Overdue(age time.Duration, now time.Time) []AskOrder {
+	var list []AskOrder
+	b.each(func(s *shard) { list = append(list, s.owner.Overdue(age, now)...) })
+	return list
+}
+
 // Owned gives the shards that this process owns or is taking over.
 func (b *Book) Owned() []Ownership {
 	var list []Ownership
--- a/claim/owner.go
+++ b/claim/owner.go
@@ -132,13 +132,34 @@
 }
 
 // Superseded notes that a runner knows of a newer epoch. It saves callers a
-// round trip; the fences hold without it.
+// round trip; the fences hold without it. A table that was promised to an heir
+// is kept for it.
 func (o *Owner) Superseded(e Epoch) {
-	if o.epoch.Less(e) {
-		o.phase = phaseNone
+	if o.owns() && o.epoch.Less(e) {
+		o.phase, o.from, o.keys, o.legacy = phaseNone, Epoch{}, nil, nil
 	}
 }
 
+// Overdue gives the questions to ask about keys that were granted longer than
+// age ago. Take an age above the longest deadline, as a try that is asked about
+// before it reaches its runner is refused there.
+//
+// Failure: the message that says how a try ended is lost, and its key is "in
+// progress" for good, as granted keys are never forgotten; in the end they
+// fill the shard.
+func (o *Owner) Overdue(age time.Duration, now time.Time) []AskOrder {
+	var list []AskOrder
+	if !o.owns() {
+		return nil
+	}
+	for key, k := range o.keys {
+		if k.state == StateGranted && now.Sub(k.at) > age {
+			list = append(list, AskOrder{Key: key, Try: k.try, To: k.runner})
+		}
+	}
+	return list
+}
+
 // Expire forgets what was settled longer than the retention ago.
 func (o *Owner) Expire(now time.Time) {
 	o.keys.expire(now, o.Limits.retention())
--- a/claim/stories_test.go
+++ b/claim/stories_test.go
@@ -255,6 +255,26 @@
 	}
 }
 
+// An enquiry ran, but the message that says so is lost on its way from the
+// runner to the owner. The buyer hears "in progress" from then on, until the
+// owner asks about what was granted long ago.
+func TestLostResolutionIsAskedFor(t *testing.T) {
+	f := newFleet(t, 9)
+	g, err := f.send(enquiry, try(1), 7, 0)
+	require.NoError(t, err)
+	_, err = f.books[g.Runner.Host].Settle(enquiry, g.Try, StateRan, f.now)
+	require.NoError(t, err)
+	owner := f.owner(enquiry.Shard())
+	require.Empty(t, owner.Overdue(time.Minute, f.now))
+	f.later(2 * time.Minute)
+	questions := owner.Overdue(time.Minute, f.now)
+	require.Equal(t, []AskOrder{{Key: enquiry, Try: g.Try, To: g.Runner}}, questions)
+	res, err := f.books[g.Runner.Host].Ask(questions[0], f.now)
+	require.NoError(t, err)
+	require.NoError(t, owner.Resolve(res, f.now))
+	requireCode(t, CodeAlreadyRan, second(f.send(enquiry, try(2), 7, 0)))
+}
+
 // A runner's shard is full when an entry asks about a try that never came. The
 // refusal could not be remembered, so "not run" would be a promise without
 // cover: the answer is unknown. An owner that is full grants nothing.
--- a/claim/view.go
+++ b/claim/view.go
@@ -30,6 +30,7 @@
 		o.from, o.legacy = Epoch{}, nil
 	}
 	o.keys = keyTable{}
+	o.target = Handover{}
 	o.epoch, o.phase, o.scopes = next, phaseBarrier, rec.scopes(o.Shard)
 	o.heard = map[Process]answer{}
 	o.refresh(now)
@@ -149,7 +150,7 @@
 		o.phase = phaseRetired
 		o.target = Handover{Shard: o.Shard, From: o.epoch, To: to, Epoch: at}
 	}
-	if o.phase != phaseRetired || o.target.To == (Process{}) {
+	if o.phase != phaseRetired {
 		return Handover{}, false
 	}
 	h := o.target
@@ -158,7 +159,11 @@
 }
 
 // Delivered notes that the handover arrived and need not be sent again.
-func (o *Owner) Delivered() { o.target = Handover{} }
+func (o *Owner) Delivered() {
+	if o.phase == phaseRetired {
+		o.phase, o.keys, o.target = phaseNone, nil, Handover{}
+	}
+}
 
 // TakeHandover takes a predecessor's table. It reports false if this owner is
 // not at the epoch that the table is meant for and can be sent it again later.
