Claims: a record keeps 64 generations, so that many sides may start at once

Cause: a record kept eight past generations. Sides read it once it has stood for 150 ms, and a service that starts changes it once for each member. With ten or more members the first generation, the only one that says that nothing has run before it, was gone before anyone read it: no runner was ever vouched for, and every keyed request was refused as maybe run, for good.

Ruled out: keeping the first generation beside a gap (the runners of the missing generations would not be fenced); opening by a time alone.

Before: TestManySidesStartAtOnce (20 sides) refused the first enquiry as unvouched at epoch 20.0. After: it runs.

--- a/claim/bench_test.go
+++ b/claim/bench_test.go
@@ -144,3 +144,25 @@
 		f.record.Ranked(Shard(i % Shards))
 	}
 }
+
+// BenchmarkLearn is a member that reads a record with a full past, and goes on
+// with the shards that it owns.
+func BenchmarkLearn(b *testing.B) {
+	f := newFleet(b, 9)
+	for range MaxPast {
+		next := f.record.Succeed(f.record.Members)
+		next.Version = f.record.Version + 1
+		f.record = next
+	}
+	text, err := json.Marshal(f.record)
+	require.NoError(b, err)
+	book := f.books["side-0"]
+	b.ResetTimer()
+	for range b.N {
+		f.record.Version++
+		_, err := book.Learn(f.record, modelNow)
+		require.NoError(b, err)
+	}
+	b.ReportMetric(float64(len(book.Owned())), "shards")
+	b.ReportMetric(float64(len(text)), "record_B")
+}
--- a/claim/record.go
+++ b/claim/record.go
@@ -12,8 +12,10 @@
 )
 
 // MaxPast is how many past generations a record keeps. Dropping one too early
-// costs availability (a view cannot be completed), never safety.
-const MaxPast = 8
+// never costs safety, but a view that needs it cannot be completed any more. 64
+// covers a service of that many members that start at once, before anyone has
+// read the record. With 9 members they take 32 kB.
+const MaxPast = 64
 
 // Process is one life of a host's process.
 type Process struct {
--- a/claim/stories_test.go
+++ b/claim/stories_test.go
@@ -1,6 +1,8 @@
 package claim
 
 import (
+	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -231,6 +233,27 @@
 	}
 }
 
+// Twenty sides of a new service start at once, each puts itself in the record,
+// and nobody reads it before the last has. The first enquiry must run. With a
+// short past the first generation, which alone says that nothing has run yet,
+// has dropped out, and every key is refused as maybe run, for good.
+func TestManySidesStartAtOnce(t *testing.T) {
+	f := newFleet(t, 1)
+	first := f.record.Members[0]
+	f.books[first.Host] = f.book(first)
+	for i := 1; i < 20; i++ {
+		m := Member{Host: work.Host(fmt.Sprintf("side-%d", i)), Zone: "howrah", Incarnation: 1}
+		f.books[m.Host] = f.book(m)
+		next := f.record.Succeed(append(slices.Clone(f.record.Members), m))
+		next.Version = f.record.Version + 1
+		f.record = next
+	}
+	f.publish(f.record)
+	f.takeOver(enquiry.Shard())
+	_, err := f.send(enquiry, try(1), 7, 0)
+	require.NoError(t, err)
+}
+
 // A safety note runs for longer than keys are remembered, and its inspector
 // sends it again. A granted key has no age limit, so it is still in progress;
 // the retention counts from its end.
