--- a/test/drive/drive_test.go
+++ b/test/drive/drive_test.go
@@ -26,10 +26,12 @@
 	require.EqualError(t, r.First, "tenth")
 }
 
-func TestTableIsGood(t *testing.T) {
-	got, err := table.Decode([]byte(Table))
-	require.NoError(t, err)
-	require.Empty(t, got.Check())
+func TestTablesAreGood(t *testing.T) {
+	for _, text := range []string{Table, PlainTable} {
+		got, err := table.Decode([]byte(text))
+		require.NoError(t, err)
+		require.Empty(t, got.Check())
+	}
 }
 
 // A stream that breaks off must not pass for a whole one, or its tokens would
--- a/test/slopes/links.go
+++ b/test/slopes/links.go
@@ -24,6 +24,9 @@
 // and all are measured over the same stretch of time.
 var linkSizes = []int{0, 1, 8, 32, 64}
 
+// meshSizes are the numbers of others where all connect to each other.
+var meshSizes = []int{0, 2, 5, 9}
+
 const (
 	linkSettle = 3 * time.Second
 	linkWindow = 10 * time.Second
@@ -37,37 +40,55 @@
 }
 
 // measureLinks gives the cost of a connection that carries heartbeats and load
-// reports, at a side and at an entry. The far end is in this process.
+// reports: at a side and at an entry, whose far ends are in this process, and
+// among the members of one service and among entries, which all connect to each
+// other.
 func measureLinks(ctx context.Context, b *bench) error {
 	ctx, cancel := context.WithCancel(ctx)
 	var far group.Group
 	defer far.Wait()
 	defer cancel()
-	sides, closeSides, err := sideProbes(ctx, b, &far)
-	if err != nil {
-		return err
+	f := &worlds{bench: b, far: &far}
+	defer f.close()
+	kinds := []struct {
+		mechanism, role, per string
+		sizes                []int
+		start                func(context.Context, int) (test.Running, error)
+	}{
+		{"heartbeats_load", "side", "connection", linkSizes, f.side},
+		{"heartbeats_load", "entry", "connection", linkSizes, f.entry},
+		{"members_of_a_service", "side", "other_member", meshSizes, f.members},
+		{"entries", "entry", "other_entry", meshSizes, f.entries},
 	}
-	defer closeSides()
-	entries, closeEntries, err := entryProbes(ctx, b, &far)
-	defer closeEntries()
-	if err != nil {
-		return err
+	probes := make([][]probe, len(kinds))
+	for i, k := range kinds {
+		for _, size := range k.sizes {
+			r, err := k.start(ctx, size)
+			if err != nil {
+				return errors.Wrapf(err, "%s of %d", k.role, size)
+			}
+			probes[i] = append(probes[i], probe{size: size, pid: r.PID})
+		}
 	}
 	pause(ctx, linkSettle)
-	all := append(append([]probe(nil), sides...), entries...)
-	for i := range all {
-		if all[i].first, err = look(all[i].pid); err != nil {
-			return err
+	for _, of := range probes {
+		for i := range of {
+			var err error
+			if of[i].first, err = look(of[i].pid); err != nil {
+				return err
+			}
 		}
 	}
 	pause(ctx, linkWindow)
-	if err := reportLinks("side", all[:len(sides)]); err != nil {
-		return err
+	for i, k := range kinds {
+		if err := reportLinks(k.mechanism, k.role, k.per, probes[i]); err != nil {
+			return err
+		}
 	}
-	return reportLinks("entry", all[len(sides):])
+	return nil
 }
 
-func reportLinks(role string, probes []probe) error {
+func reportLinks(mechanism, role, per string, probes []probe) error {
 	var cpu, bytes, resident []point
 	for _, p := range probes {
 		last, err := look(p.pid)
@@ -79,67 +100,110 @@
 		bytes = append(bytes, point{size, (last.bytes - p.first.bytes) / seconds})
 		resident = append(resident, point{size, last.resident})
 	}
-	reportLine("heartbeats_load", role, "cpu_per_connection", "us/s", "connection", cpu)
-	reportLine("heartbeats_load", role, "bytes_per_connection", "B/s", "connection", bytes)
-	reportLine("heartbeats_load", role, "resident_per_connection", "B", "connection", resident)
+	reportLine(mechanism, role, "cpu", "us/s", per, cpu)
+	reportLine(mechanism, role, "bytes", "B/s", per, bytes)
+	reportLine(mechanism, role, "resident", "B", per, resident)
 	return nil
 }
 
-// sideProbes starts a side for each size, and as many links to it.
-func sideProbes(ctx context.Context, b *bench, far *group.Group) ([]probe, func(), error) {
-	w, err := test.NewDirect(b.bin, filepath.Join(b.dir, "sides"), []byte(drive.Table))
+// worlds starts deployments that stay until it is closed.
+type worlds struct {
+	bench *bench
+	far   *group.Group
+	all   []*test.Direct
+}
+
+func (f *worlds) close() {
+	for _, w := range f.all {
+		w.Close()
+	}
+}
+
+func (f *worlds) world() (*test.Direct, error) {
+	w, err := test.NewDirect(f.bench.bin, filepath.Join(f.bench.dir, fmt.Sprintf("links-%d", len(f.all))), []byte(drive.PlainTable))
+	if err == nil {
+		f.all = append(f.all, w)
+	}
+	return w, err
+}
+
+// side gives a side beside an engine, the only one of its service, with as many
+// entries connected.
+func (f *worlds) side(ctx context.Context, entries int) (test.Running, error) {
+	w, err := f.world()
 	if err != nil {
-		return nil, nil, err
-	}
-	var probes []probe
-	for _, size := range linkSizes {
-		up := fmt.Sprintf("engine-%d", size)
-		if _, err := w.Fake(up, "engine", "--role", "decode", "--model", drive.Model); err != nil {
-			w.Close()
-			return nil, nil, err
-		}
-		s, err := w.Side(fmt.Sprintf("side-%d", size), "salt-lake", "decode", drive.Model, up)
+		return test.Running{}, err
+	}
+	if _, err := w.Fake("engine", "engine", "--role", "decode", "--model", drive.Model); err != nil {
+		return test.Running{}, err
+	}
+	s, err := w.Side("decode-1", "salt-lake", "decode", drive.Model, "engine")
+	if err != nil {
+		return test.Running{}, err
+	}
+	for i := range entries {
+		l := &wire.Link{Target: s.Address, Local: &wire.Local{
+			Hello: wire.Hello{Host: work.Host(fmt.Sprintf("entry-%d", i)), Zone: "salt-lake", Role: "entry"},
+		}}
+		f.far.Go(ctx, "link", l.Run)
+	}
+	return s, nil
+}
+
+// entry gives an entry, the only one, with as many sides connected.
+func (f *worlds) entry(ctx context.Context, sides int) (test.Running, error) {
+	w, err := f.world()
+	if err != nil {
+		return test.Running{}, err
+	}
+	if err := fakeSides(ctx, w, f.far, sides); err != nil {
+		return test.Running{}, err
+	}
+	return w.Entry("entry-1", "salt-lake")
+}
+
+// members gives a side of a plain service with as many other members.
+func (f *worlds) members(_ context.Context, others int) (test.Running, error) {
+	w, err := f.world()
+	if err != nil {
+		return test.Running{}, err
+	}
+	if _, err := w.Fake("server", "app"); err != nil {
+		return test.Running{}, err
+	}
+	var first test.Running
+	for i := range others + 1 {
+		s, err := w.Side(fmt.Sprintf("app-%d", i), "salt-lake", "app", drive.App, "server")
 		if err != nil {
-			w.Close()
-			return nil, nil, err
+			return s, err
 		}
-		for i := range size {
-			l := &wire.Link{Target: s.Address, Local: &wire.Local{
-				Hello: wire.Hello{Host: work.Host(fmt.Sprintf("entry-%d", i)), Zone: "salt-lake", Role: "entry"},
-			}}
-			far.Go(ctx, "link", l.Run)
+		if i == 0 {
+			first = s
 		}
-		probes = append(probes, probe{size: size, pid: s.PID})
 	}
-	return probes, w.Close, nil
+	return first, nil
 }
 
-// entryProbes starts an entry for each size, with a platform of its own, and
-// as many sides in this process. The function it gives is never nil.
-func entryProbes(ctx context.Context, b *bench, far *group.Group) ([]probe, func(), error) {
-	var worlds []*test.Direct
-	closeAll := func() {
-		for _, w := range worlds {
-			w.Close()
-		}
+// entries gives an entry with as many others and one side.
+func (f *worlds) entries(ctx context.Context, others int) (test.Running, error) {
+	w, err := f.world()
+	if err != nil {
+		return test.Running{}, err
+	}
+	if err := fakeSides(ctx, w, f.far, 1); err != nil {
+		return test.Running{}, err
 	}
-	var probes []probe
-	for _, size := range linkSizes {
-		w, err := test.NewDirect(b.bin, filepath.Join(b.dir, fmt.Sprintf("entry-of-%d", size)), []byte(drive.Table))
+	var first test.Running
+	for i := range others + 1 {
+		e, err := w.Entry(fmt.Sprintf("entry-%d", i), "salt-lake")
 		if err != nil {
-			return nil, closeAll, err
+			return e, err
 		}
-		worlds = append(worlds, w)
-		if err := fakeSides(ctx, w, far, size); err != nil {
-			return nil, closeAll, err
-		}
-		e, err := w.Entry("entry-1", "salt-lake")
-		if err != nil {
-			return nil, closeAll, err
+		if i == 0 {
+			first = e
 		}
-		probes = append(probes, probe{size: size, pid: e.PID})
 	}
-	return probes, closeAll, nil
+	return first, nil
 }
 
 // fakeSides serves sides that only send heartbeats, and records them.
--- a/test/world.go
+++ b/test/world.go
@@ -230,43 +230,6 @@
 	return r.address(), nil
 }
 
-// logSettings is the log section of a settings file.
-func (w *world) logSettings() string {
-	level := "debug"
-	if w.direct {
-		level = "info"
-	}
-	return fmt.Sprintf("\n[log]\nlevel = %q\nformat = \"text\"\n", level)
-}
-
-// advertise gives the line of a settings file by which others find a process
-// at its relay, and the relay. Both are empty where there are no relays.
-func (w *world) advertise(key, name string) (string, *relay, error) {
-	if w.direct {
-		return "", nil, nil
-	}
-	r, err := w.link(name, "")
-	if err != nil {
-		return "", nil, err
-	}
-	return fmt.Sprintf("%s = %q\n", key, r.address()), r, nil
-}
-
-// upstream gives the address of an upstream.
-func (w *world) upstream(name string) (netip.AddrPort, error) {
-	w.mu.Lock()
-	at, found := w.outside[name]
-	w.mu.Unlock()
-	if found {
-		return at, nil
-	}
-	p, err := w.find(name)
-	if err != nil {
-		return netip.AddrPort{}, err
-	}
-	return p.address, nil
-}
-
 // startSide starts a side before an upstream that runs.
 func (w *world) startSide(name, zone, role, service, upstream string) error {
 	at, err := w.upstream(upstream)
