--- a/test/demo.sh
+++ b/test/demo.sh
@@ -5,7 +5,12 @@
 cd "$(dirname "$0")/.."
 logs=$(mktemp -d)
 pids=()
-stop() { for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done; wait 2>/dev/null || true; }
+stop() { # the logs stay when the demo has failed
+	local code=$?
+	for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
+	wait 2>/dev/null || true
+	[ "$code" -ne 0 ] || rm -rf "$logs"
+}
 trap stop EXIT
 start() { # name command...
 	local name=$1; shift
