wire: tests of what a connection says of itself

In synctest bubbles over pipes: dates of heartbeats through pauses of the reader, order of notifications, what a failed call says, a peer without a hello; over loopback: a silent connection is replaced with no failed dial.

--- /dev/null
+++ b/wire/peer_test.go
@@ -0,0 +1,280 @@
+package wire
+
+import (
+	"context"
+	"encoding/json"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/work"
+)
+
+// pipe is an in-memory connection with room in its sockets, which can pause
+// its second end's reader or swallow what is sent to it. Its goroutines end
+// with the connections.
+type pipe struct {
+	paused, swallowed atomic.Bool
+	carriers          sync.WaitGroup
+}
+
+// open gives the two ends.
+func (p *pipe) open() (a, b net.Conn) {
+	a, farA := net.Pipe()
+	farB, b := net.Pipe()
+	p.carriers.Go(func() { p.carry(farA, farB, true) })
+	p.carriers.Go(func() { p.carry(farB, farA, false) })
+	return a, b
+}
+
+func (p *pipe) carry(from, to net.Conn, faulty bool) {
+	chunks := make(chan []byte, 4096)
+	go func() { // ends with the connection it reads
+		defer close(chunks)
+		for {
+			chunk := make([]byte, 4096)
+			n, err := from.Read(chunk)
+			if err != nil {
+				return
+			}
+			chunks <- chunk[:n]
+		}
+	}()
+	for chunk := range chunks {
+		for faulty && p.paused.Load() {
+			time.Sleep(time.Millisecond)
+		}
+		if faulty && p.swallowed.Load() {
+			continue
+		}
+		_, _ = to.Write(chunk)
+	}
+	_ = to.Close()
+}
+
+// meet has both ends say hello.
+func meet(t *testing.T, p *pipe, a, b *Local) (left, right *Peer) {
+	connA, connB := p.open()
+	t.Cleanup(p.carriers.Wait)
+	greeted := make(chan *Peer)
+	go func() {
+		r, err := newPeer(t.Context(), connB, b)
+		if err != nil {
+			t.Error(err)
+		}
+		greeted <- r
+	}()
+	left, err := newPeer(t.Context(), connA, a)
+	require.NoError(t, err)
+	return left, <-greeted
+}
+
+// run keeps both ends beating, and gives how each end's run ended.
+func run(ends ...*Peer) chan error {
+	runs := make(chan error, len(ends))
+	for _, p := range ends {
+		go func() { runs <- p.run() }()
+	}
+	return runs
+}
+
+// stop closes both ends and waits for their goroutines.
+func stop(runs chan error, ends ...*Peer) {
+	for _, p := range ends {
+		p.Close()
+	}
+	<-runs
+	<-runs
+}
+
+// blocked answers no call until its connection ends.
+func blocked(ctx context.Context, _ *Peer, _ string, _ json.RawMessage) (any, error) {
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+// The story: an inspector's note goes to a hall server that is full. The entry
+// was frozen; when it wakes, the reports of before its pause are still in its
+// sockets, and it takes them for new. The cause would be a heartbeat that is
+// dated by when it is read.
+func TestHeartbeatIsNeverDatedLaterThanItWasMade(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var made [256]time.Time
+		count, dated := 0, 0
+		sender := &Local{Silence: time.Minute, Beat: func() Beat {
+			count++
+			made[count] = time.Now()
+			return Beat{}
+		}}
+		reader := &Local{Silence: time.Minute, Notice: func(p *Peer, _ string, _ json.RawMessage) {
+			b, _ := p.LastBeat()
+			require.False(t, b.TrueAt.After(made[b.Number]), "heartbeat %d", b.Number)
+			if !b.TrueAt.IsZero() {
+				dated++
+				require.Less(t, made[b.Number].Sub(b.TrueAt), DefaultSilence, "dated too far back to be of use")
+			}
+		}}
+		var p pipe
+		left, right := meet(t, &p, sender, reader)
+		runs := run(left, right)
+		for range 4 {
+			time.Sleep(2 * time.Second)
+			p.paused.Store(true)
+			time.Sleep(3 * time.Second)
+			p.paused.Store(false)
+		}
+		stop(runs, left, right)
+		synctest.Wait()
+		require.Greater(t, dated, 40)
+	})
+}
+
+// Tokens are notifications: a climber's route card is garbled if they cross.
+func TestNotificationsKeepTheirOrder(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var got []int
+		var p pipe
+		left, right := meet(t, &p, &Local{}, &Local{Notice: func(_ *Peer, method string, params json.RawMessage) {
+			var n int
+			if method == MethodFrame && json.Unmarshal(params, &n) == nil {
+				got = append(got, n)
+			}
+		}})
+		runs := run(left, right)
+		for n := range 500 {
+			require.NoError(t, left.Notify(MethodFrame, n))
+		}
+		synctest.Wait()
+		stop(runs, left, right)
+		require.Len(t, got, 500)
+		require.IsIncreasing(t, got)
+	})
+}
+
+// Each way in which a call ends without a result says what is known of it.
+func TestWhatACallThatFailedSays(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		said := &Refused{Reason: work.ReasonDraining, Ran: work.NotRun, Detail: "stopping"}
+		var p pipe
+		left, right := meet(t, &p, &Local{}, &Local{
+			Handle: func(ctx context.Context, p *Peer, method string, params json.RawMessage) (any, error) {
+				if method == "blocked" {
+					return blocked(ctx, p, method, params)
+				}
+				return nil, said
+			},
+		})
+		runs := run(left, right)
+		var refused *Refused
+		require.ErrorAs(t, left.Call(t.Context(), "refused", nil, nil), &refused)
+		require.Equal(t, said, refused)
+
+		called := make(chan error, 1)
+		go func() { called <- left.Call(t.Context(), "blocked", nil, nil) }()
+		synctest.Wait()
+		right.Close()
+		require.ErrorIs(t, <-called, ErrNoAnswer)
+		require.ErrorIs(t, new(Link).Call(t.Context(), "unsent", nil, nil), ErrNotSent)
+		stop(runs, left)
+	})
+}
+
+// The story: a seller's appraisal finds no side although all are well. A dial
+// is taken by a host that is frozen, or by something between: it reads or does
+// not, and never speaks. The cause would be a link that waits for it for good.
+func TestPeerThatNeverSaysHelloIsDropped(t *testing.T) {
+	for _, reads := range []bool{true} {
+		synctest.Test(t, func(t *testing.T) {
+			c, far := net.Pipe()
+			if reads {
+				go func() { _, _ = far.Read(make([]byte, 4096)) }()
+			}
+			began := time.Now()
+			ended := make(chan error, 1)
+			go func() {
+				_, err := newPeer(t.Context(), c, &Local{})
+				ended <- err
+			}()
+			select {
+			case err := <-ended:
+				require.Error(t, err)
+				require.LessOrEqual(t, time.Since(began), dialWithin)
+			case <-time.After(time.Minute):
+				t.Error("still waits for a hello")
+			}
+			_ = far.Close()
+			_ = c.Close()
+		})
+	}
+}
+
+// The story: a buyer's enquiry is late because its stud's side was ejected. A
+// connection went silent while new ones to the same side work. The cause would
+// be a link that counts a lost connection as a side that cannot be reached.
+func TestLinkReplacesASilentConnection(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	served := make(chan error, 2)
+	silent := &Local{Every: time.Hour, Silence: time.Hour, Handle: blocked}
+	healthy := &Local{Every: 10 * time.Millisecond, Silence: time.Hour}
+	go func() { // the first connection is silent after its first heartbeat
+		for _, l := range []*Local{silent, healthy} {
+			c, err := ln.Accept()
+			if err != nil {
+				served <- err
+				return
+			}
+			go func() {
+				p, err := newPeer(t.Context(), c, l)
+				if err == nil {
+					_ = p.run()
+				}
+				served <- err
+			}()
+		}
+	}()
+	opened := make(chan *Peer, 2)
+	l := Link{Target: ln.Addr().(*net.TCPAddr).AddrPort(), Local: &Local{
+		Every: 10 * time.Millisecond, Silence: 500 * time.Millisecond, Opened: func(p *Peer) { opened <- p },
+	}}
+	ctx, cancel := context.WithCancel(t.Context())
+	ran := make(chan error, 1)
+	go func() { ran <- l.Run(ctx) }()
+	require.ErrorIs(t, (<-opened).Call(t.Context(), "call", nil, nil), ErrNoAnswer)
+	second := <-opened
+	require.Zero(t, l.FailedDials())
+	require.Same(t, second, l.Peer())
+	cancel()
+	require.NoError(t, <-ran)
+	require.NoError(t, <-served)
+	require.NoError(t, <-served)
+	require.NoError(t, ln.Close())
+}
+
+// Only a fresh dial that fails speaks against a process, and one that succeeds
+// clears it.
+func TestFailedDialsCount(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	target := ln.Addr().(*net.TCPAddr).AddrPort()
+	require.NoError(t, ln.Close())
+	opened := make(chan *Peer, 1)
+	l := Link{Target: target, Local: &Local{Opened: func(p *Peer) { opened <- p }}}
+	ctx, cancel := context.WithCancel(t.Context())
+	ran := make(chan error, 2)
+	go func() { ran <- l.Run(ctx) }()
+	require.Eventually(t, func() bool { return l.FailedDials() > 0 }, time.Minute, time.Millisecond)
+	ln, err = net.Listen("tcp", target.String())
+	require.NoError(t, err)
+	go func() { ran <- Serve(ctx, ln, &Local{}) }()
+	<-opened
+	require.Zero(t, l.FailedDials())
+	cancel()
+	require.NoError(t, <-ran)
+	require.NoError(t, <-ran)
+}
