wire: a call cancelled by the end of its connection gets no answer

Cause: an end that closes a connection cancels its calls first; a handler's "context canceled" then went out as Refused, unknown, if it was faster than the close. The caller of wire took that for the side's own word: an entry ends the request with upstream_failed instead of taking the work up again, while the side keeps it for just that. Ruled out: closing before cancelling, which a stopping process undoes by cancelling the context above; a refusal of another reason, since nothing that the closing end could say is knowledge. Conclusion: an untyped error under an ended context is not sent. A typed refusal is still sent.

--- a/wire/peer.go
+++ b/wire/peer.go
@@ -201,6 +201,12 @@
 		}
 		var r *Refused
 		if !errors.As(err, &r) {
+			// The failure: the call was cancelled because this connection ends.
+			// It shows as a refusal of work that goes on. With no answer the
+			// other end takes the work up again.
+			if ctx.Err() != nil {
+				return errors.WithStack(err)
+			}
 			r = &Refused{Reason: work.ReasonUpstream, Ran: work.Unknown, Detail: err.Error()}
 		}
 		e := &jsonrpc2.Error{Code: refusedCode, Message: string(r.Reason)}
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -98,6 +98,29 @@
 	return nil, ctx.Err()
 }
 
+// The story: a buyer waits for an enquiry that never ends. Something between
+// the two ends loses track of their connection while the call runs: it neither
+// errs nor delivers. The cause would be an end that believes in a connection
+// on which it hears nothing.
+func TestSilenceOfOneDirectionEndsTheConnection(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var p pipe
+		left, right := meet(t, &p, &Local{}, &Local{Handle: blocked})
+		runs := run(left, right)
+		called := make(chan error, 1)
+		go func() { called <- left.Call(t.Context(), "call", nil, nil) }()
+		time.Sleep(time.Minute)
+		require.Empty(t, runs, "a connection that is idle but heard is kept")
+
+		p.swallowed.Store(true)
+		lost := time.Now()
+		require.ErrorIs(t, <-runs, ErrNoAnswer)
+		require.LessOrEqual(t, time.Since(lost), DefaultSilence+2*DefaultBeat)
+		require.ErrorIs(t, <-called, ErrNoAnswer)
+		require.ErrorIs(t, <-runs, ErrNoAnswer)
+	})
+}
+
 // The story: an inspector's note goes to a hall server that is full. The entry
 // was frozen; when it wakes, the reports of before its pause are still in its
 // sockets, and it takes them for new. The cause would be a heartbeat that is
@@ -184,6 +207,30 @@
 	})
 }
 
+// The story: an enquiry ends in upstream_failed while its side still runs it.
+// The side hears nothing more on the connection and closes it; the entry, which
+// hears the side well, would take the call up again. The cause would be an end
+// that answers a call with "cancelled" because its own connection ends.
+func TestEndOfTheConnectionIsNoAnswer(t *testing.T) {
+	for range 50 { // which end is first to close is a race
+		synctest.Test(t, endWhileCalled)
+	}
+}
+
+func endWhileCalled(t *testing.T) {
+	var p pipe
+	left, right := meet(t, &p, &Local{}, &Local{Handle: blocked})
+	called := make(chan error, 1)
+	go func() { called <- left.Call(t.Context(), "call", nil, nil) }()
+	synctest.Wait()
+	right.cancel() // the first half of Close
+	synctest.Wait()
+	right.Close()
+	require.ErrorIs(t, <-called, ErrNoAnswer)
+	<-right.calls.Ends()
+	left.Close()
+}
+
 // The story: a seller's appraisal finds no side although all are well. A dial
 // is taken by a host that is frozen, or by something between: it reads or does
 // not, and never speaks. The cause would be a link that waits for it for good.
