wire: a dial ends within its time when the other end answers no handshake

Cause: the wait for the hello was bounded, and the write of this end's own was not. Under TLS the first write waits for the handshake, so that a host that takes the connection and says nothing held a Link in it for good: it neither dialled again nor counted a failed dial. Ruled out: a write deadline, since a handshake also reads; a deadline of both, which outlives the hello unless cleared on every path. Conclusion: a timer closes the connection under the write.

--- a/wire/peer.go
+++ b/wire/peer.go
@@ -63,6 +63,11 @@
 func newPeer(ctx context.Context, c net.Conn, l *Local) (*Peer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &Peer{local: l, started: time.Now(), ctx: ctx, cancel: cancel, greeted: make(chan struct{})}
+	// The failure: the other end's host takes the connection and answers no
+	// TLS handshake. It shows as a write that never returns, and a link that
+	// never dials again. Closing under the write ends it.
+	giveUp := time.AfterFunc(dialWithin, func() { _ = c.Close() })
+	defer giveUp.Stop()
 	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
 	p.conn = jsonrpc2.NewConn(ctx, stream, p)
 	if err := p.conn.Notify(ctx, methodHello, l.Hello); err != nil {
--- a/wire/peer_test.go
+++ b/wire/peer_test.go
@@ -235,7 +235,7 @@
 // is taken by a host that is frozen, or by something between: it reads or does
 // not, and never speaks. The cause would be a link that waits for it for good.
 func TestPeerThatNeverSaysHelloIsDropped(t *testing.T) {
-	for _, reads := range []bool{true} {
+	for _, reads := range []bool{true, false} {
 		synctest.Test(t, func(t *testing.T) {
 			c, far := net.Pipe()
 			if reads {
