--- a/test/steps_test.go
+++ b/test/steps_test.go
@@ -55,6 +55,8 @@
 			t.Parallel()
 			w := newWorld(built, t.TempDir())
 			defer w.close()
+			w.faults.Store(1)
+			defer func() { results.take(promisesOfSteps, w, t.Failed()) }()
 			w.drills = make(map[string]string)
 			for _, v := range c.victims {
 				w.drills[v] = string(c.do) + ":" + string(c.step)
@@ -64,6 +66,9 @@
 	}
 }
 
+// promisesOfSteps are the promises that every step is driven for.
+var promisesOfSteps = []Promise{MemoryFree, AnsweredOnce, NotRunIsTrue, AtMostOnce}
+
 func runDrill(t *testing.T, w *world, c drillCase) {
 	require.NoError(t, stepWorld(w, []string{"prefill=1", "decode=2", "app=3", "entry=2", "engine_args=--token-gap,10ms"}))
 	send := func(name, entry string) *call {
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -68,7 +68,7 @@
 	// never dials again. Closing under the write ends it.
 	giveUp := time.AfterFunc(dialWithin, func() { _ = c.Close() })
 	defer giveUp.Stop()
-	stream := jsonrpc2.NewBufferedStream(c, jsonrpc2.VarintObjectCodec{})
+	stream := jsonrpc2.NewBufferedStream(c, new(codec))
 	p.conn = jsonrpc2.NewConn(ctx, stream, p)
 	if err := p.conn.Notify(ctx, methodHello, l.Hello); err != nil {
 		p.Close()
