entry: a held turn goes when its kind has room, however that came about

Cause: turns held back by their kind's in-flight limit were queued again only by the end of one that was sent. A turn bounced by its side gave its place back without that; if it was then refused, nothing of the kind ran and the held ones waited for their deadline. So they did after an edit that raised the limit, one place an end. Ruled out: queueing one again in bounced too, which leaves the edit. Conclusion: each pump queues again as many as the limit has room for.

--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -163,6 +164,7 @@
 func (s *scheduler) pump(now time.Time) {
 	s.refuse(s.queue.Lapsed(now, s.random))
 	s.lapseHeld(now)
+	s.release(now)
 	longest := queue.AnyPrompt
 	for {
 		i, ok := s.queue.Next(now, longest)
@@ -211,6 +213,23 @@
 	}
 }
 
+// release queues again the held turns for which their kind's limit has room.
+// The failure: a side had no room for the request in whose place they wait. It
+// shows as turns that wait although nothing of their kind runs. Looking at
+// every pump holds for each way in which a place comes free, an edit included.
+func (s *scheduler) release(now time.Time) {
+	for kind, items := range s.held {
+		room := len(items)
+		if limit := s.inFlight[kind]; limit > 0 {
+			room = min(room, max(0, limit-s.running[kind]))
+		}
+		for _, i := range slices.Backward(items[:room]) { // the first is next again
+			s.queue.Return(now, i)
+		}
+		s.held[kind] = items[room:]
+	}
+}
+
 func (s *scheduler) choose(now time.Time, t *turn) (sent, bool) {
 	if t.plain {
 		h, g, ok := s.apps.ChooseAmong(now, t.job.Weights, t.job.MayDecode, s.random)
@@ -237,10 +256,6 @@
 	} else {
 		s.model.Ended(now, got.pair, t.job)
 	}
-	if held := s.held[t.kind]; len(held) > 0 {
-		s.queue.Return(now, held[0])
-		s.held[t.kind] = held[1:]
-	}
 	s.pump(now)
 }
 
--- a/entry/schedule_test.go
+++ b/entry/schedule_test.go
@@ -115,6 +115,15 @@
 	}
 }
 
+// checkServed is for when a side has just said that it takes work.
+func (x *schedulerTest) checkServed(t require.TestingT) {
+	for k, limit := range x.limits {
+		if limit == 0 || x.s.running[k] < limit {
+			require.Zero(t, x.count(k, (*caller).waits), "%s waits although it may run", k)
+		}
+	}
+}
+
 func (x *schedulerTest) step(t *rapid.T) {
 	var c *caller
 	if len(x.callers) > 0 {
@@ -147,6 +156,9 @@
 	x.check(t)
 	x.report(side)
 	x.check(t)
+	if !x.shut[side] {
+		x.checkServed(t)
+	}
 }
 
 // leave has every caller go.
