--- a/wire/peer.go
+++ b/wire/peer.go
@@ -63,6 +63,11 @@
 func newPeer(ctx context.Context, c net.Conn, l *Local) (*Peer, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	p := &Peer{local: l, started: time.Now(), ctx: ctx, cancel: cancel, greeted: make(chan struct{})}
+	// The failure: the other end's host takes the connection and answers no
+	// TLS handshake. It shows as a write that never returns, and a link that
+	// never dials again. Closing under the write ends it.
+	giveUp := time.AfterFunc(dialWithin, func() { _ = c.Close() })
+	defer giveUp.Stop()
 	stream := jsonrpc2.NewBufferedStream(c, new(codec))
 	p.conn = jsonrpc2.NewConn(ctx, stream, p)
 	if err := p.conn.Notify(ctx, methodHello, l.Hello); err != nil {
@@ -201,6 +206,12 @@
 		}
 		var r *Refused
 		if !errors.As(err, &r) {
+			// The failure: the call was cancelled because this connection ends.
+			// It shows as a refusal of work that goes on. With no answer the
+			// other end takes the work up again.
+			if ctx.Err() != nil {
+				return errors.WithStack(err)
+			}
 			r = &Refused{Reason: work.ReasonUpstream, Ran: work.Unknown, Detail: err.Error()}
 		}
 		e := &jsonrpc2.Error{Code: refusedCode, Message: string(r.Reason)}
