entry: a test names the epoch's turn

Cause: on main claim.Epoch has a turn where it had a rank, and a test that was merged beside that still names the rank: package entry's tests don't compile. Nothing but the field's name is changed.

--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -84,7 +84,7 @@
 		best := make(map[claim.Shard]claim.Epoch)
 		for range rapid.IntRange(1, 20).Draw(t, "lists") {
 			shard := claim.Shard(rapid.IntRange(0, 2).Draw(t, "shard"))
-			epoch := claim.Epoch{Version: rapid.Uint64Range(1, 4).Draw(t, "version"), Rank: rapid.Uint32Range(0, 2).Draw(t, "rank")}
+			epoch := claim.Epoch{Version: rapid.Uint64Range(1, 4).Draw(t, "version"), Turn: rapid.Uint32Range(0, 2).Draw(t, "turn")}
 			host := func(e claim.Epoch) work.Host { return work.Host("side-" + e.String()) } // an epoch is one process's
 			o.hear(host(epoch), wire.Owned{Service: "wallapp", Shards: []claim.Ownership{{Shard: shard, Epoch: epoch}}})
 			if best[shard].Less(epoch) {
