--- a/side/room.go
+++ b/side/room.go
@@ -11,8 +11,37 @@
 // room is the reservations of this side's engine, for use by many goroutines.
 // Its lock is a leaf.
 type room struct {
-	mu     sync.Mutex
-	decode admit.Ledger
+	mu      sync.Mutex
+	decode  admit.Ledger
+	prefill admit.Ledger
+}
+
+// Figures of the prefill queue before its engine's speed was measured, and a
+// bound on requests that never binds: tokens do.
+const (
+	assumedRate   = 20_000 // tokens a second
+	mostPrefills  = 1 << 16
+	prefillWithin = admit.PrefillQueue
+)
+
+// queuePrefill takes a place in the engine's prefill queue, bounded by the time
+// that the work ahead takes at the measured speed in tokens a second. Beyond it
+// a request is better off in its entry's queue, where it can be overtaken.
+func (r *room) queuePrefill(now time.Time, k admit.Key, tokens int, rate float64, until time.Time) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if rate <= 0 {
+		rate = assumedRate
+	}
+	r.prefill.Limits = admit.Limits{Requests: mostPrefills, Tokens: int(rate * prefillWithin.Seconds()), Ahead: true}
+	return r.prefill.Reserve(now, k, admit.Need{Requests: 1, Tokens: tokens}, until)
+}
+
+// donePrefill gives the place back.
+func (r *room) donePrefill(k admit.Key) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.prefill.Release(k)
 }
 
 // reserve keeps one slot and the given KV memory for a time.
--- a/side/run.go
+++ b/side/run.go
@@ -25,42 +25,21 @@
 	if refused := s.mayRun(r); refused != nil {
 		return nil, refused
 	}
-	if r.Stage == wire.StageCall && !s.beside(time.Now(), r.Identity) {
-		return nil, errApart
-	}
-	if r.Stage == wire.StageDecode {
-		now := time.Now()
-		if err := s.room.confirm(now, key(r.Ref), r.Tokens, now.Add(r.Within)); err != nil {
-			return nil, &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
-		}
-	}
 	workCtx, cancel := context.WithTimeout(s.workCtx, r.Within)
 	o, refused := s.ledger.begin(r, p.Remote().Host, cancel)
 	if refused != nil {
 		cancel()
 		return nil, refused
 	}
+	if refused = s.takeRoom(r); refused != nil {
+		cancel()
+		s.ledger.end(o, wire.Outcome{Reason: refused.Reason, Detail: refused.Detail}, time.Now())
+		s.ledger.detach(o, time.Now())
+		return nil, refused
+	}
 	started := s.work.Go(workCtx, string(r.Stage), func(ctx context.Context) error {
 		defer cancel()
-		s.record(o, story.Event{Kind: story.AttemptStarted})
-		s.Step.At(steps.SideBegun)
-		out := s.perform(ctx, o)
-		s.Step.At(steps.SideRan)
-		s.ledger.end(o, out, time.Now())
-		s.Step.At(steps.SideEnded)
-		s.room.release(r.Request, r.Attempt)
-		s.deaths.forget(key(r.Ref))
-		if out.Reason == "" {
-			s.crashes.Survived(time.Now(), r.Identity)
-		}
-		if s.ledger.untaken(o) {
-			s.orphans.add(r.Request)
-		}
-		s.record(o, story.Event{
-			Kind: story.AttemptEnded, Tokens: o.outcome.Tokens, Ran: o.outcome.Ran, Reason: out.Reason, Detail: out.Detail,
-		})
-		s.Log.Info("ended", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage,
-			"ran", o.outcome.Ran, "reason", out.Reason, "tokens", o.outcome.Tokens)
+		s.finish(ctx, o)
 		return nil
 	})
 	if !started {
@@ -71,6 +50,58 @@
 	return s.follow(ctx, p, o, 0)
 }
 
+// finish runs an order to its end and accounts for it.
+func (s *Side) finish(ctx context.Context, o *order) {
+	r := o.run
+	s.record(o, story.Event{Kind: story.AttemptStarted})
+	s.Step.At(steps.SideBegun)
+	out := s.perform(ctx, o)
+	s.Step.At(steps.SideRan)
+	s.ledger.end(o, out, time.Now())
+	s.Step.At(steps.SideEnded)
+	s.giveRoomBack(r.Ref)
+	if out.Reason == "" {
+		s.crashes.Survived(time.Now(), r.Identity)
+	}
+	if s.ledger.untaken(o) {
+		s.orphans.add(r.Request)
+	}
+	s.record(o, story.Event{
+		Kind: story.AttemptEnded, Tokens: o.outcome.Tokens, Ran: o.outcome.Ran, Reason: out.Reason, Detail: out.Detail,
+	})
+	s.Log.Info("ended", "request", r.Request, "attempt", r.Attempt, "stage", r.Stage,
+		"ran", o.outcome.Ran, "reason", out.Reason, "tokens", o.outcome.Tokens)
+}
+
+// takeRoom takes what the stage needs at the upstream before it is handed over.
+func (s *Side) takeRoom(r wire.Run) *wire.Refused {
+	now := time.Now()
+	var err error
+	switch {
+	case r.Stage == wire.StageCall && !s.beside(now, r.Identity):
+		return errApart
+	case r.Stage == wire.StageDecode:
+		err = s.room.confirm(now, key(r.Ref), r.Tokens, now.Add(r.Within))
+	case r.Stage == wire.StagePrefill && r.Prefill != nil:
+		rate, _, _, _ := s.pace.figures()
+		err = s.room.queuePrefill(now, key(r.Ref), r.Prefill.PromptTokens, rate, now.Add(r.Within))
+	}
+	if err != nil {
+		return &wire.Refused{Reason: work.ReasonNoRoom, Ran: work.NotRun, Detail: err.Error()}
+	}
+	return nil
+}
+
+// giveRoomBack frees what an attempt's stage took or reserved.
+func (s *Side) giveRoomBack(r wire.Ref) {
+	if r.Stage == wire.StagePrefill {
+		s.room.donePrefill(key(r))
+		return
+	}
+	s.room.release(r.Request, r.Attempt)
+	s.deaths.forget(key(r))
+}
+
 // mayRun refuses new work while draining. A decode whose room was reserved
 // before still runs: refusing it would waste its prefill.
 func (s *Side) mayRun(r wire.Run) *wire.Refused {
@@ -138,8 +169,7 @@
 // cancel frees whatever an attempt holds here, reserved or running.
 func (s *Side) cancel(r wire.Ref) {
 	s.ledger.giveUp(r, time.Now())
-	s.room.release(r.Request, r.Attempt)
-	s.deaths.forget(key(r))
+	s.giveRoomBack(r)
 }
 
 // record adds an event to the side's half of the story.
