Claims: the model walks a second round with stops, restarts and new records

Cause: turns came in after the walks of planned stops, restarts and record changes, and a retired table was modelled for first turns only. The stop's heir now gets the turn that Book.Retire gives it.

--- a/claim/steps_test.go
+++ b/claim/steps_test.go
@@ -70,9 +70,12 @@
 func (c *checker) retireStep(v event, host int) []effect {
 	var list []effect
 	rec := c.records[c.nodes[v.node].record]
-	for rank, m := range rec.Ranked(c.shard) {
+	for _, m := range rec.Ranked(c.shard) {
 		n := c.change(v.node)
-		at := Epoch{Version: rec.Version, Turn: uint32(rank)}
+		at, may := rec.Turn(c.shard, m.Process(), n.owner.newest())
+		if !may || int(at.Turn) >= (c.rounds+1)*len(rec.Members) {
+			continue
+		}
 		if _, given := n.owner.Retire(m.Process(), at, modelNow); given {
 			list = append(list, c.done(&effect{what: fmt.Sprintf("%c retires for %s", 'a'+host, m.Host)}, n))
 		}
