--- a/member/member_test.go
+++ b/member/member_test.go
@@ -89,8 +89,7 @@
 		ctx, o := t.Context(), &objects{}
 		naive := make(map[work.Host]Member)
 		lives := make(map[int]work.Incarnation)
-		var change func(host int, join bool)
-		change = func(host int, join bool) {
+		change := func(host int, join bool) {
 			if join {
 				lives[host]++
 				m := memberOf(host, lives[host])
