side: overdue keys are asked after; claims settled is logged and waited for

A key whose resolution was lost with its entry stayed granted for good; its runner is asked after a quarter of an hour.

--- a/side/claims.go
+++ b/side/claims.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"slices"
 	"sync"
 	"time"
 
@@ -39,6 +40,10 @@
 	// move shards on before the last move has arrived.
 	recordQuiet  = 150 * time.Millisecond
 	recordLatest = time.Second
+	// overdueAfter is how long a key may stay granted before its runner is
+	// asked what became of it: longer than any deadline in use, since a try
+	// that is asked about before it arrives is refused for good.
+	overdueAfter = 15 * time.Minute
 )
 
 // claims is the side's part in claiming: its book, the other members, and who
@@ -55,6 +60,9 @@
 	// next is the newest record not learned yet.
 	next              *claim.Record
 	nextAt, nextSince time.Time
+	// settled is the version at which nothing was pending any more; only
+	// keepClaims uses it.
+	settled uint64
 	// asked is when another member last asked for something.
 	asked time.Time
 }
@@ -190,17 +198,54 @@
 			if r := s.claims.due(now); r != nil {
 				s.learn(ctx, *r)
 			}
-			s.deliver(ctx, s.claims.book.Pending(now))
+			pending := s.claims.book.Pending(now)
+			s.deliver(ctx, pending)
+			s.noteSettled(pending)
 			s.takeOver(ctx, now)
-			s.tellOwned()
+			s.tellOwned(pending)
 			if now.Sub(expired) >= expireEvery {
 				expired = now
 				s.claims.book.Expire(now)
+				s.askOverdue(ctx, now)
 			}
 		}
 	}
 }
 
+// noteSettled logs once for each version of the record that nothing is pending
+// any more: from then on the loss of one host, or of one zone, leaves no key
+// in doubt that did not run there.
+func (s *Side) noteSettled(o claim.Outbox) {
+	r := s.claims.book.Record()
+	if len(o.Fences)+len(o.Restores)+len(o.Handovers) > 0 || r.Version == s.claims.settled {
+		return
+	}
+	owned := s.claims.book.Owned()
+	for n := range claim.Shards {
+		rank, member := r.Rank(claim.Shard(n), s.claims.book.Self)
+		ours := slices.ContainsFunc(owned, func(o claim.Ownership) bool { return o.Shard == claim.Shard(n) && o.Complete })
+		if member && rank == 0 && !ours {
+			return
+		}
+	}
+	s.claims.settled = r.Version
+	s.Log.Info("claims settled", "version", r.Version, "shards", len(owned))
+}
+
+// askOverdue finds out what became of keys that were granted long ago. The
+// failure: the message that told how a try ended was lost, and so was its
+// entry. It shows as a key in progress for good.
+func (s *Side) askOverdue(ctx context.Context, now time.Time) {
+	ctx, cancel := context.WithTimeout(ctx, claimWithin)
+	defer cancel()
+	for _, o := range s.claims.book.Overdue(overdueAfter, now) {
+		var found claim.Resolution
+		if s.callMember(ctx, o.To.Host, wire.MethodAsk, o, &found) == nil {
+			_ = s.claims.book.Resolve(found, now) // errs on a shard that there is not
+		}
+	}
+}
+
 // takeOver starts to own shards whose owner has not been heard for long enough.
 func (s *Side) takeOver(ctx context.Context, now time.Time) {
 	if s.draining.Load() {
@@ -269,10 +314,20 @@
 	return now.Sub(c.missed[n])
 }
 
-// tellOwned tells every connection of the shards owned, when that changed.
-func (s *Side) tellOwned() {
+// tellOwned tells every connection of the shards owned, when that changed. A
+// shard is told as complete once its runners are vouched for, too: an entry
+// that has just started waits for that, so that a host lost in a service's
+// first second leaves no key in doubt.
+func (s *Side) tellOwned(pending claim.Outbox) {
 	c := &s.claims
 	owned := c.book.Owned()
+	for _, r := range pending.Restores {
+		for i := range owned {
+			if owned[i].Shard == r.Shard {
+				owned[i].Complete = false
+			}
+		}
+	}
 	c.mu.Lock()
 	if equal(owned, c.told) {
 		c.mu.Unlock()
--- a/test/script.go
+++ b/test/script.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"net/http"
+	"os"
+	"path/filepath"
 	"slices"
 	"strconv"
 	"strings"
@@ -39,7 +41,7 @@
 		"sigkill": stepKill, "sigterm": stepTerm, "sigstop": stepFreeze, "sigcont": stepThaw, "restart": stepRestart, "gone": stepGone,
 		"cut": stepCut, "silence": stepSilence, "heal": stepHeal, "fault": stepFault,
 		"expect": stepExpect, "runs": stepRuns, "free": stepFree, "ready": stepReady,
-		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "answered": stepAnswered, "refused": stepRefused, "within": stepWithin, "idle": stepIdle,
+		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "logged": stepLogged, "answered": stepAnswered, "refused": stepRefused, "within": stepWithin, "idle": stepIdle,
 		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "story": stepStory,
 		"stall": stepStall, "resume": stepResume,
 		"send": stepSend, "router": stepRouter, "portof": stepPortOf,
@@ -458,6 +460,22 @@
 	return nil
 }
 
+// stepLogged waits until a process has logged a line that has all the words.
+func stepLogged(w *world, args []string) error {
+	return w.eventually(Within, func() error {
+		text, err := os.ReadFile(filepath.Join(w.dir, args[0]+".log"))
+		if err != nil {
+			return err
+		}
+		for line := range strings.Lines(string(text)) {
+			if !slices.ContainsFunc(args[1:], func(word string) bool { return !strings.Contains(line, word) }) {
+				return nil
+			}
+		}
+		return errors.Errorf("%s has not logged %q", args[0], args[1:])
+	})
+}
+
 // stepWithin lets the time pass in which a promise need not hold yet, and
 // remembers what ran so far.
 func stepWithin(w *world, args []string) error {
