side: a shard goes back to its first member once that is there again

Cause: a successor that had taken over went on under later records when the first member was not connected yet at the moment of the change, and kept the shard, from the zone of its runners.

--- a/side/claims.go
+++ b/side/claims.go
@@ -60,9 +60,10 @@
 	// next is the newest record not learned yet.
 	next              *claim.Record
 	nextAt, nextSince time.Time
-	// settled is the version at which nothing was pending any more; only
-	// keepClaims uses it.
-	settled uint64
+	// settled is the version at which nothing was pending any more, gaveBack
+	// the time of the last look; only keepClaims uses them.
+	settled  uint64
+	gaveBack time.Time
 	// asked is when another member last asked for something.
 	asked time.Time
 }
@@ -202,6 +203,7 @@
 			s.deliver(ctx, pending)
 			s.noteSettled(pending)
 			s.takeOver(ctx, now)
+			s.giveBack(ctx, now, pending)
 			s.tellOwned(pending)
 			if now.Sub(expired) >= expireEvery {
 				expired = now
@@ -278,6 +280,33 @@
 	}
 }
 
+// giveBackEvery is how often shards are looked at that another rank should own.
+const giveBackEvery = time.Second
+
+// giveBack hands shards to their first member once that is connected and takes
+// work. The failure: a member that was taken for lost for a moment comes back,
+// and its successor, in the zone of the shard's runners, keeps the shard. The
+// loss of that one host then leaves keys in doubt.
+func (s *Side) giveBack(ctx context.Context, now time.Time, pending claim.Outbox) {
+	if now.Sub(s.claims.gaveBack) < giveBackEvery || len(pending.Fences)+len(pending.Restores)+len(pending.Handovers) > 0 {
+		return
+	}
+	s.claims.gaveBack = now
+	r := s.claims.book.Record()
+	for _, o := range s.claims.book.Owned() {
+		first := r.Ranked(o.Shard)[0].Process()
+		l := s.claims.members.Find(first.Host)
+		if first == s.claims.book.Self || l == nil || l.Member.Process() != first || !l.Usable() {
+			continue
+		}
+		out, err := s.claims.book.Retire(o.Shard, first, now)
+		if err != nil {
+			s.Log.Warn("shard not given back", "shard", o.Shard, "err", err)
+		}
+		s.deliver(ctx, out)
+	}
+}
+
 // ownerLives says whether a shard's newest owner is connected.
 func (s *Side) ownerLives(n claim.Shard) bool {
 	s.claims.mu.Lock()
