--- /dev/null
+++ b/side/answers.go
@@ -0,0 +1,58 @@
+package side
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/claim"
+	"jacinthworks/wire"
+)
+
+// handleClaims answers the calls of claiming; false for other methods.
+func (s *Side) handleClaims(method string, params json.RawMessage) (any, error, bool) {
+	now := time.Now()
+	s.claims.wasAsked(now)
+	b := &s.claims.book
+	var answer any
+	var err error
+	switch method {
+	case wire.MethodClaim:
+		answer, err = wire.Decode(params, func(a claim.ClaimAsk) (any, error) { return claimed(b.Claim(a, now)) })
+	case wire.MethodResolve:
+		answer, err = wire.Decode(params, func(r claim.Resolution) (any, error) { return struct{}{}, b.Resolve(r, now) })
+	case wire.MethodAsk:
+		answer, err = wire.Decode(params, func(o claim.AskOrder) (any, error) { return b.Ask(o, now) })
+	case wire.MethodFence:
+		answer, err = wire.Decode(params, func(o claim.FenceOrder) (any, error) { return fenced(b.Fence(o, now)) })
+	case wire.MethodRestore:
+		answer, err = wire.Decode(params, func(r claim.Restore) (any, error) { return b.Restore(r, now) })
+	case wire.MethodHandover:
+		answer, err = wire.Decode(params, func(h claim.Handover) (any, error) {
+			out, taken, err := b.TakeHandover(h, now)
+			s.work.Go(s.workCtx, "after handover", func(ctx context.Context) error { s.deliver(ctx, out); return nil })
+			return taken, err
+		})
+	default:
+		return nil, nil, false
+	}
+	return answer, err, true
+}
+
+func claimed(g claim.Grant, err error) (any, error) {
+	var r *claim.Refusal
+	if errors.As(err, &r) {
+		return wire.Claimed{Refusal: r}, nil
+	}
+	return wire.Claimed{Grant: &g}, err
+}
+
+func fenced(f claim.FenceReply, err error) (any, error) {
+	var r *claim.Refusal
+	if errors.As(err, &r) {
+		return wire.Fenced{Refusal: r}, nil
+	}
+	return wire.Fenced{Reply: &f}, err
+}
