entry: a caller's account is looked up by its token's digest

Ruled out: hashing once and comparing with each digest in constant time, which still grows with the accounts. A differential test against the earlier way passes.

--- /dev/null
+++ b/entry/accounts_test.go
@@ -0,0 +1,71 @@
+package entry
+
+import (
+	"crypto/sha256"
+	"crypto/subtle"
+	"fmt"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/conf"
+	"jacinthworks/work"
+)
+
+func callersOf(count int) []conf.Caller {
+	var all []conf.Caller
+	for n := range count {
+		all = append(all, conf.Caller{
+			Account: work.Account(fmt.Sprintf("stud-%d", n)), Token: conf.Secret(fmt.Sprintf("token-of-the-stud-%04d", n)),
+		})
+	}
+	return all
+}
+
+// naiveAccount compares with every token.
+func naiveAccount(callers []conf.Caller, token string) (account work.Account, known bool) {
+	given := sha256.Sum256([]byte(token))
+	for _, c := range callers {
+		want := sha256.Sum256([]byte(string(c.Token)))
+		if subtle.ConstantTimeCompare(given[:], want[:]) == 1 {
+			account, known = c.Account, true
+		}
+	}
+	return account, known
+}
+
+func TestAccountsAreFoundAsByComparingWithEach(t *testing.T) {
+	callers := callersOf(50)
+	a := newAccounts(callers)
+	tokens := []string{"", "token-of-the-stud-", "token-of-the-stud-0007 ", "TOKEN-OF-THE-STUD-0007", "token-of-the-stud-0050"}
+	for _, c := range callers {
+		tokens = append(tokens, string(c.Token))
+	}
+	for _, token := range tokens {
+		want, known := naiveAccount(callers, token)
+		got, found := a.find(token)
+		require.Equal(t, known, found, token)
+		require.Equal(t, want, got, token)
+	}
+	_, found := newAccounts(nil).find("")
+	require.False(t, found)
+}
+
+// BenchmarkAccount gives what a request pays to be told apart from the other
+// accounts.
+func BenchmarkAccount(b *testing.B) {
+	for _, count := range []int{2, 2100} {
+		callers := callersOf(count)
+		a := newAccounts(callers)
+		b.Run(fmt.Sprintf("naive/accounts=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				naiveAccount(callers, "token-of-the-stud-0001")
+			}
+		})
+		b.Run(fmt.Sprintf("digest/accounts=%d", count), func(b *testing.B) {
+			for b.Loop() {
+				a.find("token-of-the-stud-0001")
+			}
+		})
+	}
+}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -45,6 +45,7 @@
 	Listening func(callers, admin, peers netip.AddrPort)
 
 	incarnation work.Incarnation
+	accounts    accounts
 	numbers     atomic.Uint64
 	recorder    story.Recorder
 	streams     streams
@@ -130,6 +131,7 @@
 	e.Settings.Timings = e.Settings.Timings.OrDefaults()
 	e.started = time.Now()
 	e.incarnation = work.NewIncarnation()
+	e.accounts = newAccounts(e.Settings.Callers)
 	e.sides.Local = &wire.Local{
 		Hello:   wire.Hello{Host: e.Settings.Name, Zone: e.Settings.Zone, Incarnation: e.incarnation, Role: "entry"},
 		Beat:    func() wire.Beat { return wire.Beat{Draining: e.draining.Load()} },
--- a/entry/http.go
+++ b/entry/http.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
 	"net/http"
 	"strings"
 	"time"
@@ -150,22 +148,13 @@
 	return nil
 }
 
-// accountOf finds the caller by bearer token, in constant time for each.
+// accountOf finds the caller by bearer token.
 func (e *Entry) accountOf(h *http.Request) (work.Account, bool) {
 	given, found := strings.CutPrefix(h.Header.Get("Authorization"), "Bearer ")
 	if !found {
 		return "", false
 	}
-	sum := sha256.Sum256([]byte(given))
-	var account work.Account
-	known := false
-	for _, c := range e.Settings.Callers {
-		want := sha256.Sum256([]byte(string(c.Token)))
-		if subtle.ConstantTimeCompare(sum[:], want[:]) == 1 {
-			account, known = c.Account, true
-		}
-	}
-	return account, known
+	return e.accounts.find(given)
 }
 
 // serveModel answers a completion, streamed or whole.
