TLS between processes, both ways, where the settings name an authority

Ruled out: checking names, since processes are reached by IP numbers that change with every replaced host. Any certificate the authority signed is one of ours.

--- a/conf/conf.go
+++ b/conf/conf.go
@@ -101,9 +101,11 @@
 	Platform netip.AddrPort
 	// AdminListen serves expvar; optional.
 	AdminListen netip.AddrPort
-	Log         Log
-	Limits      Limits
-	Timings     Timings
+	// TLS is for connections from entries and other sides.
+	TLS     TLS
+	Log     Log
+	Limits  Limits
+	Timings Timings
 }
 
 // Log says how to log.
@@ -118,6 +120,9 @@
 type TLS struct {
 	CertFile string
 	KeyFile  string
+	// CAFile, if set, turns on TLS between processes of ours, both ways: each
+	// shows the certificate and accepts only those that this authority signed.
+	CAFile string
 }
 
 // Limits bound what a connection may ask for. Zero means the default.
--- a/conf/parse.go
+++ b/conf/parse.go
@@ -65,6 +65,7 @@
 		Upstream:    r.dialAddr("upstream"),
 		Platform:    r.dialAddr("platform"),
 		AdminListen: r.listenAddr("admin_listen", false),
+		TLS:         r.tls(),
 		Log:         r.log(),
 		Limits:      r.limits(),
 		Timings:     r.timings(),
@@ -90,10 +91,13 @@
 
 func (r *reader) tls() TLS {
 	r.table("tls")
-	t := TLS{CertFile: r.text("tls.cert_file"), KeyFile: r.text("tls.key_file")}
+	t := TLS{CertFile: r.text("tls.cert_file"), KeyFile: r.text("tls.key_file"), CAFile: r.text("tls.ca_file")}
 	if (t.CertFile == "") != (t.KeyFile == "") {
 		r.add("tls", "needs both cert_file and key_file, or neither")
 	}
+	if t.CAFile != "" && t.CertFile == "" {
+		r.add("tls.ca_file", "needs cert_file and key_file beside it")
+	}
 	return t
 }
 
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -10,6 +10,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -89,6 +90,13 @@
 	if err != nil {
 		return err
 	}
+	if t := e.Settings.TLS; t.CAFile != "" {
+		fleet, err := wire.FleetTLS(t.CertFile, t.KeyFile, t.CAFile)
+		if err != nil {
+			return err
+		}
+		peers, e.sides.TLS, e.entries.TLS = tls.NewListener(peers, fleet), fleet, fleet
+	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	e.workCtx = serving
--- a/links/links.go
+++ b/links/links.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"slices"
 	"sort"
 	"sync"
@@ -48,6 +49,8 @@
 // value with Local set is ready; its lock is a leaf.
 type Directory struct {
 	Local *wire.Local
+	// TLS is nil for plain connections.
+	TLS *tls.Config
 	// Removed, if set, is told of members that left a record.
 	Removed func(member.Member)
 
@@ -143,7 +146,7 @@
 		old.stop()
 	}
 	ctx, stop := context.WithCancel(d.ctx)
-	s := &Link{Member: m, stop: stop, Link: wire.Link{Target: m.Address, Local: d.Local}}
+	s := &Link{Member: m, stop: stop, Link: wire.Link{Target: m.Address, Local: d.Local, TLS: d.TLS}}
 	d.sides[m.Host] = s
 	d.links.Go(ctx, string(m.Host), s.Run)
 }
--- a/side/side.go
+++ b/side/side.go
@@ -11,6 +11,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"net"
 	"net/netip"
@@ -79,6 +80,13 @@
 		return errors.Wrap(err, "side: listen")
 	}
 	address := ln.Addr().(*net.TCPAddr).AddrPort()
+	if t := s.Settings.TLS; t.CAFile != "" {
+		fleet, err := wire.FleetTLS(t.CertFile, t.KeyFile, t.CAFile)
+		if err != nil {
+			return err
+		}
+		ln, s.claims.members.TLS = tls.NewListener(ln, fleet), fleet
+	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	s.workCtx = serving
