Engines' cache events reach the entries' choice of prefill

Sides pass each event on once; what is lost is a gap, which the belief in it allows for. Before, an entry knew only of prefixes that it had sent itself.

--- a/entry/stream.go
+++ b/entry/stream.go
@@ -3,7 +3,9 @@
 import (
 	"encoding/json"
 	"sync"
+	"time"
 
+	"jacinthworks/route"
 	"jacinthworks/wire"
 )
 
@@ -90,6 +92,9 @@
 	case wire.MethodOwned:
 		e.takeOwned(p.Remote().Host, params)
 		return
+	case wire.MethodCache:
+		e.takeCache(p.Remote(), params)
+		return
 	case wire.MethodFrame:
 	default:
 		e.hear(p)
@@ -116,3 +121,17 @@
 	}
 	e.schedulers.of(p.Remote().Service).report(p.Remote(), b, side.Leaving.Load())
 }
+
+// takeCache passes an engine's cache events to its service's scheduler.
+func (e *Entry) takeCache(from wire.Hello, params json.RawMessage) {
+	var c wire.Cache
+	if json.Unmarshal(params, &c) != nil {
+		return
+	}
+	s := e.schedulers.of(from.Service)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for _, v := range c.Events {
+		s.model.CacheEvent(time.Now(), from.Host, route.CacheEvent{Seq: v.Seq, Prefix: v.Prefix, Tokens: v.Tokens, Evicted: v.Evicted})
+	}
+}
--- a/side/claims.go
+++ b/side/claims.go
@@ -148,13 +148,20 @@
 		return
 	}
 	c.told = owned
+	c.mu.Unlock()
+	c.tell(wire.MethodOwned, wire.Owned{Service: s.Settings.Service, Shards: owned})
+}
+
+// tell notifies every process that has connected to this side.
+func (c *claims) tell(method string, v any) {
+	c.mu.Lock()
 	peers := make([]*wire.Peer, 0, len(c.peers))
 	for p := range c.peers {
 		peers = append(peers, p)
 	}
 	c.mu.Unlock()
 	for _, p := range peers {
-		_ = p.Notify(wire.MethodOwned, wire.Owned{Service: s.Settings.Service, Shards: owned})
+		_ = p.Notify(method, v)
 	}
 }
 
--- a/side/side.go
+++ b/side/side.go
@@ -106,6 +106,7 @@
 	}
 	if s.Model != nil {
 		loops.Go(serving, "reconcile", s.reconcile)
+		loops.Go(serving, "cache", s.watchCache)
 	}
 	if s.Listening != nil {
 		s.Listening(address)
--- a/wire/order.go
+++ b/wire/order.go
@@ -212,3 +212,11 @@
 	Service work.Service      `json:"service"`
 	Shards  []claim.Ownership `json:"shards"`
 }
+
+// MethodCache is a side's notification of its engine's cache events: Cache.
+const MethodCache = "cache"
+
+// Cache carries cache events in the order of their numbers.
+type Cache struct {
+	Events []engine.CacheEvent `json:"events"`
+}
