--- a/entry/accept.go
+++ b/entry/accept.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"syscall"
 	"time"
@@ -22,7 +23,7 @@
 
 // listenCallers listens with the bound on unacknowledged data, and no more
 // open connections than the limit.
-func listenCallers(ctx context.Context, address string, most int) (net.Listener, error) {
+func listenCallers(ctx context.Context, address netip.AddrPort, most int) (net.Listener, error) {
 	c := net.ListenConfig{
 		Control: func(_, _ string, raw syscall.RawConn) error {
 			var failed error
@@ -35,7 +36,7 @@
 			return failed
 		},
 	}
-	l, err := c.Listen(ctx, "tcp", address)
+	l, err := c.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: listen")
 	}
--- a/entry/accept_test.go
+++ b/entry/accept_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"syscall"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 // cause would be a caller's connection without a bound on that. Loopback loses
 // nothing, so that only the socket's setting is looked at.
 func TestCallerThatAcknowledgesNothingIsLost(t *testing.T) {
-	l, err := listenCallers(t.Context(), "127.0.0.1:0", 1)
+	l, err := listenCallers(t.Context(), netip.MustParseAddrPort("127.0.0.1:0"), 1)
 	require.NoError(t, err)
 	defer l.Close()
 	accepted := make(chan net.Conn)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -71,7 +71,7 @@
 // progress and returns.
 func (e *Entry) Run(ctx context.Context) error {
 	e.init()
-	callers, err := listenCallers(ctx, e.Settings.Listen.String(), e.Settings.Limits.MaxConnections)
+	callers, err := listenCallers(ctx, e.Settings.Listen, e.Settings.Limits.MaxConnections)
 	if err != nil {
 		return err
 	}
--- a/links/links.go
+++ b/links/links.go
@@ -131,6 +131,8 @@
 		kept[m.Host] = true
 		if s := d.sides[m.Host]; s == nil || s.Member != m {
 			d.replace(m)
+		} else {
+			s.gone.Store(false)
 		}
 	}
 	for h, s := range d.sides {
