--- a/test/slopes/packages.go
+++ b/test/slopes/packages.go
@@ -4,14 +4,17 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"math/rand/v2"
 	"net/netip"
 	"runtime"
 	"time"
 
 	"jacinthworks/claim"
+	"jacinthworks/engine"
 	"jacinthworks/member"
 	"jacinthworks/plat"
 	"jacinthworks/table"
+	"jacinthworks/wire"
 	"jacinthworks/work"
 )
 
@@ -19,6 +22,7 @@
 	rowSizes    = []int{100, 500, 1000, 2500}
 	memberSizes = []int{50, 290, 1000, 2000}
 	listSizes   = []int{100, 1000, 4000}
+	eventSizes  = []int{1, 8, 32, 128}
 )
 
 const (
@@ -62,7 +66,7 @@
 }
 
 // measurePackages gives the costs that need no process: the table, the member
-// record and the host list.
+// record, the host list and cache events.
 func measurePackages(_ context.Context, _ *bench) error {
 	err := measureValue("table", "row", rowSizes, tableOf, func(text []byte) (table.Table, error) { return table.Decode(text) })
 	if err != nil {
@@ -81,8 +85,10 @@
 	if err != nil {
 		return err
 	}
-	fmt.Println("cache_events\tside\tall\tnot yet carried / not measured\t-\t0")
-	return nil
+	return measureValue("cache_events", "event", eventSizes, eventsOf, func(text []byte) (wire.Cache, error) {
+		var c wire.Cache
+		return c, json.Unmarshal(text, &c)
+	})
 }
 
 // measureValue gives bytes on the wire, heap and reading time per part of a
@@ -159,3 +165,14 @@
 	}
 	return json.Marshal(l)
 }
+
+// eventsOf gives one notification of cache events.
+func eventsOf(n int) ([]byte, error) {
+	var c wire.Cache
+	for i := range n {
+		c.Events = append(c.Events, engine.CacheEvent{
+			Seq: uint64(100_000 + i), Prefix: rand.Uint64(), Tokens: 256, Evicted: i%2 == 1,
+		})
+	}
+	return json.Marshal(c)
+}
