Operators' orders reach engines, guarded where engines ignore numbers

jacinthworks order HOST load|adapter VALUE goes through any entry to the side, which gives it under a lease in the platform and a fencing number that grows across holders; the side's clock ends the lease before it can pass on. Ruled out: a standing lease for each engine, 12,000 renewals a few seconds apart.

--- a/admin/admin.go
+++ b/admin/admin.go
@@ -18,6 +18,7 @@
 //	GET   /admin/v1/status          which host holds which version, since when
 //	GET   /admin/v1/requests/{id}   the story of a request
 //	POST  /admin/v1/drain           {"host": "..."}
+//	POST  /admin/v1/orders          an OrderRequest
 //
 // PATCH takes If-Match with the ETag that the edit was made for, or none for
 // an edit that holds for any version. Idempotency-Key, or "id" in JSON, is the
@@ -46,6 +47,7 @@
 	pathStatus   = "/admin/v1/status"
 	pathRequests = "/admin/v1/requests/"
 	pathDrain    = "/admin/v1/drain"
+	pathOrders   = "/admin/v1/orders"
 )
 
 // The media types of the interface.
--- a/admin/server.go
+++ b/admin/server.go
@@ -28,6 +28,8 @@
 	Status    StatusSource
 	Stories   StorySource
 	Drains    Drainer
+	// Orders may be nil; orders are then not served.
+	Orders Orderer
 	// MaxBody bounds the body of a request in bytes; default 4 MiB.
 	MaxBody int64
 	// Log gets a line for each edit and each drain.
@@ -42,6 +44,9 @@
 	m.Handle("GET "+pathStatus, s.operator(s.status))
 	m.Handle("GET "+pathRequests+"{id}", s.operator(s.story))
 	m.Handle("POST "+pathDrain, s.operator(s.drain))
+	if s.Orders != nil {
+		m.Handle("POST "+pathOrders, s.operator(s.order))
+	}
 	m.Handle("/admin/", s.operator(func(w http.ResponseWriter, r *http.Request, _ table.Operator) {
 		writeProblem(w, problem(http.StatusNotFound, "no "+r.Method+" of this path"))
 	}))
--- /dev/null
+++ b/cmd_order.go
@@ -0,0 +1,34 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"jacinthworks/admin"
+	"jacinthworks/engine"
+	"jacinthworks/work"
+)
+
+type orderArgs struct {
+	adminArgs
+	Host  work.Host        `arg:"positional,required" help:"name of the side beside the engine" placeholder:"HOST"`
+	Kind  engine.OrderKind `arg:"positional,required" help:"load (a model or a version of it) or adapter" placeholder:"KIND"`
+	Value string           `arg:"positional,required" help:"what to load" placeholder:"VALUE"`
+}
+
+var cmdOrder = command{name: "order", help: "have an engine load a model, a version or an adapter", run: runOrder}
+
+func runOrder(ctx context.Context, args []string, out, errs io.Writer) int {
+	var a orderArgs
+	c, code, done := connect("order", args, &a, &a.adminArgs, out, errs)
+	if done {
+		return code
+	}
+	given, err := c.Order(ctx, admin.OrderRequest{Host: a.Host, Kind: a.Kind, Value: a.Value})
+	if err != nil {
+		return report(err, errs)
+	}
+	fmt.Fprintf(out, "%s took %s %s under fencing number %d\n", given.Host, given.Kind, given.Value, given.Fence)
+	return exitOK
+}
--- a/commands.go
+++ b/commands.go
@@ -29,6 +29,7 @@
 		cmdStory,
 		cmdStatus,
 		cmdDrain,
+		cmdOrder,
 		cmdCheck,
 		cmdLoad,
 		cmdVersion,
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -7,6 +7,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sort"
 	"time"
 
@@ -24,7 +25,7 @@
 // adminHandler serves operators, and metrics.
 func (e *Entry) adminHandler() http.Handler {
 	s := admin.Server{
-		Operators: e.Settings.Operators, Tables: &e.tables, Status: e, Stories: e, Drains: e, Log: e.Log,
+		Operators: e.Settings.Operators, Tables: &e.tables, Status: e, Stories: e, Drains: e, Orders: e, Log: e.Log,
 		Editor:  &editor.Editor{Objects: e.Objects, Holder: &e.tables, Spread: e.spread},
 		MaxBody: e.Settings.Limits.MaxBody,
 	}
@@ -155,6 +156,22 @@
 	return errors.Wrapf(l.Call(ctx, wire.MethodDrain, struct{}{}, nil), "entry: drain %s", host)
 }
 
+// Order passes an order to the side of an engine whose service the operator's
+// teams have rows of.
+func (e *Entry) Order(ctx context.Context, o admin.OrderRequest, by table.Operator) (admin.OrderGiven, error) {
+	l := e.sides.Find(o.Host)
+	if l == nil {
+		return admin.OrderGiven{}, admin.ErrNoHost
+	}
+	owns := func(r table.Row) bool { return r.Service == l.Member.Service && slices.Contains(by.Teams, r.Team) }
+	if !slices.ContainsFunc(e.tables.Table().Rows(), owns) {
+		return admin.OrderGiven{}, admin.ErrNotYours
+	}
+	var given wire.Ordered
+	err := l.Call(ctx, wire.MethodOrder, wire.Order{Kind: o.Kind, Value: o.Value, By: by.Name, Within: admin.DefaultOrderWithin}, &given)
+	return admin.OrderGiven{OrderRequest: o, Fence: given.Fence}, errors.Wrapf(err, "entry: order to %s", o.Host)
+}
+
 // secure wraps a listener in TLS where the settings give a certificate.
 func (e *Entry) secure(l net.Listener) (net.Listener, error) {
 	files := e.Settings.TLS
--- a/side/side.go
+++ b/side/side.go
@@ -62,6 +62,7 @@
 	orphans     orphaned
 	claims      claims
 	deaths      deaths
+	orders      chan orderAsk
 	crashes     retry.Ledger
 	incarnation work.Incarnation
 	upstream    atomic.Pointer[engine.State]
@@ -107,6 +108,7 @@
 	if s.Model != nil {
 		loops.Go(serving, "reconcile", s.reconcile)
 		loops.Go(serving, "cache", s.watchCache)
+		loops.Go(serving, "orders", s.giveOrders)
 	}
 	if s.Listening != nil {
 		s.Listening(address)
@@ -128,6 +130,7 @@
 	s.Settings.Timings = s.Settings.Timings.OrDefaults()
 	s.incarnation = work.NewIncarnation()
 	s.recorder.Half = story.HalfSide
+	s.orders = make(chan orderAsk)
 	s.initClaims()
 }
 
@@ -192,6 +195,8 @@
 		return wire.Decode(params, func(r wire.Ref) (any, error) { s.cancel(r); return struct{}{}, nil })
 	case wire.MethodStory:
 		return wire.Decode(params, func(a wire.StoryAsk) (any, error) { return s.story(a.Request) })
+	case wire.MethodOrder:
+		return wire.Decode(params, func(o wire.Order) (any, error) { return s.order(ctx, o) })
 	case wire.MethodDrain:
 		s.draining.Store(true)
 		return struct{}{}, nil
--- a/test/operator.go
+++ b/test/operator.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -12,6 +13,8 @@
 	"jacinthworks/admin"
 	"jacinthworks/conf"
 	"jacinthworks/editor"
+	"jacinthworks/engine"
+	"jacinthworks/fakes/model"
 	"jacinthworks/story"
 	"jacinthworks/table"
 	"jacinthworks/work"
@@ -244,3 +247,41 @@
 	}
 	return a.Findings.Err()
 }
+
+// stepOrder gives an order to an engine: order HOST load|adapter VALUE.
+func stepOrder(w *world, args []string) error {
+	c, err := w.operator("entry-1", "")
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(w.ctx, Within)
+	defer cancel()
+	_, err = c.Order(ctx, admin.OrderRequest{Host: work.Host(args[0]), Kind: engine.OrderKind(args[1]), Value: args[2]})
+	return err
+}
+
+// stepOrders checks which orders an engine took, in their order: orders
+// ENGINE [VALUE ...].
+func stepOrders(w *world, args []string) error {
+	p, err := w.find(args[0])
+	if err != nil {
+		return err
+	}
+	var got []model.GivenOrder
+	if err := getJSON(w.ctx, "http://"+p.address.String()+"/orders", &got); err != nil {
+		return err
+	}
+	var values []string
+	last := uint64(0)
+	for _, o := range got {
+		values = append(values, o.Value)
+		if o.Fence <= last {
+			return errors.Errorf("fencing number %d after %d", o.Fence, last)
+		}
+		last = o.Fence
+	}
+	if !slices.Equal(values, args[1:]) {
+		return errors.Errorf("took %v, not %v", values, args[1:])
+	}
+	return nil
+}
--- a/test/script.go
+++ b/test/script.go
@@ -41,7 +41,7 @@
 		"cut": stepCut, "silence": stepSilence, "heal": stepHeal, "fault": stepFault,
 		"expect": stepExpect, "runs": stepRuns, "free": stepFree, "ready": stepReady,
 		"judge": stepJudge, "hosts": stepHosts, "burst": stepBurst, "logged": stepLogged, "answered": stepAnswered, "refused": stepRefused, "within": stepWithin, "idle": stepIdle,
-		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "story": stepStory,
+		"edit": stepEdit, "edited": stepEdited, "inforce": stepInForce, "watch": stepWatch, "order": stepOrder, "orders": stepOrders, "story": stepStory,
 		"stall": stepStall, "resume": stepResume,
 		"send": stepSend, "router": stepRouter, "portof": stepPortOf,
 	}
--- a/wire/order.go
+++ b/wire/order.go
@@ -220,3 +220,22 @@
 type Cache struct {
 	Events []engine.CacheEvent `json:"events"`
 }
+
+// MethodOrder passes an operator's order for an engine to its side: Order to
+// Ordered.
+const MethodOrder = "order"
+
+// Order is an operator's order to load a model or an adapter.
+type Order struct {
+	Kind  engine.OrderKind `json:"kind"`
+	Value string           `json:"value"`
+	// By names the operator, for the log.
+	By string `json:"by"`
+	// Within is how long the order may wait for its lease.
+	Within time.Duration `json:"within"`
+}
+
+// Ordered says that the engine took the order, under which fencing number.
+type Ordered struct {
+	Fence uint64 `json:"fence"`
+}
