--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -49,8 +49,9 @@
 	running  map[work.Kind]int
 	inFlight map[work.Kind]int // the table's limit, as of the kind's last arrival
 	held     map[work.Kind][]queue.Item
-	health   health    // has locks of its own, which are leaves too
-	served   time.Time // when a side last took work
+	health   health             // has locks of its own, which are leaves too
+	served   time.Time          // when a side last took work
+	zones    map[work.Zone]bool // of prefill engines heard of
 	kvLife   time.Duration
 	pace     queue.Pace
 }
@@ -271,12 +272,20 @@
 	case work.RolePrefill:
 		s.model.Prefills.Update(m.Host, m.Zone, b.TrueAt, route.PrefillReport{QueuedTokens: b.Load.QueuedTokens, Rate: b.Load.Rate})
 		s.model.Prefills.SetDraining(m.Host, shut)
+		if s.zones == nil {
+			s.zones = make(map[work.Zone]bool)
+		}
+		s.zones[m.Zone] = true
 	case work.RoleDecode:
 		s.model.Decodes.Update(m.Host, m.Zone, b.TrueAt, route.DecodeReport{
 			FreeRequests: b.Load.FreeSlots, FreeTokens: b.Load.FreeTokens, Batch: b.Load.Slots - b.Load.FreeSlots,
 			GapBase: b.Load.GapBase, GapStep: b.Load.GapStep,
 		})
 		s.model.Decodes.SetDraining(m.Host, shut)
+		// The side measures its imports whatever zone they come from.
+		for from := range s.zones {
+			s.model.UpdateLink(route.Path{From: from, To: m.Zone}, b.TrueAt, route.LinkReport{Rate: b.Load.LinkRate * bytesPerKV})
+		}
 	case work.RoleApp:
 		s.apps.Pool.Update(m.Host, m.Zone, b.TrueAt, route.AppReport{InFlight: b.Load.Running})
 		s.apps.Pool.SetDraining(m.Host, shut)
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -17,7 +17,7 @@
 )
 
 // bytesPerKV is the size of a token's KV cache in bytes. Only its ratio to the
-// measured rate of a link counts, and both are taken in tokens here.
+// measured rate of links counts: sides measure that in tokens a second.
 const bytesPerKV = 1
 
 // turnTries bounds how often one attempt is sent back to its queue because the
--- a/links/links.go
+++ b/links/links.go
@@ -45,7 +45,7 @@
 	return heard && !b.Draining && (b.Load == nil || !b.Load.Down)
 }
 
-// Directory holds a link to each side of the services in the table. The zero
+// Directory holds a link to each member of each record it is given. The zero
 // value with Local set is ready; its lock is a leaf.
 type Directory struct {
 	Local *wire.Local
@@ -55,9 +55,9 @@
 	Removed func(member.Member)
 
 	mu      sync.Mutex
-	sides   map[work.Host]*Link
+	byHost  map[work.Host]*Link
 	records map[work.Service]member.Record
-	links   group.Group
+	runs    group.Group
 	ctx     context.Context
 	ready   chan struct{}
 	once    sync.Once
@@ -74,13 +74,13 @@
 	d.ctx = ctx
 	d.mu.Unlock()
 	close(d.ready)
-	stop := context.AfterFunc(ctx, d.links.Close)
+	stop := context.AfterFunc(ctx, d.runs.Close)
 	defer stop()
 	t := time.NewTicker(sweepEvery)
 	defer t.Stop()
 	for {
 		select {
-		case _, open := <-d.links.Ends():
+		case _, open := <-d.runs.Ends():
 			if !open {
 				return nil
 			}
@@ -100,10 +100,10 @@
 func (d *Directory) sweep() {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	for h, l := range d.sides {
+	for h, l := range d.byHost {
 		if l.gone.Load() && l.Peer() == nil {
 			l.stop()
-			delete(d.sides, h)
+			delete(d.byHost, h)
 			if d.Removed != nil {
 				d.Removed(l.Member)
 			}
@@ -118,8 +118,8 @@
 	<-d.ready
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.sides == nil {
-		d.sides = make(map[work.Host]*Link)
+	if d.byHost == nil {
+		d.byHost = make(map[work.Host]*Link)
 		d.records = make(map[work.Service]member.Record)
 	}
 	if r.Version <= d.records[r.Service].Version {
@@ -129,13 +129,13 @@
 	kept := make(map[work.Host]bool)
 	for _, m := range r.Members {
 		kept[m.Host] = true
-		if s := d.sides[m.Host]; s == nil || s.Member != m {
+		if s := d.byHost[m.Host]; s == nil || s.Member != m {
 			d.replace(m)
 		} else {
 			s.gone.Store(false)
 		}
 	}
-	for h, s := range d.sides {
+	for h, s := range d.byHost {
 		if s.Member.Service == r.Service && !kept[h] {
 			s.gone.Store(true)
 		}
@@ -144,13 +144,13 @@
 }
 
 func (d *Directory) replace(m member.Member) {
-	if old := d.sides[m.Host]; old != nil {
+	if old := d.byHost[m.Host]; old != nil {
 		old.stop()
 	}
 	ctx, stop := context.WithCancel(d.ctx)
 	s := &Link{Member: m, stop: stop, Link: wire.Link{Target: m.Address, Local: d.Local, TLS: d.TLS}}
-	d.sides[m.Host] = s
-	d.links.Go(ctx, string(m.Host), s.Run)
+	d.byHost[m.Host] = s
+	d.runs.Go(ctx, string(m.Host), s.Run)
 }
 
 // Dial adds a link that no record speaks of.
@@ -159,8 +159,8 @@
 	<-d.ready
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	if d.sides == nil {
-		d.sides = make(map[work.Host]*Link)
+	if d.byHost == nil {
+		d.byHost = make(map[work.Host]*Link)
 		d.records = make(map[work.Service]member.Record)
 	}
 	d.replace(m)
@@ -215,8 +215,8 @@
 func (d *Directory) All() []*Link {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	found := make([]*Link, 0, len(d.sides))
-	for _, l := range d.sides {
+	found := make([]*Link, 0, len(d.byHost))
+	for _, l := range d.byHost {
 		found = append(found, l)
 	}
 	sort.Slice(found, func(i, j int) bool { return found[i].Member.Host < found[j].Member.Host })
@@ -237,7 +237,7 @@
 func (d *Directory) Find(h work.Host) *Link {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.sides[h]
+	return d.byHost[h]
 }
 
 // Members lists the hosts of a service's record in a role.
