--- a/entry/http.go
+++ b/entry/http.go
@@ -46,8 +46,8 @@
 
 // settleWithin is how long a fresh entry stays unready while some service has
 // no side that may be given work, or keys that nobody grants: time for a record
-// to be read, a dial and a heartbeat, several times over. Later a service without sides is refused by
-// name, and the entry goes on serving the others.
+// to be read, a dial and a heartbeat, several times over. Later a service
+// without sides is refused by name, and the entry goes on serving the others.
 const settleWithin = 5 * time.Second
 
 // settled says whether a fresh entry has met its sides.
@@ -115,15 +115,15 @@
 	}
 	r.body = hashOf(h.Method, h.URL.RequestURI(), string(body))
 	r.identity = retry.Identify(r.account, r.service, []byte(h.URL.RequestURI()), body)
-	return e.findRow(r)
+	r.row, _ = e.lookup(r.service, r.kind)
+	return nil
 }
 
-// findRow finds the table's row for the request.
+// findRow refuses a request that the table has no row for.
 func (e *Entry) findRow(r *request) *failure {
-	row, known := e.lookup(r.service, r.kind)
+	_, known := e.lookup(r.service, r.kind)
 	switch {
 	case known:
-		r.row = row
 		return nil
 	case e.servesService(r.service):
 		return &failure{ran: work.NotRun, reason: work.ReasonNoKind, detail: "the table has no such kind for the service"}
@@ -142,6 +142,9 @@
 	if !e.inTouch(time.Now()) {
 		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "this entry hears neither the platform nor another entry", retryAfter: time.Second}
 	}
+	if f := e.findRow(r); f != nil {
+		return f
+	}
 	if wait, ok := e.schedulers.take(time.Now(), r); !ok {
 		return &failure{ran: work.NotRun, reason: work.ReasonCallerShare, detail: "the caller is over its rate for this kind", retryAfter: wait}
 	}
--- a/entry/model.go
+++ b/entry/model.go
@@ -80,6 +80,9 @@
 	e.schedulers.of(r.service).sawLife(kv.Life)
 	began = time.Now()
 	f = e.decode(ctx, r, p, kv, d, to)
+	if f != nil { // the cache may not have been fetched: it must not wait for its end
+		e.cancel(p.prefill, wire.Ref{Request: r.id, Attempt: r.attempt, Stage: wire.StagePrefill})
+	}
 	if f == nil {
 		e.schedulers.of(r.service).observe(r, r.firstToken.Sub(started), time.Since(started))
 	}
--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -48,6 +48,7 @@
 	turns    map[work.RequestID]*turn
 	running  map[work.Kind]int
 	inFlight map[work.Kind]int // the table's limit, as of the kind's last arrival
+	limits   map[work.Kind]int // its queue limit, likewise
 	held     map[work.Kind][]queue.Item
 	health   health             // has locks of its own, which are leaves too
 	served   time.Time          // when a side last took work
@@ -75,6 +76,7 @@
 			turns:    make(map[work.RequestID]*turn),
 			running:  make(map[work.Kind]int),
 			inFlight: make(map[work.Kind]int),
+			limits:   make(map[work.Kind]int),
 			held:     make(map[work.Kind][]queue.Item),
 		}
 	}
@@ -107,7 +109,11 @@
 	now := time.Now()
 	s.mu.Lock()
 	s.inFlight[t.kind] = row.InFlight
-	s.queue.Limits.Items = row.QueueLimit
+	if !s.mayQueue(t.kind, row.QueueLimit) {
+		defer s.mu.Unlock()
+		wait := time.Second + time.Duration(s.random.Int64N(int64(time.Second)))
+		return sent{refused: &queue.Refusal{Reason: work.ReasonNoRoom, Detail: queue.DetailFull, RetryAfter: wait}}
+	}
 	s.turns[t.item.ID] = t
 	v := s.queue.Arrive(now, t.item, s.random)
 	if v.Refusal != nil {
@@ -126,6 +132,27 @@
 	}
 }
 
+// mayQueue says whether the kind's own part of the queue has room, and bounds
+// the whole queue by all kinds' parts together, within which the queue sheds by
+// priority.
+func (s *scheduler) mayQueue(k work.Kind, limit int) bool {
+	if limit <= 0 {
+		limit = queue.DefaultItems
+	}
+	s.limits[k] = limit
+	s.queue.Limits.Items = 0
+	for _, n := range s.limits {
+		s.queue.Limits.Items += n
+	}
+	waiting := 0
+	for _, t := range s.turns {
+		if t.kind == k {
+			waiting++
+		}
+	}
+	return waiting < limit
+}
+
 // leave takes a turn out whose caller is gone; it may have been sent just now.
 func (s *scheduler) leave(t *turn) sent {
 	s.mu.Lock()
--- a/links/links.go
+++ b/links/links.go
@@ -129,7 +129,7 @@
 	kept := make(map[work.Host]bool)
 	for _, m := range r.Members {
 		kept[m.Host] = true
-		if s := d.byHost[m.Host]; s == nil || s.Member != m {
+		if s := d.byHost[m.Host]; s == nil || !s.Member.Same(m) {
 			d.replace(m)
 		} else {
 			s.gone.Store(false)
--- a/member/member.go
+++ b/member/member.go
@@ -44,6 +44,9 @@
 	Service     work.Service     `json:"service"`
 	Address     netip.AddrPort   `json:"address"`
 	Incarnation work.Incarnation `json:"incarnation"`
+	// Draining members take no new work and claim nothing, and are still
+	// connected to for what they run and know.
+	Draining bool `json:"draining,omitempty"`
 }
 
 // Record is a service's members at a version.
@@ -97,11 +100,33 @@
 	}
 	r.Claims = old.Succeed(list)
 	r.Claims.Version = old.Version + 1
+	r.Claims.Past = bounded(r.Claims.Past)
 }
 
-// Claims says whether the member owns shards and runs what is claimed: the one
-// beside the upstream at which work takes effect or is answered.
-func (m Member) Claims() bool { return m.Role == work.RoleDecode || m.Role == work.RoleApp }
+// mostPast bounds the members in all past generations together, at about 60
+// bytes each a quarter of what an object may hold. Dropping the oldest costs
+// availability after many losses at once, never safety.
+const mostPast = 4096
+
+func bounded(past []claim.Generation) []claim.Generation {
+	n := 0
+	for i, g := range past {
+		if n += len(g.Members); n > mostPast {
+			return past[:i]
+		}
+	}
+	return past
+}
+
+// Runs says whether the member's upstream is one at which work takes effect or
+// is answered, so that what it ran has to be known.
+func (m Member) Runs() bool { return m.Role == work.RoleDecode || m.Role == work.RoleApp }
+
+// Claims says whether the member owns shards and runs what is claimed.
+func (m Member) Claims() bool { return m.Runs() && !m.Draining }
+
+// Same says whether both speak of one life of a process at one address.
+func (m Member) Same(o Member) bool { return m.Process() == o.Process() && m.Address == o.Address }
 
 // Process names the member's present life as claims do.
 func (m Member) Process() claim.Process {
--- a/side/ledger.go
+++ b/side/ledger.go
@@ -19,6 +19,10 @@
 	keepMost  = 4096
 )
 
+// reportLag is how old an engine's report may be. What ended since still stands
+// in it, and is not cancelled for that.
+const reportLag = 400 * time.Millisecond
+
 // step is how far an order has come.
 type step int
 
@@ -232,7 +236,7 @@
 		if ref.Request != id || o.gone {
 			continue
 		}
-		if o.step != stepEnded {
+		if o.step != stepEnded || now.Sub(o.ended) < reportLag {
 			return true
 		}
 		if kv := o.outcome.KV; kv != nil && now.Sub(o.ended) < kv.Life {
--- a/side/record.go
+++ b/side/record.go
@@ -14,7 +14,7 @@
 		others := r
 		others.Members = nil
 		for _, m := range r.Members {
-			if m.Claims() && m.Host != s.Settings.Name {
+			if m.Runs() && m.Host != s.Settings.Name {
 				others.Members = append(others.Members, m)
 			}
 		}
--- a/side/side.go
+++ b/side/side.go
@@ -68,6 +68,7 @@
 	upstream    atomic.Pointer[engine.State]
 	down        atomic.Bool
 	draining    atomic.Bool
+	self        atomic.Pointer[member.Member] // once joined
 	work        group.Group
 	workCtx     context.Context
 }
@@ -198,7 +199,7 @@
 	case wire.MethodOrder:
 		return wire.Decode(params, func(o wire.Order) (any, error) { return s.order(ctx, o) })
 	case wire.MethodDrain:
-		s.draining.Store(true)
+		s.stopTaking()
 		return struct{}{}, nil
 	}
 	return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: "no method " + method}
@@ -226,14 +227,36 @@
 		Host: s.Settings.Name, Zone: s.Settings.Zone, Role: s.Settings.Role, Service: s.Settings.Service,
 		Address: address, Incarnation: s.incarnation,
 	}
+	s.self.Store(&m)
 	return member.Keep(ctx, s.Objects, m, func(r member.Record) {
 		s.Log.Info("joined", "service", r.Service, "version", r.Version, "members", len(r.Members))
 	})
 }
 
+// stopTaking takes no new work from now on, and says so in the record, so that
+// the keys of its shards are run elsewhere. The failure: two of three servers
+// drain, and a key whose shard allows only those two waits to its deadline.
+func (s *Side) stopTaking() {
+	if s.draining.Swap(true) {
+		return
+	}
+	m := s.self.Load()
+	if m == nil {
+		return
+	}
+	leaving := *m
+	leaving.Draining = true
+	s.work.Go(s.workCtx, "drain record", func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, leaveWithin)
+		defer cancel()
+		_, err := member.Join(ctx, s.Objects, leaving)
+		return err
+	})
+}
+
 // drain takes no new work and waits for what runs, bounded by stop_within.
 func (s *Side) drain() {
-	s.draining.Store(true)
+	s.stopTaking()
 	s.Log.Info("draining", "running", s.ledger.busy(), "within", s.Settings.Timings.StopWithin)
 	ctx, cancel := context.WithTimeout(s.workCtx, s.Settings.Timings.StopWithin)
 	defer cancel()
