Stories are found among as many segments as there are, and expire

Cause: the adapter bound every answer to one value's size, so a list of more than 11,400 names was refused, some eight hours of one entry's traffic, and no story was found any more. The test fails without the change.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -114,6 +114,7 @@
 	loops.Go(serving, "hosts", e.watchHosts)
 	loops.Go(serving, "table", e.watchTable)
 	loops.Go(serving, "stories", e.writeStories)
+	loops.Go(serving, "old stories", e.expireStories)
 	operatorServer := e.server(e.adminHandler())
 	loops.Go(serving, "operators", func(context.Context) error { return serve(operatorServer, operators) })
 	loops.Go(serving, "callers", func(context.Context) error { return serve(server, callers) })
--- a/entry/stories.go
+++ b/entry/stories.go
@@ -21,6 +21,12 @@
 	flushPerEntry = 20 * time.Millisecond
 	flushPoll     = 250 * time.Millisecond
 	storyWithin   = 2 * time.Second
+	// storiesKept is how long written stories stay, and expireEvery how often
+	// this entry takes out its own older ones, at a pace that the platform
+	// hardly notices. A support engineer is asked within days.
+	storiesKept = 7 * 24 * time.Hour
+	expireEvery = time.Hour
+	expirePause = 100 * time.Millisecond
 )
 
 // writeStories packs closed stories and writes them to the platform, through
@@ -45,6 +51,27 @@
 	return nil
 }
 
+// expireStories deletes segments that this entry's host wrote, in this life or
+// an earlier one, once they are too old.
+func (e *Entry) expireStories(ctx context.Context) error {
+	for {
+		pause(ctx, expireEvery)
+		if ctx.Err() != nil {
+			return nil
+		}
+		names, err := e.Objects.List(ctx, story.Prefix+string(e.Settings.Name)+".")
+		if err != nil {
+			continue
+		}
+		for _, name := range story.Expired(names, time.Now(), storiesKept) {
+			if o, err := e.Objects.Get(ctx, name); err == nil {
+				_ = e.Objects.Delete(ctx, name, o.Version) // the next round finds it again
+			}
+			pause(ctx, expirePause)
+		}
+	}
+}
+
 func (e *Entry) pack(p *story.Packer, o *story.Outbox, now time.Time) {
 	segments, err := p.Pack(now, e.recorder.Take())
 	if err != nil {
--- a/plat/http.go
+++ b/plat/http.go
@@ -28,8 +28,11 @@
 // Unwrap gives class and cause.
 func (f *Failure) Unwrap() []error { return []error{f.Class, f.Cause} }
 
-// headroom is what an answer may hold beyond the largest value.
-const headroom = 1 << 16
+// maxAnswer bounds an answer in bytes. A value is a megabyte at most; a list of
+// names may be longer: at about 100 bytes each, three hundred thousand segments
+// of stories. Bound to one value's size, a list was refused beyond 11,400 names,
+// and no story was found any more.
+const maxAnswer = 32 << 20
 
 // ask sends one call and gives status, header and whole body of its answer.
 func ask(ctx context.Context, c *send.Client, r send.Request) (*send.Reply, []byte, error) {
@@ -38,7 +41,7 @@
 	if err != nil {
 		return nil, nil, lost(call, err)
 	}
-	value, err := reply.All(MaxValue + headroom)
+	value, err := reply.All(maxAnswer)
 	if err != nil {
 		return nil, nil, lost(call, err)
 	}
--- a/plat/http_test.go
+++ b/plat/http_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -192,3 +194,19 @@
 	require.Positive(t, rate)
 	require.Positive(t, size)
 }
+
+// A support engineer asks for a story after a day of traffic and is told that
+// there is none: the list of segments was longer than one value may be.
+func TestListLongerThanAValue(t *testing.T) {
+	var p store.Platform
+	o, ctx := start(t, &p), t.Context()
+	const many = 1_200
+	name := strings.Repeat("n", 1000)
+	for i := range many {
+		_, err := o.Put(ctx, fmt.Sprintf("stories/%s-%05d", name, i), []byte("x"), 0)
+		require.NoError(t, err)
+	}
+	names, err := o.List(ctx, "stories/")
+	require.NoError(t, err)
+	require.Len(t, names, many)
+}
