--- a/side/side.go
+++ b/side/side.go
@@ -89,6 +89,12 @@
 		}
 		ln, s.claims.members.TLS = tls.NewListener(ln, fleet), fleet
 	}
+	var vars net.Listener
+	if s.Settings.AdminListen.IsValid() {
+		if vars, err = net.Listen("tcp", s.Settings.AdminListen.String()); err != nil {
+			return errors.Wrap(err, "side: admin_listen")
+		}
+	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	s.workCtx = serving
@@ -98,6 +104,9 @@
 	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, ln, s.local()) })
 	loops.Go(ctx, "join", func(ctx context.Context) error { return s.join(ctx, address) })
 	loops.Go(serving, "sweep", s.sweep)
+	if vars != nil {
+		loops.Go(serving, "vars", func(ctx context.Context) error { return s.serveVars(ctx, vars) })
+	}
 	if s.Objects != nil && s.Settings.Role != work.RolePrefill {
 		loops.Go(serving, "links", s.claims.members.Run)
 		loops.Go(serving, "record", s.followRecord)
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"encoding/json"
+	"io"
+	"log"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -69,7 +71,9 @@
 	giveUp := time.AfterFunc(dialWithin, func() { _ = c.Close() })
 	defer giveUp.Stop()
 	stream := jsonrpc2.NewBufferedStream(c, new(codec))
-	p.conn = jsonrpc2.NewConn(ctx, stream, p)
+	// The library's own lines about lost connections are left out: what a lost
+	// connection means is logged by whoever had work on it.
+	p.conn = jsonrpc2.NewConn(ctx, stream, p, jsonrpc2.SetLogger(log.New(io.Discard, "", 0)))
 	if err := p.conn.Notify(ctx, methodHello, l.Hello); err != nil {
 		p.Close()
 		return nil, errors.Wrap(err, "wire: hello")
