--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -25,7 +25,11 @@
 	job   route.Job
 	kind  work.Kind
 	plain bool
-	got   chan sent
+	// mayRun says which hosts the key's shard allows; nil without a key.
+	mayRun func(work.Host) bool
+	// unserved is since when none of them takes work; zero while one does.
+	unserved time.Time
+	got      chan sent
 }
 
 // sent is the end of waiting: a choice, or a refusal.
@@ -38,7 +42,8 @@
 }
 
 // scheduler is one service's queue and the view of its upstreams. All choices
-// of one entry for one service pass through it in order. Its lock is a leaf.
+// of one entry for one service pass through it in order. Its lock is taken before
+// that of the directory of sides, and before no other.
 type scheduler struct {
 	mu       sync.Mutex
 	queue    queue.Queue
@@ -365,17 +370,38 @@
 				Reason: work.ReasonNoUpstream, Detail: "no upstream of the service takes work", RetryAfter: 2 * time.Second,
 			})
 		}
+		s.refuseUnserved(now, e.sides.Usable(name))
 		s.mu.Unlock()
 	}
 }
 
 func (s *scheduler) refuseAll(why queue.Refusal) {
-	now := time.Now()
-	for id, t := range s.turns {
-		s.queue.Remove(now, id)
-		s.unhold(t)
-		delete(s.turns, id)
-		t.got <- sent{refused: &why}
+	for _, t := range s.turns {
+		s.giveUp(t, why)
+	}
+}
+
+func (s *scheduler) giveUp(t *turn, why queue.Refusal) {
+	s.queue.Remove(time.Now(), t.item.ID)
+	s.unhold(t)
+	delete(s.turns, t.item.ID)
+	t.got <- sent{refused: &why}
+}
+
+// refuseUnserved refuses keyed turns whose every allowed host has taken no work
+// for a while, as when hosts are lost and their shards wait for the record.
+func (s *scheduler) refuseUnserved(now time.Time, usable []work.Host) {
+	for _, t := range s.turns {
+		switch {
+		case t.mayRun == nil || slices.ContainsFunc(usable, t.mayRun):
+			t.unserved = time.Time{}
+		case t.unserved.IsZero():
+			t.unserved = now
+		case now.Sub(t.unserved) >= unservedAfter:
+			s.giveUp(t, queue.Refusal{
+				Reason: work.ReasonNoUpstream, Detail: "no upstream that may run the key takes work", RetryAfter: 2 * time.Second,
+			})
+		}
 	}
 }
 
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -36,6 +36,7 @@
 		ID: r.id, Account: r.account, Key: r.body, Priority: r.row.Priority, Prompt: r.promptTokens, Output: r.maxTokens,
 		Deadline: r.accepted.Add(time.Duration(r.row.Deadline)), MayWait: r.row.MayWait,
 	}
+	t.mayRun = e.eligible(r)
 	last := work.RoleDecode
 	if t.plain {
 		last = work.RoleApp
@@ -43,7 +44,7 @@
 	t.job = route.Job{
 		Weights:    e.weights(r),
 		MayPrefill: r.elsewhere(e.sides.Members(r.service, work.RolePrefill), nil),
-		MayDecode:  r.elsewhere(e.sides.Members(r.service, last), e.eligible(r)),
+		MayDecode:  r.elsewhere(e.sides.Members(r.service, last), t.mayRun),
 	}
 	if t.plain {
 		t.item.ToEnd = first
--- a/links/links.go
+++ b/links/links.go
@@ -98,17 +98,25 @@
 // ended. It shows as requests that a planned stop cuts. Waiting for the member
 // itself to close holds, since it does so once nothing runs there.
 func (d *Directory) sweep() {
+	for _, m := range d.letGo() {
+		if d.Removed != nil {
+			d.Removed(m) // without the lock: it may take locks that are held around ours
+		}
+	}
+}
+
+func (d *Directory) letGo() []member.Member {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	var left []member.Member
 	for h, l := range d.byHost {
 		if l.gone.Load() && l.Peer() == nil {
 			l.stop()
 			delete(d.byHost, h)
-			if d.Removed != nil {
-				d.Removed(l.Member)
-			}
+			left = append(left, l.Member)
 		}
 	}
+	return left
 }
 
 // Apply takes a service's record, if it is newer than the one held: new members
@@ -233,6 +241,17 @@
 	return usable[work.RoleApp] || usable[work.RolePrefill] && usable[work.RoleDecode]
 }
 
+// Usable lists the hosts of a service's members that may be given new work.
+func (d *Directory) Usable(s work.Service) []work.Host {
+	var found []work.Host
+	for _, l := range d.Of(s) {
+		if l.Usable() {
+			found = append(found, l.Member.Host)
+		}
+	}
+	return found
+}
+
 // Find gives the side under a host's name, or nil.
 func (d *Directory) Find(h work.Host) *Link {
 	d.mu.Lock()
