A key whose caller left while it runs is still known by its runner

Cause: the entry resolved such a key as unknown at once, though the side went on with it and knew its end. Now it is left granted, and the runner is asked when the key comes again. Before: the second send got key_may_have_run. After: key_in_progress, then key_already_ran.

--- a/entry/keys.go
+++ b/entry/keys.go
@@ -175,6 +175,9 @@
 		return
 	}
 	res := claim.Resolution{Key: d.Stamp.Key, Try: d.Try, State: stateAfter(r, f)}
+	if res.State == claim.StateUnknown && (f.reason == work.ReasonCallerGone || f.reason == work.ReasonDeadline) {
+		return // it runs on: its runner knows the end, and is asked when the key is sent again
+	}
 	done := make(chan struct{})
 	started := e.work.Go(e.workCtx, "resolve", func(ctx context.Context) error {
 		defer close(done)
