--- a/Makefile
+++ b/Makefile
@@ -45,5 +45,6 @@
 	go run ./test/path
 
 SECONDS ?= 300
+.PHONY: soak
 soak: ## random failures with fresh seeds, for SECONDS
 	go test -count=1 -timeout $$(( $(SECONDS) + 120 ))s ./test -run TestSoakFreshSeeds -v -args -soak $(SECONDS)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -53,6 +53,7 @@
 	sides       links.Directory
 	entries     links.Directory
 	joined      atomic.Pointer[member.Record] // of entries, this one included
+	self        atomic.Pointer[member.Member]
 	tables      table.Holder
 	schedulers  schedulers
 	owners      owners
@@ -123,6 +124,7 @@
 	}
 	<-ctx.Done()
 	e.drain(server)
+	e.leave()
 	_ = operatorServer.Close()
 	stopServing()
 	e.work.Close()
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"fmt"
 	"net/netip"
+	"time"
 
 	"jacinthworks/member"
 	"jacinthworks/wire"
@@ -70,6 +71,7 @@
 	m := member.Member{
 		Host: e.Settings.Name, Zone: e.Settings.Zone, Service: member.Entries, Address: address, Incarnation: e.incarnation,
 	}
+	e.self.Store(&m)
 	e.work.Go(ctx, "join", func(ctx context.Context) error {
 		return member.Keep(ctx, e.Objects, m, func(r member.Record) {
 			e.Log.Info("joined", "service", r.Service, "version", r.Version, "members", len(r.Members))
@@ -91,3 +93,21 @@
 	}
 	return member.Record{Service: member.Entries}
 }
+
+// leaveWithin bounds the last write of a planned stop.
+const leaveWithin = time.Second
+
+// leave takes this life of the entry out of the entries' record, so that its
+// peers neither dial it nor show it. While the platform is down it stays there,
+// as one that was killed does.
+func (e *Entry) leave() {
+	m := e.self.Load()
+	if m == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(e.workCtx, leaveWithin)
+	defer cancel()
+	if _, err := member.Leave(ctx, e.Objects, *m); err != nil {
+		e.Log.Warn("did not leave the record", "err", err)
+	}
+}
