--- a/entry/entry.go
+++ b/entry/entry.go
@@ -68,64 +68,73 @@
 	workCtx  context.Context
 }
 
-// Run serves until ctx ends, then accepts nothing new, ends what is in
-// progress and returns.
-func (e *Entry) Run(ctx context.Context) error {
-	e.init()
-	callers, err := listenCallers(ctx, e.Settings.Listen, e.Settings.Limits.MaxConnections)
-	if err != nil {
-		return err
+// listeners are where an entry takes connections.
+type listeners struct{ callers, operators, peers net.Listener }
+
+// listen opens all listeners, under TLS where the settings ask for it.
+func (e *Entry) listen(ctx context.Context) (l listeners, err error) {
+	if l.callers, err = listenCallers(ctx, e.Settings.Listen, e.Settings.Limits.MaxConnections); err != nil {
+		return l, err
 	}
-	admin, err := net.Listen("tcp", e.Settings.AdminListen.String())
-	if err != nil {
-		return errors.Wrap(err, "entry: admin_listen")
+	if l.operators, err = net.Listen("tcp", e.Settings.AdminListen.String()); err != nil {
+		return l, errors.Wrap(err, "entry: admin_listen")
 	}
-	peers, err := net.Listen("tcp", e.peerListen().String())
-	if err != nil {
-		return errors.Wrap(err, "entry: peer_listen")
+	if l.peers, err = net.Listen("tcp", e.peerListen().String()); err != nil {
+		return l, errors.Wrap(err, "entry: peer_listen")
 	}
-	if callers, err = e.secure(callers); err != nil {
-		return err
+	if l.callers, err = e.secure(l.callers); err != nil {
+		return l, err
+	}
+	if l.operators, err = e.secure(l.operators); err != nil {
+		return l, err
 	}
-	operators, err := e.secure(admin)
+	t := e.Settings.TLS
+	if t.CAFile == "" {
+		return l, nil
+	}
+	fleet, err := wire.FleetTLS(t.CertFile, t.KeyFile, t.CAFile)
 	if err != nil {
-		return err
+		return l, err
 	}
-	if t := e.Settings.TLS; t.CAFile != "" {
-		fleet, err := wire.FleetTLS(t.CertFile, t.KeyFile, t.CAFile)
-		if err != nil {
-			return err
-		}
-		peers, e.sides.TLS, e.entries.TLS = tls.NewListener(peers, fleet), fleet, fleet
+	l.peers, e.sides.TLS, e.entries.TLS = tls.NewListener(l.peers, fleet), fleet, fleet
+	return l, nil
+}
+
+// Run serves until ctx ends, then accepts nothing new, ends what is in
+// progress and returns.
+func (e *Entry) Run(ctx context.Context) error {
+	e.init()
+	l, err := e.listen(ctx)
+	if err != nil {
+		return err
 	}
 	serving, stopServing := context.WithCancel(context.WithoutCancel(ctx))
 	defer stopServing()
 	e.workCtx = serving
 
-	server := e.server(e.callersHandler())
+	callers, operators := e.server(e.callersHandler()), e.server(e.adminHandler())
 	var loops group.Group
 	loops.Go(serving, "work ends", e.reap)
 	loops.Go(serving, "sides", e.sides.Run)
 	loops.Go(serving, "entries", e.entries.Run)
 	loops.Go(serving, "members", e.watchMembers)
-	loops.Go(serving, "join", func(ctx context.Context) error { return e.joinEntries(ctx, address(peers)) })
-	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, peers, e.entryLocal()) })
+	loops.Go(serving, "join", func(ctx context.Context) error { return e.joinEntries(ctx, address(l.peers)) })
+	loops.Go(serving, "peers", func(ctx context.Context) error { return wire.Serve(ctx, l.peers, e.entryLocal()) })
 	loops.Go(serving, "confirm", e.confirmTable)
 	loops.Go(serving, "schedule", e.schedule)
 	loops.Go(serving, "hosts", e.watchHosts)
 	loops.Go(serving, "table", e.watchTable)
 	loops.Go(serving, "stories", e.writeStories)
 	loops.Go(serving, "old stories", e.expireStories)
-	operatorServer := e.server(e.adminHandler())
-	loops.Go(serving, "operators", func(context.Context) error { return serve(operatorServer, operators) })
-	loops.Go(serving, "callers", func(context.Context) error { return serve(server, callers) })
+	loops.Go(serving, "operators", func(context.Context) error { return serve(operators, l.operators) })
+	loops.Go(serving, "callers", func(context.Context) error { return serve(callers, l.callers) })
 	if e.Listening != nil {
-		e.Listening(address(callers), address(admin), address(peers))
+		e.Listening(address(l.callers), address(l.operators), address(l.peers))
 	}
 	<-ctx.Done()
-	e.drain(server)
+	e.drain(callers)
 	e.leave()
-	_ = operatorServer.Close()
+	_ = operators.Close()
 	stopServing()
 	e.work.Close()
 	for _, end := range loops.Wait() {
--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -11,7 +11,6 @@
 	"jacinthworks/queue"
 	"jacinthworks/route"
 	"jacinthworks/table"
-	"jacinthworks/wire"
 	"jacinthworks/work"
 )
 
@@ -292,57 +291,6 @@
 	s.pump(now)
 }
 
-// report takes a side's heartbeat.
-func (s *scheduler) report(m wire.Hello, b wire.Heard, leaving bool) {
-	if b.Load == nil || b.TrueAt.IsZero() {
-		return
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	shut := b.Draining || b.Load.Down || leaving
-	switch work.Role(m.Role) {
-	case work.RolePrefill:
-		s.model.Prefills.Update(m.Host, m.Zone, b.TrueAt, route.PrefillReport{QueuedTokens: b.Load.QueuedTokens, Rate: b.Load.Rate})
-		s.model.Prefills.SetDraining(m.Host, shut)
-		if s.zones == nil {
-			s.zones = make(map[work.Zone]bool)
-		}
-		s.zones[m.Zone] = true
-	case work.RoleDecode:
-		s.model.Decodes.Update(m.Host, m.Zone, b.TrueAt, route.DecodeReport{
-			FreeRequests: b.Load.FreeSlots, FreeTokens: b.Load.FreeTokens, Batch: b.Load.Slots - b.Load.FreeSlots,
-			GapBase: b.Load.GapBase, GapStep: b.Load.GapStep,
-		})
-		s.model.Decodes.SetDraining(m.Host, shut)
-		// The side measures its imports whatever zone they come from.
-		for from := range s.zones {
-			s.model.UpdateLink(route.Path{From: from, To: m.Zone}, b.TrueAt, route.LinkReport{Rate: b.Load.LinkRate * bytesPerKV})
-		}
-	case work.RoleApp:
-		s.apps.Pool.Update(m.Host, m.Zone, b.TrueAt, route.AppReport{InFlight: b.Load.Running})
-		s.apps.Pool.SetDraining(m.Host, shut)
-	}
-	s.pump(time.Now())
-}
-
-// shut keeps new work from a host that is not connected.
-func (s *scheduler) shut(h work.Host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.model.Prefills.SetDraining(h, true)
-	s.model.Decodes.SetDraining(h, true)
-	s.apps.Pool.SetDraining(h, true)
-}
-
-// remove forgets a host that left the record.
-func (s *scheduler) remove(h work.Host) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.model.Prefills.Remove(h)
-	s.model.Decodes.Remove(h)
-	s.apps.Pool.Remove(h)
-}
-
 // tick refuses what lapsed and sends what there is room for.
 func (s *scheduler) tick(now time.Time) {
 	s.mu.Lock()
@@ -350,61 +298,6 @@
 	s.pump(now)
 }
 
-// unservedAfter is how long a service may be without a side that takes work
-// before its waiting requests are refused: two heartbeats and a redial, so that
-// replaced connections refuse nobody.
-const unservedAfter = time.Second
-
-// refuseUnserved refuses at once what waits for a service that nothing serves.
-// Held until its deadline, such a request would tell its caller nothing.
-func (e *Entry) refuseUnserved(now time.Time) {
-	for _, name := range e.services() {
-		s := e.schedulers.of(name)
-		served := e.sides.CanServe(name)
-		s.mu.Lock()
-		if served || s.served.IsZero() {
-			s.served = now
-		}
-		if now.Sub(s.served) >= unservedAfter {
-			s.refuseAll(queue.Refusal{
-				Reason: work.ReasonNoUpstream, Detail: "no upstream of the service takes work", RetryAfter: 2 * time.Second,
-			})
-		}
-		s.refuseUnserved(now, e.sides.Usable(name))
-		s.mu.Unlock()
-	}
-}
-
-func (s *scheduler) refuseAll(why queue.Refusal) {
-	for _, t := range s.turns {
-		s.giveUp(t, why)
-	}
-}
-
-func (s *scheduler) giveUp(t *turn, why queue.Refusal) {
-	s.queue.Remove(time.Now(), t.item.ID)
-	s.unhold(t)
-	delete(s.turns, t.item.ID)
-	t.got <- sent{refused: &why}
-}
-
-// refuseUnserved refuses keyed turns whose every allowed host has taken no work
-// for a while, as when hosts are lost and their shards wait for the record.
-func (s *scheduler) refuseUnserved(now time.Time, usable []work.Host) {
-	for _, t := range s.turns {
-		switch {
-		case t.mayRun == nil || slices.ContainsFunc(usable, t.mayRun):
-			t.unserved = time.Time{}
-		case t.unserved.IsZero():
-			t.unserved = now
-		case now.Sub(t.unserved) >= unservedAfter:
-			s.giveUp(t, queue.Refusal{
-				Reason: work.ReasonNoUpstream, Detail: "no upstream that may run the key takes work", RetryAfter: 2 * time.Second,
-			})
-		}
-	}
-}
-
 // schedule ticks every scheduler until the context ends.
 func (e *Entry) schedule(ctx context.Context) error {
 	t := time.NewTicker(tickEvery)
