--- a/Makefile
+++ b/Makefile
@@ -48,3 +48,7 @@
 .PHONY: soak
 soak: ## random failures with fresh seeds, for SECONDS
 	go test -count=1 -timeout $$(( $(SECONDS) + 120 ))s ./test -run TestSoakFreshSeeds -v -args -soak $(SECONDS)
+
+.PHONY: long
+long: ## scenarios that take minutes
+	go test -count=1 ./test -run TestLongScenarios -args -long
