--- /dev/null
+++ b/cmd_direct.go
@@ -0,0 +1,40 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"jacinthworks/conf"
+	"jacinthworks/direct"
+	"jacinthworks/meter"
+	"jacinthworks/platform"
+	"jacinthworks/spool"
+)
+
+var cmdDirect = command{name: "direct", help: "serve callers on an entry host, straight from registered upstreams", run: runDirect}
+
+func runDirect(ctx context.Context, args []string, out, errs io.Writer) int {
+	d, _, code, done := readSettings(args, "direct", conf.ParseDirect, out, errs)
+	if done {
+		return code
+	}
+	lines := &spool.Writer{To: out}
+	go lines.Run()
+	defer lines.Close()
+	store := &platform.Store{Base: d.Platform}
+	s := &direct.Server{
+		Settings: d,
+		Log:      newLog(d.Log, "direct", d.Name, lines),
+		Meter:    &meter.Set{},
+		Protocol: platform.Protocol{},
+		Configs:  platform.Configs(store),
+		Servers:  platform.Servers(store),
+	}
+	s.Meter.Gauge("jacinthworks_log_lines_dropped", nil, func() float64 { return float64(lines.Dropped()) })
+	if err := s.Run(ctx); err != nil {
+		fmt.Fprintln(errs, "jacinthworks:", err)
+		return exitUnreachable
+	}
+	return exitOK
+}
--- a/commands.go
+++ b/commands.go
@@ -25,6 +25,7 @@
 	return []command{
 		cmdEntry,
 		cmdSide,
+		cmdDirect,
 		cmdTable,
 		cmdStory,
 		cmdStatus,
--- /dev/null
+++ b/conf/direct.go
@@ -0,0 +1,107 @@
+package conf
+
+import (
+	"net/netip"
+	"time"
+
+	"jacinthworks/work"
+)
+
+// Direct holds the settings of `direct`: an entry that reaches upstreams
+// without a side. A file for it:
+//
+//	name = "front-1"
+//	zone = "salt-lake"
+//	listen = "10.1.0.38:8149"
+//	ready_listen = "10.1.0.38:8141"
+//	metrics_listen = "10.1.0.38:9464"
+//	platform = "10.200.1.7:8142"
+//	stop_within = "8s"
+//
+//	[repeats]
+//	ratio = 0.2
+//	fixed = 54
+//	span = "10s"
+type Direct struct {
+	Name work.Host
+	Zone work.Zone
+	// Listen is where callers connect, ReadyListen where the balancer asks.
+	Listen      netip.AddrPort
+	ReadyListen netip.AddrPort
+	// MetricsListen serves metrics as text; optional.
+	MetricsListen netip.AddrPort
+	// Platform is the address of the platform's store.
+	Platform netip.AddrPort
+	// StopWithin bounds a planned stop; default 8s.
+	StopWithin time.Duration
+	// WatchWait is how long a watch at the store waits; default 2s.
+	WatchWait time.Duration
+	Repeats   Repeats
+	Log       Log
+	Limits    Limits
+}
+
+// Repeats bound the sends beyond the first of each request, for all entries
+// together: a part of a service's requests and a fixed number, in every span.
+type Repeats struct {
+	// Ratio is the part; default 0.2.
+	Ratio float64
+	// Fixed is the number; default 50.
+	Fixed int64
+	// Span is the sliding window; default 10s.
+	Span time.Duration
+}
+
+// ParseDirect reads the settings of `direct`; file is the name given in
+// findings. The error is check.Findings.
+func ParseDirect(file string, text []byte) (Direct, error) {
+	r, err := newReader(file, text)
+	if err != nil {
+		return Direct{}, err
+	}
+	d := Direct{
+		Name:          work.Host(r.name("name")),
+		Zone:          work.Zone(r.name("zone")),
+		Listen:        r.listenAddr("listen", true),
+		ReadyListen:   r.listenAddr("ready_listen", true),
+		MetricsListen: r.listenAddr("metrics_listen", false),
+		Platform:      r.dialAddr("platform"),
+		StopWithin:    r.duration("stop_within"),
+		WatchWait:     r.duration("watch_wait"),
+		Repeats:       r.repeats(),
+		Log:           r.log(),
+		Limits:        r.limits(),
+	}
+	orDefault(&d.StopWithin, 8*time.Second)
+	orDefault(&d.WatchWait, 2*time.Second)
+	r.distinct("listen", "ready_listen", "metrics_listen")
+	r.unknownKeys()
+	return d, r.findings.Err()
+}
+
+func (r *reader) repeats() Repeats {
+	r.table("repeats")
+	p := Repeats{Ratio: r.number("repeats.ratio"), Fixed: r.integer("repeats.fixed"), Span: r.duration("repeats.span")}
+	orDefault(&p.Ratio, 0.2)
+	orDefault(&p.Fixed, 50)
+	orDefault(&p.Span, 10*time.Second)
+	return p
+}
+
+// number gives a number that is not negative, whole or not.
+func (r *reader) number(path string) float64 {
+	var n float64
+	switch v := r.value(path).(type) {
+	case nil:
+	case int64:
+		n = float64(v)
+	case float64:
+		n = v
+	default:
+		r.add(path, "must be a number, not %s", typeName(v))
+	}
+	if n < 0 {
+		r.add(path, "must not be negative: %v", n)
+	}
+	return n
+}
--- /dev/null
+++ b/direct/attempt.go
@@ -0,0 +1,172 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"jacinthworks/meter"
+	"jacinthworks/roster"
+	"jacinthworks/send"
+	"jacinthworks/work"
+)
+
+// maxSends bounds the attempts of one request, refused and unsent ones
+// included: it is more than the upstreams of most pools.
+const maxSends = 6
+
+// fullFor keeps work away from an upstream that has refused for want of room.
+const fullFor = 100 * time.Millisecond
+
+// attempt is one send of a request to an upstream.
+type attempt struct {
+	upstream *roster.Upstream
+	id       roster.ID
+	stamp    Stamp
+	work     roster.Work
+	// silence bounds the wait for the header; zero is up to the request's end.
+	silence time.Duration
+	began   time.Time
+}
+
+// try sends the request to an upstream and waits for the header of its answer.
+// The caller of try closes the reply, and calls done.
+func (s *Server) try(ctx context.Context, r *request, a *attempt) (*send.Reply, *failure) {
+	server := a.upstream.Server()
+	a.id, a.began = server.ID, time.Now()
+	a.stamp.Upstream, a.stamp.Within, a.stamp.Priority = server.ID, r.left(), r.route.Priority
+	header := r.header.Clone()
+	s.Protocol.Stamp(header, a.stamp)
+	if a.silence <= 0 {
+		a.silence = r.left()
+	}
+	if a.stamp.Stage != StagePrefill {
+		r.sends++
+	}
+	a.upstream.Seen.Begin(a.work)
+	reply, err := a.upstream.Client.Do(ctx, send.Request{
+		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, Silence: a.silence,
+		// A kept connection can break just as it is used, which leaves open
+		// whether the request ran.
+		Fresh: !r.route.MayRepeat(),
+		Mine:  func(h http.Header) bool { return s.mine(r, h) },
+	})
+	if err != nil {
+		return nil, s.broke(ctx, r, a, err)
+	}
+	note := s.Protocol.Note(reply.Status, reply.Header)
+	if note.HasLoad {
+		a.upstream.Seen.Reported(time.Now(), note.Running)
+	}
+	switch {
+	case note.Elsewhere:
+		reply.Close()
+		if note.Instance != "" && note.Instance != a.id {
+			s.roster.Misdirected(a.upstream)
+		}
+		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
+	case note.Unrun:
+		s.drain1(reply)
+		a.upstream.Seen.Full(time.Now().Add(fullFor))
+		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonNoRoom, detail: "the upstream refused unrun"})
+	}
+	return reply, nil
+}
+
+// mine says whether an answer is to this request: one without an id is.
+func (s *Server) mine(r *request, h http.Header) bool {
+	id := s.Protocol.Note(http.StatusOK, h).ID
+	if id == "" || id == r.id {
+		return true
+	}
+	s.Log.Warn("foreign answer passed over", "request", r.id, "answers", id)
+	return false
+}
+
+// shortAnswer bounds, in bytes, an answer that is read only to keep its
+// connection.
+const shortAnswer = 4 << 10
+
+// drain1 reads a short answer to its end.
+func (s *Server) drain1(reply *send.Reply) {
+	if _, err := reply.All(shortAnswer); err != nil {
+		s.Log.Debug("short answer broke off", "err", err)
+	}
+}
+
+// broke sorts a send that has no answer.
+func (s *Server) broke(ctx context.Context, r *request, a *attempt, err error) *failure {
+	f := &failure{ran: work.Unknown, reason: work.ReasonLost, detail: err.Error()}
+	switch send.Outcome(err) {
+	case send.NotSent:
+		f.ran, f.reason = work.NotRun, work.ReasonNoUpstream
+	case send.Silent:
+		f.reason = work.ReasonUpstream
+	}
+	if ctx.Err() != nil {
+		f.reason = reasonOf(ctx)
+	}
+	if f.reason != work.ReasonCallerGone {
+		a.upstream.Seen.Failed(time.Now())
+	}
+	return s.failed(r, a, f)
+}
+
+// failed notes an attempt without a usable answer.
+func (s *Server) failed(r *request, a *attempt, f *failure) *failure {
+	a.upstream.Seen.End(a.work)
+	if a.stamp.Stage != StagePrefill {
+		r.admit(f.ran)
+	}
+	r.avoid(a.upstream)
+	s.Log.Info("attempt failed", "request", r.id, "upstream", a.id, "stage", a.stamp.Stage, "send", r.sends,
+		"ran", f.ran, "reason", f.reason, "detail", f.detail, "took", time.Since(a.began))
+	s.Meter.Count("jacinthworks_attempts_total", meter.Labels{"service", string(r.service.Name), "outcome", string(f.reason)})
+	return f
+}
+
+// done notes an attempt that was answered.
+func (s *Server) done(r *request, a *attempt, took time.Duration, units int, good bool) {
+	now := time.Now()
+	a.upstream.Seen.End(a.work)
+	outcome := "answered"
+	if good {
+		a.upstream.Seen.Answered(now, took, units)
+	} else {
+		a.upstream.Seen.Failed(now)
+		outcome = "upstream_failed"
+	}
+	s.Meter.Count("jacinthworks_attempts_total", meter.Labels{"service", string(r.service.Name), "outcome", outcome})
+	s.Meter.Observe("jacinthworks_attempt_seconds", meter.Labels{"service", string(r.service.Name), "stage", string(a.stamp.Stage)}, took)
+}
+
+// again says whether another attempt may follow the one that failed, and takes
+// it from the budget.
+func (s *Server) again(ctx context.Context, r *request, f *failure) bool {
+	now := time.Now()
+	why := ""
+	switch {
+	case ctx.Err() != nil:
+		why = "over"
+	case f.ran != work.NotRun && !r.route.MayRepeat():
+		why = "may have run"
+	case f.ran != work.NotRun && r.runs >= r.route.Attempts:
+		why = "attempts used up"
+	case r.sends >= maxSends:
+		why = "sends used up"
+	case f.reason != work.ReasonNoUpstream && !s.budgets.window(r.service.Name).Take(now, s.terms()):
+		why = "over the budget of repeats"
+	default:
+		return true
+	}
+	s.Log.Info("not repeated", "request", r.id, "why", why, "sends", r.sends, "runs", r.runs, "left", r.left())
+	return false
+}
+
+// reasonOf says why a request's context ended.
+func reasonOf(ctx context.Context) work.Reason {
+	if ctx.Err() == context.DeadlineExceeded {
+		return work.ReasonDeadline
+	}
+	return work.ReasonCallerGone
+}
--- /dev/null
+++ b/direct/direct.go
@@ -0,0 +1,223 @@
+// Package direct serves callers straight from upstreams that are registered
+// with the platform, with no process of ours beside them. It accepts a
+// request, ends it exactly once, and says truly whether it ran.
+//
+// # Usage
+//
+//	s := &direct.Server{Settings: settings, Log: log, Protocol: protocol, Configs: configs, Servers: servers}
+//	err := s.Run(ctx) // until ctx ends; then drains, bounded by stop_within
+//
+// The life of a request: accepted and matched to a route (request.go); placed
+// at an upstream (place.go); attempted (attempt.go), with a prefill before it
+// where the service has engines for that (prefill.go); answered whole
+// (plain.go) or event by event (stream.go); ended once, with an answer or a
+// refusal (end.go).
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
+	"jacinthworks/conf"
+	"jacinthworks/feed"
+	"jacinthworks/group"
+	"jacinthworks/meter"
+	"jacinthworks/paths"
+	"jacinthworks/retry"
+	"jacinthworks/roster"
+	"jacinthworks/work"
+)
+
+// Server serves callers. Set the exported fields before Run.
+type Server struct {
+	Settings conf.Direct
+	Log      hclog.Logger
+	Protocol Protocol
+	// Configs and Servers are where the configuration and the upstreams are
+	// read from.
+	Configs feed.Source[*paths.Config]
+	Servers feed.Source[roster.Server]
+	// Meter takes the counters and histograms.
+	Meter *meter.Set
+	// Listening, if set, is told the addresses once they accept connections.
+	Listening func(callers, ready netip.AddrPort)
+
+	holder  paths.Holder
+	roster  roster.Roster
+	crashes retry.Ledger
+	budgets budgets
+	leaving atomic.Bool
+	work    group.Group
+	workCtx context.Context
+}
+
+// budgets are the allowances for repeats of each service.
+type budgets struct {
+	mu sync.Mutex // a leaf
+	of map[work.Service]*retry.Window
+}
+
+func (b *budgets) window(s work.Service) *retry.Window {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.of == nil {
+		b.of = make(map[work.Service]*retry.Window)
+	}
+	if b.of[s] == nil {
+		b.of[s] = &retry.Window{}
+	}
+	return b.of[s]
+}
+
+// Run serves until ctx ends, then drains and returns.
+func (s *Server) Run(ctx context.Context) error {
+	s.init()
+	callers, err := net.Listen("tcp", s.Settings.Listen.String())
+	if err != nil {
+		return errors.Wrap(err, "direct: listen")
+	}
+	ready, err := net.Listen("tcp", s.Settings.ReadyListen.String())
+	if err != nil {
+		return errors.Wrap(err, "direct: ready_listen")
+	}
+	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
+	defer stop()
+	s.workCtx = serving
+	idle := &idlers{limit: s.idleLimit}
+	public := &http.Server{
+		Handler:           http.HandlerFunc(s.serve),
+		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ConnState:         idle.state,
+		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+	}
+	balancer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
+
+	var loops group.Group
+	loops.Go(serving, "ended work", s.reap)
+	loops.Go(serving, "configuration", s.configFeed().Run)
+	loops.Go(serving, "upstreams", s.serverFeed().Run)
+	loops.Go(serving, "idle connections", idle.run)
+	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
+	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
+	if s.Settings.MetricsListen.IsValid() {
+		loops.Go(serving, "metrics", func(ctx context.Context) error { return s.Meter.Serve(ctx, s.Settings.MetricsListen) })
+	}
+	s.Log.Info("started", "listen", s.Settings.Listen, "ready", s.Settings.ReadyListen, "zone", s.Settings.Zone)
+	if s.Listening != nil {
+		s.Listening(callers.Addr().(*net.TCPAddr).AddrPort(), ready.Addr().(*net.TCPAddr).AddrPort())
+	}
+	<-ctx.Done()
+	s.drain(public)
+	_ = balancer.Close()
+	stop()
+	s.work.Close()
+	for _, end := range loops.Wait() {
+		s.Log.Warn("ended with an error", "goroutine", end.Name, "err", end.Err)
+	}
+	s.Log.Info("stopped")
+	return nil
+}
+
+// maxHeaderBytes bounds a request's header, in bytes; the configuration's own
+// limit is lower and stands for callers that keep to it.
+const maxHeaderBytes = 64 << 10
+
+func (s *Server) init() {
+	if s.Log == nil {
+		s.Log = hclog.NewNullLogger()
+	}
+	if s.Meter == nil {
+		s.Meter = &meter.Set{}
+	}
+	s.Settings.Limits = s.Settings.Limits.OrDefaults()
+	s.roster.Log = s.Log
+}
+
+func serveOn(h *http.Server, l net.Listener) error {
+	err := h.Serve(l)
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return errors.Wrap(err, "direct: serve")
+}
+
+// reap reads the ends of work that outlives its request.
+func (s *Server) reap(context.Context) error {
+	for end := range s.work.Ends() {
+		if end.Err != nil {
+			s.Log.Debug("work ended", "name", end.Name, "err", end.Err)
+		}
+	}
+	return nil
+}
+
+// later runs fn past the end of a request.
+func (s *Server) later(name string, within time.Duration, fn func(context.Context) error) {
+	s.work.Go(s.workCtx, name, func(ctx context.Context) error {
+		ctx, cancel := context.WithTimeout(ctx, within)
+		defer cancel()
+		return fn(ctx)
+	})
+}
+
+// configFeed follows the configuration.
+func (s *Server) configFeed() *feed.Feed[*paths.Config] {
+	offer := func(now time.Time, c *paths.Config) {
+		changed, found := s.holder.Offer(now, c)
+		if changed {
+			s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found))
+		}
+		if changed && len(found) > 0 {
+			s.Log.Warn("configuration has findings", "version", c.Version, "findings", found.Error())
+		}
+	}
+	return &feed.Feed[*paths.Config]{
+		Name: "configuration", Source: s.Configs, Log: s.Log, Wait: s.Settings.WatchWait,
+		Listed: func(now time.Time, all []feed.Item[*paths.Config]) {
+			for _, i := range all {
+				offer(now, i.Value)
+			}
+		},
+		Changed: func(now time.Time, changes []feed.Change[*paths.Config]) {
+			for _, c := range changes {
+				if !c.Gone {
+					offer(now, c.Value)
+				}
+			}
+		},
+	}
+}
+
+// serverFeed follows the registry of upstreams.
+func (s *Server) serverFeed() *feed.Feed[roster.Server] {
+	return &feed.Feed[roster.Server]{
+		Name: "upstreams", Source: s.Servers, Log: s.Log, Wait: s.Settings.WatchWait,
+		Listed: s.roster.Listed, Changed: s.roster.Changed, Lost: s.roster.Lost, Regained: s.roster.Regained,
+	}
+}
+
+// readyHandler answers the platform's balancer.
+func (s *Server) readyHandler() http.Handler {
+	m := http.NewServeMux()
+	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
+		if s.leaving.Load() || s.holder.Current() == nil || !s.roster.Known() {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return m
+}
+
+// random gives the source of draws for one request.
+func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
--- /dev/null
+++ b/direct/plain.go
@@ -0,0 +1,181 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"jacinthworks/roster"
+	"jacinthworks/route"
+	"jacinthworks/send"
+	"jacinthworks/work"
+)
+
+const (
+	// wholeAnswer is the longest answer, in bytes, that is read to its end
+	// before any of it is passed on: until then another attempt can replace it.
+	wholeAnswer = 256 << 10
+	// tryPart is the part of the target that a request which can be repeated
+	// leaves to its first attempt.
+	tryPart = 0.55
+	// tryLeast is the least time for an attempt: several times the usual work.
+	tryLeast = 60 * time.Millisecond
+)
+
+// plain serves a request that is answered whole.
+func (s *Server) plain(ctx context.Context, r *request) *failure {
+	for {
+		u := s.place(r, "", s.Settings.Zone, route.Load{Units: 1, FailCost: r.failCost(), FarCost: farCall})
+		if u == nil {
+			return s.unplaced(r)
+		}
+		a := &attempt{upstream: u, silence: r.patience()}
+		f := s.call(ctx, r, a)
+		if f == nil {
+			return nil
+		}
+		if r.begun || !f.granted && !s.again(ctx, r, f) {
+			return f
+		}
+	}
+}
+
+// unplaced is the refusal where no upstream is left to try.
+func (s *Server) unplaced(r *request) *failure {
+	return &failure{ran: r.ran, reason: work.ReasonNoUpstream, detail: "no upstream is left to try"}
+}
+
+// patience bounds an attempt's silence where another can follow; zero is no
+// bound. One that hangs would take the whole time else.
+func (r *request) patience() time.Duration {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+		return 0
+	}
+	return max(time.Duration(tryPart*float64(r.targetLatency())), tryLeast)
+}
+
+// call makes one attempt and passes its answer on.
+func (s *Server) call(ctx context.Context, r *request, a *attempt) *failure {
+	reply, f := s.try(ctx, r, a)
+	if f != nil {
+		return f
+	}
+	defer reply.Close()
+	head, whole, err := readHead(reply)
+	if err != nil {
+		return s.broke(ctx, r, a, err)
+	}
+	good := reply.Status < http.StatusInternalServerError
+	if !good {
+		if f := s.replaces(ctx, r, a); f != nil {
+			return f
+		}
+	}
+	s.done(r, a, time.Since(a.began), 1, good)
+	if err := s.pass(r, reply, head, whole); err != nil {
+		if errors.Is(err, errCaller) {
+			s.end(r, "caller_gone", "upstream", a.id, "err", err)
+			panic(http.ErrAbortHandler)
+		}
+		return &failure{ran: work.DidRun, reason: work.ReasonLost, detail: err.Error()}
+	}
+	s.end(r, "answered", "upstream", a.id, "status", reply.Status)
+	return nil
+}
+
+// replaces drops an answer that tells of a failure where another attempt is
+// granted in its place; else it gives nil, and the answer is passed on.
+func (s *Server) replaces(ctx context.Context, r *request, a *attempt) *failure {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts || ctx.Err() != nil || !s.has(r, "", a.id) {
+		return nil
+	}
+	f := &failure{ran: work.DidRun, reason: work.ReasonUpstream, detail: "the upstream answered with a failure", granted: true}
+	if !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
+		return nil
+	}
+	a.upstream.Seen.Failed(time.Now())
+	return s.failed(r, a, f)
+}
+
+// has says whether another upstream is left that was not tried.
+func (s *Server) has(r *request, role work.Role, but roster.ID) bool {
+	for _, u := range s.roster.Of(r.service.Name) {
+		if m := u.Server(); !m.Draining && m.Role == role && m.ID != but && !r.tried[m.ID] {
+			return true
+		}
+	}
+	return false
+}
+
+// readHead reads an answer to its end, or as much of it as is read ahead.
+func readHead(reply *send.Reply) (head []byte, whole bool, err error) {
+	var b bytes.Buffer
+	n, err := io.CopyN(&b, reply, wholeAnswer)
+	switch {
+	case errors.Is(err, io.EOF):
+		return b.Bytes(), true, nil
+	case err != nil:
+		return nil, false, err
+	}
+	return b.Bytes(), n < wholeAnswer, nil
+}
+
+// errCaller is behind errors of writing to the caller.
+var errCaller = errors.New("direct: caller")
+
+// pass gives an answer to the caller.
+func (s *Server) pass(r *request, reply *send.Reply, head []byte, whole bool) error {
+	s.header(r, reply)
+	if _, err := r.w.Write(head); err != nil {
+		return errors.Join(errCaller, err)
+	}
+	if whole {
+		return nil
+	}
+	to := &callerWriter{w: r.w}
+	if _, err := io.Copy(to, reply); err != nil {
+		if to.err != nil {
+			return errors.Join(errCaller, to.err)
+		}
+		return err
+	}
+	return nil
+}
+
+// callerWriter remembers an error of the caller's side.
+type callerWriter struct {
+	w   io.Writer
+	err error
+}
+
+// Write passes bytes on.
+func (c *callerWriter) Write(b []byte) (int, error) {
+	n, err := c.w.Write(b)
+	if err != nil {
+		c.err = err
+	}
+	return n, err
+}
+
+// header passes the status and the header of an answer on as they are. An
+// absent Date or Content-Type stays absent.
+func (s *Server) header(r *request, reply *send.Reply) {
+	to := r.w.Header()
+	length := reply.Header.Get("Content-Length")
+	for name, values := range endToEnd(reply.Header) {
+		to[name] = values
+	}
+	if length != "" {
+		to.Set("Content-Length", length)
+	}
+	for _, name := range []string{"Date", "Content-Type"} {
+		if _, given := to[name]; !given {
+			to[name] = nil
+		}
+	}
+	r.begun = true
+	r.w.WriteHeader(reply.Status)
+}
--- /dev/null
+++ b/direct/prefill.go
@@ -0,0 +1,108 @@
+package direct
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"jacinthworks/roster"
+	"jacinthworks/route"
+	"jacinthworks/work"
+)
+
+const (
+	// prefillFrom is the shortest prompt, in tokens, that is prefilled apart.
+	// A decode engine reads a shorter one in less time than the move takes.
+	prefillFrom = 200
+	// prefillTries bounds the prefills of one attempt; after them the decode
+	// engine reads the prompt.
+	prefillTries = 2
+	// prefillSlack is how many times the expected time a prefill may take, and
+	// prefillLeast the least that it is given: queued work of other entries is
+	// not known here.
+	prefillSlack = 4
+	prefillLeast = 250 * time.Millisecond
+	// prefillRate stands in until an engine was measured, in time for a token.
+	prefillRate = 50 * time.Microsecond
+	// freeWithin bounds the freeing of a handle, which ends by itself soon.
+	freeWithin = time.Second
+)
+
+// prefilled is a prompt that was read, and where.
+type prefilled struct {
+	upstream *roster.Upstream
+	handle   Handle
+}
+
+// prefill has the prompt read by a prefill engine near the decode engine of
+// the attempt, whose room is kept meanwhile. It gives nil where that failed:
+// then the decode engine reads it.
+func (s *Server) prefill(ctx context.Context, r *request, decode *attempt) *prefilled {
+	decode.upstream.Seen.Begin(decode.work)
+	defer decode.upstream.Seen.End(decode.work)
+	zone := decode.upstream.Server().Zone
+	for n := 0; n < prefillTries && ctx.Err() == nil; n++ {
+		if n > 0 && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
+			return nil
+		}
+		u := s.place(r, work.RolePrefill, zone, route.Load{
+			Units: r.ask.Prompt, Tokens: r.ask.Prompt, FailCost: r.targetLatency(), FarCost: farStage,
+		})
+		if u == nil {
+			return nil
+		}
+		if p := s.prefillAt(ctx, r, u); p != nil {
+			return p
+		}
+	}
+	return nil
+}
+
+func (s *Server) prefillAt(ctx context.Context, r *request, u *roster.Upstream) *prefilled {
+	offer := u.Seen.Offer(time.Now())
+	each := offer.Speed
+	if each == 0 {
+		each = prefillRate
+	}
+	a := &attempt{
+		upstream: u, work: roster.Work{Tokens: r.ask.Prompt, Prompt: r.ask.Prompt},
+		silence: max(prefillLeast, prefillSlack*each*time.Duration(r.ask.Prompt+offer.Queued)),
+	}
+	a.stamp.Stage = StagePrefill
+	reply, f := s.try(ctx, r, a)
+	if f != nil {
+		return nil
+	}
+	body, err := reply.All(shortAnswer)
+	if err != nil {
+		s.broke(ctx, r, a, err)
+		return nil
+	}
+	took := time.Since(a.began)
+	h, err := s.Protocol.Handle(body)
+	if reply.Status != http.StatusOK || err != nil {
+		s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonUpstream, detail: "no handle in the answer to a prefill"})
+		u.Seen.Failed(time.Now())
+		return nil
+	}
+	s.done(r, a, took, r.ask.Prompt, true)
+	h.At = u.Server().Addr
+	s.Log.Info("prefilled", "request", r.id, "upstream", a.id, "tokens", h.Tokens, "took", took)
+	return &prefilled{upstream: u, handle: h}
+}
+
+// free frees the memory of a prompt that no engine will fetch.
+func (s *Server) free(r *request, p *prefilled) {
+	if p == nil {
+		return
+	}
+	s.later("free handle", freeWithin, func(ctx context.Context) error {
+		reply, err := p.upstream.Client.Do(ctx, s.Protocol.Free(p.handle))
+		if err != nil {
+			s.Log.Info("handle not freed", "request", r.id, "err", err)
+			return nil
+		}
+		s.drain1(reply)
+		return nil
+	})
+}
--- /dev/null
+++ b/direct/protocol.go
@@ -0,0 +1,101 @@
+package direct
+
+import (
+	"net/http"
+	"net/netip"
+	"time"
+
+	"jacinthworks/roster"
+	"jacinthworks/send"
+	"jacinthworks/work"
+)
+
+// Protocol is how requests and answers say what the product has to know of
+// them, beside method, path and body. Each deployment's adapter has one.
+type Protocol interface {
+	// Ask reads what a request says of itself, and takes out of its header
+	// what only this system may set.
+	Ask(h http.Header) Ask
+	// Stamp sets what an upstream is to know of an attempt.
+	Stamp(h http.Header, s Stamp)
+	// Note tells what an answer says beside its body.
+	Note(status int, h http.Header) Note
+	// Handle reads the answer to a prefill.
+	Handle(body []byte) (Handle, error)
+	// Free gives the call that frees a prefilled prompt.
+	Free(h Handle) send.Request
+}
+
+// Part is one part of a prompt, which other requests may share.
+type Part struct {
+	ID     string
+	Tokens int
+}
+
+// Ask is what a request says of itself.
+type Ask struct {
+	// ID is the caller's, one for each send.
+	ID work.RequestID
+	// Within is how long the caller waits; zero where it does not say.
+	Within time.Duration
+	Model  string
+	// Prompt and Output are the prompt's tokens and the most of the answer.
+	Prompt, Output int
+	Parts          []Part
+	// LastEvent is the last event that the caller has of the stream.
+	LastEvent string
+}
+
+// Stage is the part of a model request that an upstream is to do.
+type Stage string
+
+// The stages.
+const (
+	// StageWhole is everything.
+	StageWhole Stage = ""
+	// StagePrefill reads the prompt and gives a handle to its memory.
+	StagePrefill Stage = "prefill"
+	// StageDecode fetches the memory of a prompt and makes the answer.
+	StageDecode Stage = "decode"
+)
+
+// Stamp is what an upstream is to know of an attempt.
+type Stamp struct {
+	// Upstream is the start that the attempt is meant for; any other refuses.
+	Upstream roster.ID
+	// Within is the time left.
+	Within time.Duration
+	Stage  Stage
+	// Source is where the prompt's memory is, for StageDecode.
+	Source Handle
+	// LastEvent is the last event passed on, where a stream goes on.
+	LastEvent string
+	// Priority is the route's rank, 0 first.
+	Priority int
+}
+
+// Note is what an answer says beside its body.
+type Note struct {
+	// ID is that of the request it answers; empty where it does not say.
+	ID work.RequestID
+	// Unrun says that the upstream did not run the request and will not.
+	Unrun bool
+	// Elsewhere says that the request was not for this start of the upstream,
+	// or not for its role; Instance is the start that answered, where it says.
+	Elsewhere bool
+	Instance  roster.ID
+	// HasLoad says that Running counts the requests there, those that wait
+	// included.
+	HasLoad bool
+	Running int
+}
+
+// Handle is the memory of a prompt that was read, at an upstream.
+type Handle struct {
+	At     netip.AddrPort
+	Name   string
+	Tokens int
+}
+
+// Valid says whether there is one.
+func (h Handle) Valid() bool { return h.Name != "" }
--- /dev/null
+++ b/direct/request.go
@@ -0,0 +1,205 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+
+	"jacinthworks/paths"
+	"jacinthworks/retry"
+	"jacinthworks/roster"
+	"jacinthworks/work"
+)
+
+// request is one accepted request until its end.
+type request struct {
+	ask      Ask
+	id       work.RequestID
+	accepted time.Time
+	// until is when it must have its end: the caller's or the route's limit.
+	until   time.Time
+	version paths.Version
+	route   *paths.Route
+	service *paths.Service
+	// identity is the same for each send of the same work.
+	identity retry.Identity
+	random   *rand.Rand
+
+	method string
+	target string
+	host   string
+	header http.Header
+	body   []byte
+
+	w http.ResponseWriter
+	// begun says that the caller has been given part of an answer.
+	begun bool
+	// sends counts attempts of any outcome, runs those that may have run.
+	sends, runs int
+	// ran is the worst that is known of all attempts.
+	ran work.Ran
+	// tried are upstreams that failed or refused it.
+	tried map[roster.ID]bool
+	ended bool
+}
+
+// defaultWithin bounds a request whose caller and route say nothing.
+const defaultWithin = 30 * time.Second
+
+// failure is why a request has no answer, or not yet.
+type failure struct {
+	ran        work.Ran
+	reason     work.Reason
+	detail     string
+	retryAfter time.Duration
+	// granted says that another attempt was taken from the budget already.
+	granted bool
+}
+
+// serve takes one request from its header to its end.
+func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
+	r := &request{accepted: time.Now(), w: w, ran: work.NotRun, random: random()}
+	r.until = r.accepted.Add(defaultWithin)
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	r.header = endToEnd(h.Header)
+	r.ask = s.Protocol.Ask(r.header)
+	r.id, r.method, r.target, r.host = r.ask.ID, h.Method, h.RequestURI, h.Host
+	if f := s.accept(r, h); f != nil {
+		s.refuse(r, f)
+		return
+	}
+	ctx, cancel := context.WithDeadline(h.Context(), r.until)
+	defer cancel()
+	var f *failure
+	if r.route.Kind == paths.Stream {
+		f = s.stream(ctx, r)
+	} else {
+		f = s.plain(ctx, r)
+	}
+	if f != nil {
+		s.refuse(r, f)
+	}
+}
+
+// accept matches a request to its route and reads its body.
+func (s *Server) accept(r *request, h *http.Request) *failure {
+	c := s.holder.Current()
+	if c == nil {
+		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "no configuration is known yet", retryAfter: time.Second}
+	}
+	r.version = c.Version
+	if r.id == "" {
+		return &failure{ran: work.NotRun, reason: work.ReasonBadInput, detail: "the request has no id"}
+	}
+	route, ok := c.Match(h.Host, h.URL.EscapedPath())
+	if !ok {
+		return &failure{ran: work.NotRun, reason: work.ReasonNoService, detail: "no route matches host and path"}
+	}
+	r.route = route
+	if f := r.read(h, c.Limits.MaxBody); f != nil {
+		return f
+	}
+	name := route.Pick(r.random)
+	r.service = c.Service(name)
+	if r.service == nil {
+		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the route names a service that does not exist", retryAfter: time.Second}
+	}
+	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
+	r.limit()
+	s.budgets.window(name).Accepted(r.accepted, s.terms())
+	s.Log.Debug("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version)
+	return nil
+}
+
+// limit works out when the request must have its end.
+func (r *request) limit() {
+	if r.ask.Within > 0 {
+		r.until = r.accepted.Add(r.ask.Within)
+	}
+	if t := r.route.Timeout; t > 0 && r.accepted.Add(t).Before(r.until) {
+		r.until = r.accepted.Add(t)
+	}
+}
+
+// read takes in the whole body: only what is held here can be sent again.
+func (r *request) read(h *http.Request, most int64) *failure {
+	if most <= 0 {
+		most = defaultMaxBody
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(r.w, h.Body, most))
+	var large *http.MaxBytesError
+	switch {
+	case errors.As(err, &large):
+		return &failure{ran: work.NotRun, reason: work.ReasonTooLarge, detail: "the body is over the limit"}
+	case err != nil:
+		return &failure{ran: work.NotRun, reason: work.ReasonCallerGone, detail: "the body broke off: " + err.Error()}
+	}
+	r.body = body
+	return nil
+}
+
+// defaultMaxBody bounds a body, in bytes, where the configuration does not.
+const defaultMaxBody = 4 << 20
+
+// left is the time to the request's end.
+func (r *request) left() time.Duration { return time.Until(r.until) }
+
+// admit notes what is known of an attempt that failed.
+func (r *request) admit(ran work.Ran) {
+	if r.ran = worse(r.ran, ran); ran != work.NotRun {
+		r.runs++
+	}
+}
+
+// avoid keeps the next attempt from an upstream.
+func (r *request) avoid(u *roster.Upstream) {
+	if r.tried == nil {
+		r.tried = make(map[roster.ID]bool)
+	}
+	r.tried[u.Server().ID] = true
+}
+
+// worse gives the account that admits more.
+func worse(a, b work.Ran) work.Ran {
+	rank := map[work.Ran]int{work.NotRun: 0, work.Unknown: 1, work.DidRun: 2}
+	if rank[b] > rank[a] {
+		return b
+	}
+	return a
+}
+
+// terms are the figures that bound repeats here.
+func (s *Server) terms() retry.Terms {
+	p := s.Settings.Repeats
+	return retry.Terms{Ratio: p.Ratio, Share: float64(p.Fixed) / entriesAssumed, Span: p.Span}
+}
+
+// entriesAssumed is among how many entries the fixed number of repeats is
+// shared out.
+const entriesAssumed = 8
+
+// oneConnection are the header fields that concern a single connection.
+var oneConnection = []string{
+	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
+	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
+}
+
+// endToEnd gives the header without what concerns one connection only.
+func endToEnd(h http.Header) http.Header {
+	out := h.Clone()
+	for _, field := range h.Values("Connection") {
+		for _, name := range strings.Split(field, ",") {
+			out.Del(strings.TrimSpace(name))
+		}
+	}
+	for _, name := range oneConnection {
+		out.Del(name)
+	}
+	return out
+}
--- /dev/null
+++ b/direct/stream.go
@@ -0,0 +1,181 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"jacinthworks/roster"
+	"jacinthworks/route"
+	"jacinthworks/send"
+	"jacinthworks/work"
+)
+
+const (
+	// headerPart is the part of the target after which a stream that may go
+	// on elsewhere gives up an upstream that has not begun to answer.
+	headerPart = 0.7
+	// gapsLost is how many of the route's longest pauses an upstream that may
+	// be replaced can be silent: a batch that prefills pauses for one or two.
+	gapsLost = 3
+	// defaultGap is for routes without a longest pause.
+	defaultGap = 300 * time.Millisecond
+	// readAtOnce is how much of a stream is read at once, in bytes.
+	readAtOnce = 16 << 10
+)
+
+// stream serves a request that is answered event by event.
+func (s *Server) stream(ctx context.Context, r *request) *failure {
+	e := &events{last: r.ask.LastEvent}
+	for {
+		f := s.streamOnce(ctx, r, e)
+		if f == nil {
+			return nil
+		}
+		if !s.again(ctx, r, f) {
+			return f
+		}
+		e.restart()
+	}
+}
+
+// streamOnce makes one attempt at the rest of a stream.
+func (s *Server) streamOnce(ctx context.Context, r *request, e *events) *failure {
+	role := s.lastRole(r)
+	u := s.place(r, role, s.Settings.Zone, route.Load{
+		Units: 1, Tokens: r.tokens(), FailCost: r.failCost(), FarCost: farStage,
+	})
+	if u == nil {
+		return s.unplaced(r)
+	}
+	a := &attempt{upstream: u, work: roster.Work{Tokens: r.tokens()}, silence: r.headerPatience()}
+	a.stamp.LastEvent = e.last
+	var from *prefilled
+	if role == work.RoleDecode && r.ask.Prompt >= prefillFrom {
+		if from = s.prefill(ctx, r, a); from != nil {
+			a.stamp.Stage, a.stamp.Source = StageDecode, from.handle
+		}
+	}
+	if ctx.Err() != nil {
+		s.free(r, from)
+		return &failure{ran: work.NotRun, reason: reasonOf(ctx), detail: "ended before an upstream had it"}
+	}
+	reply, f := s.try(ctx, r, a)
+	if f != nil {
+		s.free(r, from)
+		return f
+	}
+	defer reply.Close()
+	if reply.Status != http.StatusOK {
+		return s.passFailure(ctx, r, a, reply)
+	}
+	return s.events(ctx, r, a, reply, e)
+}
+
+// lastRole is the role of the upstream that makes the answer: decode where the
+// service has such, else one that does everything.
+func (s *Server) lastRole(r *request) work.Role {
+	if r.engine() == nil {
+		return ""
+	}
+	for _, u := range s.roster.Of(r.service.Name) {
+		if u.Server().Role == work.RoleDecode {
+			return work.RoleDecode
+		}
+	}
+	return ""
+}
+
+// headerPatience bounds the wait for the beginning of a stream where it may go
+// on elsewhere; zero is no bound.
+func (r *request) headerPatience() time.Duration {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+		return 0
+	}
+	return time.Duration(headerPart * float64(r.targetLatency()))
+}
+
+// gapPatience bounds the pause between two reads.
+func (r *request) gapPatience() time.Duration {
+	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+		return r.left()
+	}
+	gap := r.route.TargetGap
+	if gap <= 0 {
+		gap = defaultGap
+	}
+	return gapsLost * gap
+}
+
+// passFailure passes on an answer that is not a stream.
+func (s *Server) passFailure(ctx context.Context, r *request, a *attempt, reply *send.Reply) *failure {
+	head, whole, err := readHead(reply)
+	if err != nil {
+		return s.broke(ctx, r, a, err)
+	}
+	s.done(r, a, time.Since(a.began), 1, reply.Status < http.StatusInternalServerError)
+	if r.begun {
+		r.admit(work.DidRun)
+		return &failure{ran: work.DidRun, reason: work.ReasonUpstream, detail: "the upstream failed the rest of the stream"}
+	}
+	if err := s.pass(r, reply, head, whole); err != nil {
+		return &failure{ran: work.DidRun, reason: work.ReasonLost, detail: err.Error()}
+	}
+	s.end(r, "answered", "upstream", a.id, "status", reply.Status)
+	return nil
+}
+
+// events passes the events of an answer on as they come.
+func (s *Server) events(ctx context.Context, r *request, a *attempt, reply *send.Reply, e *events) *failure {
+	reply.SetSilence(r.gapPatience())
+	flush := http.NewResponseController(r.w)
+	buffer := make([]byte, readAtOnce)
+	var first time.Duration
+	for {
+		n, err := reply.Read(buffer)
+		if n > 0 && first == 0 {
+			first = time.Since(a.began)
+		}
+		fresh := buffer[:n]
+		if r.route.Resumable {
+			fresh = e.add(fresh)
+		}
+		if len(fresh) > 0 {
+			if !r.begun {
+				s.header(r, reply)
+				s.Log.Info("first event", "request", r.id, "upstream", a.id, "took", time.Since(r.accepted))
+			}
+			if _, werr := r.w.Write(fresh); werr == nil {
+				werr = flush.Flush()
+				if werr != nil {
+					return s.callerGone(r, a, werr)
+				}
+			} else {
+				return s.callerGone(r, a, werr)
+			}
+		}
+		if err == nil {
+			continue
+		}
+		if !errors.Is(err, io.EOF) {
+			return s.broke(ctx, r, a, err)
+		}
+		if len(e.rest) > 0 {
+			return s.broke(ctx, r, a, errors.New("direct: the stream ends in the middle of an event"))
+		}
+		break
+	}
+	if !r.begun {
+		s.header(r, reply) // a stream without events
+	}
+	s.done(r, a, first, 1, true)
+	s.end(r, "answered", "upstream", a.id, "status", reply.Status, "first", first, "last_event", e.last)
+	return nil
+}
+
+// callerGone ends an attempt whose caller takes no more.
+func (s *Server) callerGone(r *request, a *attempt, err error) *failure {
+	return s.failed(r, a, &failure{ran: work.DidRun, reason: work.ReasonCallerGone, detail: err.Error()})
+}
--- a/entry/answer.go
+++ b/entry/answer.go
@@ -10,7 +10,6 @@
 
 	"github.com/pkg/errors"
 
-	"jacinthworks/check"
 	"jacinthworks/work"
 )
 
@@ -135,33 +134,12 @@
 
 // breakOff ends a stream that has begun with an error event.
 func (a *answer) breakOff(f *work.Refusal) {
-	text, err := json.Marshal(problemOf(f))
+	text, err := json.Marshal(f.Problem())
 	if err == nil {
 		_ = a.write("event: error\ndata: " + string(text) + "\n\n")
 	}
 }
 
-// problem is an RFC 9457 problem with our account of the request.
-type problem struct {
-	Type       string         `json:"type"`
-	Title      string         `json:"title"`
-	Status     int            `json:"status"`
-	Detail     string         `json:"detail,omitempty"`
-	RequestID  work.RequestID `json:"request_id"`
-	Reason     work.Reason    `json:"reason"`
-	Ran        work.Ran       `json:"ran"`
-	RetryAfter float64        `json:"retry_after_seconds,omitempty"`
-	Findings   check.Findings `json:"findings,omitempty"`
-}
-
-func problemOf(f *work.Refusal) problem {
-	return problem{
-		Type: "about:blank", Title: strings.ReplaceAll(string(f.Reason), "_", " "), Status: f.Reason.Status(),
-		Detail: f.Detail, RequestID: f.RequestID, Reason: f.Reason, Ran: f.Ran,
-		RetryAfter: f.RetryAfter.Seconds(), Findings: f.Findings,
-	}
-}
-
 // refuse ends a request that was not begun to be answered.
 func (e *Entry) refuse(w http.ResponseWriter, r *request, f *failure) {
 	given := e.refusal(r, f)
@@ -174,5 +152,5 @@
 	}
 	deadline(w, e.Settings.Limits.WriteTimeout)
 	w.WriteHeader(given.Reason.Status())
-	_ = json.NewEncoder(w).Encode(problemOf(given))
+	_ = json.NewEncoder(w).Encode(given.Problem())
 }
--- a/entry/answer_test.go
+++ b/entry/answer_test.go
@@ -119,9 +119,9 @@
 			w := httptest.NewRecorder()
 			e.refuse(w, r, &failure{ran: work.Unknown, reason: reason, retryAfter: after})
 			require.Equal(t, status, w.Code, reason)
-			var p problem
+			var p work.Problem
 			require.NoError(t, json.Unmarshal(w.Body.Bytes(), &p))
-			require.Equal(t, problem{
+			require.Equal(t, work.Problem{
 				Type: "about:blank", Title: strings.ReplaceAll(string(reason), "_", " "), Status: status,
 				RequestID: r.id, Reason: reason, Ran: work.Unknown, RetryAfter: after.Seconds(),
 			}, p)
--- /dev/null
+++ b/paths/paths.go
@@ -0,0 +1,216 @@
+// Package paths holds the routes that operators define: which service a
+// request goes to, by host and path, and how it may be treated there. A
+// configuration has a version; a process never goes back to a lower one.
+//
+// # Usage
+//
+//	var h paths.Holder
+//	changed, err := h.Offer(now, config)       // older versions change nothing
+//	c := h.Current()                           // nil until one is known
+//	r, ok := c.Match("listings.example", "/enquiries/17")
+//	service := r.Pick(random)
+//
+// A Config must not be changed after it was offered.
+package paths
+
+import (
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"jacinthworks/check"
+	"jacinthworks/work"
+)
+
+// Version numbers configurations; it grows in uneven steps.
+type Version uint64
+
+// Kind says what of a route's requests may be repeated, and how its answers
+// come.
+type Kind string
+
+// The kinds.
+const (
+	// Idempotent requests may run more than once.
+	Idempotent Kind = "idempotent"
+	// Once is for requests that may run at most once.
+	Once Kind = "once"
+	// Stream is answered by a series of events; it may run at most once,
+	// unless it may be resumed.
+	Stream Kind = "stream"
+)
+
+// Share is a service's part of a route.
+type Share struct {
+	Service work.Service
+	Weight  int
+}
+
+// Route is one rule of the table of routes.
+type Route struct {
+	Name string
+	// Host and Prefix select it; the longest prefix of a host goes first.
+	Host   string
+	Prefix string
+	Kind   Kind
+	// Shares are the services that the requests go to, by weight.
+	Shares []Share
+	// Timeout is how long a request is kept waiting; zero is any time.
+	Timeout time.Duration
+	// Target is the time to the answer, or to the first event, that is aimed
+	// at; TargetGap the longest pause between events.
+	Target    time.Duration
+	TargetGap time.Duration
+	// Attempts is how many upstreams one request may run on; at least 1.
+	Attempts int
+	// Priority is the route's rank; 0 is served first.
+	Priority int
+	// Affinity is for requests that share prompts or sessions.
+	Affinity bool
+	// Resumable streams may go on at another upstream.
+	Resumable bool
+}
+
+// MayRepeat says whether a request that may have run may run again.
+func (r *Route) MayRepeat() bool {
+	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
+}
+
+// Pick draws a service by weight.
+func (r *Route) Pick(random *rand.Rand) work.Service {
+	total := 0
+	for _, s := range r.Shares {
+		total += max(s.Weight, 0)
+	}
+	if total == 0 {
+		return r.Shares[0].Service
+	}
+	n := random.IntN(total)
+	for _, s := range r.Shares {
+		if n -= max(s.Weight, 0); n < 0 {
+			return s.Service
+		}
+	}
+	return r.Shares[len(r.Shares)-1].Service
+}
+
+// Engine describes a service whose upstreams are model engines.
+type Engine struct {
+	// Slots is how many requests an engine runs at once.
+	Slots int
+	// KVTokens is an engine's memory in tokens, KVTokenBytes the size of one.
+	KVTokens     int
+	KVTokenBytes int64
+	// LinkRate is the rate of an engine's link in bytes a second.
+	LinkRate float64
+	// HandleLife is how long an engine keeps the memory of a prompt that
+	// nobody fetches, SwitchTime how long a change of role takes it away.
+	HandleLife time.Duration
+	SwitchTime time.Duration
+}
+
+// Service is a pool of upstreams that routes name.
+type Service struct {
+	Name work.Service
+	// HealthPath answers whether an upstream thinks itself healthy.
+	HealthPath string
+	// MaxConnections is how many connections an upstream takes from all
+	// callers together; zero is any number.
+	MaxConnections int
+	// Engine is nil for a plain service.
+	Engine *Engine
+}
+
+// Limits bound what a caller may send, and how long it may take.
+type Limits struct {
+	MaxHeader int
+	MaxBody   int64
+	// HeaderTimeout is the time for a request's header, IdleTimeout the time
+	// that a connection is kept without a request.
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Config is one version of the configuration.
+type Config struct {
+	Version  Version
+	Routes   []Route
+	Services []Service
+	Limits   Limits
+
+	byHost   map[string][]*Route
+	services map[work.Service]*Service
+}
+
+// Check gives what makes a configuration unfit for use.
+func (c *Config) Check() check.Findings {
+	var f check.Findings
+	known := make(map[work.Service]bool)
+	for _, s := range c.Services {
+		known[s.Name] = true
+	}
+	for _, r := range c.Routes {
+		place := "route " + r.Name
+		switch r.Kind {
+		case Idempotent, Once, Stream:
+		default:
+			f.Add(place, "unknown kind %q", r.Kind)
+		}
+		if len(r.Shares) == 0 {
+			f.Add(place, "names no service")
+		}
+		for _, s := range r.Shares {
+			if !known[s.Service] {
+				f.Add(place, "names service %q, which does not exist", s.Service)
+			}
+		}
+		if !strings.HasPrefix(r.Prefix, "/") {
+			f.Add(place, "prefix %q does not begin with a slash", r.Prefix)
+		}
+	}
+	return f
+}
+
+// index prepares the configuration for Match. Routes that name nothing to go
+// to are left out: the others are served.
+func (c *Config) index() {
+	c.byHost = make(map[string][]*Route)
+	c.services = make(map[work.Service]*Service)
+	for i := range c.Services {
+		c.services[c.Services[i].Name] = &c.Services[i]
+	}
+	for i := range c.Routes {
+		r := &c.Routes[i]
+		if len(r.Shares) == 0 {
+			continue
+		}
+		host := strings.ToLower(r.Host)
+		c.byHost[host] = append(c.byHost[host], r)
+	}
+	for _, routes := range c.byHost {
+		slices.SortStableFunc(routes, func(a, b *Route) int { return len(b.Prefix) - len(a.Prefix) })
+	}
+}
+
+// Match gives the route of a request: of those of its host, the one with the
+// longest prefix of its path.
+func (c *Config) Match(host, path string) (*Route, bool) {
+	for _, r := range c.byHost[hostname(host)] {
+		if strings.HasPrefix(path, r.Prefix) {
+			return r, true
+		}
+	}
+	return nil, false
+}
+
+// Service gives a service by name; nil when there is none.
+func (c *Config) Service(name work.Service) *Service { return c.services[name] }
+
+// hostname gives the name in a Host header, without a port.
+func hostname(host string) string {
+	if n := strings.LastIndexByte(host, ':'); n >= 0 && !strings.HasSuffix(host, "]") {
+		host = host[:n]
+	}
+	return strings.ToLower(host)
+}
--- /dev/null
+++ b/roster/roster.go
@@ -0,0 +1,268 @@
+// Package roster is the directory of upstreams as their registry tells of
+// them: each start of an upstream is a member of its own, with its state, and
+// with what this process has seen of it.
+//
+// # Usage
+//
+//	r := roster.Roster{Log: log}
+//	r.Listed(now, items)                 // from a feed, as are the next three
+//	r.Changed(now, changes)
+//	r.Lost(now)
+//	r.Regained(now)
+//	for _, u := range r.Of("marketplace-app") { ... }
+//
+// Belief while the registry is away: members stay as they were last heard of.
+// The registry drops members that it does not hear, also during an outage of
+// its own; those that live are back soon after it returns. So a member that is
+// dropped around an outage is kept for Grace after the return.
+package roster
+
+import (
+	"cmp"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+
+	"jacinthworks/feed"
+	"jacinthworks/send"
+	"jacinthworks/work"
+)
+
+// Grace is how long after the registry's return a member that it dropped is
+// kept. Members register anew within about two seconds of the return; one that
+// is still missing then is gone.
+const Grace = 2200 * time.Millisecond
+
+// The timeouts of connections to upstreams. A dial takes under 2 ms between
+// availability zones; 250 ms leave time for another upstream within a target
+// of 300 ms, and are shorter than the first repeat of a lost packet.
+const (
+	dialTimeout = 250 * time.Millisecond
+	userTimeout = 3 * time.Second
+	// keepUnstated is how long a connection is kept where the upstream states
+	// no idle timeout in whole seconds: it may be shorter than one.
+	keepUnstated = 400 * time.Millisecond
+)
+
+// ID names one start of an upstream.
+type ID string
+
+// Server is what the registry says of an upstream.
+type Server struct {
+	ID      ID
+	Service work.Service
+	Addr    netip.AddrPort
+	Zone    work.Zone
+	// Slots is how many requests it serves at once.
+	Slots int
+	// Draining members end what they have and get nothing new.
+	Draining bool
+	// Role is that of a model engine; empty for a plain server.
+	Role work.Role
+	// Cold is how much longer it is slow after its start.
+	Cold time.Duration
+}
+
+// Upstream is a member of the directory.
+type Upstream struct {
+	// Client sends to it.
+	Client *send.Client
+	// Seen is what this process knows of it by its answers.
+	Seen Seen
+
+	mu     sync.Mutex // a leaf
+	server Server
+	heard  time.Time
+	gone   bool
+}
+
+// Server is what the registry last said.
+func (u *Upstream) Server() Server {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.server
+}
+
+// Age is how long ago the registry last spoke of it.
+func (u *Upstream) Age(now time.Time) time.Duration {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return now.Sub(u.heard)
+}
+
+// Gone says that it has left the directory; what it does is of no interest.
+func (u *Upstream) Gone() bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.gone
+}
+
+// Roster is the directory. Set Log first; it must not be copied. It is safe
+// for concurrent use. Lock order: Roster, then Upstream.
+type Roster struct {
+	Log hclog.Logger
+
+	mu      sync.Mutex
+	members map[ID]*Upstream
+	// pools is made anew on each change and never written to.
+	pools map[work.Service][]*Upstream
+	// lapsed are members that the registry dropped around an outage, and when
+	// they are gone unless it speaks of them again.
+	lapsed   map[ID]time.Time
+	away     bool
+	returned time.Time
+	known    bool
+}
+
+// Known says whether the registry was ever read.
+func (r *Roster) Known() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.known
+}
+
+// Of gives the members of a service, those on their way out included. The
+// caller must not change the slice.
+func (r *Roster) Of(s work.Service) []*Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.expire(time.Now())
+	return r.pools[s]
+}
+
+// Listed takes the whole registry.
+func (r *Roster) Listed(now time.Time, all []feed.Item[Server]) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.known = true
+	listed := make(map[ID]bool, len(all))
+	for _, i := range all {
+		listed[i.Value.ID] = true
+		r.put(now, i.Value)
+	}
+	for id := range r.members {
+		if !listed[id] {
+			r.dropped(now, id)
+		}
+	}
+	r.rebuild()
+}
+
+// Changed takes changes of the registry.
+func (r *Roster) Changed(now time.Time, changes []feed.Change[Server]) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for _, c := range changes {
+		if c.Gone {
+			r.dropped(now, ID(c.Name))
+			continue
+		}
+		r.put(now, c.Value)
+	}
+	r.rebuild()
+}
+
+// Lost notes that the registry does not answer.
+func (r *Roster) Lost(time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away = true
+}
+
+// Regained notes that it answers again.
+func (r *Roster) Regained(now time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.away, r.returned = false, now
+}
+
+func (r *Roster) put(now time.Time, s Server) {
+	if r.members == nil {
+		r.members = make(map[ID]*Upstream)
+		r.lapsed = make(map[ID]time.Time)
+	}
+	delete(r.lapsed, s.ID)
+	u := r.members[s.ID]
+	if u == nil {
+		u = &Upstream{Client: &send.Client{Base: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, Keep: keepUnstated}}
+		r.members[s.ID] = u
+		r.Log.Info("upstream known", "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining)
+	}
+	u.mu.Lock()
+	old := u.server
+	u.server, u.heard = s, now
+	u.mu.Unlock()
+	if old.ID != "" && (old.Draining != s.Draining || old.Role != s.Role) {
+		r.Log.Info("upstream changed", "upstream", s.ID, "service", s.Service, "draining", s.Draining, "role", s.Role)
+	}
+}
+
+// dropped handles a member that the registry does not name any more.
+func (r *Roster) dropped(now time.Time, id ID) {
+	if r.members[id] == nil {
+		return
+	}
+	until := r.returned.Add(Grace)
+	if !r.returned.IsZero() && now.Before(until) && !r.members[id].Server().Draining {
+		if _, lapsed := r.lapsed[id]; !lapsed {
+			r.lapsed[id] = until
+			r.Log.Info("upstream lapsed", "upstream", id, "until", until.Sub(now))
+		}
+		return
+	}
+	r.remove(id, "dropped by the registry")
+}
+
+func (r *Roster) remove(id ID, why string) {
+	u := r.members[id]
+	u.mu.Lock()
+	u.gone = true
+	s := u.server
+	u.mu.Unlock()
+	u.Client.Forget()
+	delete(r.members, id)
+	delete(r.lapsed, id)
+	r.Log.Info("upstream gone", "upstream", id, "service", s.Service, "addr", s.Addr, "why", why)
+}
+
+// Misdirected notes that another start answers at the member's address: this
+// one has ended, whatever the registry says.
+func (r *Roster) Misdirected(u *Upstream) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	id := u.Server().ID
+	if r.members[id] == u {
+		r.remove(id, "another start answers at its address")
+		r.rebuild()
+	}
+}
+
+// expire removes lapsed members whose grace has passed.
+func (r *Roster) expire(now time.Time) {
+	if len(r.lapsed) == 0 || r.away {
+		return
+	}
+	before := len(r.members)
+	for id, until := range r.lapsed {
+		if now.After(until) {
+			r.remove(id, "not back after the registry's outage")
+		}
+	}
+	if len(r.members) != before {
+		r.rebuild()
+	}
+}
+
+func (r *Roster) rebuild() {
+	r.pools = make(map[work.Service][]*Upstream)
+	for _, u := range r.members {
+		s := u.Server().Service
+		r.pools[s] = append(r.pools[s], u)
+	}
+	for _, pool := range r.pools {
+		slices.SortFunc(pool, func(a, b *Upstream) int { return cmp.Compare(a.Server().ID, b.Server().ID) })
+	}
+}
--- /dev/null
+++ b/roster/seen.go
@@ -0,0 +1,140 @@
+package roster
+
+import (
+	"math"
+	"sync"
+	"time"
+
+	"jacinthworks/route"
+)
+
+// The half-lives of what is remembered of an upstream.
+const (
+	// failHalf is that of failures: after three half-lives an upstream that
+	// failed once is tried as if it had not. Upstreams restart within seconds.
+	failHalf = 3 * time.Second
+	// loadHalf is that of the load that other processes put on it, as its last
+	// answer told: requests end within a second.
+	loadHalf = 500 * time.Millisecond
+	// speedKeep is the weight of what was known in each new measurement of its
+	// speed: some ten answers tell.
+	speedKeep = 0.8
+	// failPrior is the weight, in answers, of the belief that it does not fail.
+	failPrior = 1.5
+)
+
+// Seen is what this process knows of an upstream by its answers. The zero
+// value knows nothing. It is safe for concurrent use; its lock is a leaf.
+type Seen struct {
+	mu sync.Mutex
+	// running counts what this process has there, tokens its memory, queued
+	// the prompt tokens that it has yet to read.
+	running int
+	tokens  int
+	queued  int
+	// others is what other processes had there at the time of the report.
+	others     float64
+	reportedAt time.Time
+	// fails and answers are counts that decay.
+	fails, answers float64
+	decayedAt      time.Time
+	// speed is the time of one unit of work: a call, or a prompt token.
+	speed time.Duration
+	// holdUntil keeps work away for a moment after it said that it is full.
+	holdUntil time.Time
+}
+
+// Work is what one request takes of an upstream.
+type Work struct {
+	// Tokens is the memory it needs, Prompt the tokens to be read.
+	Tokens, Prompt int
+}
+
+// Begin counts a request that is sent.
+func (s *Seen) Begin(w Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running++
+	s.tokens += w.Tokens
+	s.queued += w.Prompt
+}
+
+// End counts one that is over.
+func (s *Seen) End(w Work) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.running--
+	s.tokens -= w.Tokens
+	s.queued -= w.Prompt
+}
+
+// Answered notes an answer that came after the given time for so many units.
+func (s *Seen) Answered(now time.Time, took time.Duration, units int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	s.answers++
+	each := took / time.Duration(max(units, 1))
+	if s.speed == 0 {
+		s.speed = each
+		return
+	}
+	s.speed = time.Duration(speedKeep*float64(s.speed) + (1-speedKeep)*float64(each))
+}
+
+// Failed notes a request that it failed.
+func (s *Seen) Failed(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	s.fails++
+}
+
+// Full notes that it said that it has no room, and keeps work away until then.
+func (s *Seen) Full(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdUntil = until
+}
+
+// Reported notes the load that an answer told of: all requests there, running
+// or waiting, of which this process knows its own.
+func (s *Seen) Reported(now time.Time, all int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.others = max(0, float64(all-s.running))
+	s.reportedAt = now
+}
+
+// Offer gives the figures that a choice goes by.
+func (s *Seen) Offer(now time.Time) route.Offer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	others := s.others * fade(now.Sub(s.reportedAt), loadHalf)
+	return route.Offer{
+		Running: float64(s.running) + others,
+		Tokens:  s.tokens,
+		Queued:  s.queued,
+		Fails:   s.fails / (s.fails + s.answers + failPrior),
+		Speed:   s.speed,
+		Held:    now.Before(s.holdUntil),
+	}
+}
+
+func (s *Seen) decay(now time.Time) {
+	if !s.decayedAt.IsZero() {
+		by := fade(now.Sub(s.decayedAt), failHalf)
+		s.fails *= by
+		s.answers *= by
+	}
+	s.decayedAt = now
+}
+
+// fade gives what is left after a time, given the half-life.
+func fade(age, half time.Duration) float64 {
+	if age <= 0 {
+		return 1
+	}
+	return math.Exp2(-float64(age) / float64(half))
+}
--- a/send/failure.go
+++ b/send/failure.go
@@ -45,23 +45,23 @@
 	return ""
 }
 
-// fail sorts an error. A request without a connection is NotSent whatever
-// ended it, since the transport writes only to a connection it has.
+// fail sorts an error. A request of which no byte was taken is NotSent whatever
+// ended it.
 //
 // Failure: something between the two ends loses track of open connections;
 // they stay silent for good while new ones work. It shows as one request after
 // another that times out. The guard holds because a silence closes all idle
 // connections too, so that the next request dials.
-func (c *Client) fail(ctx context.Context, err error, connected bool) *Failure {
+func (c *Client) fail(ctx context.Context, err error, sent bool) *Failure {
 	cause := context.Cause(ctx)
 	if cause == nil {
 		cause = err
 	}
 	switch {
-	case !connected:
+	case !sent:
 		return &Failure{Stage: NotSent, Cause: cause}
 	case errors.Is(cause, errSilent):
-		c.transport.CloseIdleConnections()
+		c.Forget()
 		return &Failure{Stage: Silent, Cause: cause}
 	case ctx.Err() != nil:
 		return &Failure{Stage: GivenUp, Cause: cause}
--- a/send/reply.go
+++ b/send/reply.go
@@ -13,13 +13,22 @@
 type Reply struct {
 	Status int
 	Header http.Header
+	// Fresh says that the connection was made for this request.
+	Fresh bool
 
 	body     io.ReadCloser
 	client   *Client
+	conn     *conn
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
+	unhook   func() bool
 	watchdog *time.Timer
 	silence  time.Duration
+	// written gives the end of a body that is written beside the answer.
+	written chan error
+	// reusable says that the answer's end leaves the connection open.
+	reusable bool
+	ended    bool
 }
 
 // Read reads the body. Its error is io.EOF at the end of a whole body, else a
@@ -29,18 +38,73 @@
 	if n > 0 {
 		p.watchdog.Reset(p.silence)
 	}
-	if err != nil && !errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) {
+	switch {
+	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		p.finish()
+	case err != nil:
 		return n, p.client.fail(p.ctx, err, true)
 	}
 	return n, err
 }
 
+// SetSilence changes how long the other end may send nothing from now on.
+func (p *Reply) SetSilence(d time.Duration) {
+	p.silence = d
+	if !p.ended {
+		p.watchdog.Reset(d)
+	}
+}
+
+// finish keeps the connection after a whole answer, where nothing of this
+// exchange is left on it.
+func (p *Reply) finish() {
+	if p.ended {
+		return
+	}
+	if !p.reusable || !p.settled() || p.conn.in.Buffered() > 0 || !p.unhook() {
+		p.drop()
+		return
+	}
+	p.ended = true
+	p.watchdog.Stop()
+	p.conn.uses++
+	if keep := keepOf(p.Header); keep > 0 {
+		p.conn.keep = keep
+	}
+	p.client.keep(p.conn)
+	p.cancel(nil)
+}
+
+// settled says whether the request was written whole. An upstream may answer
+// before it has read the body; the next request would stand where the rest is
+// due.
+func (p *Reply) settled() bool {
+	if p.written == nil {
+		return true
+	}
+	select {
+	case err := <-p.written:
+		return err == nil
+	default:
+		return false
+	}
+}
+
+// drop ends the exchange and its connection.
+func (p *Reply) drop() {
+	p.ended = true
+	p.watchdog.Stop()
+	p.unhook()
+	_ = p.conn.Close() // nothing is left to lose: what was read, was read
+	p.cancel(nil)
+}
+
 // Close ends the reply. A body that was not read to its end costs the
 // connection.
 func (p *Reply) Close() {
-	p.watchdog.Stop()
-	_ = p.body.Close() // nothing is left to lose: what was read, was read
-	p.cancel(nil)
+	if !p.ended {
+		p.drop()
+	}
 }
 
 // ErrTooLarge says that a body is over the limit given to All.
--- a/send/send.go
+++ b/send/send.go
@@ -13,19 +13,20 @@
 //	value, err := io.ReadAll(reply)
 //
 // A Client keeps connections open between requests. It follows no redirect,
-// changes no header and never sends a request a second time.
+// changes no header and never sends a request a second time. net/http reads
+// and writes the messages; the connections are kept here and not by its
+// Transport, which repeats a GET by itself when a kept connection breaks, and
+// cannot tell an answer that belongs to an earlier request.
 package send
 
 import (
 	"bytes"
 	"context"
 	"io"
-	"net"
 	"net/http"
-	"net/http/httptrace"
 	"net/netip"
+	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/pkg/errors"
@@ -36,10 +37,19 @@
 const (
 	DefaultDialTimeout = time.Second
 	DefaultSilence     = 10 * time.Second
-	idleTimeout        = 30 * time.Second
+	DefaultKeep        = 30 * time.Second
 	maxIdle            = 256
 )
 
+// inlineBody is the longest body, in bytes, that is written before the answer
+// is read. A longer one is written beside it: an upstream may answer early and
+// read on later, and would block the writer, and the reader behind it.
+const inlineBody = 16 << 10
+
+// maxForeign bounds the answers to other requests that are passed over before
+// a connection is given up.
+const maxForeign = 4
+
 // Client sends requests to one address. The zero value with a Base is ready to
 // use. A Client must not be copied after its first use.
 type Client struct {
@@ -50,85 +60,183 @@
 	// Silence is how long the other end may send nothing, before the header
 	// and between two reads of the body; zero is DefaultSilence.
 	Silence time.Duration
+	// Keep is how long a connection is kept without a request where the other
+	// end says nothing of it; zero is DefaultKeep.
+	Keep time.Duration
+	// UserTimeout is how long sent data may stay unacknowledged before the
+	// connection is given up; zero leaves it to the system.
+	UserTimeout time.Duration
 
-	once      sync.Once
-	transport *http.Transport
+	mu   sync.Mutex // a leaf
+	idle []*conn    // the newest last
 }
 
 // Request is one request to send.
 type Request struct {
 	Method string
-	// Target is the escaped path with its query.
+	// Target is the escaped path with its query, sent as it is.
 	Target string
+	// Host is the Host header; empty is the address.
+	Host   string
 	Header http.Header
 	Body   []byte
 	// Silence takes the place of the client's for this request if not zero.
 	Silence time.Duration
+	// Fresh sends the request on a connection made for it.
+	Fresh bool
+	// Mine, if set, says whether an answer belongs to this request. Others are
+	// read and dropped.
+	Mine func(http.Header) bool
 }
 
 // Do sends the request and waits for the header of its answer. The error is a
 // *Failure. The caller closes the reply.
 func (c *Client) Do(ctx context.Context, r Request) (*Reply, error) {
-	c.once.Do(c.open)
 	silence := firstOf(r.Silence, c.Silence, DefaultSilence)
 	ctx, cancel := context.WithCancelCause(ctx)
 	watchdog := time.AfterFunc(silence, func() { cancel(errSilent) })
-	var connected atomic.Bool
-	trace := &httptrace.ClientTrace{GotConn: func(httptrace.GotConnInfo) { connected.Store(true) }}
-	q, err := c.build(httptrace.WithClientTrace(ctx, trace), r)
-	if err == nil {
-		var answer *http.Response
-		if answer, err = c.transport.RoundTrip(q); err == nil {
-			watchdog.Reset(silence)
-			return &Reply{
-				Status: answer.StatusCode, Header: answer.Header, body: answer.Body, client: c,
-				ctx: ctx, cancel: cancel, watchdog: watchdog, silence: silence,
-			}, nil
-		}
+	k, err := c.take(ctx, r.Fresh)
+	if err != nil {
+		watchdog.Stop()
+		failure := c.fail(ctx, err, false)
+		cancel(nil)
+		return nil, failure
+	}
+	p := &Reply{
+		Fresh: k.uses == 0,
+		body:  nil, client: c, ctx: ctx, cancel: cancel, watchdog: watchdog, silence: silence, conn: k,
+		unhook: context.AfterFunc(ctx, func() { _ = k.Close() }),
 	}
-	watchdog.Stop()
-	failure := c.fail(ctx, err, connected.Load())
-	cancel(nil)
-	return nil, failure
+	answer, err := p.exchange(r)
+	if err != nil {
+		failure := c.fail(ctx, err, k.wrote())
+		p.drop()
+		return nil, failure
+	}
+	watchdog.Reset(silence)
+	p.Status, p.Header, p.body = answer.StatusCode, answer.Header, answer.Body
+	p.reusable = !answer.Close && !(answer.ContentLength < 0 && len(answer.TransferEncoding) == 0)
+	return p, nil
 }
 
-// build makes a request that the transport cannot repeat.
-//
-// Failure: a kept-alive connection breaks after a request was written on it.
-// net/http then sends a GET, and anything with an Idempotency-Key, again by
-// itself on another connection. It shows as one caller's request that the
-// upstream ran twice. The guard holds because the transport repeats only what
-// has no body or a GetBody: here every request has a body, an empty one too,
-// and no GetBody. An empty body puts nothing on the wire for GET, HEAD, DELETE
-// and OPTIONS; for other methods it is an empty chunked one.
-func (c *Client) build(ctx context.Context, r Request) (*http.Request, error) {
-	q, err := http.NewRequestWithContext(ctx, r.Method, "http://"+c.Base.String()+r.Target, nil)
+// exchange writes the request and reads the header of its answer.
+func (p *Reply) exchange(r Request) (*http.Response, error) {
+	q, err := build(r, p.client.Base)
 	if err != nil {
-		return nil, errors.Wrap(err, "send: building request")
+		return nil, err
+	}
+	p.conn.begin()
+	if len(r.Body) <= inlineBody {
+		if err := p.conn.write(q); err != nil {
+			return nil, err
+		}
+	} else {
+		p.written = make(chan error, 1)
+		go func() { p.written <- p.conn.write(q) }() // its end is read by settled
+	}
+	for n := 0; n <= maxForeign; n++ {
+		answer, err := http.ReadResponse(p.conn.in, q)
+		if err != nil {
+			return nil, errors.Wrap(err, "send: reading answer")
+		}
+		interim := answer.StatusCode < http.StatusOK
+		if !interim && (r.Mine == nil || r.Mine(answer.Header)) {
+			return answer, nil
+		}
+		// Failure: an upstream answers an earlier request a second time, and
+		// the extra answer stands where this one's is due. It shows as a
+		// caller that gets another caller's answer. Reading on holds because
+		// the upstream answers the requests of a connection in order.
+		if _, err := io.Copy(io.Discard, answer.Body); err != nil || answer.Close {
+			return nil, errors.New("send: a foreign answer ends the connection")
+		}
+	}
+	return nil, errors.New("send: too many foreign answers")
+}
+
+// build makes the request in the form that net/http writes. An empty body has
+// the length 0, on the wire too where the method has a body.
+func build(r Request, base netip.AddrPort) (*http.Request, error) {
+	if r.Target == "" || r.Target[0] != '/' {
+		return nil, errors.Errorf("send: target %q is no path", r.Target)
+	}
+	q := &http.Request{
+		Method: r.Method,
+		// An opaque URL is written as it is.
+		URL:        &url.URL{Scheme: "http", Host: base.String(), Opaque: r.Target},
+		Host:       r.Host,
+		Header:     r.Header,
+		ProtoMajor: 1, ProtoMinor: 1,
+		ContentLength: int64(len(r.Body)),
 	}
-	if r.Header != nil {
-		q.Header = r.Header
+	if q.Host == "" {
+		q.Host = base.String()
+	}
+	if q.Header == nil {
+		q.Header = make(http.Header)
+	}
+	if _, given := q.Header["User-Agent"]; !given {
+		q.Header["User-Agent"] = []string{""} // else net/http writes its own
+	}
+	if len(r.Body) > 0 {
+		q.Body = io.NopCloser(bytes.NewReader(r.Body))
 	}
-	q.Body = io.NopCloser(bytes.NewReader(r.Body))
-	q.GetBody = nil
-	q.ContentLength = int64(len(r.Body))
 	return q, nil
 }
 
-// Forget closes the idle connections.
-func (c *Client) Forget() {
-	c.once.Do(c.open)
-	c.transport.CloseIdleConnections()
+// take gives a kept connection that is still good, or a new one.
+func (c *Client) take(ctx context.Context, fresh bool) (*conn, error) {
+	now := time.Now()
+	for !fresh {
+		k := c.pop()
+		if k == nil {
+			break
+		}
+		if k.usable(now) {
+			return k, nil
+		}
+		_ = k.Close()
+	}
+	return dial(ctx, c.Base, firstOf(c.DialTimeout, DefaultDialTimeout), c.UserTimeout)
 }
 
-func (c *Client) open() {
-	dialer := &net.Dialer{Timeout: firstOf(c.DialTimeout, DefaultDialTimeout)}
-	c.transport = &http.Transport{
-		DialContext:         dialer.DialContext,
-		DisableCompression:  true,
-		IdleConnTimeout:     idleTimeout,
-		MaxIdleConns:        maxIdle,
-		MaxIdleConnsPerHost: maxIdle,
+func (c *Client) pop() *conn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := len(c.idle)
+	if n == 0 {
+		return nil
+	}
+	k := c.idle[n-1]
+	c.idle = c.idle[:n-1]
+	return k
+}
+
+// keep puts a connection back, and closes those that have waited too long.
+func (c *Client) keep(k *conn) {
+	now := time.Now()
+	k.since = now
+	if k.keep == 0 {
+		k.keep = firstOf(c.Keep, DefaultKeep)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	n := 0
+	for n < len(c.idle) && (c.idle[n].expired(now) || len(c.idle)-n >= maxIdle) {
+		_ = c.idle[n].Close()
+		n++
+	}
+	c.idle = append(c.idle[n:], k)
+}
+
+// Forget closes the idle connections.
+func (c *Client) Forget() {
+	c.mu.Lock()
+	idle := c.idle
+	c.idle = nil
+	c.mu.Unlock()
+	for _, k := range idle {
+		_ = k.Close()
 	}
 }
 
--- /dev/null
+++ b/work/problem.go
@@ -0,0 +1,30 @@
+package work
+
+import (
+	"strings"
+
+	"jacinthworks/check"
+)
+
+// Problem is a refusal as the RFC 9457 problem that callers get, with our
+// account of the request.
+type Problem struct {
+	Type       string         `json:"type"`
+	Title      string         `json:"title"`
+	Status     int            `json:"status"`
+	Detail     string         `json:"detail,omitempty"`
+	RequestID  RequestID      `json:"request_id"`
+	Reason     Reason         `json:"reason"`
+	Ran        Ran            `json:"ran"`
+	RetryAfter float64        `json:"retry_after_seconds,omitempty"`
+	Findings   check.Findings `json:"findings,omitempty"`
+}
+
+// Problem gives the refusal as a problem.
+func (r *Refusal) Problem() Problem {
+	return Problem{
+		Type: "about:blank", Title: strings.ReplaceAll(string(r.Reason), "_", " "), Status: r.Reason.Status(),
+		Detail: r.Detail, RequestID: r.RequestID, Reason: r.Reason, Ran: r.Ran,
+		RetryAfter: r.RetryAfter.Seconds(), Findings: r.Findings,
+	}
+}
