--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -15,9 +15,6 @@
 // included: it is more than the upstreams of most pools.
 const maxSends = 6
 
-// fullFor keeps work away from an upstream that has refused for want of room.
-const fullFor = 100 * time.Millisecond
-
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	upstream *roster.Upstream
@@ -27,6 +24,8 @@
 	// silence bounds the wait for the header; zero is up to the request's end.
 	silence time.Duration
 	began   time.Time
+	// counted says that the upstream's load has the attempt already.
+	counted bool
 }
 
 // try sends the request to an upstream and waits for the header of its answer.
@@ -43,7 +42,9 @@
 	if a.stamp.Stage != StagePrefill {
 		r.sends++
 	}
-	a.upstream.Seen.Begin(a.work)
+	if !a.counted {
+		a.upstream.Seen.Begin(a.work)
+	}
 	reply, err := a.upstream.Client.Do(ctx, send.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, Silence: a.silence,
 		// A kept connection can break just as it is used, which leaves open
@@ -114,7 +115,7 @@
 
 // failed notes an attempt without a usable answer.
 func (s *Server) failed(r *request, a *attempt, f *failure) *failure {
-	a.upstream.Seen.End(a.work)
+	s.ended(r, a)
 	if a.stamp.Stage != StagePrefill {
 		r.admit(f.ran)
 	}
@@ -125,10 +126,18 @@
 	return f
 }
 
+// ended gives back what the attempt took of its upstream.
+func (s *Server) ended(r *request, a *attempt) {
+	a.upstream.Seen.End(a.work)
+	if a.counted {
+		s.lines.line(r.service.Name).free()
+	}
+}
+
 // done notes an attempt that was answered.
 func (s *Server) done(r *request, a *attempt, took time.Duration, units int, good bool) {
 	now := time.Now()
-	a.upstream.Seen.End(a.work)
+	s.ended(r, a)
 	outcome := "answered"
 	if good {
 		a.upstream.Seen.Answered(now, took, units)
@@ -146,6 +155,8 @@
 	now := time.Now()
 	why := ""
 	switch {
+	case f.final:
+		return false
 	case ctx.Err() != nil:
 		why = "over"
 	case f.ran != work.NotRun && !r.route.MayRepeat():
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -55,6 +55,7 @@
 	roster  roster.Roster
 	crashes retry.Ledger
 	budgets budgets
+	lines   lines
 	leaving atomic.Bool
 	work    group.Group
 	workCtx context.Context
--- /dev/null
+++ b/direct/line.go
@@ -0,0 +1,191 @@
+package direct
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"jacinthworks/queue"
+	"jacinthworks/work"
+)
+
+// line lets the requests of a service look for room one at a time, in the order
+// of its queue: else a small request takes each place that comes free, and one
+// that needs more memory never finds enough of it. The zero value is ready to
+// use; it must not be copied.
+type line struct {
+	mu     sync.Mutex // a leaf
+	queue  queue.Queue
+	turns  map[work.RequestID]chan *queue.Refusal
+	busy   bool
+	random *rand.Rand
+	// freed is told when a place may have come free.
+	freed chan struct{}
+	// toFirst is the time from finding room to the first event, as measured.
+	toFirst time.Duration
+}
+
+// lines holds the line of each service.
+type lines struct {
+	mu sync.Mutex // a leaf
+	of map[work.Service]*line
+}
+
+func (l *lines) line(s work.Service) *line {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.of == nil {
+		l.of = make(map[work.Service]*line)
+	}
+	if l.of[s] == nil {
+		l.of[s] = &line{
+			turns: make(map[work.RequestID]chan *queue.Refusal), random: random(),
+			freed: make(chan struct{}, 1), toFirst: firstGuess,
+		}
+	}
+	return l.of[s]
+}
+
+const (
+	// firstGuess stands in until a stream has begun: a prompt of 3,000 tokens
+	// at 20 tokens a ms, and a step of its decode.
+	firstGuess = 170 * time.Millisecond
+	// firstKeep is the weight of what was known in each new measurement.
+	firstKeep = 0.8
+)
+
+// item describes a request to the queue. One that has its room after the
+// target is of little use to its caller: it is told to return instead.
+func (l *line) item(r *request) queue.Item {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return queue.Item{
+		ID: r.id, Account: r.account, Priority: queue.Priorities - 1 - r.route.Priority,
+		Prompt: r.ask.Prompt, Output: r.tokens() - r.ask.Prompt,
+		FirstToken: r.accepted.Add(r.targetLatency()), Deadline: r.until, ToFirstToken: l.toFirst, ToEnd: l.toFirst,
+	}
+}
+
+// saw notes the time from finding room to the first event.
+func (l *line) saw(took time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.toFirst = time.Duration(firstKeep*float64(l.toFirst) + (1-firstKeep)*float64(took))
+}
+
+// enter waits for the request's turn. A refusal says that there is none; else
+// leave must be called.
+func (l *line) enter(ctx context.Context, i queue.Item) *queue.Refusal {
+	turn, refusal := l.arrive(i)
+	if turn == nil {
+		return refusal
+	}
+	lapse := time.NewTimer(time.Until(i.FirstToken.Add(-i.ToFirstToken)))
+	defer lapse.Stop()
+	for {
+		select {
+		case refusal := <-turn:
+			return refusal
+		case <-lapse.C:
+			l.mu.Lock()
+			l.sweep(time.Now())
+			l.mu.Unlock()
+			lapse.Reset(lapseAgain)
+		case <-ctx.Done():
+			return l.abandon(i, turn)
+		}
+	}
+}
+
+// lapseAgain is the time to the next look at a wait that should have lapsed; a
+// timer may be early by less than that.
+const lapseAgain = 5 * time.Millisecond
+
+func (l *line) arrive(i queue.Item) (chan *queue.Refusal, *queue.Refusal) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.sweep(now)
+	v := l.queue.Arrive(now, i, l.random)
+	if v.Refusal != nil {
+		return nil, v.Refusal
+	}
+	turn := make(chan *queue.Refusal, 1)
+	l.turns[i.ID] = turn
+	l.refuse(v.Shed)
+	if !l.busy {
+		l.next(now)
+	}
+	return turn, nil
+}
+
+// abandon takes out a request whose caller is gone, and passes on a turn that
+// it was given meanwhile.
+func (l *line) abandon(i queue.Item, turn chan *queue.Refusal) *queue.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	if !l.queue.Remove(now, i.ID) {
+		if refusal := <-turn; refusal == nil {
+			l.next(now)
+		}
+	}
+	delete(l.turns, i.ID)
+	return &queue.Refusal{Reason: work.ReasonCallerGone}
+}
+
+// leave passes the turn on.
+func (l *line) leave() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.sweep(now)
+	l.next(now)
+}
+
+// lapsed gives the refusal of the request whose turn it is and for which no
+// room was found in time.
+func (l *line) lapsed(i queue.Item) *queue.Refusal {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	now := time.Now()
+	l.queue.Return(now, i)
+	for _, r := range l.queue.Lapsed(now, l.random) {
+		if r.Item.ID == i.ID {
+			return &r.Refusal
+		}
+		l.refuse([]queue.Refused{r})
+	}
+	l.queue.Remove(now, i.ID)
+	return &queue.Refusal{Reason: work.ReasonTooLate, Detail: queue.DetailLapsed, RetryAfter: returnAfter}
+}
+
+func (l *line) sweep(now time.Time) { l.refuse(l.queue.Lapsed(now, l.random)) }
+
+func (l *line) refuse(all []queue.Refused) {
+	for _, r := range all {
+		if turn := l.turns[r.Item.ID]; turn != nil {
+			delete(l.turns, r.Item.ID)
+			turn <- &r.Refusal
+		}
+	}
+}
+
+func (l *line) next(now time.Time) {
+	i, ok := l.queue.Next(now, queue.AnyPrompt)
+	l.busy = ok
+	if ok {
+		turn := l.turns[i.ID]
+		delete(l.turns, i.ID)
+		turn <- nil
+	}
+}
+
+// free tells the one whose turn it is that a place may have come free.
+func (l *line) free() {
+	select {
+	case l.freed <- struct{}{}:
+	default:
+	}
+}
--- a/direct/place.go
+++ b/direct/place.go
@@ -42,7 +42,7 @@
 
 // place chooses an upstream of a role for the request; "" is a plain one. It
 // gives nil where none is left.
-func (s *Server) place(r *request, role work.Role, near work.Zone, l route.Load) *roster.Upstream {
+func (s *Server) place(r *request, role work.Role, near work.Zone, l route.Load) (*roster.Upstream, route.Offer) {
 	now := time.Now()
 	var offers []route.Offer
 	var members []*roster.Upstream
@@ -62,17 +62,32 @@
 	best, full := route.Best(offers, l, r.random)
 	if best < 0 {
 		s.Log.Info("no upstream", "request", r.id, "service", r.service.Name, "role", role, "tried", len(r.tried))
-		return nil
+		return nil, route.Offer{}
 	}
 	u := members[best]
 	s.Log.Info("placed", "request", r.id, "service", r.service.Name, "role", role, "upstream", offers[best].Name,
-		"of", len(offers), "full", full, "running", offers[best].Running, "fails", offers[best].Fails,
+		"of", len(offers), "full", full, "own", offers[best].Own, "others", offers[best].Others, "tokens", offers[best].Tokens, "fails", offers[best].Fails,
 		"speed", offers[best].Speed, "heard", u.Age(now))
-	return u
+	return u, offers[best]
 }
 
-// tokens is the memory that the request needs on an engine.
-func (r *request) tokens() int { return r.ask.Prompt + r.ask.Output }
-
-// engine says whether the request's service has model engines.
+// engine is the description of the service's engines; nil for a plain one.
 func (r *request) engine() *paths.Engine { return r.service.Engine }
+
+// tokens is the memory that the request is likely to need on an engine. The
+// most that it may answer is several times what answers are as a rule.
+func (r *request) tokens() int {
+	likely := r.ask.Likely
+	if likely <= 0 {
+		likely = r.ask.Output / outputPart
+	}
+	return r.ask.Prompt + min(max(likely, leastOutput), max(r.ask.Output, leastOutput))
+}
+
+const (
+	// outputPart is the part of the most that an answer is taken for where the
+	// caller does not say.
+	outputPart = 3
+	// leastOutput is the least answer, in tokens, that room is kept for.
+	leastOutput = 64
+)
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -28,7 +28,7 @@
 // plain serves a request that is answered whole.
 func (s *Server) plain(ctx context.Context, r *request) *failure {
 	for {
-		u := s.place(r, "", s.Settings.Zone, route.Load{Units: 1, FailCost: r.failCost(), FarCost: farCall})
+		u, _ := s.place(r, "", s.Settings.Zone, route.Load{Units: 1, FailCost: r.failCost(), FarCost: farCall})
 		if u == nil {
 			return s.unplaced(r)
 		}
@@ -45,7 +45,7 @@
 
 // unplaced is the refusal where no upstream is left to try.
 func (s *Server) unplaced(r *request) *failure {
-	return &failure{ran: r.ran, reason: work.ReasonNoUpstream, detail: "no upstream is left to try"}
+	return &failure{ran: r.ran, reason: work.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
 }
 
 // patience bounds an attempt's silence where another can follow; zero is no
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -35,22 +35,22 @@
 }
 
 // prefill has the prompt read by a prefill engine near the decode engine of
-// the attempt, whose room is kept meanwhile. It gives nil where that failed:
+// the answer, whose room is kept meanwhile. It gives nil where that failed:
 // then the decode engine reads it.
-func (s *Server) prefill(ctx context.Context, r *request, decode *attempt) *prefilled {
-	decode.upstream.Seen.Begin(decode.work)
-	defer decode.upstream.Seen.End(decode.work)
+func (s *Server) prefill(ctx context.Context, r *request, decode *room) *prefilled {
 	zone := decode.upstream.Server().Zone
 	for n := 0; n < prefillTries && ctx.Err() == nil; n++ {
-		if n > 0 && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
+		if r.prefills > 0 && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
 			return nil
 		}
-		u := s.place(r, work.RolePrefill, zone, route.Load{
-			Units: r.ask.Prompt, Tokens: r.ask.Prompt, FailCost: r.targetLatency(), FarCost: farStage,
+		u, _ := s.place(r, work.RolePrefill, zone, route.Load{
+			Units: r.ask.Prompt, Tokens: r.ask.Prompt, Usual: route.Usual{Units: r.ask.Prompt, Tokens: r.ask.Prompt},
+			FailCost: r.targetLatency(), FarCost: farStage,
 		})
 		if u == nil {
 			return nil
 		}
+		r.prefills++
 		if p := s.prefillAt(ctx, r, u); p != nil {
 			return p
 		}
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -24,6 +24,11 @@
 	Handle(body []byte) (Handle, error)
 	// Free gives the call that frees a prefilled prompt.
 	Free(h Handle) send.Request
+	// Hold gives the call that holds room for so many tokens, Held reads its
+	// answer ("" where there is no room), Drop gives the call that frees it.
+	Hold(tokens int, life time.Duration) (send.Request, error)
+	Held(status int, body []byte) (Hold, error)
+	Drop(h Hold) send.Request
 }
 
 // Part is one part of a prompt, which other requests may share.
@@ -41,7 +46,9 @@
 	Model  string
 	// Prompt and Output are the prompt's tokens and the most of the answer.
 	Prompt, Output int
-	Parts          []Part
+	// Likely is the caller's guess of the answer's tokens; zero for none.
+	Likely int
+	Parts  []Part
 	// LastEvent is the last event that the caller has of the stream.
 	LastEvent string
 }
@@ -68,6 +75,8 @@
 	Stage  Stage
 	// Source is where the prompt's memory is, for StageDecode.
 	Source Handle
+	// Hold is room that is held for the attempt.
+	Hold Hold
 	// LastEvent is the last event passed on, where a stream goes on.
 	LastEvent string
 	// Priority is the route's rank, 0 first.
@@ -99,3 +108,6 @@
 
 // Valid says whether there is one.
 func (h Handle) Valid() bool { return h.Name != "" }
+
+// Hold names room that an engine keeps for one request.
+type Hold string
--- a/direct/request.go
+++ b/direct/request.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strings"
 	"time"
 
@@ -20,6 +21,8 @@
 	ask      Ask
 	id       work.RequestID
 	accepted time.Time
+	// account is who asks: the caller's address, where nothing else names one.
+	account work.Account
 	// until is when it must have its end: the caller's or the route's limit.
 	until   time.Time
 	version paths.Version
@@ -40,6 +43,8 @@
 	begun bool
 	// sends counts attempts of any outcome, runs those that may have run.
 	sends, runs int
+	// prefills counts the calls that had its prompt read.
+	prefills int
 	// ran is the worst that is known of all attempts.
 	ran work.Ran
 	// tried are upstreams that failed or refused it.
@@ -56,6 +61,8 @@
 	reason     work.Reason
 	detail     string
 	retryAfter time.Duration
+	// final says that no other attempt would find more.
+	final bool
 	// granted says that another attempt was taken from the budget already.
 	granted bool
 }
@@ -69,6 +76,9 @@
 	}
 	r.header = endToEnd(h.Header)
 	r.ask = s.Protocol.Ask(r.header)
+	if from, err := netip.ParseAddrPort(h.RemoteAddr); err == nil {
+		r.account = work.Account(from.Addr().String())
+	}
 	r.id, r.method, r.target, r.host = r.ask.ID, h.Method, h.RequestURI, h.Host
 	if f := s.accept(r, h); f != nil {
 		s.refuse(r, f)
@@ -113,7 +123,7 @@
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
 	r.limit()
 	s.budgets.window(name).Accepted(r.accepted, s.terms())
-	s.Log.Debug("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version)
+	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.ask.Prompt, "tokens", r.tokens(), "left", r.left())
 	return nil
 }
 
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -7,8 +7,6 @@
 	"net/http"
 	"time"
 
-	"jacinthworks/roster"
-	"jacinthworks/route"
 	"jacinthworks/send"
 	"jacinthworks/work"
 )
@@ -44,21 +42,20 @@
 // streamOnce makes one attempt at the rest of a stream.
 func (s *Server) streamOnce(ctx context.Context, r *request, e *events) *failure {
 	role := s.lastRole(r)
-	u := s.place(r, role, s.Settings.Zone, route.Load{
-		Units: 1, Tokens: r.tokens(), FailCost: r.failCost(), FarCost: farStage,
-	})
-	if u == nil {
-		return s.unplaced(r)
-	}
-	a := &attempt{upstream: u, work: roster.Work{Tokens: r.tokens()}, silence: r.headerPatience()}
-	a.stamp.LastEvent = e.last
+	p, f := s.room(ctx, r, role)
+	if f != nil {
+		return f
+	}
+	a := &attempt{upstream: p.upstream, work: p.work, counted: true, silence: r.headerPatience()}
+	a.stamp.LastEvent, a.stamp.Hold = e.last, p.hold
 	var from *prefilled
 	if role == work.RoleDecode && r.ask.Prompt >= prefillFrom {
-		if from = s.prefill(ctx, r, a); from != nil {
+		if from = s.prefill(ctx, r, p); from != nil {
 			a.stamp.Stage, a.stamp.Source = StageDecode, from.handle
 		}
 	}
 	if ctx.Err() != nil {
+		s.release(r, p)
 		s.free(r, from)
 		return &failure{ran: work.NotRun, reason: reasonOf(ctx), detail: "ended before an upstream had it"}
 	}
@@ -71,7 +68,7 @@
 	if reply.Status != http.StatusOK {
 		return s.passFailure(ctx, r, a, reply)
 	}
-	return s.events(ctx, r, a, reply, e)
+	return s.events(ctx, r, a, reply, e, p.since)
 }
 
 // lastRole is the role of the upstream that makes the answer: decode where the
@@ -128,7 +125,7 @@
 }
 
 // events passes the events of an answer on as they come.
-func (s *Server) events(ctx context.Context, r *request, a *attempt, reply *send.Reply, e *events) *failure {
+func (s *Server) events(ctx context.Context, r *request, a *attempt, reply *send.Reply, e *events, placed time.Time) *failure {
 	reply.SetSilence(r.gapPatience())
 	flush := http.NewResponseController(r.w)
 	buffer := make([]byte, readAtOnce)
@@ -137,6 +134,7 @@
 		n, err := reply.Read(buffer)
 		if n > 0 && first == 0 {
 			first = time.Since(a.began)
+			s.lines.line(r.service.Name).saw(time.Since(placed))
 		}
 		fresh := buffer[:n]
 		if r.route.Resumable {
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -108,6 +108,9 @@
 	// nobody fetches, SwitchTime how long a change of role takes it away.
 	HandleLife time.Duration
 	SwitchTime time.Duration
+	// HoldLife is how long room can be held for a request that is on its way;
+	// zero where engines hold none.
+	HoldLife time.Duration
 }
 
 // Service is a pool of upstreams that routes name.
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -113,12 +113,13 @@
 	s.decay(now)
 	others := s.others * fade(now.Sub(s.reportedAt), loadHalf)
 	return route.Offer{
-		Running: float64(s.running) + others,
-		Tokens:  s.tokens,
-		Queued:  s.queued,
-		Fails:   s.fails / (s.fails + s.answers + failPrior),
-		Speed:   s.speed,
-		Held:    now.Before(s.holdUntil),
+		Own:    s.running,
+		Others: others,
+		Tokens: s.tokens,
+		Queued: s.queued,
+		Fails:  s.fails / (s.fails + s.answers + failPrior),
+		Speed:  s.speed,
+		Held:   now.Before(s.holdUntil),
 	}
 }
 
--- a/route/offer.go
+++ b/route/offer.go
@@ -12,10 +12,11 @@
 	Name string `json:"name"`
 	// Near says that it is in this process's availability zone.
 	Near bool `json:"near"`
-	// Slots is how many requests it serves at once, zero for unknown; Running
-	// how many it has, as far as known.
-	Slots   int     `json:"slots"`
-	Running float64 `json:"running"`
+	// Slots is how many requests it serves at once, zero for unknown; Own how
+	// many this process has there, Others what others have, as far as known.
+	Slots  int     `json:"slots"`
+	Own    int     `json:"own"`
+	Others float64 `json:"others"`
 	// Memory is an engine's room in tokens, zero for unknown; Tokens what this
 	// process has there, Queued the prompt tokens that it has yet to read.
 	Memory int `json:"memory,omitempty"`
@@ -36,6 +37,14 @@
 	Units int
 	// Tokens is the memory it needs.
 	Tokens int
+	// Usual are the units and the memory of a request of others.
+	Usual Usual
+	// SkipHeld leaves out offers that have just refused for want of room; an
+	// estimate that one is full keeps none out then, since it will say so.
+	SkipHeld bool
+	// FullCost is the time that a request takes longer at an engine whose
+	// memory is full of others, which it shares its steps with.
+	FullCost time.Duration
 	// FailCost is the time that a failure costs: that of another try, or far
 	// more where there can be none.
 	FailCost time.Duration
@@ -43,6 +52,9 @@
 	FarCost time.Duration
 }
 
+// Usual is what a request takes as a rule.
+type Usual struct{ Units, Tokens int }
+
 // Figures for an offer that has answered nothing yet, or little.
 const (
 	defaultCall = 30 * time.Millisecond
@@ -56,6 +68,12 @@
 	fullWait = 1.0
 )
 
+// running is how many requests it has, as far as known.
+func (o Offer) running() float64 { return float64(o.Own) + o.Others }
+
+// memory is how much of its memory is taken, as far as known.
+func (o Offer) memory(l Load) float64 { return float64(o.Tokens) + o.Others*float64(l.Usual.Tokens) }
+
 // Score estimates the time to an answer, failures counted by what they cost.
 func (o Offer) Score(l Load) time.Duration {
 	speed := o.Speed
@@ -63,13 +81,16 @@
 		speed = defaultCall / time.Duration(max(l.Units, 1))
 	}
 	own := float64(speed) * float64(max(l.Units, 1))
-	score := own + float64(speed)*float64(o.Queued)
+	score := own + float64(speed)*(float64(o.Queued)+o.Others*float64(l.Usual.Units))
 	if o.Slots > 0 {
-		score += own * slowdown * min(o.Running/float64(o.Slots), 1)
-		if over := o.Running + 1 - float64(o.Slots); over > 0 {
+		score += own * slowdown * min(o.running()/float64(o.Slots), 1)
+		if over := o.running() + 1 - float64(o.Slots); over > 0 {
 			score += own * fullWait * over / float64(o.Slots)
 		}
 	}
+	if o.Memory > 0 {
+		score += o.memory(l) / float64(o.Memory) * float64(l.FullCost)
+	}
 	score += o.Fails * float64(l.FailCost)
 	if !o.Near {
 		score += float64(l.FarCost)
@@ -79,10 +100,10 @@
 
 // room says whether the offer can take the request at all, as far as known.
 func (o Offer) room(l Load) bool {
-	if o.Held || o.Slots > 0 && o.Running >= float64(o.Slots) {
+	if o.Held || o.Slots > 0 && o.running() >= float64(o.Slots) {
 		return false
 	}
-	return o.Memory == 0 || o.Tokens+l.Tokens <= o.Memory
+	return o.Memory == 0 || o.memory(l)+float64(l.Tokens) <= float64(o.Memory)
 }
 
 // Best gives the index of the offer with the lowest score, those with room
@@ -91,7 +112,10 @@
 	best, full = -1, true
 	var least float64
 	for i, o := range offers {
-		room := o.room(l)
+		if l.SkipHeld && o.Held {
+			continue
+		}
+		room := l.SkipHeld || o.room(l)
 		if !room && !full {
 			continue
 		}
