feed tells the return of its source at once; settings reload on SIGHUP and by time

Ruled out: a lost event; the event came with the same watch. Test: feed.TestReturnIsToldAtOnce failed first.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -4,6 +4,9 @@
 	"context"
 	"fmt"
 	"io"
+	"os"
+	"os/signal"
+	"syscall"
 
 	"jacinthworks/conf"
 	"jacinthworks/direct"
@@ -15,7 +18,7 @@
 var cmdDirect = command{name: "direct", help: "serve callers on an entry host, straight from registered upstreams", run: runDirect}
 
 func runDirect(ctx context.Context, args []string, out, errs io.Writer) int {
-	d, _, code, done := readSettings(args, "direct", conf.ParseDirect, out, errs)
+	d, a, code, done := readSettings(args, "direct", conf.ParseDirect, out, errs)
 	if done {
 		return code
 	}
@@ -23,6 +26,9 @@
 	go lines.Run()
 	defer lines.Close()
 	store := &platform.Store{Base: d.Platform}
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
+	defer signal.Stop(reloads)
 	s := &direct.Server{
 		Settings: d,
 		Log:      newLog(d.Log, "direct", d.Name, lines),
@@ -30,6 +36,14 @@
 		Protocol: platform.Protocol{},
 		Configs:  platform.Configs(store),
 		Servers:  platform.Servers(store),
+		Reloads:  reloads,
+		Reload: func() (conf.Direct, error) {
+			text, err := os.ReadFile(a.Settings)
+			if err != nil {
+				return conf.Direct{}, err
+			}
+			return conf.ParseDirect(a.Settings, text)
+		},
 	}
 	s.Meter.Gauge("jacinthworks_log_lines_dropped", nil, func() float64 { return float64(lines.Dropped()) })
 	if err := s.Run(ctx); err != nil {
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -20,6 +20,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -48,9 +49,15 @@
 	Servers feed.Source[roster.Server]
 	// Meter takes the counters and histograms.
 	Meter *meter.Set
+	// Reload, if set, reads the settings again; it is asked on each Reloads and
+	// from time to time, since settings also change without a word.
+	Reload  func() (conf.Direct, error)
+	Reloads <-chan os.Signal
 	// Listening, if set, is told the addresses once they accept connections.
 	Listening func(callers, ready netip.AddrPort)
 
+	// live are the settings that may change while the process runs.
+	live    atomic.Pointer[conf.Direct]
 	holder  paths.Holder
 	roster  roster.Roster
 	crashes retry.Ledger
@@ -108,6 +115,7 @@
 	loops.Go(serving, "configuration", s.configFeed().Run)
 	loops.Go(serving, "upstreams", s.serverFeed().Run)
 	loops.Go(serving, "idle connections", idle.run)
+	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
 	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
 	if s.Settings.MetricsListen.IsValid() {
@@ -142,6 +150,8 @@
 	}
 	s.Settings.Limits = s.Settings.Limits.OrDefaults()
 	s.roster.Log = s.Log
+	live := s.Settings
+	s.live.Store(&live)
 }
 
 func serveOn(h *http.Server, l net.Listener) error {
--- a/direct/request.go
+++ b/direct/request.go
@@ -186,7 +186,7 @@
 
 // terms are the figures that bound repeats here.
 func (s *Server) terms() retry.Terms {
-	p := s.Settings.Repeats
+	p := s.live.Load().Repeats
 	return retry.Terms{Ratio: p.Ratio, Share: float64(p.Fixed) / entriesAssumed, Span: p.Span}
 }
 
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -67,7 +67,9 @@
 	// The pause before another try doubles from the first to the last. The
 	// last is well under the two seconds in which a change is to be in force.
 	firstPause = 100 * time.Millisecond
-	lastPause  = 800 * time.Millisecond
+	lastPause  = 400 * time.Millisecond
+	// returnWait is the wait of a watch while the source is lost.
+	returnWait = 10 * time.Millisecond
 )
 
 // Feed follows a collection. Set the fields before Run; the functions are
@@ -137,6 +139,12 @@
 	if wait <= 0 {
 		wait = DefaultWait
 	}
+	// Failure: the source is back, and the watch that finds it waits for a
+	// change. It shows as a return that is told with the next change. A short
+	// wait tells it at once.
+	if f.lost {
+		wait = returnWait
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 	changes, at, err := f.Source.Watch(ctx, f.revision, wait)
--- /dev/null
+++ b/feed/feed_test.go
@@ -0,0 +1,153 @@
+package feed_test
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/feed"
+)
+
+// source is a collection in memory that can be told to fail.
+type source struct {
+	mu      sync.Mutex
+	at      feed.Revision
+	names   []string
+	down    bool
+	history feed.Revision // changes up to here are forgotten
+	changes []feed.Change[string]
+	calls   []time.Duration // the waits asked for
+	changed chan struct{}
+}
+
+var errDown = errors.New("down")
+
+func (s *source) List(context.Context) ([]feed.Item[string], feed.Revision, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down {
+		return nil, 0, errDown
+	}
+	var all []feed.Item[string]
+	for _, n := range s.names {
+		all = append(all, feed.Item[string]{Name: n, Value: n})
+	}
+	return all, s.at, nil
+}
+
+func (s *source) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[string], feed.Revision, error) {
+	s.mu.Lock()
+	s.calls = append(s.calls, wait)
+	s.mu.Unlock()
+	deadline := time.After(wait)
+	for {
+		s.mu.Lock()
+		down, history, at := s.down, s.history, s.at
+		var fresh []feed.Change[string]
+		for _, c := range s.changes {
+			if c.Revision > after {
+				fresh = append(fresh, c)
+			}
+		}
+		s.mu.Unlock()
+		switch {
+		case down:
+			return nil, 0, errDown
+		case after < history:
+			return nil, 0, feed.ErrHistory
+		case len(fresh) > 0:
+			return fresh, at, nil
+		}
+		select {
+		case <-s.changed:
+		case <-deadline:
+			return nil, at, nil
+		case <-ctx.Done():
+			return nil, 0, ctx.Err()
+		}
+	}
+}
+
+func (s *source) set(change func()) {
+	s.mu.Lock()
+	change()
+	s.mu.Unlock()
+	select {
+	case s.changed <- struct{}{}:
+	default:
+	}
+}
+
+// heard collects what a feed tells.
+type heard struct {
+	listed   chan []feed.Item[string]
+	changed  chan []feed.Change[string]
+	lost     chan time.Time
+	regained chan time.Time
+}
+
+func run(t *testing.T, s *source) (*feed.Feed[string], heard) {
+	t.Helper()
+	h := heard{make(chan []feed.Item[string], 8), make(chan []feed.Change[string], 8), make(chan time.Time, 8), make(chan time.Time, 8)}
+	f := &feed.Feed[string]{
+		Name: "test", Source: s, Log: hclog.NewNullLogger(), Wait: time.Minute,
+		Listed:   func(_ time.Time, all []feed.Item[string]) { h.listed <- all },
+		Changed:  func(_ time.Time, changes []feed.Change[string]) { h.changed <- changes },
+		Lost:     func(now time.Time) { h.lost <- now },
+		Regained: func(now time.Time) { h.regained <- now },
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	t.Cleanup(func() { cancel(); require.NoError(t, <-ended) })
+	return f, h
+}
+
+// Story: the store forgets the changes that a watch asks for. What changed in
+// between is in no event any more; only a list tells it.
+func TestHistoryGoneListsAnew(t *testing.T) {
+	s := &source{at: 5, names: []string{"a"}, changed: make(chan struct{}, 1)}
+	_, h := run(t, s)
+	require.Len(t, <-h.listed, 1)
+	s.set(func() { s.at, s.history, s.names = 9, 8, []string{"a", "b"} })
+	require.Len(t, <-h.listed, 2)
+}
+
+// Story: a process is cut off from the store for some seconds. When the path
+// is back, the first watch waits for a change, and nothing changes; the return
+// is noticed with the next change only, maybe a minute later. Whatever counts
+// from the return, such as how long a server that left the registry is kept,
+// then starts too late.
+func TestReturnIsToldAtOnce(t *testing.T) {
+	s := &source{at: 5, names: []string{"a"}, changed: make(chan struct{}, 1)}
+	_, h := run(t, s)
+	<-h.listed
+	s.set(func() { s.down = true })
+	<-h.lost
+	s.set(func() { s.down = false })
+	select {
+	case <-h.regained:
+	case <-time.After(5 * time.Second):
+		t.Fatal("the return was not told though the source answers")
+	}
+}
+
+func TestChangesAndAge(t *testing.T) {
+	s := &source{at: 5, changed: make(chan struct{}, 1)}
+	f, h := run(t, s)
+	<-h.listed
+	age, known := f.Age(time.Now())
+	require.True(t, known)
+	require.Less(t, age, 5*time.Second)
+	s.set(func() {
+		s.at = 6
+		s.changes = append(s.changes, feed.Change[string]{Item: feed.Item[string]{Name: "b", Revision: 6, Value: "b"}})
+	})
+	got := <-h.changed
+	require.Equal(t, "b", got[0].Value)
+}
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -45,7 +45,9 @@
 func (s *Set) Count(name string, l Labels) { s.Add(name, l, 1) }
 
 // Add adds n to a counter.
-func (s *Set) Add(name string, l Labels, n int) { s.open().GetOrCreateCounter(name + l.String()).Add(n) }
+func (s *Set) Add(name string, l Labels, n int) {
+	s.open().GetOrCreateCounter(name + l.String()).Add(n)
+}
 
 // Observe adds a time to a histogram.
 func (s *Set) Observe(name string, l Labels, took time.Duration) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -34,7 +34,7 @@
 // Grace is how long after the registry's return a member that it dropped is
 // kept. Members register anew within about two seconds of the return; one that
 // is still missing then is gone.
-const Grace = 2200 * time.Millisecond
+const Grace = 2 * time.Second
 
 // The timeouts of connections to upstreams. A dial takes under 2 ms between
 // availability zones; 250 ms leave time for another upstream within a target
