--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -15,6 +15,10 @@
 // included: it is more than the upstreams of most pools.
 const maxSends = 6
 
+// silenceSlack leaves the end of a request's time to its context, so that a
+// silence until then reads as what it is.
+const silenceSlack = 100 * time.Millisecond
+
 // attempt is one send of a request to an upstream.
 type attempt struct {
 	upstream *roster.Upstream
@@ -37,7 +41,7 @@
 	header := r.header.Clone()
 	s.Protocol.Stamp(header, a.stamp)
 	if a.silence <= 0 {
-		a.silence = r.left()
+		a.silence = r.left() + silenceSlack
 	}
 	if a.stamp.Stage != StagePrefill {
 		r.sends++
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -63,6 +63,7 @@
 	crashes retry.Ledger
 	budgets budgets
 	lines   lines
+	waits   waits
 	leaving atomic.Bool
 	work    group.Group
 	workCtx context.Context
--- a/direct/line.go
+++ b/direct/line.go
@@ -24,6 +24,8 @@
 	freed chan struct{}
 	// toFirst is the time from finding room to the first event, as measured.
 	toFirst time.Duration
+	// full is when requests began to be refused, and refused when one last was.
+	full, refused time.Time
 }
 
 // lines holds the line of each service.
@@ -55,16 +57,62 @@
 	firstKeep = 0.8
 )
 
-// item describes a request to the queue. One that has its room after the
-// target is of little use to its caller: it is told to return instead.
-func (l *line) item(r *request) queue.Item {
+// lateWait is how long a request waits that has missed its target already. It
+// goes behind all that can still meet theirs, and callers of a stream give up
+// after some seconds without an event.
+const lateWait = 2 * time.Second
+
+// item describes a request to the queue, and says until when it may wait. One
+// that would have its room after the target is of little use to its caller: it
+// is told to return instead. One that returns late waits in what the others
+// leave.
+//
+// Load pattern: a burst is refused in part, and what was refused returns in the
+// next second. Served in order of arrival, it takes the places of fresh
+// requests, which are then late as well, and so on after the burst.
+func (l *line) item(r *request) (i queue.Item, until time.Time, late bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	return queue.Item{
+	i = queue.Item{
 		ID: r.id, Account: r.account, Priority: queue.Priorities - 1 - r.route.Priority,
 		Prompt: r.ask.Prompt, Output: r.tokens() - r.ask.Prompt,
-		FirstToken: r.accepted.Add(r.targetLatency()), Deadline: r.until, ToFirstToken: l.toFirst, ToEnd: l.toFirst,
+		FirstToken: r.first.Add(r.targetLatency()), Deadline: r.until, ToFirstToken: l.toFirst, ToEnd: l.toFirst,
 	}
+	until = i.FirstToken.Add(-i.ToFirstToken)
+	if until.After(r.accepted) {
+		return i, until, false
+	}
+	i.Priority, i.MayWait = 0, true
+	if latest := time.Now().Add(lateWait); latest.Before(i.Deadline) {
+		i.Deadline = latest
+	}
+	return i, i.Deadline.Add(-i.ToEnd), true
+}
+
+const (
+	// returnLeast is the least time to a return: engines take about as long
+	// to end what they run.
+	returnLeast = 2 * time.Second
+	// fullGap ends a time of refusals.
+	fullGap = 2 * time.Second
+	// returnJitter is the part of the time by which returns are spread.
+	returnJitter = 0.5
+)
+
+// returns gives when a refused request should return. How long an overload
+// will last is not known; the best guess is as long as it has lasted.
+//
+// Load pattern: a burst of some seconds, whose callers return once. Told to
+// return in the next second they are refused again, for good.
+func (l *line) returns(now time.Time) time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.refused) > fullGap {
+		l.full = now
+	}
+	l.refused = now
+	after := max(returnLeast, now.Sub(l.full))
+	return after + time.Duration(returnJitter*l.random.Float64()*float64(after))
 }
 
 // saw notes the time from finding room to the first event.
@@ -76,12 +124,12 @@
 
 // enter waits for the request's turn. A refusal says that there is none; else
 // leave must be called.
-func (l *line) enter(ctx context.Context, i queue.Item) *queue.Refusal {
+func (l *line) enter(ctx context.Context, i queue.Item, until time.Time) *queue.Refusal {
 	turn, refusal := l.arrive(i)
 	if turn == nil {
 		return refusal
 	}
-	lapse := time.NewTimer(time.Until(i.FirstToken.Add(-i.ToFirstToken)))
+	lapse := time.NewTimer(time.Until(until))
 	defer lapse.Stop()
 	for {
 		select {
@@ -151,14 +199,16 @@
 	defer l.mu.Unlock()
 	now := time.Now()
 	l.queue.Return(now, i)
+	own := &queue.Refusal{Reason: work.ReasonTooLate, Detail: queue.DetailLapsed}
 	for _, r := range l.queue.Lapsed(now, l.random) {
 		if r.Item.ID == i.ID {
-			return &r.Refusal
+			own = &r.Refusal
+			continue
 		}
 		l.refuse([]queue.Refused{r})
 	}
 	l.queue.Remove(now, i.ID)
-	return &queue.Refusal{Reason: work.ReasonTooLate, Detail: queue.DetailLapsed, RetryAfter: returnAfter}
+	return own
 }
 
 func (l *line) sweep(now time.Time) { l.refuse(l.queue.Lapsed(now, l.random)) }
--- a/direct/request.go
+++ b/direct/request.go
@@ -21,6 +21,8 @@
 	ask      Ask
 	id       work.RequestID
 	accepted time.Time
+	// first is when the caller asked for the first time, as far as known.
+	first time.Time
 	// account is who asks: the caller's address, where nothing else names one.
 	account work.Account
 	// until is when it must have its end: the caller's or the route's limit.
@@ -120,6 +122,7 @@
 	if r.service == nil {
 		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the route names a service that does not exist", retryAfter: time.Second}
 	}
+	r.first = r.accepted.Add(-s.waits.age(route.Name, r.ask.Within))
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
 	r.limit()
 	s.budgets.window(name).Accepted(r.accepted, s.terms())
--- a/direct/room.go
+++ b/direct/room.go
@@ -7,7 +7,6 @@
 	"jacinthworks/queue"
 	"jacinthworks/roster"
 	"jacinthworks/route"
-	"jacinthworks/send"
 	"jacinthworks/work"
 )
 
@@ -20,6 +19,13 @@
 	fullFor = 80 * time.Millisecond
 	// holdWithin bounds the call that holds room; it takes a round trip.
 	holdWithin = 150 * time.Millisecond
+	// holdPart is the part of the likely answer that room is held for. The
+	// engine keeps what is held for the whole run, and most of an answer's
+	// memory is taken near its end.
+	holdPart = 0.5
+	// reserve is the part of an engine's memory that is left to requests which
+	// can still meet their target: two or three of them.
+	reserve = 0.20
 	// dropWithin bounds the call that frees held room, which ends by itself.
 	dropWithin = time.Second
 	// fullCost is how much longer a request takes at an engine that is full
@@ -44,14 +50,21 @@
 // itself counts what it has promised, to all callers together.
 func (s *Server) room(ctx context.Context, r *request, role work.Role) (*room, *failure) {
 	l := s.lines.line(r.service.Name)
-	i := l.item(r)
-	if refusal := l.enter(ctx, i); refusal != nil {
+	i, until, late := l.item(r)
+	if found, any := s.look(ctx, r, role, late); found != nil {
+		return found, nil
+	} else if !any {
+		return nil, s.unplaced(r)
+	}
+	if late {
+		return nil, s.unroomed(ctx, r, &queue.Refusal{Reason: work.ReasonTooLate, Detail: queue.DetailLapsed})
+	}
+	if refusal := l.enter(ctx, i, until); refusal != nil {
 		return nil, s.unroomed(ctx, r, refusal)
 	}
 	defer l.leave()
-	until := i.FirstToken.Add(-i.ToFirstToken)
 	for {
-		found, any := s.look(ctx, r, role)
+		found, any := s.look(ctx, r, role, late)
 		switch {
 		case found != nil:
 			return found, nil
@@ -74,7 +87,8 @@
 
 // unroomed turns a refusal of the queue into the request's.
 func (s *Server) unroomed(ctx context.Context, r *request, q *queue.Refusal) *failure {
-	f := &failure{ran: work.NotRun, reason: q.Reason, detail: string(q.Detail), retryAfter: q.RetryAfter, final: true}
+	f := &failure{ran: work.NotRun, reason: q.Reason, detail: string(q.Detail), final: true}
+	f.retryAfter = max(q.RetryAfter, s.lines.line(r.service.Name).returns(time.Now()))
 	if ctx.Err() != nil {
 		f.reason = reasonOf(ctx)
 	}
@@ -85,14 +99,14 @@
 
 // look asks the engines that may have room, the best first. any says that
 // there is an engine at all.
-func (s *Server) look(ctx context.Context, r *request, role work.Role) (found *room, any bool) {
+func (s *Server) look(ctx context.Context, r *request, role work.Role, late bool) (found *room, any bool) {
 	for ctx.Err() == nil {
 		u, held := s.placeWithRoom(r, role)
 		if u == nil {
 			return nil, held
 		}
 		any = true
-		if p := s.take(ctx, r, u); p != nil {
+		if p := s.take(ctx, r, u, late); p != nil {
 			return p, true
 		}
 	}
@@ -108,46 +122,62 @@
 		FullCost: fullCost, FailCost: r.failCost(), FarCost: farStage,
 	})
 	if u == nil || o.Held {
-		return nil, u != nil
+		return nil, s.has(r, role, "")
 	}
 	return u, false
 }
 
-// take holds room at the engine, where engines do; else it counts on it.
-func (s *Server) take(ctx context.Context, r *request, u *roster.Upstream) *room {
-	now := time.Now()
-	p := &room{upstream: u, work: roster.Work{Tokens: r.tokens()}, since: now}
-	life := r.engine().HoldLife
-	if life <= 0 {
+// take holds room at the engine, where engines do; else it counts on it. For a
+// request that is late already it first asks for more than it needs.
+//
+// Load pattern: a burst with returns from an earlier one. What is late takes
+// each place that comes free while no fresh request happens to wait here, and
+// the fresh ones of all entries find none. Asking for more leaves the last
+// places of each engine to them.
+func (s *Server) take(ctx context.Context, r *request, u *roster.Upstream, late bool) *room {
+	p := &room{upstream: u, work: roster.Work{Tokens: r.tokens()}, since: time.Now()}
+	if r.engine().HoldLife <= 0 {
 		u.Seen.Begin(p.work)
 		return p
 	}
-	ask, err := s.Protocol.Hold(r.tokens(), life)
-	if err != nil {
-		s.Log.Error("hold not asked for", "request", r.id, "err", err)
+	need := r.ask.Prompt + max(int(holdPart*float64(r.tokens()-r.ask.Prompt)), leastOutput)
+	if late {
+		spare := s.held(ctx, r, u, need+int(reserve*float64(r.engine().KVTokens)))
+		if spare == "" {
+			return nil
+		}
+		s.drop(r, u, spare)
+	}
+	if p.hold = s.held(ctx, r, u, need); p.hold == "" {
 		return nil
 	}
 	u.Seen.Begin(p.work)
-	p.hold, err = s.askHold(ctx, u, ask)
-	took := time.Since(now)
+	s.Log.Info("room held", "request", r.id, "upstream", u.Server().ID, "tokens", need, "late", late, "took", time.Since(p.since))
+	return p
+}
+
+// held asks an engine to hold room; "" says that there is none, or no answer.
+func (s *Server) held(ctx context.Context, r *request, u *roster.Upstream, tokens int) Hold {
+	began := time.Now()
+	h, err := s.askHold(ctx, u, tokens, r.engine().HoldLife)
 	switch {
 	case err != nil:
-		u.Seen.End(p.work)
 		u.Seen.Failed(time.Now())
 		r.avoid(u)
-		s.Log.Info("hold failed", "request", r.id, "upstream", u.Server().ID, "err", err, "took", took)
-		return nil
-	case p.hold == "":
-		u.Seen.End(p.work)
+		s.Log.Info("hold failed", "request", r.id, "upstream", u.Server().ID, "err", err, "took", time.Since(began))
+		return ""
+	case h == "":
 		u.Seen.Full(time.Now().Add(fullFor))
-		s.Log.Debug("no room held", "request", r.id, "upstream", u.Server().ID, "took", took)
-		return nil
+		s.Log.Debug("no room held", "request", r.id, "upstream", u.Server().ID, "took", time.Since(began))
 	}
-	s.Log.Info("room held", "request", r.id, "upstream", u.Server().ID, "tokens", p.work.Tokens, "took", took)
-	return p
+	return h
 }
 
-func (s *Server) askHold(ctx context.Context, u *roster.Upstream, ask send.Request) (Hold, error) {
+func (s *Server) askHold(ctx context.Context, u *roster.Upstream, tokens int, life time.Duration) (Hold, error) {
+	ask, err := s.Protocol.Hold(tokens, life)
+	if err != nil {
+		return "", err
+	}
 	ctx, cancel := context.WithTimeout(ctx, holdWithin)
 	defer cancel()
 	s.Protocol.Stamp(ask.Header, Stamp{Upstream: u.Server().ID, Within: holdWithin})
@@ -166,11 +196,15 @@
 func (s *Server) release(r *request, p *room) {
 	p.upstream.Seen.End(p.work)
 	s.lines.line(r.service.Name).free()
-	if p.hold == "" {
-		return
+	if p.hold != "" {
+		s.drop(r, p.upstream, p.hold)
 	}
+}
+
+// drop frees held room.
+func (s *Server) drop(r *request, u *roster.Upstream, h Hold) {
 	s.later("drop hold", dropWithin, func(ctx context.Context) error {
-		reply, err := p.upstream.Client.Do(ctx, s.Protocol.Drop(p.hold))
+		reply, err := u.Client.Do(ctx, s.Protocol.Drop(h))
 		if err != nil {
 			s.Log.Info("hold not dropped", "request", r.id, "err", err)
 			return nil
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -97,7 +97,7 @@
 // gapPatience bounds the pause between two reads.
 func (r *request) gapPatience() time.Duration {
 	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
-		return r.left()
+		return r.left() + silenceSlack
 	}
 	gap := r.route.TargetGap
 	if gap <= 0 {
@@ -129,9 +129,14 @@
 	reply.SetSilence(r.gapPatience())
 	flush := http.NewResponseController(r.w)
 	buffer := make([]byte, readAtOnce)
-	var first time.Duration
+	var first, longest time.Duration
+	last := time.Now()
 	for {
 		n, err := reply.Read(buffer)
+		if n > 0 && first > 0 {
+			longest = max(longest, time.Since(last))
+		}
+		last = time.Now()
 		if n > 0 && first == 0 {
 			first = time.Since(a.began)
 			s.lines.line(r.service.Name).saw(time.Since(placed))
@@ -169,7 +174,7 @@
 		s.header(r, reply) // a stream without events
 	}
 	s.done(r, a, first, 1, true)
-	s.end(r, "answered", "upstream", a.id, "status", reply.Status, "first", first, "last_event", e.last)
+	s.end(r, "answered", "upstream", a.id, "status", reply.Status, "first", first, "longest_gap", longest, "last_event", e.last)
 	return nil
 }
 
