Engines change roles by one entry's orders, fenced; a lease in the platform's store

Ruled out: slots, prefill (2.1 of 4 busy). fence and place, which no process called, now run here; place gets a tempo for changes of seconds, and evens roles out. A lease counts suspended time (CLOCK_BOOTTIME).

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -36,6 +36,7 @@
 		Protocol: platform.Protocol{},
 		Configs:  platform.Configs(store),
 		Servers:  platform.Servers(store),
+		Records:  store,
 		Reloads:  reloads,
 		Reload: func() (conf.Direct, error) {
 			text, err := os.ReadFile(a.Settings)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -31,6 +31,7 @@
 	"jacinthworks/conf"
 	"jacinthworks/feed"
 	"jacinthworks/group"
+	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/paths"
 	"jacinthworks/retry"
@@ -47,6 +48,9 @@
 	// read from.
 	Configs feed.Source[*paths.Config]
 	Servers feed.Source[roster.Server]
+	// Records, if set, holds the lease of the one entry that gives orders to
+	// engines; without it no engine changes its role.
+	Records lease.Records
 	// Meter takes the counters and histograms.
 	Meter *meter.Set
 	// Reload, if set, reads the settings again; it is asked on each Reloads and
@@ -117,6 +121,7 @@
 	loops.Go(serving, "upstreams", s.serverFeed().Run)
 	loops.Go(serving, "idle connections", idle.run)
 	loops.Go(serving, "settings", s.reload)
+	loops.Go(serving, "roles", s.planRoles)
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
 	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
 	if s.Settings.MetricsListen.IsValid() {
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"jacinthworks/fence"
 	"jacinthworks/roster"
 	"jacinthworks/send"
 	"jacinthworks/work"
@@ -29,6 +30,13 @@
 	Hold(tokens int, life time.Duration) (send.Request, error)
 	Held(status int, body []byte) (Hold, error)
 	Drop(h Hold) send.Request
+	// AskState gives the call for an engine's state, State reads its answer.
+	AskState() send.Request
+	State(body []byte) (State, error)
+	// ChangeRole gives the order that changes an engine's role, if it has
+	// taken just so many orders before; Ordered reads its answer's status.
+	ChangeRole(to work.Role, holder work.Host, number fence.Number, after int) (send.Request, error)
+	Ordered(status int) Ordered
 }
 
 // Part is one part of a prompt, which other requests may share.
@@ -111,3 +119,26 @@
 
 // Hold names room that an engine keeps for one request.
 type Hold string
+
+// State is an engine's own account of itself.
+type State struct {
+	Role work.Role
+	// Changing says that an order is being carried out; Orders counts those
+	// taken since its start.
+	Changing bool
+	Orders   int
+	// Running and Waiting count requests; Taken is the part of Memory, in
+	// tokens, that cannot be given up.
+	Running, Waiting int
+	Memory, Taken    int
+}
+
+// Ordered is what an engine answers to an order.
+type Ordered string
+
+// The answers. Any other end leaves open whether it will be carried out.
+const (
+	OrderTaken   Ordered = "taken"
+	OrderFenced  Ordered = "fenced"
+	OrderRefused Ordered = "refused"
+)
--- a/direct/room.go
+++ b/direct/room.go
@@ -22,7 +22,7 @@
 	// holdPart is the part of the likely answer that room is held for. The
 	// engine keeps what is held for the whole run, and most of an answer's
 	// memory is taken near its end.
-	holdPart = 0.5
+	holdPart = 1.0
 	// reserve is the part of an engine's memory that is left to requests which
 	// can still meet their target: two or three of them.
 	reserve = 0.20
@@ -178,18 +178,11 @@
 	if err != nil {
 		return "", err
 	}
-	ctx, cancel := context.WithTimeout(ctx, holdWithin)
-	defer cancel()
-	s.Protocol.Stamp(ask.Header, Stamp{Upstream: u.Server().ID, Within: holdWithin})
-	reply, err := u.Client.Do(ctx, ask)
+	body, status, err := s.ask(ctx, u, ask, holdWithin)
 	if err != nil {
 		return "", err
 	}
-	body, err := reply.All(shortAnswer)
-	if err != nil {
-		return "", err
-	}
-	return s.Protocol.Held(reply.Status, body)
+	return s.Protocol.Held(status, body)
 }
 
 // release gives up room that was not used.
--- /dev/null
+++ b/lease/lease.go
@@ -0,0 +1,135 @@
+// Package lease keeps a fence.Guard in step with its record in the platform:
+// it reads and writes the record as the guard asks.
+//
+// # Usage
+//
+//	k := lease.Keeper{Records: objects, Name: "orders/engine-1", Guard: fence.Guard{Holder: host, Incarnation: n}}
+//	number, err := k.Hold(ctx)        // waits until an order may be given
+//
+//	until := k.Step(ctx)              // or, for a standing holder, one action
+//	number, err := k.May(time.Time{}) // at a time
+//	err = k.Gave(number)
+//
+// A Keeper belongs to one goroutine.
+package lease
+
+import (
+	"context"
+	"encoding/json"
+	"time"
+
+	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
+
+	"jacinthworks/fence"
+	"jacinthworks/plat"
+)
+
+// Records is the part of the platform's object API that a lease needs.
+type Records interface {
+	Get(ctx context.Context, name string) (plat.Object, error)
+	Put(ctx context.Context, name string, value []byte, at plat.Version) (plat.Version, error)
+}
+
+// Keeper holds a lease, or waits for it.
+type Keeper struct {
+	Records Records
+	// Name is the record's.
+	Name  string
+	Guard fence.Guard
+	// Now is the clock; nil is Boottime.
+	Now func() time.Time
+}
+
+// Boottime is a clock that counts the time for which the host was suspended.
+//
+// Failure: a host is suspended while it holds the lease, another takes over,
+// and the first wakes and goes on. Go's monotonic clock stands still meanwhile,
+// so that by it the lease still holds. It shows as orders of two holders. This
+// clock shows the time that has passed, and no step of the time of day moves it.
+func Boottime() time.Time {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &t); err != nil {
+		return time.Now()
+	}
+	return time.Unix(t.Unix())
+}
+
+func (k *Keeper) now() time.Time {
+	if k.Now != nil {
+		return k.Now()
+	}
+	return Boottime()
+}
+
+// Holds says whether an order may be given now.
+func (k *Keeper) Holds() bool { return k.Guard.Holds(k.now()) }
+
+// May gives the fencing number for one order. It takes no notice of the time
+// given, which is on another clock than the lease's.
+func (k *Keeper) May(time.Time) (fence.Number, error) { return k.Guard.May(k.now()) }
+
+// Gave says that an order was taken, or is known not to have been.
+func (k *Keeper) Gave(n fence.Number) error { return k.Guard.Gave(k.now(), n) }
+
+// Hold does what the guard asks until an order may be given.
+func (k *Keeper) Hold(ctx context.Context) (fence.Number, error) {
+	for ctx.Err() == nil {
+		if number, err := k.May(time.Time{}); err == nil {
+			return number, nil
+		}
+		wait := k.Step(ctx)
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-t.C:
+		}
+		t.Stop()
+	}
+	return 0, errors.Wrap(fence.ErrNotHolder, "lease")
+}
+
+// Step does one thing that the guard asks for, and gives the time to the next.
+func (k *Keeper) Step(ctx context.Context) time.Duration {
+	switch a := k.Guard.Next(k.now()); a.Do {
+	case fence.Read:
+		k.read(ctx)
+	case fence.Write:
+		k.write(ctx, a)
+	case fence.Wait:
+		return a.Until.Sub(k.now())
+	}
+	return 0
+}
+
+func (k *Keeper) read(ctx context.Context) {
+	o, err := k.Records.Get(ctx, k.Name)
+	if errors.Is(err, plat.ErrMissing) {
+		k.Guard.Saw(k.now(), fence.Record{}, 0)
+		return
+	}
+	var r fence.Record
+	if err != nil || json.Unmarshal(o.Value, &r) != nil {
+		k.Guard.NoAnswer(k.now())
+		return
+	}
+	k.Guard.Saw(k.now(), r, uint64(o.Version))
+}
+
+func (k *Keeper) write(ctx context.Context, a fence.Action) {
+	sent := k.now()
+	text, err := json.Marshal(a.Record)
+	if err != nil {
+		k.Guard.NoAnswer(k.now())
+		return
+	}
+	v, err := k.Records.Put(ctx, k.Name, text, plat.Version(a.At))
+	switch {
+	case err == nil:
+		k.Guard.Wrote(sent, uint64(v))
+	case errors.Is(err, plat.ErrConflict):
+		k.Guard.Conflicted()
+	default:
+		k.Guard.NoAnswer(k.now())
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -129,17 +129,54 @@
 	Grounds string `json:"grounds"`
 }
 
+// Tempo is how fast a planner acts. The zero value is that of the constants,
+// for changes that load weights and take minutes.
+type Tempo struct {
+	Smooth, Fall, Hold, Cooldown time.Duration
+	// Even, if not zero, also moves an engine between the roles of a model
+	// where no pool is in need: when the fuller one of the two pools gets this
+	// much less full by it. A burst then meets pools that are equally far from
+	// full, and none has to change in its midst.
+	Even float64
+}
+
+// TempoOf gives the tempo for changes that take the given time and load
+// nothing: the same proportions as those of the constants have to the time of
+// loading weights, and a margin that two moves there and back cannot both pass.
+func TempoOf(change time.Duration) Tempo {
+	return Tempo{Smooth: change * 2 / 3, Fall: 2 * change, Hold: change / 3, Cooldown: 2 * change, Even: 0.05}
+}
+
+func (t Tempo) orDefaults() Tempo {
+	if t.Smooth == 0 {
+		t.Smooth = Smooth
+	}
+	if t.Fall == 0 {
+		t.Fall = Fall
+	}
+	if t.Hold == 0 {
+		t.Hold = Hold
+	}
+	if t.Cooldown == 0 {
+		t.Cooldown = Cooldown
+	}
+	return t
+}
+
 // Planner keeps what hysteresis needs to remember. The zero value is ready to
 // use; it belongs to one goroutine. A planner that starts anew, after another
 // was lost, first has to see Hold pass, so that a change of planners changes
 // nothing else.
 type Planner struct {
+	Tempo Tempo
+
 	began  time.Time
 	last   time.Time
 	demand map[Pool]float64   // smoothed
 	lately map[Pool]float64   // the same, but falling by Fall
 	above  map[Pool]time.Time // since when over High
 	moved  map[Pool]move      // last change from or to
+	uneven map[Pool]time.Time // since when an engine more would even it out
 }
 
 // move is a pool's last change.
@@ -157,18 +194,26 @@
 	states := p.states(now, v)
 	p.watch(now, states)
 	to, from, found := p.choose(now, v, states)
-	if !found {
-		return nil
+	if found {
+		return p.orders(now, v, to, from, p.pick(v, to, from), next)
+	}
+	if to, from, found = p.evenOut(now, states); found {
+		i := mostCrowded(from.engines, to.engines)
+		return p.orders(now, v, to, from, from.engines[i:i+1], next)
 	}
+	return nil
+}
+
+// orders gives the orders that move the engines.
+func (p *Planner) orders(now time.Time, v View, to, from state, engines []Engine, next func(time.Time) (fence.Number, error)) []Order {
 	var orders []Order
-	for _, e := range p.pick(v, to, from) {
+	for _, e := range engines {
 		n, err := next(now)
 		if err != nil {
 			break
 		}
 		o := Order{Host: e.Host, From: from.pool, To: to.pool, Fence: n}
-		o.Grounds = fmt.Sprintf("%s at %.2f over %.2f, %s would be at %.2f under %.2f",
-			to.pool, to.pressure(0), High, from.pool, from.without(1), Low)
+		o.Grounds = fmt.Sprintf("%s at %.2f, %s would be at %.2f", to.pool, to.pressure(0), from.pool, from.without(1))
 		if from.pool.Model != to.pool.Model && v.BytesPerSecond > 0 {
 			o.BytesPerSecond = v.BytesPerSecond / Loads
 			seconds := float64(v.Sizes[to.pool.Model]) / float64(max(1, o.BytesPerSecond))
@@ -204,7 +249,7 @@
 		return false
 	}
 	// A pool without any engine refuses all that is asked of it: no Hold.
-	return len(s.engines) == 0 || now.Sub(since) >= Hold
+	return len(s.engines) == 0 || now.Sub(since) >= p.Tempo.orDefaults().Hold
 }
 
 func (p *Planner) giver(now time.Time, v View, states []state, need state) (state, bool) {
@@ -223,6 +268,45 @@
 	return best, found
 }
 
+// evenOut gives two pools of a model of which one should give an engine to the
+// other although neither is in need.
+func (p *Planner) evenOut(now time.Time, states []state) (to, from state, found bool) {
+	t := p.Tempo.orDefaults()
+	if t.Even == 0 {
+		return to, from, false
+	}
+	for _, need := range states {
+		give, ok := p.evener(now, t, states, need)
+		if !ok {
+			delete(p.uneven, need.pool)
+			continue
+		}
+		if _, known := p.uneven[need.pool]; !known {
+			p.uneven[need.pool] = now
+		}
+		if now.Sub(p.uneven[need.pool]) >= t.Hold && !found {
+			to, from, found = need, give, true
+		}
+	}
+	return to, from, found
+}
+
+// evener gives the pool of the same model that can give one an engine so that
+// the fuller of the two gets less full.
+func (p *Planner) evener(now time.Time, t Tempo, states []state, need state) (state, bool) {
+	if need.pool.Role == work.RoleApp || need.changing > 0 || !p.settled(now, need.pool) {
+		return state{}, false
+	}
+	for _, s := range states {
+		canGive := s.pool != need.pool && s.pool.Model == need.pool.Model && s.pool.Role != work.RoleApp &&
+			s.changing == 0 && len(s.engines) > MinReplicas && p.settled(now, s.pool)
+		if canGive && need.pressure(0)-max(need.pressure(1), s.without(1)) >= t.Even {
+			return s, true
+		}
+	}
+	return state{}, false
+}
+
 func better(a, b, need state) bool {
 	if (a.pool.Model == need.pool.Model) != (b.pool.Model == need.pool.Model) {
 		return a.pool.Model == need.pool.Model
--- a/place/state.go
+++ b/place/state.go
@@ -41,14 +41,16 @@
 		p.lately = make(map[Pool]float64)
 		p.above = make(map[Pool]time.Time)
 		p.moved = make(map[Pool]move)
+		p.uneven = make(map[Pool]time.Time)
 	}
 	for pool, d := range demand {
 		if _, known := p.demand[pool]; !known {
 			p.demand[pool] = d
 		}
 	}
+	t := p.Tempo.orDefaults()
 	passed := now.Sub(p.last)
-	rise, fall := part(passed, Smooth), part(passed, Fall)
+	rise, fall := part(passed, t.Smooth), part(passed, t.Fall)
 	// Guard: until Smooth has passed, the plain mean of all samples. An
 	// exponential mean that starts from one sample would believe it for
 	// longer than Hold, and a burst at the start would move an engine.
@@ -119,7 +121,7 @@
 // soon therefore doubles the rest, until changes are too rare to cost much.
 func (p *Planner) note(now time.Time, pool Pool, gained bool) {
 	last, moved := p.moved[pool]
-	cooldown := Cooldown
+	cooldown := p.Tempo.orDefaults().Cooldown
 	within := time.Duration(Swing * float64(last.cooldown))
 	if moved && last.gained != gained && now.Sub(last.at) <= within {
 		cooldown = min(2*last.cooldown, CooldownMax)
--- a/side/orders.go
+++ b/side/orders.go
@@ -2,14 +2,13 @@
 
 import (
 	"context"
-	"encoding/json"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"jacinthworks/engine"
 	"jacinthworks/fence"
-	"jacinthworks/plat"
+	"jacinthworks/lease"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
@@ -59,28 +58,31 @@
 // monotonic clock, ends here before it can pass on; an engine that honours
 // numbers refuses the rest by itself.
 func (s *Side) giveOrders(ctx context.Context) error {
-	g := fence.Guard{Holder: s.Settings.Name, Incarnation: s.incarnation}
+	k := &lease.Keeper{
+		Records: s.Objects, Name: ordersName(s.Settings.Name),
+		Guard: fence.Guard{Holder: s.Settings.Name, Incarnation: s.incarnation},
+	}
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case ask := <-s.orders:
-			given, err := s.giveOrder(ask.ctx, &g, ask.order)
+			given, err := s.giveOrder(ask.ctx, k, ask.order)
 			s.Log.Info("order", "kind", ask.order.Kind, "value", ask.order.Value, "by", ask.order.By, "fence", given.Fence, "err", err)
 			ask.done <- orderDone{given: given, err: err}
 		}
 	}
 }
 
-func (s *Side) giveOrder(ctx context.Context, g *fence.Guard, o wire.Order) (wire.Ordered, error) {
-	number, err := s.holdLease(ctx, g)
+func (s *Side) giveOrder(ctx context.Context, k *lease.Keeper, o wire.Order) (wire.Ordered, error) {
+	number, err := k.Hold(ctx)
 	if err != nil {
 		return wire.Ordered{}, &wire.Refused{Reason: work.ReasonStale, Ran: work.NotRun, Detail: err.Error()}
 	}
 	give, cancel := context.WithTimeout(ctx, giveWithin)
 	defer cancel()
 	err = s.Model.Give(give, engine.Order{Kind: o.Kind, Value: o.Value, Fence: uint64(number)})
-	overrun := g.Gave(time.Now(), number)
+	overrun := k.Gave(number)
 	switch {
 	case errors.Is(err, engine.ErrFenced), errors.Is(err, engine.ErrNotTaken):
 		return wire.Ordered{}, &wire.Refused{Reason: work.ReasonUpstream, Ran: work.NotRun, Detail: err.Error()}
@@ -91,56 +93,3 @@
 	}
 	return wire.Ordered{Fence: uint64(number)}, nil
 }
-
-// holdLease does what the guard asks until an order may be given.
-func (s *Side) holdLease(ctx context.Context, g *fence.Guard) (fence.Number, error) {
-	for ctx.Err() == nil {
-		if number, err := g.May(time.Now()); err == nil {
-			return number, nil
-		}
-		switch a := g.Next(time.Now()); a.Do {
-		case fence.Read:
-			s.readLease(ctx, g)
-		case fence.Write:
-			s.writeLease(ctx, g, a)
-		case fence.Wait:
-			select {
-			case <-ctx.Done():
-			case <-time.After(time.Until(a.Until)):
-			}
-		}
-	}
-	return 0, errors.Wrap(fence.ErrNotHolder, "side")
-}
-
-func (s *Side) readLease(ctx context.Context, g *fence.Guard) {
-	o, err := s.Objects.Get(ctx, ordersName(s.Settings.Name))
-	if errors.Is(err, plat.ErrMissing) {
-		g.Saw(time.Now(), fence.Record{}, 0)
-		return
-	}
-	var r fence.Record
-	if err != nil || json.Unmarshal(o.Value, &r) != nil {
-		g.NoAnswer(time.Now())
-		return
-	}
-	g.Saw(time.Now(), r, uint64(o.Version))
-}
-
-func (s *Side) writeLease(ctx context.Context, g *fence.Guard, a fence.Action) {
-	sent := time.Now()
-	text, err := json.Marshal(a.Record)
-	if err != nil {
-		g.NoAnswer(time.Now())
-		return
-	}
-	v, err := s.Objects.Put(ctx, ordersName(s.Settings.Name), text, plat.Version(a.At))
-	switch {
-	case err == nil:
-		g.Wrote(sent, uint64(v))
-	case errors.Is(err, plat.ErrConflict):
-		g.Conflicted()
-	default:
-		g.NoAnswer(time.Now())
-	}
-}
