--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -19,7 +19,8 @@
 	prefillTries = 2
 	// prefillSlack is how many times the expected time a prefill may take, and
 	// prefillLeast the least that it is given: queued work of other entries is
-	// not known here.
+	// not known here. It is never given more than the target: by then the decode
+	// engine would have read the prompt itself.
 	prefillSlack = 4
 	prefillLeast = 250 * time.Millisecond
 	// prefillRate stands in until an engine was measured, in time for a token.
@@ -66,7 +67,7 @@
 	}
 	a := &attempt{
 		upstream: u, work: roster.Work{Tokens: r.ask.Prompt, Prompt: r.ask.Prompt},
-		silence: max(prefillLeast, prefillSlack*each*time.Duration(r.ask.Prompt+offer.Queued)),
+		silence: min(max(prefillLeast, prefillSlack*each*time.Duration(r.ask.Prompt+offer.Queued)), r.targetLatency()),
 	}
 	a.stamp.Stage = StagePrefill
 	reply, f := s.try(ctx, r, a)
--- a/direct/room.go
+++ b/direct/room.go
@@ -85,6 +85,21 @@
 	}
 }
 
+// stillThere gives the room, or another where its engine has begun to leave.
+//
+// Failure: an engine registers that it leaves while a prompt is read for it,
+// which can take seconds where prefill engines are lost. It shows as a request
+// that reaches a server which takes nothing new any more. Looking again just
+// before the send leaves the time of one message.
+func (s *Server) stillThere(ctx context.Context, r *request, role work.Role, p *room) (*room, *failure) {
+	if !p.upstream.Server().Draining && !p.upstream.Gone() {
+		return p, nil
+	}
+	s.Log.Info("engine leaves, other room is sought", "request", r.id, "upstream", p.upstream.Server().ID)
+	s.release(r, p)
+	return s.room(ctx, r, role)
+}
+
 // unroomed turns a refusal of the queue into the request's.
 func (s *Server) unroomed(ctx context.Context, r *request, q *queue.Refusal) *failure {
 	f := &failure{ran: work.NotRun, reason: q.Reason, detail: string(q.Detail), final: true}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -46,13 +46,18 @@
 	if f != nil {
 		return f
 	}
-	a := &attempt{upstream: p.upstream, work: p.work, counted: true, silence: r.headerPatience()}
-	a.stamp.LastEvent, a.stamp.Hold = e.last, p.hold
 	var from *prefilled
 	if role == work.RoleDecode && r.ask.Prompt >= prefillFrom {
-		if from = s.prefill(ctx, r, p); from != nil {
-			a.stamp.Stage, a.stamp.Source = StageDecode, from.handle
-		}
+		from = s.prefill(ctx, r, p)
+	}
+	if p, f = s.stillThere(ctx, r, role, p); f != nil {
+		s.free(r, from)
+		return f
+	}
+	a := &attempt{upstream: p.upstream, work: p.work, counted: true, silence: r.headerPatience()}
+	a.stamp.LastEvent, a.stamp.Hold = e.last, p.hold
+	if from != nil {
+		a.stamp.Stage, a.stamp.Source = StageDecode, from.handle
 	}
 	if ctx.Err() != nil {
 		s.release(r, p)
