direct: a request that crashes upstreams is stopped after two

The ledger of package retry gets its evidence here: a connection that broke, to an upstream that takes no connection any more. Test: TestARequestThatCrashesServersIsStopped failed first (all four servers died).

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -49,6 +49,7 @@
 	if !a.counted {
 		a.upstream.Seen.Begin(a.work)
 	}
+	s.crashes.begin(a.id, r)
 	reply, err := a.upstream.Client.Do(ctx, send.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, Silence: a.silence,
 		// A kept connection can break just as it is used, which leaves open
@@ -107,6 +108,10 @@
 		f.ran, f.reason = work.NotRun, work.ReasonNoUpstream
 	case send.Silent:
 		f.reason = work.ReasonUpstream
+	case send.Broken:
+		if a.stamp.Stage != StagePrefill && ctx.Err() == nil {
+			s.suspect(r, a)
+		}
 	}
 	if ctx.Err() != nil {
 		f.reason = reasonOf(ctx)
@@ -133,6 +138,7 @@
 // ended gives back what the attempt took of its upstream.
 func (s *Server) ended(r *request, a *attempt) {
 	a.upstream.Seen.End(a.work)
+	s.crashes.end(a.id, r)
 	if a.counted {
 		s.lines.line(r.service.Name).free()
 	}
@@ -145,6 +151,7 @@
 	outcome := "answered"
 	if good {
 		a.upstream.Seen.Answered(now, took, units)
+		s.crashes.ledger.Survived(now, r.identity)
 	} else {
 		a.upstream.Seen.Failed(now)
 		outcome = "upstream_failed"
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -64,7 +64,7 @@
 	live    atomic.Pointer[conf.Direct]
 	holder  paths.Holder
 	roster  roster.Roster
-	crashes retry.Ledger
+	crashes crashes
 	budgets budgets
 	lines   lines
 	waits   waits
--- a/direct/request.go
+++ b/direct/request.go
@@ -125,6 +125,9 @@
 	r.first = r.accepted.Add(-s.waits.age(route.Name, r.ask.Within))
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
 	r.limit()
+	if s.crashes.ledger.Standing(r.accepted, r.identity) == retry.Stopped {
+		return &failure{ran: work.NotRun, reason: work.ReasonCrashes, detail: "upstreams died running it"}
+	}
 	s.budgets.window(name).Accepted(r.accepted, s.terms())
 	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.ask.Prompt, "tokens", r.tokens(), "left", r.left())
 	return nil
