--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -73,7 +73,11 @@
 		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
 	case note.Unrun:
 		s.drain1(reply)
-		a.upstream.Seen.Full(time.Now().Add(fullFor))
+		if a.stamp.Hold != "" {
+			a.upstream.Seen.Refused(time.Now())
+		} else {
+			a.upstream.Seen.Full(time.Now().Add(fullFor))
+		}
 		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonNoRoom, detail: "the upstream refused unrun"})
 	}
 	return reply, nil
@@ -105,7 +109,7 @@
 	f := &failure{ran: work.Unknown, reason: work.ReasonLost, detail: err.Error()}
 	switch send.Outcome(err) {
 	case send.NotSent:
-		f.ran, f.reason = work.NotRun, work.ReasonNoUpstream
+		f.ran, f.reason, f.unsent = work.NotRun, work.ReasonNoUpstream, true
 	case send.Silent:
 		f.reason = work.ReasonUpstream
 	case send.Broken:
@@ -176,7 +180,7 @@
 		why = "attempts used up"
 	case r.sends >= maxSends:
 		why = "sends used up"
-	case f.reason != work.ReasonNoUpstream && !s.budgets.window(r.service.Name).Take(now, s.terms()):
+	case !f.unsent && !s.budgets.window(r.service.Name).Take(now, s.terms()):
 		why = "over the budget of repeats"
 	default:
 		return true
--- /dev/null
+++ b/direct/events_test.go
@@ -0,0 +1,35 @@
+package direct
+
+import (
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWholeEventsOnly(t *testing.T) {
+	var e events
+	require.Empty(t, e.add([]byte("id: 1\nda")))
+	require.Equal(t, "id: 1\ndata: a\n\n", string(e.add([]byte("ta: a\n\nid: 2\ndata"))))
+	require.Equal(t, "1", e.last)
+	e.restart()
+	require.Equal(t, "id: 2\ndata: b\n\n", string(e.add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))), "what was given out is not given again")
+	require.Equal(t, ": note\r\n\r\n", string(e.add([]byte(": note\r\n\r\n"))))
+}
+
+// FuzzEvents cuts a stream at any place: what is given out is the same as for
+// the stream at once, and with what is left it is the whole stream.
+func FuzzEvents(f *testing.F) {
+	f.Add("id: 1\ndata: a\n\nid: 2\ndata: b\n\nid: 3", 7)
+	f.Add("id:1\r\n\r\nid:2\r\n\r\n", 6)
+	f.Add(": x\n\n\n\nid: 5\n\nid: 4\n\n", 3)
+	f.Fuzz(func(t *testing.T, stream string, at int) {
+		at = min(max(at, 0), len(stream))
+		var whole, parts events
+		all := string(whole.add([]byte(stream)))
+		cut := string(parts.add([]byte(stream[:at]))) + string(parts.add([]byte(stream[at:])))
+		require.Equal(t, all, cut)
+		require.Equal(t, whole.last, parts.last)
+		require.True(t, strings.HasSuffix(stream, string(whole.rest)))
+	})
+}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -25,6 +25,10 @@
 	prefillLeast = 250 * time.Millisecond
 	// prefillRate stands in until an engine was measured, in time for a token.
 	prefillRate = 50 * time.Microsecond
+	// ownRead is the wait for each token of a prompt from which on the decode
+	// engine reads it: it does so at half the speed of a prefill engine, and
+	// slows down its other requests, which is weighed as much again.
+	ownRead = 160 * time.Microsecond
 	// freeWithin bounds the freeing of a handle, which ends by itself soon.
 	freeWithin = time.Second
 )
@@ -44,22 +48,31 @@
 		if r.prefills > 0 && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
 			return nil
 		}
-		u, _ := s.place(r, work.RolePrefill, zone, route.Load{
+		load := route.Load{
 			Units: r.ask.Prompt, Tokens: r.ask.Prompt, Usual: route.Usual{Units: r.ask.Prompt, Tokens: r.ask.Prompt},
-			FailCost: r.targetLatency(), FarCost: farStage,
-		})
+			FailCost: r.targetLatency(), FarCost: farStage, SkipHeld: true,
+		}
+		u, offer := s.place(r, work.RolePrefill, zone, load)
 		if u == nil {
 			return nil
 		}
+		if wait := offer.Wait(load); wait > time.Duration(r.ask.Prompt)*ownRead {
+			s.Log.Info("prefill passed over", "request", r.id, "upstream", u.Server().ID, "wait", wait)
+			return nil
+		}
 		r.prefills++
-		if p := s.prefillAt(ctx, r, u); p != nil {
+		p, f := s.prefillAt(ctx, r, u)
+		if p != nil {
 			return p
 		}
+		if r.prefills == 1 && !f.unsent {
+			s.budgets.window(r.service.Name).Spend(time.Now(), s.terms())
+		}
 	}
 	return nil
 }
 
-func (s *Server) prefillAt(ctx context.Context, r *request, u *roster.Upstream) *prefilled {
+func (s *Server) prefillAt(ctx context.Context, r *request, u *roster.Upstream) (*prefilled, *failure) {
 	offer := u.Seen.Offer(time.Now())
 	each := offer.Speed
 	if each == 0 {
@@ -72,24 +85,22 @@
 	a.stamp.Stage = StagePrefill
 	reply, f := s.try(ctx, r, a)
 	if f != nil {
-		return nil
+		return nil, f
 	}
 	body, err := reply.All(shortAnswer)
 	if err != nil {
-		s.broke(ctx, r, a, err)
-		return nil
+		return nil, s.broke(ctx, r, a, err)
 	}
 	took := time.Since(a.began)
 	h, err := s.Protocol.Handle(body)
 	if reply.Status != http.StatusOK || err != nil {
-		s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonUpstream, detail: "no handle in the answer to a prefill"})
 		u.Seen.Failed(time.Now())
-		return nil
+		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonUpstream, detail: "no handle in the answer to a prefill"})
 	}
 	s.done(r, a, took, r.ask.Prompt, true)
 	h.At = u.Server().Addr
 	s.Log.Info("prefilled", "request", r.id, "upstream", a.id, "tokens", h.Tokens, "took", took)
-	return &prefilled{upstream: u, handle: h}
+	return &prefilled{upstream: u, handle: h}, nil
 }
 
 // free frees the memory of a prompt that no engine will fetch.
--- a/direct/request.go
+++ b/direct/request.go
@@ -63,6 +63,8 @@
 	reason     work.Reason
 	detail     string
 	retryAfter time.Duration
+	// unsent says that no byte of the attempt left this process.
+	unsent bool
 	// final says that no other attempt would find more.
 	final bool
 	// granted says that another attempt was taken from the budget already.
--- a/retry/window.go
+++ b/retry/window.go
@@ -69,6 +69,14 @@
 	return total
 }
 
+// Spend counts a send beyond the first that has happened already, whatever is
+// left: what follows finds that much less.
+func (w *Window) Spend(now time.Time, t Terms) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.repeats.add(t.slot(now))
+}
+
 func (t Terms) slot(now time.Time) int64 {
 	return int64(now.Sub(epoch) / max(t.Span/windowSlots, time.Millisecond))
 }
--- /dev/null
+++ b/roster/roster_test.go
@@ -0,0 +1,113 @@
+package roster
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/feed"
+	"jacinthworks/work"
+)
+
+func item(id string, draining bool) feed.Item[Server] {
+	return feed.Item[Server]{Name: id, Value: Server{
+		ID: ID(id), Service: "cards", Addr: netip.MustParseAddrPort("127.0.0.1:9"), Draining: draining,
+	}}
+}
+
+func ids(r *Roster) []ID {
+	var all []ID
+	for _, u := range r.Of("cards") {
+		all = append(all, u.Server().ID)
+	}
+	return all
+}
+
+func gone(id string) []feed.Change[Server] {
+	return []feed.Change[Server]{{Item: feed.Item[Server]{Name: id}, Gone: true}}
+}
+
+// Story: the registry is away for longer than its entries live, and drops them
+// all. When it is back, its list is empty for a moment. The servers live, and
+// register anew within two seconds; until then they go on being used. One that
+// does not is gone.
+func TestEntriesThatLapsedInAnOutage(t *testing.T) {
+	r := &Roster{Log: hclog.NewNullLogger()}
+	now := time.Now()
+	r.Listed(now, []feed.Item[Server]{item("a", false), item("b", false), item("leaving", true)})
+	r.Lost(now)
+	back := now.Add(time.Minute)
+	r.Regained(back)
+	r.Listed(back, nil)
+	require.Equal(t, []ID{"a", "b"}, ids(r), "one that was leaving has left")
+	r.Changed(back.Add(time.Second), []feed.Change[Server]{{Item: item("a", false)}})
+	r.mu.Lock()
+	r.expire(back.Add(Grace + time.Millisecond))
+	r.mu.Unlock()
+	require.Equal(t, []ID{"a"}, ids(r))
+}
+
+func TestAnEntryThatGoesOtherwiseIsGone(t *testing.T) {
+	r := &Roster{Log: hclog.NewNullLogger()}
+	now := time.Now()
+	r.Listed(now, []feed.Item[Server]{item("a", false), item("b", false)})
+	u := r.Of("cards")[0]
+	r.Changed(now, gone("a"))
+	require.Equal(t, []ID{"b"}, ids(r))
+	require.True(t, u.Gone())
+	r.Changed(now, gone("never known"))
+	r.Misdirected(r.Of("cards")[0])
+	require.Empty(t, ids(r))
+}
+
+func TestAStartIsAMemberOfItsOwn(t *testing.T) {
+	r := &Roster{Log: hclog.NewNullLogger()}
+	now := time.Now()
+	r.Listed(now, []feed.Item[Server]{item("a", false)})
+	first := r.Of("cards")[0]
+	r.Changed(now, []feed.Change[Server]{{Item: item("a", true)}})
+	require.Same(t, first, r.Of("cards")[0])
+	require.True(t, first.Server().Draining)
+	r.Changed(now, []feed.Change[Server]{{Item: item("b", false)}})
+	require.NotSame(t, first.Client, r.Of("cards")[1].Client)
+	require.Empty(t, r.Of(work.Service("other")))
+}
+
+// Story: an engine changes its role. It holds room and refuses what comes for
+// it, for six seconds; each refusal costs a prompt that was read.
+func TestRefusalsAfterAHoldKeepWorkAwayForLonger(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	for _, away := range []time.Duration{time.Second, 2 * time.Second, 4 * time.Second, 8 * time.Second, 8 * time.Second} {
+		s.Refused(now)
+		require.True(t, s.Offer(now.Add(away-time.Millisecond)).Held)
+		require.False(t, s.Offer(now.Add(away)).Held)
+		now = now.Add(away)
+	}
+	s.Answered(now, time.Millisecond, 1)
+	s.Refused(now)
+	require.False(t, s.Offer(now.Add(time.Second)).Held, "an answer ends the row")
+	s.Full(now.Add(10 * time.Millisecond))
+	require.True(t, s.Offer(now.Add(20*time.Millisecond)).Held, "a shorter time does not end a longer one")
+}
+
+func TestFailuresAndLoadFade(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	s.Offer(now)
+	s.Failed(now)
+	first := s.Offer(now).Fails
+	require.Greater(t, first, 0.3)
+	require.Less(t, s.Offer(now.Add(10*time.Second)).Fails, 0.1)
+	s.Begin(Work{Tokens: 10, Prompt: 5})
+	s.Reported(now, 5)
+	o := s.Offer(now)
+	require.Equal(t, 1, o.Own)
+	require.InDelta(t, 4, o.Others, 0.01)
+	require.InDelta(t, 2, s.Offer(now.Add(loadHalf)).Others, 0.01)
+	s.End(Work{Tokens: 10, Prompt: 5})
+	require.Zero(t, s.Offer(now).Tokens)
+}
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -42,6 +42,8 @@
 	speed time.Duration
 	// holdUntil keeps work away for a moment after it said that it is full.
 	holdUntil time.Time
+	// refused counts refusals in a row of requests that it held room for.
+	refused int
 }
 
 // Work is what one request takes of an upstream.
@@ -74,6 +76,7 @@
 	defer s.mu.Unlock()
 	s.decay(now)
 	s.answers++
+	s.refused = 0
 	each := took / time.Duration(max(units, 1))
 	if s.speed == 0 {
 		s.speed = each
@@ -94,7 +97,30 @@
 func (s *Seen) Full(until time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.holdUntil = until
+	if until.After(s.holdUntil) {
+		s.holdUntil = until
+	}
+}
+
+// The time for which work is kept away doubles from the first to the longest
+// with each refusal in a row.
+const (
+	refusedFirst   = time.Second
+	refusedLongest = 8 * time.Second
+)
+
+// Refused notes that it refused a request for which it had held room.
+//
+// Failure: an engine changes its role, which takes seconds; it holds room
+// meanwhile, and refuses what comes for it, and the registry tells of the
+// change when it is done. It shows as prompts read in vain, one after the
+// other. Keeping away longer each time costs little where the refusal was a
+// single one.
+func (s *Seen) Refused(now time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.holdUntil = now.Add(min(refusedFirst<<min(s.refused, 10), refusedLongest))
+	s.refused++
 }
 
 // Reported notes the load that an answer told of: all requests there, running
--- a/route/offer.go
+++ b/route/offer.go
@@ -74,6 +74,11 @@
 // memory is how much of its memory is taken, as far as known.
 func (o Offer) memory(l Load) float64 { return float64(o.Tokens) + o.Others*float64(l.Usual.Tokens) }
 
+// Wait estimates the time to an answer from what is there before it.
+func (o Offer) Wait(l Load) time.Duration {
+	return time.Duration(float64(o.Speed) * (float64(l.Units+o.Queued) + o.Others*float64(l.Usual.Units)))
+}
+
 // Score estimates the time to an answer, failures counted by what they cost.
 func (o Offer) Score(l Load) time.Duration {
 	speed := o.Speed
--- /dev/null
+++ b/spool/spool_test.go
@@ -0,0 +1,45 @@
+package spool_test
+
+import (
+	"bytes"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/spool"
+)
+
+// Story: whoever reads standard output stops reading. The process goes on;
+// lines beyond the bound are dropped and counted.
+func TestAStalledReaderHoldsNobodyUp(t *testing.T) {
+	stalled, to := io.Pipe()
+	defer func() { _ = stalled.Close() }()
+	w := &spool.Writer{To: to}
+	go w.Run()
+	line := []byte(strings.Repeat("x", 1023) + "\n")
+	began := time.Now()
+	for range 5000 {
+		n, err := w.Write(line)
+		require.NoError(t, err)
+		require.Equal(t, len(line), n)
+	}
+	require.Less(t, time.Since(began), 5*time.Second)
+	require.Positive(t, w.Dropped())
+	w.Close()
+}
+
+func TestLinesArriveInOrder(t *testing.T) {
+	var out bytes.Buffer
+	w := &spool.Writer{To: &out}
+	go w.Run()
+	for _, line := range []string{"a\n", "b\n", "c\n"} {
+		_, err := w.Write([]byte(line))
+		require.NoError(t, err)
+	}
+	w.Close()
+	require.Equal(t, "a\nb\nc\n", out.String())
+	require.Zero(t, w.Dropped())
+}
