--- a/Makefile
+++ b/Makefile
@@ -4,6 +4,10 @@
 build: ## build the router and the stand-ins into bin/
 	go build -o bin/ . ./fakes
 
+.PHONY: target
+target: ## the router as hosts get it, linked to the C library, into target/
+	mkdir -p target && go build -trimpath -ldflags=-linkmode=external -o target/jacinthworks .
+
 test: format lint unit ## formatter, linter, vet, tests with the race detector
 
 format:
--- a/conf/any.go
+++ b/conf/any.go
@@ -2,24 +2,28 @@
 
 import "github.com/pelletier/go-toml/v2"
 
-// CheckFile checks the settings of an entry or a side. A file with one of the
-// keys that only a side has is taken for a side's. The error is
-// check.Findings.
+// CheckFile checks the settings of an entry, a side or a direct entry. A file
+// with one of the keys that only a side or a direct entry has is taken for
+// theirs. The error is check.Findings.
 func CheckFile(file string, text []byte) error {
-	if isSide(text) {
-		_, err := ParseSide(file, text)
-		return err
+	var err error
+	switch {
+	case hasKey(text, "role", "service", "upstream"):
+		_, err = ParseSide(file, text)
+	case hasKey(text, "ready_listen", "repeats"):
+		_, err = ParseDirect(file, text)
+	default:
+		_, err = ParseEntry(file, text)
 	}
-	_, err := ParseEntry(file, text)
 	return err
 }
 
-func isSide(text []byte) bool {
+func hasKey(text []byte, keys ...string) bool {
 	values := make(map[string]any)
 	if err := toml.Unmarshal(text, &values); err != nil {
 		return false // either parser reports it
 	}
-	for _, key := range []string{"role", "service", "upstream"} {
+	for _, key := range keys {
 		if _, ok := values[key]; ok {
 			return true
 		}
--- /dev/null
+++ b/conf/direct_test.go
@@ -0,0 +1,45 @@
+package conf_test
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/conf"
+)
+
+const directFile = `name = "front-1"
+zone = "salt-lake"
+listen = "10.1.0.38:8149"
+ready_listen = "10.1.0.38:8141"
+platform = "10.200.1.7:8142"
+stop_within = "8s"
+
+[repeats]
+ratio = 0.2
+fixed = 54
+span = "10s"
+`
+
+func TestDirect(t *testing.T) {
+	d, err := conf.ParseDirect("direct.toml", []byte(directFile))
+	require.NoError(t, err)
+	require.Equal(t, conf.Repeats{Ratio: 0.2, Fixed: 54, Span: 10 * time.Second}, d.Repeats)
+	require.Equal(t, 8*time.Second, d.StopWithin)
+	require.Equal(t, 2*time.Second, d.WatchWait)
+	require.NoError(t, conf.CheckFile("direct.toml", []byte(directFile)))
+}
+
+func TestDirectFindingsComeTogether(t *testing.T) {
+	err := conf.CheckFile("direct.toml", []byte(`name = "A b"
+ready_listen = "somewhere"
+colour = 1
+[repeats]
+ratio = "a lot"
+`))
+	require.Error(t, err)
+	for _, part := range []string{"direct.toml:1 name", "direct.toml:2 ready_listen", "colour: unknown key", "repeats.ratio: must be a number", "platform: is missing"} {
+		require.ErrorContains(t, err, part)
+	}
+}
--- a/direct/place.go
+++ b/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"time"
 
 	"jacinthworks/paths"
@@ -40,9 +41,20 @@
 	return onceFails * r.targetLatency()
 }
 
+// placed is an upstream that was chosen, and the figures that it was chosen by.
+type placed struct {
+	upstream *roster.Upstream
+	offer    route.Offer
+	// of counts the upstreams that the choice was from; full says that none had
+	// room, as far as known.
+	of   int
+	full bool
+}
+
 // place chooses an upstream of a role for the request; "" is a plain one. It
-// gives nil where none is left.
-func (s *Server) place(r *request, role work.Role, near work.Zone, l route.Load) (*roster.Upstream, route.Offer) {
+// gives none where none is left, or, for a load that skips them, where all that
+// are left have just refused.
+func (s *Server) place(r *request, role work.Role, near work.Zone, l route.Load) placed {
 	now := time.Now()
 	var offers []route.Offer
 	var members []*roster.Upstream
@@ -61,14 +73,23 @@
 	}
 	best, full := route.Best(offers, l, r.random)
 	if best < 0 {
-		s.Log.Info("no upstream", "request", r.id, "service", r.service.Name, "role", role, "tried", len(r.tried))
-		return nil, route.Offer{}
+		return placed{of: len(offers)}
+	}
+	return placed{upstream: members[best], offer: offers[best], of: len(offers), full: full}
+}
+
+// logPlaced writes the decision's line.
+func (s *Server) logPlaced(r *request, role work.Role, p placed, more ...any) {
+	if p.upstream == nil {
+		s.Log.Info("no upstream", "request", r.id, "service", r.service.Name, "role", role, "of", p.of, "tried", len(r.tried))
+		return
 	}
-	u := members[best]
-	s.Log.Info("placed", "request", r.id, "service", r.service.Name, "role", role, "upstream", offers[best].Name,
-		"of", len(offers), "full", full, "own", offers[best].Own, "others", offers[best].Others, "tokens", offers[best].Tokens, "fails", offers[best].Fails,
-		"speed", offers[best].Speed, "heard", u.Age(now))
-	return u, offers[best]
+	o := p.offer
+	s.Log.Info("placed", append([]any{
+		"request", r.id, "service", r.service.Name, "role", role, "upstream", o.Name, "of", p.of, "full", p.full, "own", o.Own,
+		"others", math.Round(10*o.Others) / 10, "tokens", o.Tokens, "fails", math.Round(100*o.Fails) / 100, "speed", o.Speed,
+		"heard", p.upstream.Age(time.Now()),
+	}, more...)...)
 }
 
 // engine is the description of the service's engines; nil for a plain one.
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -28,11 +28,12 @@
 // plain serves a request that is answered whole.
 func (s *Server) plain(ctx context.Context, r *request) *failure {
 	for {
-		u, _ := s.place(r, "", s.Settings.Zone, route.Load{Units: 1, FailCost: r.failCost(), FarCost: farCall})
-		if u == nil {
+		p := s.place(r, "", s.Settings.Zone, route.Load{Units: 1, FailCost: r.failCost(), FarCost: farCall})
+		s.logPlaced(r, "", p)
+		if p.upstream == nil {
 			return s.unplaced(r)
 		}
-		a := &attempt{upstream: u, silence: r.patience()}
+		a := &attempt{upstream: p.upstream, silence: r.patience()}
 		f := s.call(ctx, r, a)
 		if f == nil {
 			return nil
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -52,18 +52,19 @@
 			Units: r.ask.Prompt, Tokens: r.ask.Prompt, Usual: route.Usual{Units: r.ask.Prompt, Tokens: r.ask.Prompt},
 			FailCost: r.targetLatency(), FarCost: farStage, SkipHeld: true,
 		}
-		u, offer := s.place(r, work.RolePrefill, zone, load)
-		if u == nil {
+		p := s.place(r, work.RolePrefill, zone, load)
+		s.logPlaced(r, work.RolePrefill, p)
+		if p.upstream == nil {
 			return nil
 		}
-		if wait := offer.Wait(load); wait > time.Duration(r.ask.Prompt)*ownRead {
-			s.Log.Info("prefill passed over", "request", r.id, "upstream", u.Server().ID, "wait", wait)
+		if wait := p.offer.Wait(load); wait > time.Duration(r.ask.Prompt)*ownRead {
+			s.Log.Info("prefill passed over", "request", r.id, "upstream", p.offer.Name, "wait", wait)
 			return nil
 		}
 		r.prefills++
-		p, f := s.prefillAt(ctx, r, u)
-		if p != nil {
-			return p
+		done, f := s.prefillAt(ctx, r, p.upstream)
+		if done != nil {
+			return done
 		}
 		if r.prefills == 1 && !f.unsent {
 			s.budgets.window(r.service.Name).Spend(time.Now(), s.terms())
--- a/direct/request.go
+++ b/direct/request.go
@@ -45,6 +45,8 @@
 	begun bool
 	// sends counts attempts of any outcome, runs those that may have run.
 	sends, runs int
+	// asked counts the engines that were asked to hold room for it.
+	asked int
 	// prefills counts the calls that had its prompt read.
 	prefills int
 	// ran is the worst that is known of all attempts.
--- a/direct/room.go
+++ b/direct/room.go
@@ -108,38 +108,29 @@
 		f.reason = reasonOf(ctx)
 	}
 	s.Log.Info("no room", "request", r.id, "service", r.service.Name, "reason", f.reason, "detail", f.detail,
-		"waited", time.Since(r.accepted), "wait_expected", q.Grounds.Wait, "waiting", q.Grounds.Items)
+		"asked", r.asked, "retry_after", f.retryAfter, "waited", time.Since(r.accepted), "wait_expected", q.Grounds.Wait, "waiting", q.Grounds.Items)
 	return f
 }
 
 // look asks the engines that may have room, the best first. any says that
 // there is an engine at all.
 func (s *Server) look(ctx context.Context, r *request, role work.Role, late bool) (found *room, any bool) {
+	load := route.Load{
+		SkipHeld: true, Units: 1, Tokens: r.tokens(), Usual: route.Usual{Tokens: r.tokens()},
+		FullCost: fullCost, FailCost: r.failCost(), FarCost: farStage,
+	}
 	for ctx.Err() == nil {
-		u, held := s.placeWithRoom(r, role)
-		if u == nil {
-			return nil, held
+		p := s.place(r, role, s.Settings.Zone, load)
+		if p.upstream == nil {
+			return nil, p.of > 0
 		}
-		any = true
-		if p := s.take(ctx, r, u, late); p != nil {
-			return p, true
+		r.asked++
+		if found := s.take(ctx, r, p.upstream, late); found != nil {
+			s.logPlaced(r, role, p, "held", found.hold != "", "asked", r.asked, "late", late, "waited", time.Since(r.accepted))
+			return found, true
 		}
 	}
-	return nil, any
-}
-
-// placeWithRoom chooses an engine that has not just said that it is full; held
-// says that there are only such.
-func (s *Server) placeWithRoom(r *request, role work.Role) (u *roster.Upstream, held bool) {
-	u, o := s.place(r, role, s.Settings.Zone, route.Load{
-		SkipHeld: true,
-		Units:    1, Tokens: r.tokens(), Usual: route.Usual{Tokens: r.tokens()},
-		FullCost: fullCost, FailCost: r.failCost(), FarCost: farStage,
-	})
-	if u == nil || o.Held {
-		return nil, s.has(r, role, "")
-	}
-	return u, false
+	return nil, true
 }
 
 // take holds room at the engine, where engines do; else it counts on it. For a
@@ -167,7 +158,6 @@
 		return nil
 	}
 	u.Seen.Begin(p.work)
-	s.Log.Info("room held", "request", r.id, "upstream", u.Server().ID, "tokens", need, "late", late, "took", time.Since(p.since))
 	return p
 }
 
