--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -37,6 +37,7 @@
 		Configs:  platform.Configs(store),
 		Servers:  platform.Servers(store),
 		Records:  store,
+		Members:  platform.Entries(store),
 		Reloads:  reloads,
 		Reload: func() (conf.Direct, error) {
 			text, err := os.ReadFile(a.Settings)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -48,6 +48,8 @@
 	// read from.
 	Configs feed.Source[*paths.Config]
 	Servers feed.Source[roster.Server]
+	// Members, if set, are the records of all entries.
+	Members feed.Source[Member]
 	// Records, if set, holds the lease of the one entry that gives orders to
 	// engines; without it no engine changes its role.
 	Records lease.Records
@@ -68,6 +70,7 @@
 	budgets budgets
 	lines   lines
 	waits   waits
+	members members
 	leaving atomic.Bool
 	work    group.Group
 	workCtx context.Context
@@ -120,6 +123,10 @@
 	loops.Go(serving, "configuration", s.configFeed().Run)
 	loops.Go(serving, "upstreams", s.serverFeed().Run)
 	loops.Go(serving, "idle connections", idle.run)
+	if s.Members != nil {
+		loops.Go(serving, "entries", s.memberFeed().Run)
+		loops.Go(serving, "own record", s.register)
+	}
 	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "roles", s.planRoles)
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
--- a/direct/request.go
+++ b/direct/request.go
@@ -194,15 +194,17 @@
 	return a
 }
 
-// terms are the figures that bound repeats here.
+// terms are the figures that bound repeats here: the fleet's, and this entry's
+// part of the fixed number.
 func (s *Server) terms() retry.Terms {
 	p := s.live.Load().Repeats
-	return retry.Terms{Ratio: p.Ratio, Share: float64(p.Fixed) / entriesAssumed, Span: p.Span}
+	return retry.Terms{Ratio: p.Ratio, Share: float64(p.Fixed) / float64(s.members.count(time.Now())) * fixedPart, Span: p.Span}
 }
 
-// entriesAssumed is among how many entries the fixed number of repeats is
-// shared out.
-const entriesAssumed = 8
+// fixedPart is the part of the fixed number that is given out: the rest covers
+// entries that have just come, and repeats that were not asked for here, such
+// as a prefill that failed.
+const fixedPart = 0.6
 
 // oneConnection are the header fields that concern a single connection.
 var oneConnection = []string{
