--- a/direct/idle.go
+++ b/direct/idle.go
@@ -8,11 +8,16 @@
 	"time"
 )
 
-// The margin over the stated limit keeps a request that a caller sends at the
-// last moment from crossing the close.
 const (
-	idleMargin = time.Second
-	idleSweep  = time.Second
+	// idleTimes is how many times the stated limit a connection is kept.
+	//
+	// Failure: a caller uses its connection again near the limit, and the
+	// request lies unread for 100 ms, since the host's processor is used up,
+	// while the connection is closed for being idle. It shows as a request
+	// that gets neither an answer nor a refusal. An idle connection costs some
+	// KB, a lost request its caller.
+	idleTimes = 2
+	idleSweep = time.Second
 	// idleUnknown holds until a configuration says more.
 	idleUnknown = time.Minute
 )
@@ -62,7 +67,7 @@
 }
 
 func (i *idlers) sweep(now time.Time) {
-	limit := i.limit() + idleMargin
+	limit := idleTimes * i.limit()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, at := range i.since {
--- a/direct/room.go
+++ b/direct/room.go
@@ -159,7 +159,8 @@
 		if spare == "" {
 			return nil
 		}
-		s.drop(r, u, spare)
+		// Both together would need the room twice.
+		s.dropNow(ctx, r, u, spare)
 	}
 	if p.hold = s.held(ctx, r, u, need); p.hold == "" {
 		return nil
@@ -207,15 +208,20 @@
 	}
 }
 
-// drop frees held room.
+// drop frees held room, past the end of the request.
 func (s *Server) drop(r *request, u *roster.Upstream, h Hold) {
 	s.later("drop hold", dropWithin, func(ctx context.Context) error {
-		reply, err := u.Client.Do(ctx, s.Protocol.Drop(h))
-		if err != nil {
-			s.Log.Info("hold not dropped", "request", r.id, "err", err)
-			return nil
-		}
-		s.drain1(reply)
+		s.dropNow(ctx, r, u, h)
 		return nil
 	})
 }
+
+// dropNow frees held room and waits for the answer.
+func (s *Server) dropNow(ctx context.Context, r *request, u *roster.Upstream, h Hold) {
+	reply, err := u.Client.Do(ctx, s.Protocol.Drop(h))
+	if err != nil {
+		s.Log.Info("hold not dropped", "request", r.id, "err", err)
+		return
+	}
+	s.drain1(reply)
+}
