--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -72,7 +72,7 @@
 		}
 		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
 	case note.Unrun:
-		s.drain1(reply)
+		s.readShort(reply)
 		if a.stamp.Hold != "" {
 			a.upstream.Seen.Refused(time.Now())
 		} else {
@@ -97,8 +97,8 @@
 // connection.
 const shortAnswer = 4 << 10
 
-// drain1 reads a short answer to its end.
-func (s *Server) drain1(reply *send.Reply) {
+// readShort reads a short answer to its end.
+func (s *Server) readShort(reply *send.Reply) {
 	if _, err := reply.All(shortAnswer); err != nil {
 		s.Log.Debug("short answer broke off", "err", err)
 	}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -121,7 +121,7 @@
 			s.Log.Info("handle not freed", "request", r.id, "err", err)
 			return nil
 		}
-		s.drain1(reply)
+		s.readShort(reply)
 		return nil
 	})
 }
--- a/direct/room.go
+++ b/direct/room.go
@@ -223,5 +223,5 @@
 		s.Log.Info("hold not dropped", "request", r.id, "err", err)
 		return
 	}
-	s.drain1(reply)
+	s.readShort(reply)
 }
--- /dev/null
+++ b/place/even_test.go
@@ -0,0 +1,104 @@
+package place_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/fence"
+	"jacinthworks/place"
+	"jacinthworks/work"
+)
+
+// fleet plans once a second for a model's engines, which change at once.
+type fleet struct {
+	planner place.Planner
+	roles   []work.Role
+	number  fence.Number
+	now     time.Time
+	orders  int
+}
+
+func newFleet(prefill, decode int) *fleet {
+	f := &fleet{planner: place.Planner{Tempo: place.TempoOf(6 * time.Second)}, now: time.Now()}
+	for range prefill {
+		f.roles = append(f.roles, work.RolePrefill)
+	}
+	for range decode {
+		f.roles = append(f.roles, work.RoleDecode)
+	}
+	return f
+}
+
+func (f *fleet) count(r work.Role) int {
+	n := 0
+	for _, role := range f.roles {
+		if role == r {
+			n++
+		}
+	}
+	return n
+}
+
+// run plans for so many seconds at the given demands, in engines kept busy.
+func (f *fleet) run(seconds int, prefill, decode float64) {
+	pool := func(r work.Role) place.Pool { return place.Pool{Model: "m", Role: r} }
+	for range seconds {
+		f.now = f.now.Add(time.Second)
+		v := place.View{Demand: map[place.Pool]float64{pool(work.RolePrefill): prefill, pool(work.RoleDecode): decode}}
+		for n, r := range f.roles {
+			v.Engines = append(v.Engines, place.Engine{Host: work.Host(fmt.Sprint(n)), Pool: pool(r)})
+		}
+		next := func(time.Time) (fence.Number, error) { f.number++; return f.number, nil }
+		for _, o := range f.planner.Plan(f.now, v, next) {
+			var n int
+			_, _ = fmt.Sscan(string(o.Host), &n)
+			f.roles[n] = o.To.Role
+			f.orders++
+		}
+	}
+}
+
+// Story: the memory of the decode engines is nearly full while prefill engines
+// are half idle. No pool is beyond what calls for help at once, and the next
+// burst is refused.
+func TestRolesAreEvenedOut(t *testing.T) {
+	f := newFleet(4, 5)
+	f.run(10, 1.3, 3.6)
+	require.Equal(t, 6, f.count(work.RoleDecode))
+	f.run(120, 1.3, 3.6)
+	require.Equal(t, 6, f.count(work.RoleDecode), "another would make prefill the fuller one")
+	require.Equal(t, 1, f.orders)
+}
+
+func TestALargePoolChangesAPartAtOnce(t *testing.T) {
+	f := newFleet(16, 28)
+	f.run(10, 4, 24)
+	require.Equal(t, 32, f.count(work.RoleDecode), "a quarter of the prefill engines")
+	f.run(60, 4, 24)
+	require.GreaterOrEqual(t, f.count(work.RolePrefill), 5, "they are not all taken")
+}
+
+// Story: the load turns every few seconds. Engines that follow it are away for
+// most of the time.
+func TestALoadThatTurnsMovesLittle(t *testing.T) {
+	f := newFleet(4, 5)
+	for range 30 {
+		f.run(4, 3, 2)
+		f.run(4, 1, 4)
+	}
+	require.LessOrEqual(t, f.orders, 8, "orders in 240 s")
+	require.GreaterOrEqual(t, f.count(work.RolePrefill), 1)
+	require.GreaterOrEqual(t, f.count(work.RoleDecode), 1)
+}
+
+func TestWithoutLoadNothingMoves(t *testing.T) {
+	f := newFleet(4, 5)
+	f.run(60, 0, 0)
+	require.Zero(t, f.orders)
+	lone := newFleet(1, 5)
+	lone.run(60, 0.1, 4.9)
+	require.Equal(t, 1, lone.count(work.RolePrefill), "the last of a role stays")
+}
--- a/place/place.go
+++ b/place/place.go
@@ -129,40 +129,6 @@
 	Grounds string `json:"grounds"`
 }
 
-// Tempo is how fast a planner acts. The zero value is that of the constants,
-// for changes that load weights and take minutes.
-type Tempo struct {
-	Smooth, Fall, Hold, Cooldown time.Duration
-	// Even, if not zero, also moves an engine between the roles of a model
-	// where no pool is in need: when the fuller one of the two pools gets this
-	// much less full by it. A burst then meets pools that are equally far from
-	// full, and none has to change in its midst.
-	Even float64
-}
-
-// TempoOf gives the tempo for changes that take the given time and load
-// nothing: the same proportions as those of the constants have to the time of
-// loading weights, and a margin that two moves there and back cannot both pass.
-func TempoOf(change time.Duration) Tempo {
-	return Tempo{Smooth: change * 2 / 3, Fall: 2 * change, Hold: change / 3, Cooldown: 2 * change, Even: 0.05}
-}
-
-func (t Tempo) orDefaults() Tempo {
-	if t.Smooth == 0 {
-		t.Smooth = Smooth
-	}
-	if t.Fall == 0 {
-		t.Fall = Fall
-	}
-	if t.Hold == 0 {
-		t.Hold = Hold
-	}
-	if t.Cooldown == 0 {
-		t.Cooldown = Cooldown
-	}
-	return t
-}
-
 // Planner keeps what hysteresis needs to remember. The zero value is ready to
 // use; it belongs to one goroutine. A planner that starts anew, after another
 // was lost, first has to see Hold pass, so that a change of planners changes
@@ -195,7 +161,11 @@
 	p.watch(now, states)
 	to, from, found := p.choose(now, v, states)
 	if found {
-		return p.orders(now, v, to, from, p.pick(v, to, from), next)
+		engines := p.pick(v, to, from)
+		if t := p.Tempo; t.Even > 0 && to.pool.Model == from.pool.Model {
+			engines = evenPick(t.Even, to, from)
+		}
+		return p.orders(now, v, to, from, engines, next)
 	}
 	if to, from, found = p.evenOut(now, states); found {
 		return p.orders(now, v, to, from, evenPick(p.Tempo.Even, to, from), next)
@@ -267,46 +237,6 @@
 	return best, found
 }
 
-// evenOut gives two pools of a model of which one should give an engine to the
-// other although neither is in need.
-func (p *Planner) evenOut(now time.Time, states []state) (to, from state, found bool) {
-	t := p.Tempo.orDefaults()
-	if t.Even == 0 {
-		return to, from, false
-	}
-	for _, need := range states {
-		give, ok := p.evener(now, t, states, need)
-		if !ok {
-			delete(p.uneven, need.pool)
-			continue
-		}
-		if _, known := p.uneven[need.pool]; !known {
-			p.uneven[need.pool] = now
-		}
-		if now.Sub(p.uneven[need.pool]) >= t.Hold && !found {
-			to, from, found = need, give, true
-		}
-	}
-	return to, from, found
-}
-
-// evener gives the pool of the same model that can give one an engine so that
-// the fuller of the two gets less full.
-func (p *Planner) evener(now time.Time, t Tempo, states []state, need state) (state, bool) {
-	if need.pool.Role == work.RoleApp || need.changing > 0 || !p.settled(now, need.pool) {
-		return state{}, false
-	}
-	for _, s := range states {
-		canGive := s.pool != need.pool && s.pool.Model == need.pool.Model && s.pool.Role != work.RoleApp &&
-			s.changing == 0 && len(s.engines) > MinReplicas && p.settled(now, s.pool)
-		step := max(1, int(EvenStep*float64(len(s.engines))))
-		if canGive && need.pressure(0)-max(need.pressure(step), s.without(step)) >= t.Even {
-			return s, true
-		}
-	}
-	return state{}, false
-}
-
 func better(a, b, need state) bool {
 	if (a.pool.Model == need.pool.Model) != (b.pool.Model == need.pool.Model) {
 		return a.pool.Model == need.pool.Model
@@ -349,30 +279,6 @@
 	return picked
 }
 
-// EvenStep is the part of a pool that may leave it at once to even pools out:
-// the rest has to carry its load while they change.
-const EvenStep = 0.25
-
-// evenPick gives the engines to move: as long as one more makes the fuller of
-// the two pools less full by a share of the margin.
-func evenPick(margin float64, to, from state) []Engine {
-	left := slices.Clone(from.engines)
-	var picked []Engine
-	most := max(1, int(EvenStep*float64(len(left))))
-	for len(picked) < most && len(left) > MinReplicas {
-		n := len(picked)
-		now := max(to.pressure(n), from.without(n))
-		after := max(to.pressure(n+1), from.without(n+1))
-		if n > 0 && now-after < margin/float64(most) {
-			break
-		}
-		i := mostCrowded(left, append(slices.Clone(to.engines), picked...))
-		picked = append(picked, left[i])
-		left = slices.Delete(left, i, i+1)
-	}
-	return picked
-}
-
 // mostCrowded gives the index of an engine from the zone with most of the
 // given engines; of those, from the zone with fewest of the others.
 func mostCrowded(engines, others []Engine) int {
