--- a/direct/crash.go
+++ b/direct/crash.go
@@ -4,10 +4,12 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/pkg/errors"
 
 	"jacinthworks/retry"
 	"jacinthworks/roster"
@@ -73,10 +75,9 @@
 	ids := s.crashes.at(a.id, r)
 	addr := a.upstream.Server().Addr
 	s.later("look at a broken upstream", 2*deathWithin, func(ctx context.Context) error {
-		d := net.Dialer{Timeout: deathWithin}
-		c, err := d.DialContext(ctx, "tcp", addr.String())
+		err := takesNone(ctx, addr)
 		if err == nil {
-			return c.Close()
+			return nil
 		}
 		s.crashes.ledger.Died(retry.Death{Upstream: work.Host(a.id), Incarnation: incarnationOf(a.id), Time: time.Now(), Running: ids})
 		s.Log.Info("upstream died", "upstream", a.id, "request", r.id, "running", len(ids), "err", err)
@@ -84,6 +85,17 @@
 	})
 }
 
+// takesNone gives the error of connecting to an address, nil where it takes a
+// connection.
+func takesNone(ctx context.Context, addr netip.AddrPort) error {
+	d := net.Dialer{Timeout: deathWithin}
+	c, err := d.DialContext(ctx, "tcp", addr.String())
+	if err != nil {
+		return errors.Wrap(err, "direct: looking at an upstream")
+	}
+	return c.Close()
+}
+
 // incarnationOf gives a number for the start that an id names.
 func incarnationOf(id roster.ID) work.Incarnation {
 	var b [8]byte
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"jacinthworks/send"
@@ -15,11 +16,9 @@
 	// headerPart is the part of the target after which a stream that may go
 	// on elsewhere gives up an upstream that has not begun to answer.
 	headerPart = 0.7
-	// gapsLost is how many of the route's longest pauses an upstream that may
-	// be replaced can be silent. An engine that ran out of memory stops a
-	// request and reads it in again, which takes up to four; and callers wait
-	// for eight before they leave.
-	gapsLost = 6
+	// gapsLooked is after how many of the route's longest pauses an upstream is
+	// looked at: a batch that prefills pauses for one or two.
+	gapsLooked = 3
 	// defaultGap is for routes without a longest pause.
 	defaultGap = 300 * time.Millisecond
 	// readAtOnce is how much of a stream is read at once, in bytes.
@@ -101,16 +100,66 @@
 	return time.Duration(headerPart * float64(r.targetLatency()))
 }
 
-// gapPatience bounds the pause between two reads.
+// gapPatience is the pause after which an upstream is looked at, where the
+// stream may go on elsewhere; zero is never.
 func (r *request) gapPatience() time.Duration {
 	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
-		return r.left() + silenceSlack
+		return 0
 	}
 	gap := r.route.TargetGap
 	if gap <= 0 {
 		gap = defaultGap
 	}
-	return gapsLost * gap
+	return gapsLooked * gap
+}
+
+// pulse looks at the upstream of a stream in which nothing comes.
+//
+// Failure: an engine that ran out of memory stops a request for seconds and
+// then goes on. Taken for lost, its stream is cut, and no other has room for
+// the rest: it shows as an answer that ends in its middle though its engine
+// lives. An engine that is lost takes no connection, so that the dial tells the
+// two apart. A connection that went silent under a live engine is not found;
+// the caller leaves it.
+type pulse struct {
+	every time.Duration
+	timer *time.Timer
+	over  atomic.Bool
+}
+
+func (s *Server) pulse(r *request, a *attempt, reply *send.Reply) *pulse {
+	p := &pulse{every: r.gapPatience()}
+	if p.every <= 0 {
+		return p
+	}
+	addr := a.upstream.Server().Addr
+	p.timer = time.AfterFunc(p.every, func() {
+		err := takesNone(s.workCtx, addr)
+		switch {
+		case p.over.Load():
+		case err != nil:
+			s.Log.Info("silent upstream is lost", "request", r.id, "upstream", a.id, "silent", p.every, "err", err)
+			reply.Lose()
+		default:
+			p.timer.Reset(p.every)
+		}
+	})
+	return p
+}
+
+// beat notes that something came.
+func (p *pulse) beat() {
+	if p.timer != nil {
+		p.timer.Reset(p.every)
+	}
+}
+
+// end ends the looking.
+func (p *pulse) end() {
+	p.over.Store(true)
+	if p.timer != nil {
+		p.timer.Stop()
+	}
 }
 
 // passFailure passes on an answer that is not a stream.
@@ -133,7 +182,9 @@
 
 // events passes the events of an answer on as they come.
 func (s *Server) events(ctx context.Context, r *request, a *attempt, reply *send.Reply, e *events, placed time.Time) *failure {
-	reply.SetSilence(r.gapPatience())
+	reply.SetSilence(r.left() + silenceSlack)
+	p := s.pulse(r, a, reply)
+	defer p.end()
 	flush := http.NewResponseController(r.w)
 	buffer := make([]byte, readAtOnce)
 	var first, longest time.Duration
@@ -143,6 +194,9 @@
 		if n > 0 && first > 0 {
 			longest = max(longest, time.Since(last))
 		}
+		if n > 0 {
+			p.beat()
+		}
 		last = time.Now()
 		if n > 0 && first == 0 {
 			first = time.Since(a.began)
--- a/send/reply.go
+++ b/send/reply.go
@@ -55,6 +55,9 @@
 	}
 }
 
+// Lose gives the answer up as silent, from another goroutine than the reader's.
+func (p *Reply) Lose() { p.cancel(errSilent) }
+
 // finish keeps the connection after a whole answer, where nothing of this
 // exchange is left on it.
 func (p *Reply) finish() {
