One copy each: end-to-end headers, pauses, accounts, reasons, the bound on unacknowledged data

Moved, nothing else: send.EndToEnd and send.UserTimeout, group.Pause, Ran.Worse, work.ReasonOf stood in entry, engine and direct.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -118,7 +118,7 @@
 		}
 	}
 	if ctx.Err() != nil {
-		f.reason = reasonOf(ctx)
+		f.reason = work.ReasonOf(ctx)
 	}
 	if f.reason != work.ReasonCallerGone {
 		a.upstream.Seen.Failed(time.Now())
@@ -188,11 +188,3 @@
 	s.Log.Info("not repeated", "request", r.id, "why", why, "sends", r.sends, "runs", r.runs, "left", r.left())
 	return false
 }
-
-// reasonOf says why a request's context ended.
-func reasonOf(ctx context.Context) work.Reason {
-	if ctx.Err() == context.DeadlineExceeded {
-		return work.ReasonDeadline
-	}
-	return work.ReasonCallerGone
-}
--- a/direct/end.go
+++ b/direct/end.go
@@ -23,7 +23,7 @@
 // refuse ends a request that has no answer. One that was begun to be answered
 // is broken off, since what was sent of it must not look whole.
 func (s *Server) refuse(r *request, f *failure) {
-	f.ran = worse(f.ran, r.ran)
+	f.ran = f.ran.Worse(r.ran)
 	s.end(r, "refused", "reason", f.reason, "ran", f.ran, "detail", f.detail)
 	if r.begun || f.reason == work.ReasonCallerGone {
 		panic(http.ErrAbortHandler)
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/feed"
+	"jacinthworks/group"
 	"jacinthworks/plat"
 	"jacinthworks/work"
 )
@@ -110,7 +111,7 @@
 			s.Log.Debug("own record not written", "err", err)
 			wait = memberRetry
 		}
-		pause(ctx, wait)
+		group.Pause(ctx, wait)
 	}
 	return nil
 }
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -166,7 +166,7 @@
 func (s *Server) header(r *request, reply *send.Reply) {
 	to := r.w.Header()
 	length := reply.Header.Get("Content-Length")
-	for name, values := range endToEnd(reply.Header) {
+	for name, values := range send.EndToEnd(reply.Header) {
 		to[name] = values
 	}
 	if length != "" {
--- a/direct/request.go
+++ b/direct/request.go
@@ -7,12 +7,12 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
-	"strings"
 	"time"
 
 	"jacinthworks/paths"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
+	"jacinthworks/send"
 	"jacinthworks/work"
 )
 
@@ -80,7 +80,7 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
-	r.header = endToEnd(h.Header)
+	r.header = send.EndToEnd(h.Header)
 	r.ask = s.Protocol.Ask(r.header)
 	if from, err := netip.ParseAddrPort(h.RemoteAddr); err == nil {
 		r.account = work.Account(from.Addr().String())
@@ -172,7 +172,7 @@
 
 // admit notes what is known of an attempt that failed.
 func (r *request) admit(ran work.Ran) {
-	if r.ran = worse(r.ran, ran); ran != work.NotRun {
+	if r.ran = r.ran.Worse(ran); ran != work.NotRun {
 		r.runs++
 	}
 }
@@ -185,15 +185,6 @@
 	r.tried[u.Server().ID] = true
 }
 
-// worse gives the account that admits more.
-func worse(a, b work.Ran) work.Ran {
-	rank := map[work.Ran]int{work.NotRun: 0, work.Unknown: 1, work.DidRun: 2}
-	if rank[b] > rank[a] {
-		return b
-	}
-	return a
-}
-
 // terms are the figures that bound repeats here: the fleet's, and this entry's
 // part of the fixed number.
 func (s *Server) terms() retry.Terms {
@@ -205,23 +196,3 @@
 // entries that have just come, and repeats that were not asked for here, such
 // as a prefill that failed.
 const fixedPart = 0.6
-
-// oneConnection are the header fields that concern a single connection.
-var oneConnection = []string{
-	"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-	"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-}
-
-// endToEnd gives the header without what concerns one connection only.
-func endToEnd(h http.Header) http.Header {
-	out := h.Clone()
-	for _, field := range h.Values("Connection") {
-		for _, name := range strings.Split(field, ",") {
-			out.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range oneConnection {
-		out.Del(name)
-	}
-	return out
-}
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/fence"
+	"jacinthworks/group"
 	"jacinthworks/lease"
 	"jacinthworks/paths"
 	"jacinthworks/place"
@@ -57,7 +58,7 @@
 			s.planOnce(ctx, k, planners)
 			wait = min(wait, planEvery)
 		}
-		pause(ctx, wait)
+		group.Pause(ctx, wait)
 	}
 	return nil
 }
--- a/direct/room.go
+++ b/direct/room.go
@@ -69,7 +69,7 @@
 		case found != nil:
 			return found, nil
 		case ctx.Err() != nil:
-			return nil, s.unroomed(ctx, r, &queue.Refusal{Reason: reasonOf(ctx)})
+			return nil, s.unroomed(ctx, r, &queue.Refusal{Reason: work.ReasonOf(ctx)})
 		case !any:
 			return nil, s.unplaced(r)
 		case !time.Now().Before(until):
@@ -105,7 +105,7 @@
 	f := &failure{ran: work.NotRun, reason: q.Reason, detail: string(q.Detail), final: true}
 	f.retryAfter = max(q.RetryAfter, s.lines.line(r.service.Name).returns(time.Now()))
 	if ctx.Err() != nil {
-		f.reason = reasonOf(ctx)
+		f.reason = work.ReasonOf(ctx)
 	}
 	s.Log.Info("no room", "request", r.id, "service", r.service.Name, "reason", f.reason, "detail", f.detail,
 		"asked", r.asked, "retry_after", f.retryAfter, "waited", time.Since(r.accepted), "wait_expected", q.Grounds.Wait, "waiting", q.Grounds.Items)
--- a/direct/stop.go
+++ b/direct/stop.go
@@ -4,6 +4,8 @@
 	"context"
 	"net/http"
 	"time"
+
+	"jacinthworks/group"
 )
 
 const (
@@ -25,19 +27,9 @@
 	s.Log.Info("leaving", "within", within)
 	ctx, cancel := context.WithDeadline(context.Background(), began.Add(within))
 	defer cancel()
-	pause(ctx, min(leaveFor, within/2))
+	group.Pause(ctx, min(leaveFor, within/2))
 	if err := public.Shutdown(ctx); err != nil {
 		s.Log.Warn("stop_within passed with requests in progress", "err", err)
 		_ = public.Close()
 	}
 }
-
-// pause waits for d or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -63,7 +63,7 @@
 	if ctx.Err() != nil {
 		s.release(r, p)
 		s.free(r, from)
-		return &failure{ran: work.NotRun, reason: reasonOf(ctx), detail: "ended before an upstream had it"}
+		return &failure{ran: work.NotRun, reason: work.ReasonOf(ctx), detail: "ended before an upstream had it"}
 	}
 	reply, f := s.try(ctx, r, a)
 	if f != nil {
--- a/engine/http_app.go
+++ b/engine/http_app.go
@@ -42,7 +42,7 @@
 	if !strings.HasPrefix(c.Path, "/") {
 		return Answer{}, &Failure{Call: call, Class: ErrNotTaken, Cause: errors.New("engine: path does not start with /")}
 	}
-	reply, err := h.client.Do(ctx, send.Request{Method: c.Method, Target: c.Path, Header: endToEnd(c.Header), Body: c.Body})
+	reply, err := h.client.Do(ctx, send.Request{Method: c.Method, Target: c.Path, Header: send.EndToEnd(c.Header), Body: c.Body})
 	if err != nil {
 		return Answer{}, lost(call, err)
 	}
@@ -59,26 +59,5 @@
 	case reply.Status == http.StatusServiceUnavailable && reply.Header.Get(NotTakenHeader) != "":
 		return Answer{}, &Failure{Call: call, Class: ErrNotTaken, Cause: errors.New("engine: the server said so")}
 	}
-	return Answer{Status: reply.Status, Header: endToEnd(reply.Header), Body: body}, nil
-}
-
-// endToEnd copies a header without what concerns one connection only
-// (RFC 9110, 7.6.1).
-func endToEnd(header http.Header) http.Header {
-	h := header.Clone()
-	if h == nil {
-		h = http.Header{}
-	}
-	for _, list := range h.Values("Connection") {
-		for _, name := range strings.Split(list, ",") {
-			h.Del(strings.TrimSpace(name))
-		}
-	}
-	for _, name := range []string{
-		"Connection", "Keep-Alive", "Proxy-Connection", "Proxy-Authenticate", "Proxy-Authorization",
-		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Content-Length",
-	} {
-		h.Del(name)
-	}
-	return h
+	return Answer{Status: reply.Status, Header: send.EndToEnd(reply.Header), Body: body}, nil
 }
--- a/entry/accept.go
+++ b/entry/accept.go
@@ -5,10 +5,11 @@
 	"net"
 	"net/netip"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/send"
 )
 
 // callerLost is how long a caller's host may leave what was sent to it
@@ -18,24 +19,10 @@
 // network on a phone.
 const callerLost = 5 * time.Second
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), in milliseconds.
-const tcpUserTimeout = 18
-
 // listenCallers listens with the bound on unacknowledged data, and no more
 // open connections than the limit.
 func listenCallers(ctx context.Context, address netip.AddrPort, most int) (net.Listener, error) {
-	c := net.ListenConfig{
-		Control: func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(callerLost.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		},
-	}
+	c := net.ListenConfig{Control: send.UserTimeout(callerLost)}
 	l, err := c.Listen(ctx, "tcp", address.String())
 	if err != nil {
 		return nil, errors.Wrap(err, "entry: listen")
--- a/entry/accept_test.go
+++ b/entry/accept_test.go
@@ -8,6 +8,8 @@
 	"time"
 
 	"github.com/stretchr/testify/require"
+
+	"jacinthworks/send"
 )
 
 // The story: an appraisal keeps its engine's memory though its seller's host is
@@ -39,7 +41,7 @@
 	require.NoError(t, err)
 	var set int
 	require.NoError(t, raw.Control(func(fd uintptr) {
-		set, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout)
+		set, err = syscall.GetsockoptInt(int(fd), syscall.IPPROTO_TCP, send.TCPUserTimeout)
 	}))
 	require.NoError(t, err)
 	require.Equal(t, callerLost, time.Duration(set)*time.Millisecond)
--- a/entry/answer_test.go
+++ b/entry/answer_test.go
@@ -142,10 +142,10 @@
 	order := []work.Ran{work.NotRun, work.Unknown, work.DidRun}
 	for i, a := range order {
 		for j, b := range order {
-			require.Equal(t, order[max(i, j)], worse(a, b))
+			require.Equal(t, order[max(i, j)], a.Worse(b))
 		}
 	}
-	require.Equal(t, work.Ran(""), worse("", work.NotRun), "an account that is missing is not a promise")
+	require.Equal(t, work.Ran(""), work.Ran("").Worse(work.NotRun), "an account that is missing is not a promise")
 }
 
 // A key is freed only by work that did not run, or that may run again.
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -219,7 +219,7 @@
 	e.Log.Info("leaving", "within", within)
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
-	pause(ctx, min(leaveFor, within/2))
+	group.Pause(ctx, min(leaveFor, within/2))
 	e.draining.Store(true)
 	if err := s.Shutdown(ctx); err != nil {
 		e.Log.Warn("stop_within passed", "err", err)
--- a/entry/hosts.go
+++ b/entry/hosts.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"jacinthworks/group"
 	"jacinthworks/plat"
 	"jacinthworks/work"
 )
@@ -20,7 +21,7 @@
 // watchHosts keeps new work from hosts that the platform lists as leaving.
 func (e *Entry) watchHosts(ctx context.Context) error {
 	for ctx.Err() == nil {
-		pause(ctx, max(hostsEvery, time.Duration(len(e.entries.All()))*hostsPerEntry))
+		group.Pause(ctx, max(hostsEvery, time.Duration(len(e.entries.All()))*hostsPerEntry))
 		read, cancel := context.WithTimeout(ctx, callWithin)
 		listed, err := e.Hosts.Hosts(read)
 		cancel()
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthworks/claim"
+	"jacinthworks/group"
 	"jacinthworks/links"
 	"jacinthworks/plat"
 	"jacinthworks/story"
@@ -74,7 +75,7 @@
 			}
 			last = f
 		}
-		pause(ctx, claimPoll)
+		group.Pause(ctx, claimPoll)
 	}
 	e.tell(r, story.Event{Kind: story.Claimed, Detail: "not granted: " + last.detail})
 	return nil, last
@@ -191,7 +192,7 @@
 			if sent {
 				return nil
 			}
-			pause(ctx, claimPoll)
+			group.Pause(ctx, claimPoll)
 		}
 		return ctx.Err()
 	})
--- a/entry/model.go
+++ b/entry/model.go
@@ -9,6 +9,7 @@
 	"jacinthworks/admit"
 	"jacinthworks/claim"
 	"jacinthworks/engine"
+	"jacinthworks/group"
 	"jacinthworks/links"
 	"jacinthworks/steps"
 	"jacinthworks/story"
@@ -115,7 +116,7 @@
 // keepRoom renews the reservation at the decode side until ctx ends.
 func (e *Entry) keepRoom(ctx context.Context, r *request, s *links.Link) error {
 	for {
-		pause(ctx, admit.Hold/3)
+		group.Pause(ctx, admit.Hold/3)
 		if ctx.Err() != nil {
 			return nil
 		}
--- a/entry/request.go
+++ b/entry/request.go
@@ -9,6 +9,7 @@
 	"jacinthworks/check"
 	"jacinthworks/claim"
 	"jacinthworks/engine"
+	"jacinthworks/group"
 	"jacinthworks/links"
 	"jacinthworks/retry"
 	"jacinthworks/story"
@@ -119,7 +120,7 @@
 	if c := out.Claim; c != nil && (c.Code == claim.CodeKeyTaken || !c.TryNotRun) {
 		// This attempt did not run, but another under its key may have: a
 		// side that was paused wakes and runs what was given up meanwhile.
-		f.ran, f.final = worse(c.Ran, work.Unknown), true
+		f.ran, f.final = c.Ran.Worse(work.Unknown), true
 	}
 	return f
 }
@@ -139,16 +140,16 @@
 		}
 		e.tell(r, story.Event{Kind: story.AttemptEnded, Ran: f.ran, Reason: f.reason, Detail: f.detail})
 		// An earlier attempt may have run although the last one did not.
-		worst = worse(worst, f.ran)
+		worst = worst.Worse(f.ran)
 		if r.prefilled {
-			worst = worse(worst, work.DidRun)
+			worst = worst.Worse(work.DidRun)
 		}
 		if ctx.Err() != nil {
-			f.reason = reasonOf(ctx)
+			f.reason = work.ReasonOf(ctx)
 		}
 		if ctx.Err() == nil && f.bounced() {
 			r.bounces++
-			pause(ctx, bouncePause)
+			group.Pause(ctx, bouncePause)
 			continue
 		}
 		if ctx.Err() != nil || !e.mayRetry(r, f) {
@@ -168,23 +169,6 @@
 	return !f.final && f.ran == work.NotRun && (f.reason == work.ReasonDraining || f.reason == work.ReasonNoRoom)
 }
 
-// worse gives the account that admits more.
-func worse(a, b work.Ran) work.Ran {
-	rank := func(r work.Ran) int {
-		switch r {
-		case work.NotRun:
-			return 0
-		case work.DidRun:
-			return 2
-		}
-		return 1
-	}
-	if rank(b) > rank(a) {
-		return b
-	}
-	return a
-}
-
 // pass notes the side of a failed attempt, so that the next goes elsewhere.
 func (r *request) pass(s *links.Link, f *failure) {
 	if f == nil {
--- a/entry/stage.go
+++ b/entry/stage.go
@@ -6,6 +6,7 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/group"
 	"jacinthworks/links"
 	"jacinthworks/wire"
 	"jacinthworks/work"
@@ -77,7 +78,7 @@
 		if err != nil && !errors.Is(err, wire.ErrNotSent) {
 			until = time.Now().Add(attachWithin)
 		}
-		pause(ctx, redialPoll)
+		group.Pause(ctx, redialPoll)
 	}
 	if ctx.Err() != nil {
 		return e.giveUp(ctx, s, r)
@@ -91,7 +92,7 @@
 // giveUp ends an attempt that is no longer wanted, and says what is known of
 // it: the side's own account where it still answers.
 func (e *Entry) giveUp(ctx context.Context, s *links.Link, r wire.Run) wire.Outcome {
-	out := wire.Outcome{Ref: r.Ref, Ran: work.Unknown, Reason: reasonOf(ctx)}
+	out := wire.Outcome{Ref: r.Ref, Ran: work.Unknown, Reason: work.ReasonOf(ctx)}
 	settle, cancel := context.WithTimeout(context.WithoutCancel(ctx), callWithin)
 	defer cancel()
 	var known wire.Outcome
@@ -104,14 +105,6 @@
 	return out
 }
 
-// reasonOf says why a request's context ended.
-func reasonOf(ctx context.Context) work.Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-		return work.ReasonDeadline
-	}
-	return work.ReasonCallerGone
-}
-
 // cancel brings a cancel order through, past the end of the request. A lost
 // order is repeated until a side says that it has it; a side that is cut off
 // from here frees the work itself.
@@ -124,18 +117,8 @@
 			if err == nil {
 				return nil
 			}
-			pause(ctx, redialPoll)
+			group.Pause(ctx, redialPoll)
 		}
 		return ctx.Err()
 	})
 }
-
-// pause waits for d or the end of the context.
-func pause(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/entry/stories.go
+++ b/entry/stories.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/admin"
+	"jacinthworks/group"
 	"jacinthworks/plat"
 	"jacinthworks/story"
 	"jacinthworks/wire"
@@ -36,7 +37,7 @@
 	var o story.Outbox
 	var last time.Time
 	for ctx.Err() == nil {
-		pause(ctx, flushPoll)
+		group.Pause(ctx, flushPoll)
 		every := time.Duration(len(e.entries.All())) * flushPerEntry
 		if now := time.Now(); e.recorder.Due(now) && now.Sub(last) >= every {
 			e.pack(&p, &o, now)
@@ -55,7 +56,7 @@
 // an earlier one, once they are too old.
 func (e *Entry) expireStories(ctx context.Context) error {
 	for {
-		pause(ctx, expireEvery)
+		group.Pause(ctx, expireEvery)
 		if ctx.Err() != nil {
 			return nil
 		}
@@ -67,7 +68,7 @@
 			if o, err := e.Objects.Get(ctx, name); err == nil {
 				_ = e.Objects.Delete(ctx, name, o.Version) // the next round finds it again
 			}
-			pause(ctx, expirePause)
+			group.Pause(ctx, expirePause)
 		}
 	}
 }
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -7,6 +7,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/editor"
+	"jacinthworks/group"
 	"jacinthworks/links"
 	"jacinthworks/plat"
 	"jacinthworks/table"
@@ -58,7 +59,7 @@
 			err = e.takeObject(o, asked)
 		}
 		if err != nil {
-			pause(ctx, watchRest)
+			group.Pause(ctx, watchRest)
 		}
 	}
 	return nil
@@ -95,7 +96,7 @@
 		if heard == 0 {
 			e.askPlatform(ctx)
 		}
-		pause(ctx, confirmEvery)
+		group.Pause(ctx, confirmEvery)
 	}
 	return nil
 }
--- a/entry/turn.go
+++ b/entry/turn.go
@@ -123,7 +123,7 @@
 		retryAfter: got.refused.RetryAfter, final: true,
 	}
 	if ctx.Err() != nil {
-		f.reason = reasonOf(ctx)
+		f.reason = work.ReasonOf(ctx)
 	}
 	e.Log.Info("decision", "request", r.id, "outcome", "refused", "reason", f.reason, "detail", f.detail,
 		"wait", got.refused.Grounds.Wait, "rate", got.refused.Grounds.Rate, "waiting", got.refused.Grounds.Items)
--- a/send/conn.go
+++ b/send/conn.go
@@ -15,8 +15,8 @@
 	"github.com/pkg/errors"
 )
 
-// tcpUserTimeout is TCP_USER_TIMEOUT of tcp(7), in milliseconds.
-const tcpUserTimeout = 18
+// TCPUserTimeout is TCP_USER_TIMEOUT of tcp(7), in milliseconds.
+const TCPUserTimeout = 18
 
 // probes is how many probes may go unanswered: one can be lost on its way.
 const probes = 2
@@ -43,16 +43,7 @@
 		d.KeepAliveConfig = net.KeepAliveConfig{Enable: true, Idle: probe, Interval: probe, Count: probes}
 	}
 	if user > 0 {
-		d.Control = func(_, _ string, raw syscall.RawConn) error {
-			var failed error
-			err := raw.Control(func(fd uintptr) {
-				failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(user.Milliseconds()))
-			})
-			if err != nil {
-				return err
-			}
-			return failed
-		}
+		d.Control = UserTimeout(user)
 	}
 	c, err := d.DialContext(ctx, "tcp", to.String())
 	if err != nil {
@@ -63,6 +54,21 @@
 	return k, nil
 }
 
+// UserTimeout gives a Control function of a dialer or a listener that bounds how
+// long sent data may stay unacknowledged.
+func UserTimeout(after time.Duration) func(network, address string, raw syscall.RawConn) error {
+	return func(_, _ string, raw syscall.RawConn) error {
+		var failed error
+		err := raw.Control(func(fd uintptr) {
+			failed = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, TCPUserTimeout, int(after.Milliseconds()))
+		})
+		if err != nil {
+			return err
+		}
+		return failed
+	}
+}
+
 func (k *conn) begin() { k.sent.Store(0) }
 
 func (k *conn) wrote() bool { return k.sent.Load() > 0 }
