--- a/direct/end.go
+++ b/direct/end.go
@@ -44,14 +44,14 @@
 	}
 }
 
-// statusOf gives the status of a refusal. 503 promises that the request has
-// not run and will not, so anything else that broke off gets 502 or 504.
+// statusOf gives the status of a refusal. 503 and 429 promise that the request
+// has not run and will not, so anything else that broke off gets 502 or 504.
 func statusOf(f *failure) int {
 	status := f.reason.Status()
 	switch {
 	case f.ran == work.NotRun && status >= http.StatusInternalServerError:
 		return http.StatusServiceUnavailable
-	case f.ran != work.NotRun && status == http.StatusServiceUnavailable:
+	case f.ran != work.NotRun && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests):
 		return http.StatusBadGateway
 	}
 	return status
