--- /dev/null
+++ b/direct/reload_test.go
@@ -0,0 +1,56 @@
+package direct
+
+import (
+	"context"
+	"errors"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/hashicorp/go-hclog"
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/conf"
+)
+
+// Story: the settings file changes and the process gets SIGHUP. It went down by
+// the signal, and cut what ran. It must read the file, put it in force and go
+// on; a file that does not hold changes nothing.
+func TestSettingsAreReloaded(t *testing.T) {
+	reloads := make(chan os.Signal, 1)
+	next := conf.Direct{Repeats: conf.Repeats{Ratio: 0.2, Fixed: 10}}
+	var failure error
+	read := make(chan struct{}, 1)
+	s := &Server{
+		Settings: next, Reloads: reloads, Log: hclog.NewNullLogger(),
+		Reload: func() (conf.Direct, error) {
+			defer func() { read <- struct{}{} }()
+			return next, failure
+		},
+	}
+	s.init()
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- s.reload(ctx) }()
+
+	next.Repeats.Fixed = 20
+	reloads <- syscall.SIGHUP
+	<-read
+	require.Eventually(t, func() bool { return s.live.Load().Repeats.Fixed == 20 }, 5*time.Second, time.Millisecond)
+	next.Repeats.Fixed, failure = 30, errors.New("not TOML")
+	reloads <- syscall.SIGHUP
+	<-read
+	cancel()
+	require.NoError(t, <-ended)
+	require.EqualValues(t, 20, s.live.Load().Repeats.Fixed)
+}
+
+func TestAnAddressNeedsARestart(t *testing.T) {
+	old := conf.Direct{Name: "a", StopWithin: time.Second}
+	fresh := old
+	fresh.StopWithin = 2 * time.Second
+	require.False(t, needsRestart(old, fresh))
+	fresh.Name = "b"
+	require.True(t, needsRestart(old, fresh))
+}
