test: a soak of entries without sides

Real processes of `direct` on loopback, store and servers as stand-ins behind relays that reset, cut, hold one way, silence and delay; processes killed, suspended, stopped, reloaded; store down, slow, compacted, answers lost; servers that crash, leave, fill up, lose answers. Checked from what callers and servers saw: runs, refusals, whole and own answers, calm, leaving, versions, freed work, recovery, one end a request.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -134,7 +134,7 @@
 	if s.Settings.MetricsListen.IsValid() {
 		loops.Go(serving, "metrics", func(ctx context.Context) error { return s.Meter.Serve(ctx, s.Settings.MetricsListen) })
 	}
-	s.Log.Info("started", "listen", s.Settings.Listen, "ready", s.Settings.ReadyListen, "zone", s.Settings.Zone)
+	s.Log.Info("started", "listen", callers.Addr().String(), "ready", ready.Addr().String(), "zone", s.Settings.Zone)
 	if s.Listening != nil {
 		s.Listening(callers.Addr().(*net.TCPAddr).AddrPort(), ready.Addr().(*net.TCPAddr).AddrPort())
 	}
--- a/test/relay.go
+++ b/test/relay.go
@@ -1,13 +1,13 @@
 package test
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net"
 	"net/netip"
 	"regexp"
 	"sync"
+	"time"
 
 	"jacinthworks/group"
 )
@@ -23,8 +23,21 @@
 	target netip.AddrPort
 	cut    map[string]bool // refuse and close, by dialler; "" is everybody
 	pairs  map[*pairing]bool
+	held   [2]bool       // bytes that wait until the hold ends, by direction
+	delay  time.Duration // of what is passed on, both ways
+	change chan struct{} // closed when a hold ends
+	flaps  bool          // open connections break again and again
 }
 
+// direction is one way through a relay.
+type direction int
+
+// The directions.
+const (
+	there direction = iota // from who dials
+	back
+)
+
 // pairing is one connection through a relay.
 type pairing struct {
 	from          string
@@ -39,7 +52,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &relay{user: user, ln: ln, cut: make(map[string]bool), pairs: make(map[*pairing]bool)}, nil
+	return &relay{user: user, ln: ln, cut: make(map[string]bool), pairs: make(map[*pairing]bool), change: make(chan struct{})}, nil
 }
 
 func (r *relay) address() netip.AddrPort { return r.ln.Addr().(*net.TCPAddr).AddrPort() }
@@ -97,14 +110,18 @@
 		r.drop(p)
 		return
 	}
-	if _, err := p.serve.Write(first[:n]); err != nil {
+	if !r.pass(ctx, p, there, p.serve, first[:n]) {
 		r.drop(p)
 		return
 	}
-	back := make(chan struct{})
-	g.Go(ctx, "back", func(context.Context) error { defer close(back); r.pump(p, p.client, p.serve); return nil })
-	r.pump(p, p.serve, p.client)
-	<-back
+	ended := make(chan struct{})
+	g.Go(ctx, "back", func(ctx context.Context) error {
+		defer close(ended)
+		r.pump(ctx, p, back, p.client, p.serve)
+		return nil
+	})
+	r.pump(ctx, p, there, p.serve, p.client)
+	<-ended
 }
 
 // add keeps the pairing, unless its dialler is cut off.
@@ -118,24 +135,39 @@
 	return true
 }
 
-func (r *relay) pump(p *pairing, to io.Writer, from io.Reader) {
+func (r *relay) pump(ctx context.Context, p *pairing, d direction, to io.Writer, from io.Reader) {
 	defer r.drop(p)
 	buffer := make([]byte, 32<<10)
 	for {
 		n, err := from.Read(buffer)
-		if err != nil {
+		if err != nil || !r.pass(ctx, p, d, to, buffer[:n]) {
 			return
 		}
+	}
+}
+
+// pass gives bytes on, late or never where the relay is told so. Held bytes
+// come once the hold ends, as those of a network that sends them again.
+func (r *relay) pass(ctx context.Context, p *pairing, d direction, to io.Writer, b []byte) bool {
+	for {
 		r.mu.Lock()
-		silent := p.silent
+		held, silent, delay, change := r.held[d], p.silent, r.delay, r.change
 		r.mu.Unlock()
 		if silent {
-			continue
+			return true
 		}
-		if _, err := io.Copy(to, bytes.NewReader(buffer[:n])); err != nil {
-			return
+		if !held {
+			group.Pause(ctx, delay)
+			break
+		}
+		select {
+		case <-change:
+		case <-ctx.Done():
+			return false
 		}
 	}
+	_, err := to.Write(b)
+	return err == nil
 }
 
 func (r *relay) drop(p *pairing) {
@@ -156,11 +188,47 @@
 	r.breakAll(func(p *pairing) bool { return from == "" || p.from == from })
 }
 
-// heal lets everybody through again.
+// hold keeps back what goes in one direction, of all connections.
+func (r *relay) hold(d direction) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.held[d] = true
+}
+
+// slow delays all that is passed on.
+func (r *relay) slow(by time.Duration) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.delay = by
+}
+
+// flap breaks the open connections again and again.
+func (r *relay) flap(every time.Duration) {
+	r.mu.Lock()
+	r.flaps = true
+	r.mu.Unlock()
+	go func() { // ends when the relay heals or its listener is gone
+		for r.flapping() {
+			r.breakAll(nil)
+			time.Sleep(every)
+		}
+	}()
+}
+
+func (r *relay) flapping() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.flaps
+}
+
+// heal lets everybody through again, and what was held.
 func (r *relay) heal() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	clear(r.cut)
+	r.held, r.delay, r.flaps = [2]bool{}, 0, false
+	close(r.change)
+	r.change = make(chan struct{})
 }
 
 // silence swallows what the dialler's open connections carry; new ones work.
