direct: kept connections are shared out under what an upstream takes

Ruled out: overload of the servers (12 slots for 9 busy), lost answers (that fault was over at 11 s, resets went on to 32 s).

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -50,7 +50,7 @@
 		a.upstream.Seen.Begin(a.work)
 	}
 	s.crashes.begin(a.id, r)
-	reply, err := a.upstream.Client.Do(ctx, send.Request{
+	reply, err := s.client(a.upstream).Do(ctx, send.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, Silence: a.silence,
 		// A kept connection can break just as it is used, which leaves open
 		// whether the request ran.
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -116,7 +116,7 @@
 		return
 	}
 	s.later("free handle", freeWithin, func(ctx context.Context) error {
-		reply, err := p.upstream.Client.Do(ctx, s.Protocol.Free(p.handle))
+		reply, err := s.client(p.upstream).Do(ctx, s.Protocol.Free(p.handle))
 		if err != nil {
 			s.Log.Info("handle not freed", "request", r.id, "err", err)
 			return nil
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -145,7 +145,7 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	s.Protocol.Stamp(r.Header, Stamp{Upstream: u.Server().ID, Within: within})
-	reply, err := u.Client.Do(ctx, r)
+	reply, err := s.client(u).Do(ctx, r)
 	if err != nil {
 		return nil, 0, err
 	}
--- a/direct/room.go
+++ b/direct/room.go
@@ -218,7 +218,7 @@
 
 // dropNow frees held room and waits for the answer.
 func (s *Server) dropNow(ctx context.Context, r *request, u *roster.Upstream, h Hold) {
-	reply, err := u.Client.Do(ctx, s.Protocol.Drop(h))
+	reply, err := s.client(u).Do(ctx, s.Protocol.Drop(h))
 	if err != nil {
 		s.Log.Info("hold not dropped", "request", r.id, "err", err)
 		return
--- a/send/send.go
+++ b/send/send.go
@@ -38,7 +38,7 @@
 	DefaultDialTimeout = time.Second
 	DefaultSilence     = 10 * time.Second
 	DefaultKeep        = 30 * time.Second
-	maxIdle            = 256
+	DefaultIdle        = 256
 )
 
 // inlineBody is the longest body, in bytes, that is written before the answer
@@ -72,8 +72,22 @@
 	// went silent for good while this side waits.
 	Probe time.Duration
 
-	mu   sync.Mutex // a leaf
-	idle []*conn    // the newest last
+	mu      sync.Mutex // a leaf
+	idle    []*conn    // the newest last
+	maxIdle int        // zero is DefaultIdle
+}
+
+// KeepAtMost bounds the connections that are kept without a request; zero is
+// DefaultIdle. It may be called at any time.
+//
+// Failure: an upstream takes so many connections from all its callers together,
+// and resets the next one. Connections that each of many callers keeps for
+// later use it up, and a request that came on the reset one, and may not be
+// repeated, is lost.
+func (c *Client) KeepAtMost(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.maxIdle = n
 }
 
 // Request is one request to send.
@@ -226,8 +240,12 @@
 	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	most := c.maxIdle
+	if most == 0 {
+		most = DefaultIdle
+	}
 	n := 0
-	for n < len(c.idle) && (c.idle[n].expired(now) || len(c.idle)-n >= maxIdle) {
+	for n < len(c.idle) && (c.idle[n].expired(now) || len(c.idle)-n >= most) {
 		_ = c.idle[n].Close()
 		n++
 	}
