direct: entries tell each other of engines that change their role

Cause: an engine that changes refuses what comes for it, has nothing else to do, and so looks the best to each entry, until the registry tells some seconds later.

Ruled out: full prefill engines (5 of 16 busy).

Change: the entry that gave the orders names the engines in its record, others keep work away from them until the registry tells of the new role, or the time of a change and 2 s have passed. One write, and one watch answer for each entry.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -63,17 +63,18 @@
 	Listening func(callers, ready netip.AddrPort)
 
 	// live are the settings that may change while the process runs.
-	live    atomic.Pointer[conf.Direct]
-	holder  paths.Holder
-	roster  roster.Roster
-	crashes crashes
-	budgets budgets
-	lines   lines
-	waits   waits
-	members members
-	leaving atomic.Bool
-	work    group.Group
-	workCtx context.Context
+	live     atomic.Pointer[conf.Direct]
+	holder   paths.Holder
+	roster   roster.Roster
+	crashes  crashes
+	budgets  budgets
+	lines    lines
+	waits    waits
+	members  members
+	changing changing
+	leaving  atomic.Bool
+	work     group.Group
+	workCtx  context.Context
 }
 
 // budgets are the allowances for repeats of each service.
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -10,8 +10,9 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/feed"
-	"jacinthworks/group"
+	"jacinthworks/fence"
 	"jacinthworks/plat"
+	"jacinthworks/roster"
 	"jacinthworks/work"
 )
 
@@ -34,6 +35,15 @@
 	Name work.Host `json:"name"`
 	// Beat changes with each writing.
 	Beat uint64 `json:"beat"`
+	// Changing are the engines that this entry has lately told to change their
+	// role.
+	Changing []Change `json:"changing,omitempty"`
+}
+
+// Change is an order to an engine that keeps it away for a time.
+type Change struct {
+	Upstream roster.ID    `json:"upstream"`
+	Fence    fence.Number `json:"fence"`
 }
 
 // members counts the entries, among which the fixed number of repeats is
@@ -96,7 +106,23 @@
 func (s *Server) memberFeed() *feed.Feed[Member] {
 	return &feed.Feed[Member]{
 		Name: "entries", Source: s.Members, Log: s.Log, Wait: s.Settings.WatchWait,
-		Listed: s.members.listed, Changed: s.members.changed,
+		Listed: s.membersListed, Changed: s.membersChanged,
+	}
+}
+
+func (s *Server) membersListed(now time.Time, all []feed.Item[Member]) {
+	s.members.listed(now, all)
+	for _, i := range all {
+		s.heed(now, i.Value)
+	}
+}
+
+func (s *Server) membersChanged(now time.Time, changes []feed.Change[Member]) {
+	s.members.changed(now, changes)
+	for _, c := range changes {
+		if !c.Gone {
+			s.heed(now, c.Value)
+		}
 	}
 }
 
@@ -111,7 +137,13 @@
 			s.Log.Debug("own record not written", "err", err)
 			wait = memberRetry
 		}
-		group.Pause(ctx, wait)
+		t := time.NewTimer(wait)
+		select {
+		case <-ctx.Done():
+		case <-s.changing.wake():
+		case <-t.C:
+		}
+		t.Stop()
 	}
 	return nil
 }
@@ -122,7 +154,7 @@
 	ctx, cancel := context.WithTimeout(ctx, storeWithin)
 	defer cancel()
 	name := memberKind + string(s.Settings.Name)
-	value, err := json.Marshal(Member{Name: s.Settings.Name, Beat: beat})
+	value, err := json.Marshal(Member{Name: s.Settings.Name, Beat: beat, Changing: s.changing.list(time.Now())})
 	if err != nil {
 		return errors.Wrap(err, "direct: own record")
 	}
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -84,8 +84,15 @@
 		s.Log.Info("engines", "service", v.Name, "answered", len(states),
 			"prefill", seen.Demand[place.Pool{Model: v.Name, Role: work.RolePrefill}],
 			"decode", seen.Demand[place.Pool{Model: v.Name, Role: work.RoleDecode}])
+		var taken []Change
 		for _, o := range p.Plan(time.Now(), seen, k.May) {
-			s.changeRole(ctx, k, states, o)
+			if s.changeRole(ctx, k, states, o) {
+				taken = append(taken, Change{Upstream: roster.ID(o.Host), Fence: o.Fence})
+			}
+		}
+		if len(taken) > 0 {
+			s.changing.tell(time.Now(), taken)
+			s.heed(time.Now(), Member{Name: s.Settings.Name, Changing: taken})
 		}
 	}
 }
@@ -190,8 +197,10 @@
 }
 
 // changeRole gives one order. It names how many orders the engine had taken:
-// one that is carried out late, after another, is then not carried out at all.
-func (s *Server) changeRole(ctx context.Context, k *lease.Keeper, states []engineState, o place.Order) {
+// one that is carried out late, after another, is then not carried out at all. It
+// reports whether the engine is to be kept away from: unless it said that it does
+// not carry the order out.
+func (s *Server) changeRole(ctx context.Context, k *lease.Keeper, states []engineState, o place.Order) bool {
 	for _, e := range states {
 		if work.Host(e.server.ID) != o.Host {
 			continue
@@ -199,15 +208,20 @@
 		r, err := s.Protocol.ChangeRole(o.To.Role, s.Settings.Name, o.Fence, e.state.Orders)
 		if err != nil {
 			s.Log.Error("order not given", "upstream", o.Host, "err", err)
-			return
+			return false
 		}
 		_, status, err := s.ask(ctx, e.upstream, r, orderWithin)
-		outcome := Ordered("no_answer")
+		outcome := orderUnknown
 		if err == nil {
 			outcome = s.Protocol.Ordered(status)
 		}
 		overrun := k.Gave(o.Fence)
 		s.Log.Info("order", "upstream", o.Host, "from", o.From, "to", o.To, "fence", o.Fence, "after", e.state.Orders,
 			"grounds", o.Grounds, "outcome", outcome, "status", status, "err", err, "overrun", overrun)
+		return outcome == OrderTaken || outcome == orderUnknown
 	}
+	return false
 }
+
+// orderUnknown is the outcome of an order without an answer.
+const orderUnknown Ordered = "no_answer"
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -133,6 +133,13 @@
 	return r.pools[s]
 }
 
+// Member gives the upstream of an id; nil for none.
+func (r *Roster) Member(id ID) *Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.members[id]
+}
+
 // Listed takes the whole registry.
 func (r *Roster) Listed(now time.Time, all []feed.Item[Server]) {
 	r.mu.Lock()
@@ -195,6 +202,9 @@
 	old := u.server
 	u.server, u.heard = s, now
 	u.mu.Unlock()
+	if old.ID != "" && old.Role != s.Role {
+		u.Seen.Back()
+	}
 	if old.ID != "" && (old.Draining != s.Draining || old.Role != s.Role) {
 		r.Log.Info("upstream changed", "upstream", s.ID, "service", s.Service, "draining", s.Draining, "role", s.Role)
 	}
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -42,6 +42,8 @@
 	speed time.Duration
 	// holdUntil keeps work away for a moment after it said that it is full.
 	holdUntil time.Time
+	// away keeps work away while it changes its role.
+	away time.Time
 	// refused counts refusals in a row of requests that it held room for.
 	refused int
 }
@@ -123,6 +125,21 @@
 	s.refused++
 }
 
+// Away keeps work away until then: it is known to take none.
+func (s *Seen) Away(until time.Time) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away = until
+}
+
+// Back notes that it has changed its role: what was known of its speed and of
+// its refusals was that of the other one.
+func (s *Seen) Back() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.away, s.holdUntil, s.refused, s.speed = time.Time{}, time.Time{}, 0, 0
+}
+
 // Reported notes the load that an answer told of: all requests there, running
 // or waiting, of which this process knows its own.
 func (s *Seen) Reported(now time.Time, all int) {
@@ -145,7 +162,7 @@
 		Queued: s.queued,
 		Fails:  s.fails / (s.fails + s.answers + failPrior),
 		Speed:  s.speed,
-		Held:   now.Before(s.holdUntil),
+		Held:   now.Before(s.holdUntil) || now.Before(s.away),
 	}
 }
 
