direct, feed: entries' records are read, not watched; changes come together

Cause: each entry writes its record every 30 s, and each writing ended the watch of every entry: 24 writings for 24 watches in 30 s, growing with the square of the entries. Each upstream that registers likewise ended 24 watches.

Orders to engines have a record of their own, which is watched. After changes a feed waits 100 ms, in which further ones come together.

--- a/direct/change.go
+++ b/direct/change.go
@@ -1,37 +1,54 @@
 package direct
 
 import (
+	"context"
+	"encoding/json"
 	"sync"
 	"time"
 
+	"github.com/pkg/errors"
+
+	"jacinthworks/feed"
 	"jacinthworks/fence"
+	"jacinthworks/plat"
 	"jacinthworks/roster"
+	"jacinthworks/work"
 )
 
 const (
-	// changeTold is how long an entry's record names an engine that it told to
-	// change its role: several times what a watch takes to bring it.
+	// changesRecord is where the entry that gives orders names those under way.
+	changesRecord = "changes/roles"
+	// changeTold is how long it names one: several times what a watch takes to
+	// bring it.
 	changeTold = 5 * time.Second
 	// changeSlack is what a change may take beyond its own time, for what the
 	// engine still runs.
 	changeSlack = 2 * time.Second
 )
 
-// changing are the engines that this entry has told to change their role, and
-// the orders of all entries that it knows of. The zero value is ready to use; it
-// must not be copied.
+// Change is an order to an engine that keeps it away for a time.
+type Change struct {
+	Upstream roster.ID    `json:"upstream"`
+	Fence    fence.Number `json:"fence"`
+}
+
+// Changes are the orders under way, and who gave them.
+type Changes struct {
+	By     work.Host `json:"by"`
+	Orders []Change  `json:"orders"`
+}
+
+// changing are the engines that this entry has lately told to change their
+// role. The zero value is ready to use; it must not be copied.
 //
 // Failure: an engine that changes its role refuses what comes for it, and has
 // nothing else to do, so that each entry takes it for the best one. The registry
 // tells of the change when it is over. It shows as refused prefills, which use up
 // the repeats that are allowed, and then as prompts that decode engines have to
-// read. The record of the entry that gave the order tells the others within
-// milliseconds.
+// read. A record that all entries watch tells them within milliseconds.
 type changing struct {
-	mu    sync.Mutex // a leaf
-	told  []toldChange
-	known map[roster.ID]fence.Number
-	woken chan struct{}
+	mu   sync.Mutex // a leaf
+	told []toldChange
 }
 
 type toldChange struct {
@@ -39,65 +56,93 @@
 	at time.Time
 }
 
-// tell notes orders of this entry, for its record.
-func (c *changing) tell(now time.Time, all []Change) {
-	wake := c.wake()
-	c.mu.Lock()
-	for _, one := range all {
-		c.told = append(c.told, toldChange{one, now})
-	}
-	c.mu.Unlock()
-	select {
-	case wake <- struct{}{}:
-	default:
-	}
-}
-
-// wake is told when the record is to be written.
-func (c *changing) wake() chan struct{} {
+// tell notes orders of this entry, and gives all that its record is to name.
+func (c *changing) tell(now time.Time, orders []Change) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.woken == nil {
-		c.woken = make(chan struct{}, 1)
-	}
-	return c.woken
-}
-
-// list gives what the record is to name.
-func (c *changing) list(now time.Time) []Change {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	var all []Change
 	var left []toldChange
 	for _, t := range c.told {
 		if now.Sub(t.at) < changeTold {
-			left, all = append(left, t), append(all, t.Change)
+			left = append(left, t)
 		}
 	}
+	for _, one := range orders {
+		left = append(left, toldChange{one, now})
+	}
 	c.told = left
+	var all []Change
+	for _, t := range left {
+		all = append(all, t.Change)
+	}
 	return all
 }
 
-// fresh says whether an order is news, and remembers it.
-func (c *changing) fresh(one Change) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.known == nil {
-		c.known = make(map[roster.ID]fence.Number)
+// tellChanges tells all entries, this one included, of orders that were given.
+func (s *Server) tellChanges(ctx context.Context, orders []Change) {
+	now := time.Now()
+	all := Changes{By: s.Settings.Name, Orders: s.changing.tell(now, orders)}
+	s.heed(now, all)
+	if err := s.writeChanges(ctx, all); err != nil {
+		s.Log.Info("orders not told to the others", "err", err)
+	}
+}
+
+// writeChanges writes the record over that of an earlier holder.
+func (s *Server) writeChanges(ctx context.Context, all Changes) error {
+	value, err := json.Marshal(all)
+	if err != nil {
+		return errors.Wrap(err, "direct: orders")
+	}
+	return s.overwrite(ctx, changesRecord, value)
+}
+
+// overwrite writes a record over whatever is there.
+func (s *Server) overwrite(ctx context.Context, name string, value []byte) error {
+	ctx, cancel := context.WithTimeout(ctx, storeWithin)
+	defer cancel()
+	old, err := s.Records.Get(ctx, name)
+	if err != nil && !errors.Is(err, plat.ErrMissing) {
+		return err
 	}
-	if one.Fence <= c.known[one.Upstream] {
-		return false
+	_, err = s.Records.Put(ctx, name, value, old.Version)
+	return err
+}
+
+// changesFeed follows the orders under way.
+func (s *Server) changesFeed() *feed.Feed[Changes] {
+	return &feed.Feed[Changes]{
+		Name: "orders", Source: s.Changes, Log: s.Log, Wait: s.Settings.WatchWait,
+		Listed: func(now time.Time, all []feed.Item[Changes]) {
+			for _, i := range all {
+				s.noteOrders(i.Value)
+			}
+		},
+		Changed: func(now time.Time, changes []feed.Change[Changes]) {
+			for _, c := range changes {
+				if !c.Gone {
+					s.heed(now, c.Value)
+				}
+			}
+		},
+	}
+}
+
+// noteOrders takes orders for known without heeding them: a record that stands in a
+// list may be old.
+func (s *Server) noteOrders(all Changes) {
+	for _, one := range all.Orders {
+		if u := s.roster.Member(one.Upstream); u != nil {
+			u.Seen.Order(uint64(one.Fence))
+		}
 	}
-	c.known[one.Upstream] = one.Fence
-	return true
 }
 
-// heed keeps work away from the engines that another entry, or this one, has
-// told to change their role, until they have or should have.
-func (s *Server) heed(now time.Time, m Member) {
-	for _, one := range m.Changing {
+// heed keeps work away from the engines that were told to change their role,
+// until they have or should have.
+func (s *Server) heed(now time.Time, all Changes) {
+	for _, one := range all.Orders {
 		u := s.roster.Member(one.Upstream)
-		if u == nil || !s.changing.fresh(one) {
+		if u == nil || !u.Seen.Order(uint64(one.Fence)) {
 			continue
 		}
 		away := changeSlack
@@ -107,6 +152,6 @@
 			}
 		}
 		u.Seen.Away(now.Add(away))
-		s.Log.Info("engine changes its role", "upstream", one.Upstream, "fence", one.Fence, "told_by", m.Name, "away", away)
+		s.Log.Info("engine changes its role", "upstream", one.Upstream, "fence", one.Fence, "told_by", all.By, "away", away)
 	}
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -50,6 +50,8 @@
 	Servers feed.Source[roster.Server]
 	// Members, if set, are the records of all entries.
 	Members feed.Source[Member]
+	// Changes, if set, are the orders to engines that are under way.
+	Changes feed.Source[Changes]
 	// Records, if set, holds the lease of the one entry that gives orders to
 	// engines; without it no engine changes its role.
 	Records lease.Records
@@ -125,8 +127,10 @@
 	loops.Go(serving, "upstreams", s.serverFeed().Run)
 	loops.Go(serving, "idle connections", idle.run)
 	if s.Members != nil {
-		loops.Go(serving, "entries", s.memberFeed().Run)
-		loops.Go(serving, "own record", s.register)
+		loops.Go(serving, "entries", s.register)
+	}
+	if s.Changes != nil {
+		loops.Go(serving, "orders", s.changesFeed().Run)
 	}
 	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "roles", s.planRoles)
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/json"
+	"math/rand/v2"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -10,19 +11,21 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/feed"
-	"jacinthworks/fence"
-	"jacinthworks/plat"
-	"jacinthworks/roster"
+	"jacinthworks/group"
 	"jacinthworks/work"
 )
 
 const (
 	// memberKind is the collection of the entries' records.
 	memberKind = "entries/"
-	// memberEvery is how often an entry writes its record anew, and
-	// memberGone when one that is not written any more counts no longer.
+	// memberEvery is how often an entry writes its record anew and reads those
+	// of all, and memberGone when one that is not written any more counts no
+	// longer.
 	memberEvery = 30 * time.Second
 	memberGone  = 4 * memberEvery
+	// memberFirst is the time from an entry's first writing to its first
+	// reading: entries that start together have written theirs by then.
+	memberFirst = 3 * time.Second
 	// memberRetry is the pause after a write that failed.
 	memberRetry = 2 * time.Second
 	// membersUnknown is among how many entries the budget is shared out until
@@ -35,55 +38,45 @@
 	Name work.Host `json:"name"`
 	// Beat changes with each writing.
 	Beat uint64 `json:"beat"`
-	// Changing are the engines that this entry has lately told to change their
-	// role.
-	Changing []Change `json:"changing,omitempty"`
-}
-
-// Change is an order to an engine that keeps it away for a time.
-type Change struct {
-	Upstream roster.ID    `json:"upstream"`
-	Fence    fence.Number `json:"fence"`
 }
 
 // members counts the entries, among which the fixed number of repeats is
-// shared out.
+// shared out, and the connections that an upstream takes.
 //
 // Failure: each of twenty-four entries takes an eighth of the fleet's repeats.
 // It shows under faults, as three times as many repeats as the operators allow.
 // A record for each entry holds since a lost one counts on for minutes, which
 // only makes the others' shares smaller.
+//
+// The records are read from time to time and not watched: each writing of each
+// entry would wake all of them, so that the calls grew with their square.
 type members struct {
 	mu    sync.Mutex // a leaf
-	seen  map[string]time.Time
+	seen  map[string]heard
 	known atomic.Bool
 }
 
+// heard is an entry's last beat, and when it was first read.
+type heard struct {
+	beat uint64
+	at   time.Time
+}
+
 // listed takes all records.
 func (m *members) listed(now time.Time, all []feed.Item[Member]) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	seen := make(map[string]time.Time)
+	seen := make(map[string]heard)
 	for _, i := range all {
-		seen[i.Name] = now
+		seen[i.Name] = heard{beat: i.Value.Beat, at: now}
+		if old, known := m.seen[i.Name]; known && old.beat == i.Value.Beat {
+			seen[i.Name] = old
+		}
 	}
 	m.seen = seen
 	m.known.Store(true)
 }
 
-// changed takes changed records.
-func (m *members) changed(now time.Time, changes []feed.Change[Member]) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	for _, c := range changes {
-		if c.Gone {
-			delete(m.seen, c.Name)
-			continue
-		}
-		m.seen[c.Name] = now
-	}
-}
-
 // count gives the number of entries.
 func (m *members) count(now time.Time) int {
 	if !m.known.Load() {
@@ -92,58 +85,50 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 0
-	for name, at := range m.seen {
-		if now.Sub(at) > memberGone {
-			delete(m.seen, name)
-			continue
+	for _, h := range m.seen {
+		if now.Sub(h.at) <= memberGone {
+			n++
 		}
-		n++
 	}
 	return max(n, 1)
 }
 
-// memberFeed follows the entries' records.
-func (s *Server) memberFeed() *feed.Feed[Member] {
-	return &feed.Feed[Member]{
-		Name: "entries", Source: s.Members, Log: s.Log, Wait: s.Settings.WatchWait,
-		Listed: s.membersListed, Changed: s.membersChanged,
-	}
-}
-
-func (s *Server) membersListed(now time.Time, all []feed.Item[Member]) {
-	s.members.listed(now, all)
-	for _, i := range all {
-		s.heed(now, i.Value)
-	}
-}
-
-func (s *Server) membersChanged(now time.Time, changes []feed.Change[Member]) {
-	s.members.changed(now, changes)
-	for _, c := range changes {
-		if !c.Gone {
-			s.heed(now, c.Value)
-		}
-	}
-}
-
-// register writes this entry's record, from time to time until ctx ends.
+// register writes this entry's record and reads those of all, from time to time
+// until ctx ends.
 func (s *Server) register(ctx context.Context) error {
 	if s.Records == nil {
 		return nil
 	}
-	for beat := uint64(1); ctx.Err() == nil; beat++ {
+	// A process that starts again must not seem to stand still.
+	for beat := rand.Uint64(); ctx.Err() == nil; beat++ {
 		wait := memberEvery
 		if err := s.writeMember(ctx, beat); err != nil {
 			s.Log.Debug("own record not written", "err", err)
 			wait = memberRetry
 		}
-		t := time.NewTimer(wait)
-		select {
-		case <-ctx.Done():
-		case <-s.changing.wake():
-		case <-t.C:
+		if !s.members.known.Load() {
+			group.Pause(ctx, memberFirst)
+		}
+		if err := s.readMembers(ctx); err != nil {
+			s.Log.Debug("records of the entries not read", "err", err)
+			wait = memberRetry
 		}
-		t.Stop()
+		group.Pause(ctx, wait)
+	}
+	return nil
+}
+
+func (s *Server) readMembers(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, storeWithin)
+	defer cancel()
+	all, _, err := s.Members.List(ctx)
+	if err != nil {
+		return err
+	}
+	before := s.members.count(time.Now())
+	s.members.listed(time.Now(), all)
+	if n := s.members.count(time.Now()); n != before {
+		s.Log.Info("entries", "count", n, "before", before, "repeats", s.terms().Share)
 	}
 	return nil
 }
@@ -151,17 +136,9 @@
 // writeMember writes the record over whatever is there: nobody else writes it
 // but an earlier start of this entry.
 func (s *Server) writeMember(ctx context.Context, beat uint64) error {
-	ctx, cancel := context.WithTimeout(ctx, storeWithin)
-	defer cancel()
-	name := memberKind + string(s.Settings.Name)
-	value, err := json.Marshal(Member{Name: s.Settings.Name, Beat: beat, Changing: s.changing.list(time.Now())})
+	value, err := json.Marshal(Member{Name: s.Settings.Name, Beat: beat})
 	if err != nil {
 		return errors.Wrap(err, "direct: own record")
 	}
-	old, err := s.Records.Get(ctx, name)
-	if err != nil && !errors.Is(err, plat.ErrMissing) {
-		return err
-	}
-	_, err = s.Records.Put(ctx, name, value, old.Version)
-	return err
+	return s.overwrite(ctx, memberKind+string(s.Settings.Name), value)
 }
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -91,8 +91,7 @@
 			}
 		}
 		if len(taken) > 0 {
-			s.changing.tell(time.Now(), taken)
-			s.heed(time.Now(), Member{Name: s.Settings.Name, Changing: taken})
+			s.tellChanges(ctx, taken)
 		}
 	}
 }
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -23,6 +23,8 @@
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
+
+	"jacinthworks/group"
 )
 
 // Revision orders the changes of a collection.
@@ -155,10 +157,18 @@
 	f.revision = max(f.revision, at)
 	if len(changes) > 0 {
 		f.Changed(now, changes)
+		group.Pause(ctx, gather)
 	}
 	return nil
 }
 
+// gather is the pause after changes, in which further ones come together.
+//
+// Load pattern: a fleet starts, and fifty upstreams register within three
+// seconds. Each one alone ends the watch of each process, so that the calls are
+// the product of both numbers. Bounds on what changes are seconds.
+const gather = 100 * time.Millisecond
+
 // answered notes that the source answered.
 func (f *Feed[T]) answered() time.Time {
 	now := time.Now()
@@ -185,10 +195,5 @@
 		}
 	}
 	f.pause = min(max(2*f.pause, firstPause), lastPause)
-	t := time.NewTimer(f.pause/2 + rand.N(f.pause))
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
+	group.Pause(ctx, f.pause/2+rand.N(f.pause))
 }
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -111,3 +111,25 @@
 	s.End(Work{Tokens: 10, Prompt: 5})
 	require.Zero(t, s.Offer(now).Tokens)
 }
+
+// Story: a record of orders is written again and again, and read late. An order
+// that was heeded once would keep work away from its engine anew each time, also
+// after the engine is back.
+func TestAnOrderIsNewsOnce(t *testing.T) {
+	var s Seen
+	require.True(t, s.Order(7))
+	require.False(t, s.Order(7))
+	require.False(t, s.Order(6), "an older one")
+	require.True(t, s.Order(8))
+}
+
+func TestAnEngineIsAwayUntilItIsBack(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	s.Away(now.Add(8 * time.Second))
+	require.True(t, s.Offer(now).Held)
+	require.False(t, s.Offer(now.Add(8*time.Second)).Held, "it should be back, whatever the registry says")
+	s.Away(now.Add(8 * time.Second))
+	s.Back()
+	require.False(t, s.Offer(now).Held)
+}
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -44,6 +44,8 @@
 	holdUntil time.Time
 	// away keeps work away while it changes its role.
 	away time.Time
+	// order is the number of the last order that is known of.
+	order uint64
 	// refused counts refusals in a row of requests that it held room for.
 	refused int
 }
@@ -132,6 +134,17 @@
 	s.away = until
 }
 
+// Order says whether the order of a number is a newer one than all before.
+func (s *Seen) Order(number uint64) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if number <= s.order {
+		return false
+	}
+	s.order = number
+	return true
+}
+
 // Back notes that it has changed its role: what was known of its speed and of
 // its refusals was that of the other one.
 func (s *Seen) Back() {
