direct: entries tell each other of upstreams that died

Cause: evidence of a request that crashes what runs it was each entry's own. A caller that comes again meets another entry each time, so that none saw two deaths and the request went on killing upstreams; docs/rules.md listed it as not built.

Change: what entries tell each other (orders to engines, deaths) are notices, one kind of record with one watch; an entry that saw upstreams die writes the last eight, gathered over 300 ms, and the others merge them into their ledger.

The test (four entries, six servers) fails with the merge taken out: the third send crashes a third server.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -38,7 +38,7 @@
 		Servers:  platform.Servers(store),
 		Records:  store,
 		Members:  platform.Entries(store),
-		Changes:  platform.Changes(store),
+		Notices:  platform.Notices(store),
 		Reloads:  reloads,
 		Reload: func() (conf.Direct, error) {
 			text, err := os.ReadFile(a.Settings)
--- a/direct/change.go
+++ b/direct/change.go
@@ -2,22 +2,14 @@
 
 import (
 	"context"
-	"encoding/json"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
-	"jacinthworks/feed"
 	"jacinthworks/fence"
-	"jacinthworks/plat"
 	"jacinthworks/roster"
-	"jacinthworks/work"
 )
 
 const (
-	// changesRecord is where the entry that gives orders names those under way.
-	changesRecord = "changes/roles"
 	// changeTold is how long it names one: several times what a watch takes to
 	// bring it.
 	changeTold = 5 * time.Second
@@ -32,12 +24,6 @@
 	Fence    fence.Number `json:"fence"`
 }
 
-// Changes are the orders under way, and who gave them.
-type Changes struct {
-	By     work.Host `json:"by"`
-	Orders []Change  `json:"orders"`
-}
-
 // changing are the engines that this entry has lately told to change their
 // role. The zero value is ready to use; it must not be copied.
 //
@@ -80,56 +66,14 @@
 // tellChanges tells all entries, this one included, of orders that were given.
 func (s *Server) tellChanges(ctx context.Context, orders []Change) {
 	now := time.Now()
-	all := Changes{By: s.Settings.Name, Orders: s.changing.tell(now, orders)}
-	s.heed(now, all)
-	if err := s.writeChanges(ctx, all); err != nil {
-		s.Log.Info("orders not told to the others", "err", err)
-	}
-}
-
-// writeChanges writes the record over that of an earlier holder.
-func (s *Server) writeChanges(ctx context.Context, all Changes) error {
-	value, err := json.Marshal(all)
-	if err != nil {
-		return errors.Wrap(err, "direct: orders")
-	}
-	return s.overwrite(ctx, changesRecord, value)
-}
-
-// overwrite writes a record over whatever is there.
-func (s *Server) overwrite(ctx context.Context, name string, value []byte) error {
-	ctx, cancel := context.WithTimeout(ctx, storeWithin)
-	defer cancel()
-	old, err := s.Records.Get(ctx, name)
-	if err != nil && !errors.Is(err, plat.ErrMissing) {
-		return err
-	}
-	_, err = s.Records.Put(ctx, name, value, old.Version)
-	return err
-}
-
-// changesFeed follows the orders under way.
-func (s *Server) changesFeed() *feed.Feed[Changes] {
-	return &feed.Feed[Changes]{
-		Name: "orders", Source: s.Changes, Log: s.Log, Wait: s.Settings.WatchWait,
-		Listed: func(now time.Time, all []feed.Item[Changes]) {
-			for _, i := range all {
-				s.noteOrders(i.Value)
-			}
-		},
-		Changed: func(now time.Time, changes []feed.Change[Changes]) {
-			for _, c := range changes {
-				if !c.Gone {
-					s.heed(now, c.Value)
-				}
-			}
-		},
-	}
+	n := Notice{By: s.Settings.Name, Orders: s.changing.tell(now, orders)}
+	s.heed(now, n)
+	s.notify(ctx, rolesNotice, n)
 }
 
 // noteOrders takes orders for known without heeding them: a record that stands in a
 // list may be old.
-func (s *Server) noteOrders(all Changes) {
+func (s *Server) noteOrders(all Notice) {
 	for _, one := range all.Orders {
 		if u := s.roster.Member(one.Upstream); u != nil {
 			u.Seen.Order(uint64(one.Fence))
@@ -139,7 +83,7 @@
 
 // heed keeps work away from the engines that were told to change their role,
 // until they have or should have.
-func (s *Server) heed(now time.Time, all Changes) {
+func (s *Server) heed(now time.Time, all Notice) {
 	for _, one := range all.Orders {
 		u := s.roster.Member(one.Upstream)
 		if u == nil || !u.Seen.Order(uint64(one.Fence)) {
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -11,6 +11,7 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"jacinthworks/group"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/work"
@@ -23,10 +24,69 @@
 // crashes attributes the deaths of upstreams to requests. The zero value is
 // ready to use; it must not be copied.
 type crashes struct {
+	// ledger has the evidence of all entries.
 	ledger retry.Ledger
 
 	mu      sync.Mutex // a leaf
 	running map[roster.ID]map[*request]retry.Identity
+	// own is what this entry saw itself; telling says that it is being told to
+	// the others.
+	own     retry.Record
+	telling bool
+}
+
+const (
+	// deathsGather is the time in which deaths are gathered for one notice: one
+	// upstream's requests break one after the other.
+	deathsGather = 300 * time.Millisecond
+	// deathsTold bounds the deaths in a notice, the newest kept: the callers of
+	// a request that crashes what runs it send it again within seconds.
+	deathsTold = 8
+)
+
+// saw takes in a death that this entry saw, and says whether it is to be told.
+func (c *crashes) saw(d retry.Death) bool {
+	c.ledger.Died(d)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.own = c.own.Merge(retry.Record{Deaths: []retry.Death{d}})
+	c.own.Deaths = c.own.Deaths[:min(len(c.own.Deaths), deathsTold)]
+	first := !c.telling
+	c.telling = true
+	return first
+}
+
+// told gives what is to be told now.
+func (c *crashes) told() retry.Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.telling = false
+	return c.own
+}
+
+// tellDeaths tells the other entries of the upstreams that died here.
+//
+// Failure: a request crashes whatever runs it, and its caller sends it again, to
+// another entry each time. No entry sees more than one death of it, and none
+// stops it.
+func (s *Server) tellDeaths() {
+	if s.Notices == nil || s.Records == nil {
+		return
+	}
+	s.later("tell of deaths", deathsGather+2*storeWithin, func(ctx context.Context) error {
+		group.Pause(ctx, deathsGather)
+		s.notify(ctx, deathsNotice+string(s.Settings.Name), Notice{By: s.Settings.Name, Evidence: s.crashes.told()})
+		return nil
+	})
+}
+
+// learn takes in what another entry saw.
+func (s *Server) learn(now time.Time, n Notice) {
+	if len(n.Evidence.Deaths) == 0 || n.By == s.Settings.Name {
+		return
+	}
+	s.crashes.ledger.Merge(now, n.Evidence)
+	s.Log.Info("deaths told", "by", n.By, "deaths", len(n.Evidence.Deaths), "newest", n.Evidence.Deaths[0].Upstream)
 }
 
 // begin notes that an upstream has a request, end that it has it no more.
@@ -79,7 +139,9 @@
 		if err == nil {
 			return nil
 		}
-		s.crashes.ledger.Died(retry.Death{Upstream: work.Host(a.id), Incarnation: incarnationOf(a.id), Time: time.Now(), Running: ids})
+		if s.crashes.saw(retry.Death{Upstream: work.Host(a.id), Incarnation: incarnationOf(a.id), Time: time.Now(), Running: ids}) {
+			s.tellDeaths()
+		}
 		s.Log.Info("upstream died", "upstream", a.id, "request", r.id, "running", len(ids), "err", err)
 		return nil
 	})
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -50,8 +50,8 @@
 	Servers feed.Source[roster.Server]
 	// Members, if set, are the records of all entries.
 	Members feed.Source[Member]
-	// Changes, if set, are the orders to engines that are under way.
-	Changes feed.Source[Changes]
+	// Notices, if set, are what entries tell each other.
+	Notices feed.Source[Notice]
 	// Records, if set, holds the lease of the one entry that gives orders to
 	// engines; without it no engine changes its role.
 	Records lease.Records
@@ -129,8 +129,8 @@
 	if s.Members != nil {
 		loops.Go(serving, "entries", s.register)
 	}
-	if s.Changes != nil {
-		loops.Go(serving, "orders", s.changesFeed().Run)
+	if s.Notices != nil {
+		loops.Go(serving, "notices", s.noticeFeed().Run)
 	}
 	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "roles", s.planRoles)
