direct: without a repeat left, prompts go to engines that are sure to answer

Cause: a prefill that fails is a repeat, so that none was begun while no repeat was left.

Ruled out: prefill engines that are full or lost (46 refusals, all by engines in a change that the others had not been told of, as the holder was cut from the store).

Change: then only an engine that answered within the last seconds and has not failed since gets a prompt. A refused prefill keeps away for 1 s, doubling, as a refusal of held work does.

The test fails without the change.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -73,7 +73,7 @@
 		return nil, s.failed(r, a, &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
 	case note.Unrun:
 		s.readShort(reply)
-		if a.stamp.Hold != "" {
+		if a.stamp.Hold != "" || a.stamp.Stage == StagePrefill {
 			a.upstream.Seen.Refused(time.Now())
 		} else {
 			a.upstream.Seen.Full(time.Now().Add(fullFor))
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -45,22 +45,20 @@
 func (s *Server) prefill(ctx context.Context, r *request, decode *room) *prefilled {
 	zone := decode.upstream.Server().Zone
 	for n := 0; n < prefillTries && ctx.Err() == nil; n++ {
-		// A prefill that fails is a repeat in the end: without one left none is
-		// begun.
-		if !s.budgets.window(r.service.Name).Left(time.Now(), s.terms()) {
-			s.Log.Info("prefill passed over", "request", r.id, "why", "no repeat is left")
-			return nil
-		}
 		if r.prefills > 0 && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
 			return nil
 		}
 		load := route.Load{
 			Units: r.ask.Prompt, Tokens: r.ask.Prompt, Usual: route.Usual{Units: r.ask.Prompt, Tokens: r.ask.Prompt},
 			FailCost: r.targetLatency(), FarCost: farStage, SkipHeld: true,
+			// A prefill that fails is a repeat in the end: without one left it is
+			// given only to an engine that is sure to answer.
+			OnlySure: !s.budgets.window(r.service.Name).Left(time.Now(), s.terms()),
 		}
 		p := s.place(r, work.RolePrefill, zone, load)
-		s.logPlaced(r, work.RolePrefill, p)
+		s.logPlaced(r, work.RolePrefill, p, "only_sure", load.OnlySure)
 		if p.upstream == nil {
+			s.Log.Info("prefill passed over", "request", r.id, "why", "no engine", "only_sure", load.OnlySure)
 			return nil
 		}
 		if wait := p.offer.Wait(load); wait > time.Duration(r.ask.Prompt)*ownRead {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -133,3 +133,15 @@
 	s.Back()
 	require.False(t, s.Offer(now).Held)
 }
+
+func TestSureIsWhoAnsweredLately(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	require.False(t, s.Offer(now).Sure, "nothing is known")
+	s.Answered(now, time.Millisecond, 1)
+	require.True(t, s.Offer(now).Sure)
+	require.False(t, s.Offer(now.Add(2*failHalf)).Sure, "that was long ago")
+	s.Answered(now.Add(2*failHalf), time.Millisecond, 1)
+	s.Failed(now.Add(2 * failHalf))
+	require.False(t, s.Offer(now.Add(2*failHalf)).Sure, "it has failed since")
+}
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -19,6 +19,11 @@
 	// speedKeep is the weight of what was known in each new measurement of its
 	// speed: some ten answers tell.
 	speedKeep = 0.8
+	// sureAnswers is the weight of recent answers, and sureFails the part of
+	// failures beside them, by which an upstream counts as sure to answer: one
+	// answer within the last half-life, and no failure since.
+	sureAnswers = 0.5
+	sureFails   = 0.1
 	// failPrior is the weight, in answers, of the belief that it does not fail.
 	failPrior = 1.5
 )
@@ -113,7 +118,8 @@
 	refusedLongest = 8 * time.Second
 )
 
-// Refused notes that it refused a request for which it had held room.
+// Refused notes that it refused a request for which it had held room, or one
+// that needs none, as a prefill.
 //
 // Failure: an engine changes its role, which takes seconds; it holds room
 // meanwhile, and refuses what comes for it, and the registry tells of the
@@ -174,6 +180,7 @@
 		Tokens: s.tokens,
 		Queued: s.queued,
 		Fails:  s.fails / (s.fails + s.answers + failPrior),
+		Sure:   s.answers >= sureAnswers && s.fails < s.answers*sureFails,
 		Speed:  s.speed,
 		Held:   now.Before(s.holdUntil) || now.Before(s.away),
 	}
--- a/route/offer.go
+++ b/route/offer.go
@@ -24,6 +24,8 @@
 	Queued int `json:"queued,omitempty"`
 	// Fails is the share of its answers that failed, 0 to 1, lately.
 	Fails float64 `json:"fails"`
+	// Sure says that it answered just lately and has not failed since.
+	Sure bool `json:"sure,omitempty"`
 	// Speed is the time of a unit of work, a call or a prompt token; zero for
 	// unknown.
 	Speed time.Duration `json:"speed"`
@@ -42,6 +44,9 @@
 	// SkipHeld leaves out offers that have just refused for want of room; an
 	// estimate that one is full keeps none out then, since it will say so.
 	SkipHeld bool
+	// OnlySure leaves out offers that are not sure to answer: where a failure
+	// could not be followed by another try.
+	OnlySure bool
 	// FullCost is the time that a request takes longer at an engine whose
 	// memory is full of others, which it shares its steps with.
 	FullCost time.Duration
@@ -117,7 +122,7 @@
 	best, full = -1, true
 	var least float64
 	for i, o := range offers {
-		if l.SkipHeld && o.Held {
+		if l.SkipHeld && o.Held || l.OnlySure && !o.Sure {
 			continue
 		}
 		room := l.SkipHeld || o.room(l)
--- a/route/offer_test.go
+++ b/route/offer_test.go
@@ -55,3 +55,12 @@
 	l := route.Load{Units: 1000, Usual: route.Usual{Units: 1000}}
 	require.Equal(t, 300*time.Millisecond, o.Wait(l))
 }
+
+func TestOnlySureOffers(t *testing.T) {
+	r := rand.New(rand.NewPCG(1, 1))
+	offers := []route.Offer{{Name: "new"}, {Name: "sure", Sure: true, Queued: 10000, Speed: time.Millisecond}}
+	best, _ := route.Best(offers, route.Load{OnlySure: true}, r)
+	require.Equal(t, 1, best)
+	best, _ = route.Best(offers[:1], route.Load{OnlySure: true}, r)
+	require.Equal(t, -1, best)
+}
