--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -6,15 +6,12 @@
 	"time"
 
 	"jacinthworks/meter"
+	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/send"
 	"jacinthworks/work"
 )
 
-// maxSends bounds the attempts of one request, refused and unsent ones
-// included: it is more than the upstreams of most pools.
-const maxSends = 6
-
 // silenceSlack leaves the end of a request's time to its context, so that a
 // silence until then reads as what it is.
 const silenceSlack = 100 * time.Millisecond
@@ -44,7 +41,7 @@
 		a.silence = r.left() + silenceSlack
 	}
 	if a.stamp.Stage != StagePrefill {
-		r.sends++
+		r.tries.Sent()
 	}
 	if !a.counted {
 		a.upstream.Seen.Begin(a.work)
@@ -130,10 +127,10 @@
 func (s *Server) failed(r *request, a *attempt, f *failure) *failure {
 	s.ended(r, a)
 	if a.stamp.Stage != StagePrefill {
-		r.admit(f.ran)
+		r.tries.Ended(f.ran)
 	}
 	r.avoid(a.upstream)
-	s.Log.Info("attempt failed", "request", r.id, "upstream", a.id, "stage", a.stamp.Stage, "send", r.sends,
+	s.Log.Info("attempt failed", "request", r.id, "upstream", a.id, "stage", a.stamp.Stage, "send", r.tries.Sends(),
 		"ran", f.ran, "reason", f.reason, "detail", f.detail, "took", time.Since(a.began))
 	s.Meter.Count("jacinthworks_attempts_total", meter.Labels{"service", string(r.service.Name), "outcome", string(f.reason)})
 	return f
@@ -167,24 +164,19 @@
 // again says whether another attempt may follow the one that failed, and takes
 // it from the budget.
 func (s *Server) again(ctx context.Context, r *request, f *failure) bool {
-	now := time.Now()
-	why := ""
-	switch {
-	case f.final:
+	if f.final {
 		return false
+	}
+	verdict := r.tries.May(f.ran)
+	switch {
 	case ctx.Err() != nil:
-		why = "over"
-	case f.ran != work.NotRun && !r.route.MayRepeat():
-		why = "may have run"
-	case f.ran != work.NotRun && r.runs >= r.route.Attempts:
-		why = "attempts used up"
-	case r.sends >= maxSends:
-		why = "sends used up"
-	case !f.unsent && !s.budgets.window(r.service.Name).Take(now, s.terms()):
-		why = "over the budget of repeats"
-	default:
+		verdict = retry.TooLate
+	case verdict == retry.Again && !f.unsent && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()):
+		verdict = retry.OverBudget
+	}
+	if verdict == retry.Again {
 		return true
 	}
-	s.Log.Info("not repeated", "request", r.id, "why", why, "sends", r.sends, "runs", r.runs, "left", r.left())
+	s.Log.Info("not repeated", "request", r.id, "why", verdict, "sends", r.tries.Sends(), "runs", r.tries.Runs(), "left", r.left())
 	return false
 }
--- a/direct/end.go
+++ b/direct/end.go
@@ -23,7 +23,7 @@
 // refuse ends a request that has no answer. One that was begun to be answered
 // is broken off, since what was sent of it must not look whole.
 func (s *Server) refuse(r *request, f *failure) {
-	f.ran = f.ran.Worse(r.ran)
+	f.ran = f.ran.Worse(r.tries.Ran())
 	s.end(r, "refused", "reason", f.reason, "ran", f.ran, "detail", f.detail)
 	if r.begun || f.reason == work.ReasonCallerGone {
 		panic(http.ErrAbortHandler)
@@ -70,7 +70,7 @@
 	}
 	s.Log.Info(outcome, append([]any{
 		"request", r.id, "route", route, "kind", kind, "version", r.version,
-		"sends", r.sends, "runs", r.runs, "took", took,
+		"sends", r.tries.Sends(), "runs", r.tries.Runs(), "took", took,
 	}, more...)...)
 	s.Meter.Count("jacinthworks_requests_total", meter.Labels{"route", route, "kind", kind, "outcome", outcome})
 	s.Meter.Observe("jacinthworks_request_seconds", meter.Labels{"kind", kind, "outcome", outcome}, took)
--- a/direct/place.go
+++ b/direct/place.go
@@ -35,7 +35,7 @@
 
 // failCost is what a failed attempt costs the request.
 func (r *request) failCost() time.Duration {
-	if r.route.MayRepeat() && r.runs+1 < r.route.Attempts {
+	if r.tries.LeavesRoom() {
 		return time.Duration(repeatFails * float64(r.targetLatency()))
 	}
 	return onceFails * r.targetLatency()
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -46,13 +46,13 @@
 
 // unplaced is the refusal where no upstream is left to try.
 func (s *Server) unplaced(r *request) *failure {
-	return &failure{ran: r.ran, reason: work.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
+	return &failure{ran: r.tries.Ran(), reason: work.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
 }
 
 // patience bounds an attempt's silence where another can follow; zero is no
 // bound. One that hangs would take the whole time else.
 func (r *request) patience() time.Duration {
-	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+	if !r.tries.LeavesRoom() {
 		return 0
 	}
 	return max(time.Duration(tryPart*float64(r.targetLatency())), tryLeast)
@@ -90,7 +90,7 @@
 // replaces drops an answer that tells of a failure where another attempt is
 // granted in its place; else it gives nil, and the answer is passed on.
 func (s *Server) replaces(ctx context.Context, r *request, a *attempt) *failure {
-	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts || ctx.Err() != nil || !s.has(r, "", a.id) {
+	if !r.tries.LeavesRoom() || ctx.Err() != nil || !s.has(r, "", a.id) {
 		return nil
 	}
 	f := &failure{ran: work.DidRun, reason: work.ReasonUpstream, detail: "the upstream answered with a failure", granted: true}
--- a/direct/request.go
+++ b/direct/request.go
@@ -43,14 +43,12 @@
 	w http.ResponseWriter
 	// begun says that the caller has been given part of an answer.
 	begun bool
-	// sends counts attempts of any outcome, runs those that may have run.
-	sends, runs int
+	// tries are its attempts, and what may follow each.
+	tries retry.Attempts
 	// asked counts the engines that were asked to hold room for it.
 	asked int
 	// prefills counts the calls that had its prompt read.
 	prefills int
-	// ran is the worst that is known of all attempts.
-	ran work.Ran
 	// tried are upstreams that failed or refused it.
 	tried map[roster.ID]bool
 	ended bool
@@ -75,7 +73,7 @@
 
 // serve takes one request from its header to its end.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
-	r := &request{accepted: time.Now(), w: w, ran: work.NotRun, random: random()}
+	r := &request{accepted: time.Now(), w: w, random: random()}
 	r.until = r.accepted.Add(defaultWithin)
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -118,6 +116,7 @@
 		return &failure{ran: work.NotRun, reason: work.ReasonNoService, detail: "no route matches host and path"}
 	}
 	r.route = route
+	r.tries = retry.Attempts{Repeatable: route.MayRepeat(), Limit: route.Attempts}
 	if f := r.read(h, c.Limits.MaxBody); f != nil {
 		return f
 	}
@@ -170,13 +169,6 @@
 // left is the time to the request's end.
 func (r *request) left() time.Duration { return time.Until(r.until) }
 
-// admit notes what is known of an attempt that failed.
-func (r *request) admit(ran work.Ran) {
-	if r.ran = r.ran.Worse(ran); ran != work.NotRun {
-		r.runs++
-	}
-}
-
 // avoid keeps the next attempt from an upstream.
 func (r *request) avoid(u *roster.Upstream) {
 	if r.tried == nil {
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -94,7 +94,7 @@
 // headerPatience bounds the wait for the beginning of a stream where it may go
 // on elsewhere; zero is no bound.
 func (r *request) headerPatience() time.Duration {
-	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+	if !r.tries.LeavesRoom() {
 		return 0
 	}
 	return time.Duration(headerPart * float64(r.targetLatency()))
@@ -103,7 +103,7 @@
 // gapPatience is the pause after which an upstream is looked at, where the
 // stream may go on elsewhere; zero is never.
 func (r *request) gapPatience() time.Duration {
-	if !r.route.MayRepeat() || r.runs+1 >= r.route.Attempts {
+	if !r.tries.LeavesRoom() {
 		return 0
 	}
 	gap := r.route.TargetGap
@@ -170,7 +170,7 @@
 	}
 	s.done(r, a, time.Since(a.began), 1, reply.Status < http.StatusInternalServerError)
 	if r.begun {
-		r.admit(work.DidRun)
+		r.tries.Ended(work.DidRun)
 		return &failure{ran: work.DidRun, reason: work.ReasonUpstream, detail: "the upstream failed the rest of the stream"}
 	}
 	if err := s.pass(r, reply, head, whole); err != nil {
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -73,7 +73,6 @@
 	mu       sync.Mutex
 	accepted map[string]int
 	ended    map[string]int
-	dropped  bool // lines are missing
 	killed   bool
 	// asked is when it was asked to stop, left when it ended.
 	asked, left time.Time
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -5,9 +5,7 @@
 	"fmt"
 	"os"
 	"path/filepath"
-	"sync"
 	"testing"
-	"time"
 
 	"github.com/stretchr/testify/require"
 )
@@ -45,24 +43,7 @@
 	if *fleetSeed != 0 {
 		soakFleet(t, *fleetSeed)
 	}
-	until := time.Now().Add(time.Duration(*fleetSeconds) * time.Second)
-	var workers sync.WaitGroup
-	var mu sync.Mutex
-	next, runs := uint64(time.Now().UnixNano()), 0
-	for range 4 {
-		workers.Go(func() {
-			for time.Now().Before(until) {
-				mu.Lock()
-				next++
-				runs++
-				seed := next
-				mu.Unlock()
-				soakFleet(t, seed)
-			}
-		})
-	}
-	workers.Wait()
-	t.Logf("%d plans", runs)
+	freshSeeds(t, *fleetSeconds, func(seed uint64) { soakFleet(t, seed) })
 }
 
 func soakFleet(t *testing.T, seed uint64) {
--- a/test/soak_test.go
+++ b/test/soak_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"fmt"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -35,24 +36,28 @@
 		s := NewSoak(*soakSeed)
 		require.NoError(t, s.Run(built, t.TempDir()), s.String())
 	}
-	until := time.Now().Add(time.Duration(*soakSeconds) * time.Second)
+	freshSeeds(t, *soakSeconds, func(seed uint64) {
+		s := NewSoak(seed)
+		if err := s.Run(built, t.TempDir()); err != nil {
+			t.Errorf("%s\n%v", s, err)
+		}
+	})
+}
+
+// freshSeeds plays one plan after the other, four at a time, for so many seconds.
+func freshSeeds(t *testing.T, seconds int, play func(seed uint64)) {
+	until := time.Now().Add(time.Duration(seconds) * time.Second)
 	var workers sync.WaitGroup
-	var mu sync.Mutex
-	next, runs := uint64(time.Now().UnixNano()), 0
+	var next, runs atomic.Uint64
+	next.Store(uint64(time.Now().UnixNano()))
 	for range 4 {
 		workers.Go(func() {
 			for time.Now().Before(until) {
-				mu.Lock()
-				next++
-				runs++
-				s := NewSoak(next)
-				mu.Unlock()
-				if err := s.Run(built, t.TempDir()); err != nil {
-					t.Errorf("%s\n%v", s, err)
-				}
+				runs.Add(1)
+				play(next.Add(1))
 			}
 		})
 	}
 	workers.Wait()
-	t.Logf("%d plans", runs)
+	t.Logf("%d plans", runs.Load())
 }
