feed, platform: one unreadable member hides no other

Cause: an entry of the registry without an address, or any record that could not be decoded, failed the whole list, and the whole answer to a watch. An entry that started then never got ready; one that ran heard of no further change.

Change: such a member is passed over with a log line (unreadable, passed over); what was known of it holds until it is gone or can be read.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -213,8 +213,8 @@
 	return &feed.Feed[*paths.Config]{
 		Name: "configuration", Source: s.Configs, Log: s.Log, Wait: s.Settings.WatchWait,
 		Listed: func(now time.Time, all []feed.Item[*paths.Config]) {
-			for _, i := range all {
-				offer(now, i.Value)
+			for _, c := range feed.Values(all) {
+				offer(now, c)
 			}
 		},
 		Changed: func(now time.Time, changes []feed.Change[*paths.Config]) {
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -68,6 +68,7 @@
 	defer m.mu.Unlock()
 	seen := make(map[string]heard)
 	for _, i := range all {
+		// One that can't be read is an entry as well, of which no beat is heard.
 		seen[i.Name] = heard{beat: i.Value.Beat, at: now}
 		if old, known := m.seen[i.Name]; known && old.beat == i.Value.Beat {
 			seen[i.Name] = old
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -36,9 +36,9 @@
 	return &feed.Feed[Notice]{
 		Name: "notices", Source: s.Notices, Log: s.Log, Wait: s.Settings.WatchWait,
 		Listed: func(now time.Time, all []feed.Item[Notice]) {
-			for _, i := range all {
-				s.noteOrders(i.Value)
-				s.learn(now, i.Value)
+			for _, n := range feed.Values(all) {
+				s.noteOrders(n)
+				s.learn(now, n)
 			}
 		},
 		Changed: func(now time.Time, changes []feed.Change[Notice]) {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -35,6 +35,20 @@
 	Name     string
 	Revision Revision
 	Value    T
+	// Unread is what kept the value from being read, which is not set then; nil
+	// for what was read.
+	Unread error
+}
+
+// Values gives the values that were read.
+func Values[T any](all []Item[T]) []T {
+	var values []T
+	for _, i := range all {
+		if i.Unread == nil {
+			values = append(values, i.Value)
+		}
+	}
+	return values
 }
 
 // Change is an item that is new or other than before, or that is gone.
@@ -82,7 +96,11 @@
 	Log    hclog.Logger
 	// Wait is how long a watch waits; zero is DefaultWait.
 	Wait time.Duration
-	// Listed takes the whole collection, Changed what changed since.
+	// Listed takes the whole collection, those that could not be read among it,
+	// Changed what was read of the changes since.
+	//
+	// Failure: one member of the collection can't be read, and with it none. It
+	// shows as a process that knows nothing, or hears of nothing new.
 	Listed  func(now time.Time, all []Item[T])
 	Changed func(now time.Time, changes []Change[T])
 	// Lost and Regained, if set, are told when the source stops answering,
@@ -134,6 +152,9 @@
 		}
 		now := f.answered()
 		f.revision, f.listed = at, true
+		for _, i := range all {
+			f.noteUnread(i)
+		}
 		f.Listed(now, all)
 		return nil
 	}
@@ -156,7 +177,7 @@
 	now := f.answered()
 	f.revision = max(f.revision, at)
 	if len(changes) > 0 {
-		f.Changed(now, changes)
+		f.Changed(now, f.read(changes))
 		group.Pause(ctx, gather)
 	}
 	return nil
@@ -169,6 +190,23 @@
 // the product of both numbers. Bounds on what changes are seconds.
 const gather = 100 * time.Millisecond
 
+// read gives the changes without those that could not be read.
+func (f *Feed[T]) read(changes []Change[T]) []Change[T] {
+	var all []Change[T]
+	for _, c := range changes {
+		if f.noteUnread(c.Item); c.Unread == nil {
+			all = append(all, c)
+		}
+	}
+	return all
+}
+
+func (f *Feed[T]) noteUnread(i Item[T]) {
+	if i.Unread != nil {
+		f.Log.Warn("unreadable, passed over", "feed", f.Name, "name", i.Name, "revision", i.Revision, "err", i.Unread)
+	}
+}
+
 // answered notes that the source answered.
 func (f *Feed[T]) answered() time.Time {
 	now := time.Now()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -147,8 +147,10 @@
 	r.known = true
 	listed := make(map[ID]bool, len(all))
 	for _, i := range all {
-		listed[i.Value.ID] = true
-		r.put(now, i.Value)
+		listed[ID(i.Name)] = true
+		if i.Unread == nil { // else what was known of it holds
+			r.put(now, i.Value)
+		}
 	}
 	for id := range r.members {
 		if !listed[id] {
