feed: a refused page is read again and not the whole list; the first list is stale

Cause: a fleet that starts at once lists all upstreams in many pages, and the store takes so many reads a second from all. A refused page began the whole list anew; with half of the pages refused a list of sixty never ends.

Change: paging stands in feed, which goes on at the page that was refused; the first list of upstreams is stale, which does not count towards the rate, and the watch after it does not wait, so that what the list lacks is known at once. A list after lost history is never stale. Tests of both fail without it.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -230,7 +230,7 @@
 // serverFeed follows the registry of upstreams.
 func (s *Server) serverFeed() *feed.Feed[roster.Server] {
 	return &feed.Feed[roster.Server]{
-		Name: "upstreams", Source: s.Servers, Log: s.Log, Wait: s.Settings.WatchWait,
+		Name: "upstreams", Source: s.Servers, Log: s.Log, Wait: s.Settings.WatchWait, StaleStart: true,
 		Listed: s.roster.Listed, Changed: s.roster.Changed, Lost: s.roster.Lost, Regained: s.roster.Regained,
 	}
 }
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -122,7 +122,7 @@
 func (s *Server) readMembers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeWithin)
 	defer cancel()
-	all, _, err := s.Members.List(ctx)
+	all, err := feed.All(ctx, s.Members, true)
 	if err != nil {
 		return err
 	}
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -40,6 +40,59 @@
 	Unread error
 }
 
+// Page is a part of a collection, as of a revision.
+type Page[T any] struct {
+	Items []Item[T]
+	At    Revision
+	// More says that there are items after these.
+	More bool
+}
+
+// Pages gathers the pages of a list. The zero value begins one.
+//
+// Load pattern: every process of a fleet starts at once, and each lists all
+// upstreams in tens of pages. A source that takes so many calls a second refuses
+// half of them. A list that begins anew after each refusal is never done; one that
+// goes on at the page that was refused is, in as many calls as it has pages.
+type Pages[T any] struct {
+	items []Item[T]
+	at    Revision
+}
+
+// Next reads one page more, and says whether it was the last. After an error the
+// same page is next.
+func (p *Pages[T]) Next(ctx context.Context, from Source[T], stale bool) (last bool, err error) {
+	after := ""
+	if n := len(p.items); n > 0 {
+		after = p.items[n-1].Name
+	}
+	page, err := from.List(ctx, after, stale)
+	if err != nil {
+		return false, err
+	}
+	// What has changed in one page by the time of another, a watch from the
+	// lowest revision tells again.
+	if len(p.items) == 0 || page.At < p.at {
+		p.at = page.At
+	}
+	p.items = append(p.items, page.Items...)
+	return !page.More || len(page.Items) == 0, nil
+}
+
+// All reads all pages, and fails with the first that does.
+func All[T any](ctx context.Context, from Source[T], stale bool) ([]Item[T], error) {
+	var p Pages[T]
+	for {
+		last, err := p.Next(ctx, from, stale)
+		if err != nil {
+			return nil, err
+		}
+		if last {
+			return p.items, nil
+		}
+	}
+}
+
 // Values gives the values that were read.
 func Values[T any](all []Item[T]) []T {
 	var values []T
@@ -63,8 +116,9 @@
 
 // Source is where a collection comes from.
 type Source[T any] interface {
-	// List gives all items, as of the revision.
-	List(ctx context.Context) ([]Item[T], Revision, error)
+	// List gives a page of the items: those after a name, the first ones for "".
+	// A stale page may be seconds old.
+	List(ctx context.Context, after string, stale bool) (Page[T], error)
 	// Watch waits at most the given time for changes after the revision, and
 	// gives them with the revision to go on from. No change is no error.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change[T], Revision, error)
@@ -96,6 +150,13 @@
 	Log    hclog.Logger
 	// Wait is how long a watch waits; zero is DefaultWait.
 	Wait time.Duration
+	// StaleStart has the first list be a stale one.
+	//
+	// Load pattern: every process of a fleet starts at the same moment and lists
+	// all upstreams, in many pages, of which a source takes so many a second from
+	// all together. Stale pages do not count. A list after lost history is never
+	// stale: it has to tell what the watch did not.
+	StaleStart bool
 	// Listed takes the whole collection, those that could not be read among it,
 	// Changed what was read of the changes since.
 	//
@@ -111,6 +172,8 @@
 	heard    atomic.Pointer[time.Time]
 	revision Revision
 	listed   bool
+	pages    Pages[T]
+	behind   bool // the list was stale, and nothing was watched since
 	lost     bool
 	pause    time.Duration
 }
@@ -146,16 +209,22 @@
 	if !f.listed {
 		ctx, cancel := context.WithTimeout(ctx, listWithin)
 		defer cancel()
-		all, at, err := f.Source.List(ctx)
+		stale := f.StaleStart && f.revision == 0
+		last, err := f.pages.Next(ctx, f.Source, stale)
 		if err != nil {
 			return err
 		}
 		now := f.answered()
-		f.revision, f.listed = at, true
-		for _, i := range all {
+		if !last {
+			return nil
+		}
+		all := f.pages
+		f.pages = Pages[T]{}
+		f.revision, f.listed, f.behind = all.at, true, stale
+		for _, i := range all.items {
 			f.noteUnread(i)
 		}
-		f.Listed(now, all)
+		f.Listed(now, all.items)
 		return nil
 	}
 	wait := f.Wait
@@ -168,6 +237,9 @@
 	if f.lost {
 		wait = returnWait
 	}
+	if f.behind {
+		wait = catchUp
+	}
 	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 	changes, at, err := f.Source.Watch(ctx, f.revision, wait)
@@ -175,6 +247,7 @@
 		return err
 	}
 	now := f.answered()
+	f.behind = false
 	f.revision = max(f.revision, at)
 	if len(changes) > 0 {
 		f.Changed(now, f.read(changes))
@@ -183,6 +256,10 @@
 	return nil
 }
 
+// catchUp is how long the watch after a stale list waits: it is to tell what has
+// changed already.
+const catchUp = time.Millisecond
+
 // gather is the pause after changes, in which further ones come together.
 //
 // Load pattern: a fleet starts, and fifty upstreams register within three
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -23,21 +23,51 @@
 	changes []feed.Change[string]
 	calls   []time.Duration // the waits asked for
 	changed chan struct{}
+	// old is what a stale list gives, oldAt its revision; lists counts those
+	// that were asked for, by whether they may be stale.
+	old   []string
+	oldAt feed.Revision
+	lists map[bool]int
+	// page bounds the items of a page; after each one call is refused.
+	page, refuse int
 }
 
 var errDown = errors.New("down")
 
-func (s *source) List(context.Context) ([]feed.Item[string], feed.Revision, error) {
+func (s *source) List(_ context.Context, after string, stale bool) (feed.Page[string], error) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.down {
-		return nil, 0, errDown
+		return feed.Page[string]{}, errDown
 	}
-	var all []feed.Item[string]
-	for _, n := range s.names {
-		all = append(all, feed.Item[string]{Name: n, Value: n})
+	if s.refuse > 0 {
+		s.refuse--
+		return feed.Page[string]{}, errDown
 	}
-	return all, s.at, nil
+	if s.lists == nil {
+		s.lists = make(map[bool]int)
+	}
+	s.lists[stale]++
+	names, at := s.names, s.at
+	if stale {
+		names, at = s.old, s.oldAt
+	}
+	var p feed.Page[string]
+	p.At = at
+	for _, n := range names {
+		if n <= after {
+			continue
+		}
+		if s.page > 0 && len(p.Items) == s.page {
+			p.More = true
+			break
+		}
+		p.Items = append(p.Items, feed.Item[string]{Name: n, Value: n})
+		if s.page > 0 {
+			s.refuse = 1 // the next call
+		}
+	}
+	return p, nil
 }
 
 func (s *source) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[string], feed.Revision, error) {
@@ -151,3 +181,55 @@
 	got := <-h.changed
 	require.Equal(t, "b", got[0].Value)
 }
+
+// Story: a whole fleet is killed and starts again. Each process lists three
+// thousand upstreams in sixty pages, of which the source takes two thousand a
+// second from all: it takes them nine seconds to be ready. Stale lists do not
+// count; what they lack must come at once, and not with the next change.
+func TestAStaleStartIsCaughtUp(t *testing.T) {
+	s := &source{
+		at: 9, names: []string{"a", "b"}, changed: make(chan struct{}, 1), oldAt: 5, old: []string{"a"},
+		changes: []feed.Change[string]{{Item: feed.Item[string]{Name: "b", Value: "b", Revision: 7}}},
+	}
+	listed, changed := make(chan int, 8), make(chan string, 8)
+	f := &feed.Feed[string]{
+		Name: "test", Source: s, Log: hclog.NewNullLogger(), Wait: time.Hour, StaleStart: true,
+		Listed: func(_ time.Time, all []feed.Item[string]) { listed <- len(all) },
+		Changed: func(_ time.Time, changes []feed.Change[string]) {
+			for _, c := range changes {
+				changed <- c.Name
+			}
+		},
+	}
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { ended <- f.Run(ctx) }()
+	require.Equal(t, 1, <-listed)
+	require.Equal(t, "b", <-changed)
+	// Lost history is listed anew, and not stale: the source would tell of a
+	// time before what was lost.
+	s.set(func() { s.history, s.at, s.names = 20, 21, []string{"a", "b", "c"} })
+	require.Equal(t, 3, <-listed)
+	cancel()
+	require.NoError(t, <-ended)
+	require.Equal(t, map[bool]int{true: 1, false: 1}, s.lists)
+	require.Equal(t, time.Millisecond, s.calls[0], "the first watch does not wait")
+}
+
+// Story: a fleet starts, and its source refuses every other call, as it takes no
+// more. A list that begins anew with each refusal never ends.
+func TestARefusedPageIsReadAgainAndNotAll(t *testing.T) {
+	s := &source{at: 9, names: []string{"a", "b", "c", "d", "e"}, changed: make(chan struct{}, 1), page: 1}
+	listed := make(chan int, 1)
+	f := &feed.Feed[string]{
+		Name: "test", Source: s, Log: hclog.NewNullLogger(), Wait: time.Hour,
+		Listed: func(_ time.Time, all []feed.Item[string]) { listed <- len(all) },
+	}
+	ended := make(chan error, 1)
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { ended <- f.Run(ctx) }()
+	require.Equal(t, 5, <-listed)
+	cancel()
+	require.NoError(t, <-ended)
+	require.Equal(t, 5, s.lists[false], "one for each page")
+}
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -102,6 +102,7 @@
 // newFleet starts store, servers and entries, and waits until all are ready.
 func newFleet(bin Binaries, dir string) (*fleet, error) {
 	f := &fleet{w: newWorld(bin, dir), store: stand.NewStore(), servers: make(map[string]*server)}
+	f.store.SetStale(time.Second)
 	f.configure(0)
 	for n := range 3 {
 		f.add(fmt.Sprintf("app-%d", n+1), "cards", "")
