--- a/send/reply.go
+++ b/send/reply.go
@@ -22,7 +22,7 @@
 	ctx      context.Context
 	cancel   context.CancelCauseFunc
 	unhook   func() bool
-	watchdog *vigil
+	watchdog *watchdog
 	silence  time.Duration
 	// written gives the end of a body that is written beside the answer.
 	written chan error
--- a/send/send.go
+++ b/send/send.go
@@ -113,7 +113,7 @@
 func (c *Client) Do(ctx context.Context, r Request) (*Reply, error) {
 	silence := firstOf(r.Silence, c.Silence, DefaultSilence)
 	ctx, cancel := context.WithCancelCause(ctx)
-	watchdog := keepVigil(cancel, silence)
+	watchdog := newWatchdog(cancel, silence)
 	k, err := c.take(ctx, r.Fresh)
 	if err != nil {
 		watchdog.stop()
--- a/send/vigil.go
+++ b/send/watchdog.go
@@ -7,14 +7,14 @@
 	"time"
 )
 
-// vigil gives an exchange up when the other end has sent nothing for a time.
+// watchdog gives an exchange up when the other end has sent nothing for a time.
 //
 // Failure: this process is held up, as its host's processor is used up, while an
 // answer arrives. When it goes on, the timer fires before the answer is read. It
 // shows as an answer that is cut after its beginning was passed on, though the
 // other end was in time. Looking for what has come since, read or unread, holds
 // because that is what silence is.
-type vigil struct {
+type watchdog struct {
 	cancel context.CancelCauseFunc
 
 	mu      sync.Mutex // a leaf
@@ -25,56 +25,56 @@
 	over    bool
 }
 
-// keepVigil begins one. Until it has a connection, the time is that of dialling.
-func keepVigil(cancel context.CancelCauseFunc, silence time.Duration) *vigil {
-	v := &vigil{cancel: cancel, silence: silence}
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.timer = time.AfterFunc(silence, v.fire)
-	return v
+// newWatchdog begins one. Until it has a connection, the time is that of dialling.
+func newWatchdog(cancel context.CancelCauseFunc, silence time.Duration) *watchdog {
+	w := &watchdog{cancel: cancel, silence: silence}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.timer = time.AfterFunc(silence, w.fire)
+	return w
 }
 
 // of has it watch a connection.
-func (v *vigil) of(k *conn) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.conn, v.heard = k, k.got.Load()
+func (w *watchdog) of(k *conn) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.conn, w.heard = k, k.got.Load()
 }
 
 // reset begins the time anew.
-func (v *vigil) reset(silence time.Duration) {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.over {
+func (w *watchdog) reset(silence time.Duration) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over {
 		return
 	}
-	v.silence, v.heard = silence, v.conn.got.Load()
-	v.timer.Reset(silence)
+	w.silence, w.heard = silence, w.conn.got.Load()
+	w.timer.Reset(silence)
 }
 
 // stop ends it.
-func (v *vigil) stop() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	v.over = true
-	v.timer.Stop()
+func (w *watchdog) stop() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.over = true
+	w.timer.Stop()
 }
 
-func (v *vigil) fire() {
-	v.mu.Lock()
-	defer v.mu.Unlock()
-	if v.over {
+func (w *watchdog) fire() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.over {
 		return
 	}
-	if v.conn != nil {
-		if got := v.conn.got.Load(); got != v.heard || v.conn.unread() {
-			v.heard = got
-			v.timer.Reset(v.silence)
+	if w.conn != nil {
+		if got := w.conn.got.Load(); got != w.heard || w.conn.unread() {
+			w.heard = got
+			w.timer.Reset(w.silence)
 			return
 		}
 	}
-	v.over = true
-	v.cancel(errSilent)
+	w.over = true
+	w.cancel(errSilent)
 }
 
 // unread says whether bytes have come that were not read yet.
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -56,14 +56,14 @@
 	// restarts is held while the entry is stopped and started.
 	restarts sync.Mutex
 
-	mu    sync.Mutex
-	lives []*life
+	mu           sync.Mutex
+	incarnations []*incarnation
 	// ready says whether the balancer gives it new connections.
 	ready bool
 }
 
-// life is one process on an entry host.
-type life struct {
+// incarnation is one process on an entry host.
+type incarnation struct {
 	number        int
 	command       *exec.Cmd
 	listen, ready netip.AddrPort
@@ -198,8 +198,8 @@
 		return err
 	}
 	h.mu.Lock()
-	l := &life{
-		number: len(h.lives), started: make(chan struct{}), done: make(chan struct{}),
+	l := &incarnation{
+		number: len(h.incarnations), started: make(chan struct{}), done: make(chan struct{}),
 		accepted: make(map[string]int), ended: make(map[string]int),
 	}
 	h.mu.Unlock()
@@ -234,7 +234,7 @@
 	}
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.lives = append(h.lives, l)
+	h.incarnations = append(h.incarnations, l)
 	return nil
 }
 
@@ -248,7 +248,7 @@
 
 // read takes in the process's log: its addresses, and how often each request
 // was accepted and ended.
-func (l *life) read(from io.Reader) {
+func (l *incarnation) read(from io.Reader) {
 	lines := bufio.NewScanner(from)
 	lines.Buffer(nil, 1<<20)
 	for lines.Scan() {
@@ -271,14 +271,14 @@
 }
 
 // now gives the host's process.
-func (h *entryHost) now() *life {
+func (h *entryHost) now() *incarnation {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.lives[len(h.lives)-1]
+	return h.incarnations[len(h.incarnations)-1]
 }
 
 // isReady asks as the balancer does.
-func (l *life) isReady() bool {
+func (l *incarnation) isReady() bool {
 	c := http.Client{Timeout: 300 * time.Millisecond, Transport: &http.Transport{DisableKeepAlives: true}}
 	answer, err := c.Get("http://" + l.ready.String() + "/ready")
 	if err != nil {
@@ -340,9 +340,9 @@
 func (f *fleet) close() {
 	for _, h := range f.entries {
 		h.mu.Lock()
-		lives := h.lives
+		incarnations := h.incarnations
 		h.mu.Unlock()
-		for _, l := range lives {
+		for _, l := range incarnations {
 			_ = l.command.Process.Signal(syscall.SIGCONT)
 			_ = l.command.Process.Kill()
 			<-l.done
--- a/test/fleetcalls.go
+++ b/test/fleetcalls.go
@@ -14,7 +14,7 @@
 // fleetCall is one request, as its caller saw it.
 type fleetCall struct {
 	id, kind, method, target, body string
-	entry, life                    int
+	entry, incarnation             int
 	sent, ended                    time.Time
 	got                            stand.Got
 	// fresh says that its connection was made for it, left that its caller
@@ -43,7 +43,7 @@
 func (f *fleet) caller(ctx context.Context, number int, r *rand.Rand) {
 	var c *stand.Caller
 	var h *entryHost
-	var l *life
+	var l *incarnation
 	defer func() {
 		if c != nil {
 			c.Close()
@@ -68,7 +68,7 @@
 			kind = longKind
 		}
 		one := call1(fmt.Sprintf("c%d-%d", number, n), kind)
-		one.entry, one.life = h.index, l.number
+		one.entry, one.incarnation = h.index, l.number
 		f.call(c, one, givesUp, r)
 		group.Pause(ctx, fleetThinks)
 		if ended(l) {
@@ -79,7 +79,7 @@
 }
 
 // ended says whether a process is gone.
-func ended(l *life) bool {
+func ended(l *incarnation) bool {
 	select {
 	case <-l.done:
 		return true
@@ -142,7 +142,7 @@
 	for n := 0; ctx.Err() == nil; n++ {
 		l := h.now()
 		one := call1("p"+strconv.Itoa(h.index)+"-"+strconv.Itoa(n), "probe")
-		one.entry, one.life = h.index, l.number
+		one.entry, one.incarnation = h.index, l.number
 		c := &stand.Caller{To: l.listen}
 		f.call(c, one, false, nil)
 		c.Close()
--- a/test/fleetjudge.go
+++ b/test/fleetjudge.go
@@ -103,7 +103,7 @@
 			for n := 0; ; n++ {
 				one := call1(fmt.Sprintf("recovery-%d-%s-%d", h.index, kind, n), kind)
 				l := h.now()
-				one.entry, one.life = h.index, l.number
+				one.entry, one.incarnation = h.index, l.number
 				c := &stand.Caller{To: l.listen}
 				one = f.call(c, one, false, nil)
 				c.Close()
@@ -250,7 +250,7 @@
 			found.add("%s was answered by none of the versions: %q", c.id, c.got.Body)
 			continue
 		}
-		at := [2]int{c.entry, c.life}
+		at := [2]int{c.entry, c.incarnation}
 		of[at] = append(of[at], seen{generation: g, sent: c.sent, ended: c.ended, id: c.id})
 		for _, v := range f.configs {
 			if due := v.at.Add(inForce + judgeSlack); c.sent.After(due) && v.generation > g && f.calm(c.entry, v.at, c.sent) {
@@ -274,7 +274,7 @@
 // that one accepted has one end in its log.
 func (f *fleet) judgeProcesses(found *findings) {
 	for _, h := range f.entries {
-		for _, l := range h.lives {
+		for _, l := range h.incarnations {
 			l.mu.Lock()
 			frozen := !f.calm(h.index, l.asked, l.left)
 			if took := l.left.Sub(l.asked); !l.asked.IsZero() && !l.left.IsZero() && !frozen && took > fleetStop+judgeSlack {
