--- a/direct/change.go
+++ b/direct/change.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// changeTold is how long it names one: several times what a watch takes to
-	// bring it.
+	// changeTold is how long the notice names an order: several times what a
+	// watch takes to bring it.
 	changeTold = 5 * time.Second
 	// changeSlack is what a change may take beyond its own time, for what the
 	// engine still runs.
@@ -31,7 +31,7 @@
 // nothing else to do, so that each entry takes it for the best one. The registry
 // tells of the change when it is over. It shows as refused prefills, which use up
 // the repeats that are allowed, and then as prompts that decode engines have to
-// read. A record that all entries watch tells them within milliseconds.
+// read. A notice, which all entries watch, tells them within milliseconds.
 type changing struct {
 	mu   sync.Mutex // a leaf
 	told []toldChange
@@ -42,7 +42,7 @@
 	at time.Time
 }
 
-// tell notes orders of this entry, and gives all that its record is to name.
+// tell notes orders of this entry, and gives all that its notice is to name.
 func (c *changing) tell(now time.Time, orders []Change) []Change {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -71,10 +71,10 @@
 	s.notify(ctx, rolesNotice, n)
 }
 
-// noteOrders takes orders for known without heeding them: a record that stands in a
-// list may be old.
-func (s *Server) noteOrders(all Notice) {
-	for _, one := range all.Orders {
+// noteOrders takes orders for known without heeding them: a notice that stands in
+// a list may be old.
+func (s *Server) noteOrders(n Notice) {
+	for _, one := range n.Orders {
 		if u := s.roster.Member(one.Upstream); u != nil {
 			u.Seen.Order(uint64(one.Fence))
 		}
@@ -83,8 +83,8 @@
 
 // heed keeps work away from the engines that were told to change their role,
 // until they have or should have.
-func (s *Server) heed(now time.Time, all Notice) {
-	for _, one := range all.Orders {
+func (s *Server) heed(now time.Time, n Notice) {
+	for _, one := range n.Orders {
 		u := s.roster.Member(one.Upstream)
 		if u == nil || !u.Seen.Order(uint64(one.Fence)) {
 			continue
@@ -96,6 +96,6 @@
 			}
 		}
 		u.Seen.Away(now.Add(away))
-		s.Log.Info("engine changes its role", "upstream", one.Upstream, "fence", one.Fence, "told_by", all.By, "away", away)
+		s.Log.Info("engine changes its role", "upstream", one.Upstream, "fence", one.Fence, "told_by", n.By, "away", away)
 	}
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -11,7 +11,8 @@
 // at an upstream (place.go); attempted (attempt.go), with a prefill before it
 // where the service has engines for that (prefill.go); answered whole
 // (plain.go) or event by event (stream.go); ended once, with an answer or a
-// refusal (end.go).
+// refusal (end.go). What the entries tell each other is in notice.go, who of them
+// gives orders to engines in roles.go.
 package direct
 
 import (
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -140,7 +140,8 @@
 	s.away = until
 }
 
-// Order says whether the order of a number is a newer one than all before.
+// Order says whether an order to change the role, by its fencing number, is newer
+// than all that were known of.
 func (s *Seen) Order(number uint64) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
