feed: pauses grow on after refusals for too many calls

Cause: a process that is refused asks again within 400 ms, for each of its three feeds. 300 entries ask 2,250 times a second so, over the 2,000 that the store takes; where refused calls count as well, it refuses them all for ever.

Change: after 429 the pause grows to 1.6 s (0.8 to 2.4 with its jitter), under the three seconds in which a host that the store served no more must be in touch again.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -110,6 +110,14 @@
 	Gone bool
 }
 
+// ErrBusy says that the source refuses a call since it gets too many.
+//
+// Load pattern: hundreds of processes lose a source at once, or start at once, and
+// ask again every 400 ms, each for several feeds. That alone is more than the
+// source takes, which goes on refusing all of them when it is well. Pauses that
+// grow on let the calls fall under what it takes.
+var ErrBusy = errors.New("feed: too many calls")
+
 // ErrHistory says that the changes after the revision asked for are not kept
 // any more: the collection has to be listed.
 var ErrHistory = errors.New("feed: history is gone")
@@ -138,6 +146,9 @@
 	// last is well under the two seconds in which a change is to be in force.
 	firstPause = 100 * time.Millisecond
 	lastPause  = 400 * time.Millisecond
+	// busyPause is the last one after refusals for too many calls. With its
+	// jitter it stays under three seconds.
+	busyPause = 1600 * time.Millisecond
 	// returnWait is the wait of a watch while the source is lost.
 	returnWait = 10 * time.Millisecond
 )
@@ -309,6 +320,10 @@
 			f.Lost(time.Now())
 		}
 	}
-	f.pause = min(max(2*f.pause, firstPause), lastPause)
+	most := lastPause
+	if errors.Is(err, ErrBusy) {
+		most = busyPause
+	}
+	f.pause = min(max(2*f.pause, firstPause), most)
 	group.Pause(ctx, f.pause/2+rand.N(f.pause))
 }
