--- a/test/fleetplan.go
+++ b/test/fleetplan.go
@@ -138,6 +138,8 @@
 			begin: func(f *fleet) error {
 				f.store.SetSlow(storeSlow)
 				f.store.SetBehind(storeBehind)
+				// Something else changes, so that all watches are behind what is kept.
+				f.store.Put("other", "object", time.Now().String())
 				f.store.Compact()
 				return nil
 			},
