--- a/retry/retry.go
+++ b/retry/retry.go
@@ -20,6 +20,11 @@
 //	v := p.Decide(now, retry.Failure{Attempt: 1, Ran: work.NotRun, Deadline: deadline})
 //	if v == retry.Again { ... }
 //
+//	a := retry.Attempts{Repeatable: true, Limit: 2}   // the sends of one request
+//	a.Sent()
+//	a.Ended(work.Unknown)
+//	if a.May(work.Unknown) == retry.Again { ... }     // a.Ran() is what its caller is told
+//
 //	var l retry.Ledger                                // one in each entry and side
 //	id := retry.Identify(caller, service, body)
 //	l.Died(retry.Death{Upstream: host, Incarnation: n, Time: now, Running: ids})
