--- a/feed/feed.go
+++ b/feed/feed.go
@@ -184,7 +184,6 @@
 	revision Revision
 	listed   bool
 	pages    Pages[T]
-	behind   bool // the list was stale, and nothing was watched since
 	lost     bool
 	pause    time.Duration
 }
@@ -231,7 +230,7 @@
 		}
 		all := f.pages
 		f.pages = Pages[T]{}
-		f.revision, f.listed, f.behind = all.at, true, stale
+		f.revision, f.listed = all.at, true
 		for _, i := range all.items {
 			f.noteUnread(i)
 		}
@@ -248,9 +247,6 @@
 	if f.lost {
 		wait = returnWait
 	}
-	if f.behind {
-		wait = catchUp
-	}
 	ctx, cancel := context.WithTimeout(ctx, wait+patience)
 	defer cancel()
 	changes, at, err := f.Source.Watch(ctx, f.revision, wait)
@@ -258,7 +254,6 @@
 		return err
 	}
 	now := f.answered()
-	f.behind = false
 	f.revision = max(f.revision, at)
 	if len(changes) > 0 {
 		f.Changed(now, f.read(changes))
@@ -267,10 +262,6 @@
 	return nil
 }
 
-// catchUp is how long the watch after a stale list waits: it is to tell what has
-// changed already.
-const catchUp = time.Millisecond
-
 // gather is the pause after changes, in which further ones come together.
 //
 // Load pattern: a fleet starts, and fifty upstreams register within three
