--- a/feed/feed.go
+++ b/feed/feed.go
@@ -312,7 +312,10 @@
 		}
 	}
 	most := lastPause
-	if errors.Is(err, ErrBusy) {
+	// Failure: a process that knows a collection is refused for some seconds, and
+	// then waits for seconds more. It shows as a change that is in force too late.
+	// Only one that knows nothing yet waits that long.
+	if errors.Is(err, ErrBusy) && !f.listed {
 		most = busyPause
 	}
 	f.pause = min(max(2*f.pause, firstPause), most)
