--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -79,7 +79,8 @@
 			return done
 		}
 		if f.unsent {
-			continue // nothing is spent, and its engine is kept away from
+			r.prefills-- // nothing is spent, and its engine is kept away from
+			continue
 		}
 		n++
 		if r.prefills == 1 {
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -145,3 +145,32 @@
 	s.Failed(now.Add(2 * failHalf))
 	require.False(t, s.Offer(now.Add(2*failHalf)).Sure, "it has failed since")
 }
+
+// Story: an engine crashes, and its entry lives on for seconds. Each request in
+// turn dials it, and loses one of its tries by that.
+func TestAnUpstreamThatTakesNoConnectionIsLeftAlone(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	for _, away := range []time.Duration{100, 200, 400, 800, 1000, 1000} {
+		s.NotTaken(now)
+		require.True(t, s.Offer(now.Add(away*time.Millisecond-1)).Held)
+		require.False(t, s.Offer(now.Add(away*time.Millisecond)).Held, "it is tried again")
+		now = now.Add(away * time.Millisecond)
+	}
+	s.Answered(now, time.Millisecond, 1)
+	s.NotTaken(now)
+	require.False(t, s.Offer(now.Add(100*time.Millisecond)).Held, "an answer ends the row")
+}
+
+// Story: all prefill engines are lost, and two prompts come to one decode engine at
+// once. Read together they pause its dozen answers for twice as long as one.
+func TestPromptsReadAtOnePlaceFollowEachOther(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	const took, longest = 200 * time.Millisecond, 500 * time.Millisecond
+	require.Zero(t, s.Read(now, took, longest))
+	require.Equal(t, took, s.Read(now, took, longest))
+	require.Equal(t, 2*took, s.Read(now, took, longest))
+	require.Equal(t, longest, s.Read(now, took, longest), "none waits for longer")
+	require.Zero(t, s.Read(now.Add(time.Second), took, longest))
+}
