--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -79,8 +79,7 @@
 			return done
 		}
 		if f.unsent {
-			r.prefills-- // nothing is spent, and its engine is kept away from
-			continue
+			continue // nothing is spent, and its engine is kept away from
 		}
 		n++
 		if r.prefills == 1 {
