--- a/feed/outgrown_test.go
+++ b/feed/outgrown_test.go
@@ -95,3 +95,39 @@
 		require.NoError(t, <-ended)
 	})
 }
+
+// Story: a fleet starts, and fifty upstreams register one after the other within
+// three seconds. Each alone ends the watch of each process.
+func TestChangesThatComeInARowEndFewWatches(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := &source{at: 1, changed: make(chan struct{}, 1)}
+		heard := make(chan int, 100)
+		f := &feed.Feed[string]{
+			Name: "upstreams", Source: s, Log: hclog.NewNullLogger(), Wait: time.Minute,
+			Listed:  func(time.Time, []feed.Item[string]) {},
+			Changed: func(_ time.Time, changes []feed.Change[string]) { heard <- len(changes) },
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- f.Run(ctx) }()
+		for n := range 50 {
+			time.Sleep(60 * time.Millisecond)
+			s.set(func() {
+				s.at++
+				s.changes = append(s.changes, feed.Change[string]{Item: feed.Item[string]{Name: strconv.Itoa(n), Revision: s.at}})
+			})
+		}
+		time.Sleep(time.Second)
+		cancel()
+		require.NoError(t, <-ended)
+		s.mu.Lock()
+		require.LessOrEqual(t, len(s.calls), 32)
+		s.mu.Unlock()
+		close(heard)
+		all := 0
+		for n := range heard {
+			all += n
+		}
+		require.Equal(t, 50, all, "none is lost")
+	})
+}
