--- a/direct/engines.go
+++ b/direct/engines.go
@@ -102,7 +102,7 @@
 // view turns the engines' accounts into what the planner goes by: the share of
 // memory taken at decode engines, and for each that is kept busy the prefill engines
 // that the mix of the requests keeps busy beside it.
-func view(v *paths.Service, states []engineState, ratio float64, known bool) place.View {
+func view(v *paths.Service, states []engineState, mix mixRatio) place.View {
 	prefills, decodes := place.Pool{Model: v.Name, Role: work.RolePrefill}, place.Pool{Model: v.Name, Role: work.RoleDecode}
 	out := place.View{Demand: map[place.Pool]float64{prefills: 0, decodes: 0}}
 	engines := make(map[place.Pool]int)
@@ -122,8 +122,11 @@
 		// Failure: all decode engines are lost. Where there is none, no memory is
 		// taken, and nothing seems to ask for one, while all requests are refused.
 		out.Demand[decodes] = 1
-	case known:
-		out.Demand[decodes], out.Demand[prefills] = taken, prefillPart*ratio*taken
+	case mix.known:
+		out.Demand[decodes], out.Demand[prefills] = taken, prefillPart*mix.ratio*taken
+		if even := taken * float64(engines[prefills]) / float64(engines[decodes]); !mix.sure {
+			out.Demand[prefills] = min(out.Demand[prefills], even) // takes none from decode
+		}
 	}
 	return out
 }
--- a/direct/engines_test.go
+++ b/direct/engines_test.go
@@ -81,7 +81,7 @@
 	}
 	prefills, decodes := place.Pool{Model: "m", Role: work.RolePrefill}, place.Pool{Model: "m", Role: work.RoleDecode}
 	alone := []engineState{state("a", work.RolePrefill, 0), state("b", work.RolePrefill, 0), state("c", work.RolePrefill, 0)}
-	seen := view(v, alone, 0, false)
+	seen := view(v, alone, mixRatio{})
 	require.Positive(t, seen.Demand[decodes])
 	p := place.Planner{Tempo: place.TempoOf(6 * time.Second)}
 	orders := p.Plan(time.Now(), seen, func(time.Time) (fence.Number, error) { return 1, nil })
@@ -89,8 +89,38 @@
 	require.Equal(t, decodes, orders[0].To)
 
 	both := append(alone, state("d", work.RoleDecode, 50))
-	require.Zero(t, view(v, both, 0, false).Demand[decodes], "nothing is known of the mix yet")
-	seen = view(v, both, 0.4, true)
+	require.Zero(t, view(v, both, mixRatio{}).Demand[decodes], "nothing is known of the mix yet")
+	seen = view(v, both, mixRatio{ratio: 0.4, known: true, sure: true})
 	require.InDelta(t, 0.5, seen.Demand[decodes], 1e-9)
 	require.InDelta(t, prefillPart*0.4*0.5, seen.Demand[prefills], 1e-9)
 }
+
+// Story: the load begins, and the first request has an answer of a few tokens. By it
+// alone prefill needs more engines than decode; ten of 28 decode engines were told
+// to change, and the first burst found them away.
+func TestFewRequestsTakeNoDecodeEngine(t *testing.T) {
+	var m place.Mix
+	now := time.Now()
+	m.Sent(now, 3000, 64, 0.1)
+	m.Prefilled(now, 3000, 100*time.Millisecond)
+	m.Answered(now, 104, 400*time.Millisecond)
+	ratio, known := m.Ratio()
+	require.True(t, known)
+	require.Greater(t, ratio, 1.0)
+	var states []engineState
+	for n := range 45 {
+		e := engineState{server: roster.Server{Start: roster.Start{ID: roster.ID(strconv.Itoa(n))}}, state: State{Role: work.RoleDecode, Memory: 100, Taken: 30}}
+		if n < 17 {
+			e.state.Role, e.state.Taken = work.RolePrefill, 0
+		}
+		states = append(states, e)
+	}
+	plan := func(sure bool) []place.Order {
+		p := place.Planner{Tempo: place.TempoOf(6 * time.Second)}
+		seen := view(&paths.Service{Name: "m"}, states, mixRatio{ratio: ratio, known: true, sure: sure})
+		next := func(time.Time) (fence.Number, error) { return 1, nil }
+		return append(p.Plan(now, seen, next), p.Plan(now.Add(time.Second), seen, next)...)
+	}
+	require.Empty(t, plan(m.Sure()))
+	require.NotEmpty(t, plan(true), "many requests like it do")
+}
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -29,9 +29,19 @@
 	change(m.of[s])
 }
 
-func (m *mixes) ratio(s work.Service) (ratio float64, known bool) {
-	m.note(s, func(x *place.Mix) { ratio, known = x.Ratio() })
-	return ratio, known
+func (m *mixes) ratio(s work.Service) (r mixRatio) {
+	m.note(s, func(x *place.Mix) {
+		r.ratio, r.known = x.Ratio()
+		r.sure = x.Sure()
+	})
+	return r
+}
+
+// mixRatio is how many prefill engines are kept busy for each decode engine that
+// is; sure says that it may take engines from decode.
+type mixRatio struct {
+	ratio       float64
+	known, sure bool
 }
 
 // mixSent notes a stream that has its room.
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -117,9 +117,9 @@
 		}
 		pool := s.engines(v.Name)
 		states := s.states(ctx, sample(pool, s.Settings.Name))
-		ratio, known := s.mixes.ratio(v.Name)
-		seen := view(v, states, ratio, known)
-		s.Log.Info("engines", "service", v.Name, "of", len(pool), "answered", len(states), "ratio", ratio,
+		mix := s.mixes.ratio(v.Name)
+		seen := view(v, states, mix)
+		s.Log.Info("engines", "service", v.Name, "of", len(pool), "answered", len(states), "ratio", mix.ratio, "sure", mix.sure,
 			"prefill", seen.Demand[place.Pool{Model: v.Name, Role: work.RolePrefill}],
 			"decode", seen.Demand[place.Pool{Model: v.Name, Role: work.RoleDecode}])
 		var taken []Change
--- a/place/mix.go
+++ b/place/mix.go
@@ -39,6 +39,8 @@
 	// one request, which has hardly faded, and eight events of an answer.
 	mixRequests = 0.9
 	mixTokens   = 100
+	// mixSure is the requests from which the ratio may take engines from decode.
+	mixSure = 25
 	// prefillRise is the part by which the least time for a token of a prompt
 	// goes towards a longer one: an engine that turns slow shows in some fifty.
 	prefillRise = 0.02
@@ -97,3 +99,10 @@
 	}
 	return m.prompts * m.prefill / decode * (1 + unseen/math.Sqrt(m.requests)), true
 }
+
+// Sure says whether enough was seen to take engines from decode by the ratio.
+//
+// Failure: the first request has the shortest of answers, and by it alone prefill
+// needs half of all engines. It shows as a third of the decode engines that leave in
+// the first seconds, and are away for ten.
+func (m *Mix) Sure() bool { return m.requests >= mixSure }
