paths, direct, platform: client accounts, by the keys that callers show

Cause: the deployment of the shifted work has client accounts. Ruled out: a key table of its own beside the configuration; keys come and go with its versions, and are in force when it is.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -34,7 +34,7 @@
 func (s *Server) try(ctx context.Context, r *request, a *attempt) (*send.Reply, *failure) {
 	server := a.upstream.Server()
 	a.start, a.began = server.Start, time.Now()
-	a.stamp.Upstream, a.stamp.Within, a.stamp.Priority = server.ID, r.left(), r.route.Priority
+	a.stamp.Upstream, a.stamp.Account, a.stamp.Within, a.stamp.Priority = server.ID, r.holder(), r.left(), r.priority()
 	header := r.header.Clone()
 	s.Protocol.Stamp(header, a.stamp)
 	if a.silence <= 0 {
--- a/direct/end.go
+++ b/direct/end.go
@@ -35,6 +35,9 @@
 		seconds := strconv.FormatFloat(given.RetryAfter.Seconds(), 'f', 3, 64)
 		r.w.Header().Set("Retry-After", seconds)
 	}
+	if status == http.StatusUnauthorized {
+		r.w.Header().Set("WWW-Authenticate", "Bearer")
+	}
 	r.w.Header().Set("Content-Type", "application/problem+json")
 	problem := given.Problem()
 	problem.Status = status
--- a/direct/line.go
+++ b/direct/line.go
@@ -78,7 +78,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	i = queue.Item{
-		ID: r.id, Account: r.account, Priority: queue.Priorities - 1 - r.route.Priority,
+		ID: r.id, Account: r.account, Priority: queue.Priorities - 1 - r.priority(),
 		Prompt: r.ask.Prompt, Output: r.tokens() - r.ask.Prompt,
 		FirstToken: r.first.Add(r.targetLatency()), Deadline: r.until, ToFirstToken: l.toFirst, ToEnd: l.toFirst,
 	}
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -17,6 +17,9 @@
 	// Ask reads what a request says of itself, and takes out of its header
 	// what only this system may set.
 	Ask(h http.Header) Ask
+	// Key reads the key that a caller shows, and takes it out of its header
+	// together with whatever it says of its account.
+	Key(h http.Header) string
 	// Stamp sets what an upstream is to know of an attempt.
 	Stamp(h http.Header, s Stamp)
 	// Note tells what an answer says beside its body.
@@ -78,6 +81,8 @@
 type Stamp struct {
 	// Upstream is the start that the attempt is meant for; any other refuses.
 	Upstream roster.ID
+	// Account is who asks; empty where callers have no accounts.
+	Account work.Account
 	// Within is the time left.
 	Within time.Duration
 	Stage  Stage
--- a/direct/request.go
+++ b/direct/request.go
@@ -28,6 +28,8 @@
 	// until is when it must have its end: the caller's or the route's limit.
 	until   time.Time
 	version paths.Version
+	// client is the account whose key the caller showed; nil where callers need none.
+	client  *paths.Account
 	route   *paths.Route
 	service *paths.Service
 	// identity is the same for each send of the same work.
@@ -116,6 +118,9 @@
 		return &failure{ran: work.NotRun, reason: work.ReasonNoService, detail: "no route matches host and path"}
 	}
 	r.route = route
+	if f := s.identify(r, c); f != nil {
+		return f
+	}
 	r.tries = retry.Attempts{Repeatable: route.MayRepeat(), Limit: route.Attempts}
 	if f := r.read(h, c.Limits.MaxBody); f != nil {
 		return f
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -70,6 +70,8 @@
 	Affinity bool
 	// Resumable streams may go on at another upstream.
 	Resumable bool
+	// Open routes are for callers without a key as well.
+	Open bool
 }
 
 // MayRepeat says whether a request that may have run may run again.
@@ -143,9 +145,12 @@
 	Version  Version
 	Routes   []Route
 	Services []Service
+	// Accounts are the callers; with none, nobody has to show a key.
+	Accounts []Account
 	Limits   Limits
 
 	byHost   map[string][]*Route
+	byKey    map[string]*Account
 	services map[work.Service]*Service
 }
 
@@ -175,6 +180,28 @@
 			f.Add(place, "prefix %q does not begin with a slash", r.Prefix)
 		}
 	}
+	return append(f, c.checkAccounts()...)
+}
+
+// checkAccounts names no key in what it finds: findings are logged.
+func (c *Config) checkAccounts() check.Findings {
+	var f check.Findings
+	held := make(map[string]work.Account)
+	for _, a := range c.Accounts {
+		place := "account " + string(a.Name)
+		if a.Name == "" {
+			f.Add(place, "has no name")
+		}
+		if a.Quota.Rate < 0 || a.Quota.Burst < 0 {
+			f.Add(place, "has a negative quota")
+		}
+		for n, key := range a.Keys {
+			if other, taken := held[key]; taken && other != a.Name {
+				f.Add(place, "holds key %d of account %s as well", n+1, other)
+			}
+			held[key] = a.Name
+		}
+	}
 	return f
 }
 
@@ -186,6 +213,12 @@
 	for i := range c.Services {
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
+	c.byKey = make(map[string]*Account)
+	for i := range c.Accounts {
+		for _, key := range c.Accounts[i].Keys {
+			c.byKey[key] = &c.Accounts[i]
+		}
+	}
 	for i := range c.Routes {
 		r := &c.Routes[i]
 		if len(r.Shares) == 0 {
