quota, relay, direct: quotas of accounts, counted by one entry for each

Cause: nothing kept an account within its quota; in bursts the largest ran 502,509 tokens in eight seconds where 438,390 were allowed. Ruled out: telling all entries of all use (calls grow with their square); the store (each call is priced and takes a round trip through one place).

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -78,8 +78,11 @@
 	changing changing
 	mixes    mixes
 	peers    peers
-	// own is the version of this entry's record, as last written.
+	quotas   quotas
+	// own is the version of this entry's record, as last written, and since when
+	// an entry of its name first wrote one.
 	own     plat.Version
+	since   time.Time
 	leaving atomic.Bool
 	// leavingNow is closed when leaving is set; rolesFree is told when the lease
 	// of roles was released.
@@ -191,6 +194,7 @@
 	s.roster.Log = s.Log
 	s.peers.fleet.Self, s.peers.fleet.Fewest = s.Settings.Name, s.Settings.RelayFrom
 	s.leavingNow, s.rolesFree = make(chan struct{}), make(chan struct{}, 1)
+	s.quotas.counter.Since = time.Now()
 	live := s.Settings
 	s.live.Store(&live)
 }
--- a/direct/end.go
+++ b/direct/end.go
@@ -24,13 +24,16 @@
 // is broken off, since what was sent of it must not look whole.
 func (s *Server) refuse(r *request, f *failure) {
 	f.ran = f.ran.Worse(r.tries.Ran())
+	if f.ran == work.NotRun {
+		s.giveBack(r)
+	}
 	s.end(r, "refused", "reason", f.reason, "ran", f.ran, "detail", f.detail)
 	if r.begun || f.reason == work.ReasonCallerGone {
 		panic(http.ErrAbortHandler)
 	}
 	given := work.Refusal{RequestID: r.id, Reason: f.reason, Ran: f.ran, Detail: f.detail}
 	status := statusOf(f)
-	if status == http.StatusServiceUnavailable {
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		given.RetryAfter = min(max(f.retryAfter, returnAfter), max(r.left()/returnPart, 0))
 		seconds := strconv.FormatFloat(given.RetryAfter.Seconds(), 'f', 3, 64)
 		r.w.Header().Set("Retry-After", seconds)
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -42,6 +42,8 @@
 	Beat uint64 `json:"beat"`
 	// Written is when, by the writer's time of day.
 	Written time.Time `json:"written,omitzero"`
+	// Since is when an entry of this name first wrote it, by its time of day.
+	Since time.Time `json:"since,omitzero"`
 	// Peer is where it answers other entries, Zone and Cores its host's; entries
 	// that do not listen for others say none.
 	Peer  netip.AddrPort `json:"peer,omitzero"`
@@ -152,8 +154,8 @@
 	}
 	s.setPeers(all, false)
 	for _, i := range all {
-		if i.Name == string(s.Settings.Name) {
-			s.own = plat.Version(i.Revision) // of an earlier start
+		if i.Name == string(s.Settings.Name) { // of an earlier start
+			s.own, s.since = plat.Version(i.Revision), i.Value.Since
 		}
 	}
 }
@@ -175,26 +177,37 @@
 }
 
 // writeMember writes the record over whatever is there: nobody else writes it
-// but an earlier start of this entry.
+// but an earlier start of this entry, whose first writing still counts.
 func (s *Server) writeMember(ctx context.Context, beat uint64) error {
-	value, err := json.Marshal(Member{
-		Name: s.Settings.Name, Beat: beat, Written: time.Now(),
-		Peer: s.Settings.PeerListen, Zone: s.Settings.Zone, Cores: s.Settings.Cores,
-	})
-	if err != nil {
-		return errors.Wrap(err, "direct: own record")
-	}
-	// Its version is known from the last writing; at the start there is none, as a rule.
 	ctx, cancel := context.WithTimeout(ctx, storeWithin)
 	defer cancel()
-	name := memberKind + string(s.Settings.Name)
-	if s.own, err = s.Records.Put(ctx, name, value, s.own); err == nil {
+	if s.since.IsZero() {
+		s.since = time.Now()
+	}
+	// Its version is known from the last writing; at the start there is none, as a rule.
+	if s.putMember(ctx, beat) == nil {
 		return nil
 	}
-	old, err := s.Records.Get(ctx, name)
+	old, err := s.Records.Get(ctx, memberKind+string(s.Settings.Name))
 	if err != nil && !errors.Is(err, plat.ErrMissing) {
 		return err
 	}
-	s.own, err = s.Records.Put(ctx, name, value, old.Version)
+	var before Member
+	if json.Unmarshal(old.Value, &before) == nil && !before.Since.IsZero() && before.Since.Before(s.since) {
+		s.since = before.Since
+	}
+	s.own = old.Version
+	return s.putMember(ctx, beat)
+}
+
+func (s *Server) putMember(ctx context.Context, beat uint64) error {
+	value, err := json.Marshal(Member{
+		Name: s.Settings.Name, Beat: beat, Written: time.Now(), Since: s.since,
+		Peer: s.Settings.PeerListen, Zone: s.Settings.Zone, Cores: s.Settings.Cores,
+	})
+	if err != nil {
+		return errors.Wrap(err, "direct: own record")
+	}
+	s.own, err = s.Records.Put(ctx, memberKind+string(s.Settings.Name), value, s.own)
 	return err
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -56,6 +56,7 @@
 	m.Handle("GET "+relay.Path+feedUpstreams, relay.Handler(&s.peers.upstreams))
 	m.Handle("GET "+relay.Path+feedNotices, relay.Handler(&s.peers.notices))
 	m.HandleFunc("GET "+mixPath, s.serveMix)
+	m.HandleFunc("POST "+quotaPath, s.serveQuota)
 	return &http.Server{
 		Handler:           s.unlessLeaving(m),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
@@ -92,7 +93,7 @@
 	var members []relay.Member
 	for _, m := range all {
 		if now.Sub(m.Written).Abs() <= memberGone {
-			members = append(members, relay.Member{Name: m.Name, Zone: m.Zone, Addr: m.Peer, Cores: m.Cores})
+			members = append(members, relay.Member{Name: m.Name, Zone: m.Zone, Addr: m.Peer, Cores: m.Cores, Since: m.Since})
 		}
 	}
 	return members
--- a/direct/request.go
+++ b/direct/request.go
@@ -29,7 +29,9 @@
 	until   time.Time
 	version paths.Version
 	// client is the account whose key the caller showed; nil where callers need none.
-	client  *paths.Account
+	client *paths.Account
+	// cost is what was taken of its quota.
+	cost    float64
 	route   *paths.Route
 	service *paths.Service
 	// identity is the same for each send of the same work.
@@ -136,6 +138,9 @@
 	if s.crashes.ledger.Standing(r.accepted, r.identity) == retry.Stopped {
 		return &failure{ran: work.NotRun, reason: work.ReasonCrashes, detail: "upstreams died running it"}
 	}
+	if f := s.charge(h.Context(), r); f != nil {
+		return f
+	}
 	s.budgets.window(name).Accepted(r.accepted, s.terms())
 	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.ask.Prompt, "tokens", r.tokens(), "left", r.left())
 	return nil
--- a/paths/account.go
+++ b/paths/account.go
@@ -48,3 +48,6 @@
 	}
 	return c.byKey[key]
 }
+
+// Named gives the account of a name; nil for none.
+func (c *Config) Named(name work.Account) *Account { return c.byAccount[name] }
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -149,9 +149,10 @@
 	Accounts []Account
 	Limits   Limits
 
-	byHost   map[string][]*Route
-	byKey    map[string]*Account
-	services map[work.Service]*Service
+	byHost    map[string][]*Route
+	byKey     map[string]*Account
+	byAccount map[work.Account]*Account
+	services  map[work.Service]*Service
 }
 
 // Check gives what makes a configuration unfit for use.
@@ -214,7 +215,9 @@
 		c.services[c.Services[i].Name] = &c.Services[i]
 	}
 	c.byKey = make(map[string]*Account)
+	c.byAccount = make(map[work.Account]*Account)
 	for i := range c.Accounts {
+		c.byAccount[c.Accounts[i].Name] = &c.Accounts[i]
 		for _, key := range c.Accounts[i].Keys {
 			c.byKey[key] = &c.Accounts[i]
 		}
--- /dev/null
+++ b/quota/quota_test.go
@@ -0,0 +1,95 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+)
+
+var (
+	terms = Terms{Rate: 36000, Burst: 36000}
+	began = time.Unix(1000, 0)
+)
+
+// Story: an account sends four times its quota for eight seconds, in requests of any
+// size and at any moments, and some are given back. What it has run in any span is
+// at most the quota for that span, a burst, and one request that cost more than
+// can be saved up.
+func TestNoSpanHasMoreThanTheQuota(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		c := Counter{Since: began}
+		type run struct {
+			at   time.Time
+			cost float64
+		}
+		var runs []run
+		now, largest := began, 0.0
+		for range rapid.IntRange(1, 300).Draw(t, "requests") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 80).Draw(t, "gap")) * time.Millisecond)
+			cost := float64(rapid.IntRange(1, 60000).Draw(t, "cost"))
+			if !c.Take(now, "a", terms, cost).Granted {
+				continue
+			}
+			if rapid.IntRange(0, 9).Draw(t, "unrun") == 0 {
+				c.Give(now, "a", terms, cost)
+				continue
+			}
+			runs, largest = append(runs, run{now, cost}), max(largest, cost)
+		}
+		for from := range runs {
+			sum := 0.0
+			for _, r := range runs[from:] {
+				sum += r.cost
+				allowed := terms.Rate*r.at.Sub(runs[from].at).Seconds() + terms.Burst + max(0, largest-terms.Burst)
+				if sum > allowed+1 {
+					t.Fatalf("ran %v in %v, allowed %v", sum, r.at.Sub(runs[from].at), allowed)
+				}
+			}
+		}
+	})
+}
+
+// Story: a caller is told when its account will have enough, and returns just then.
+func TestAReturnAtTheTimeToldIsGranted(t *testing.T) {
+	var b Bucket
+	b.Take(began, terms, 0)
+	for _, cost := range []float64{5000, 36000, 50000} {
+		v := b.Take(began, terms, cost)
+		require.False(t, v.Granted)
+		later := began.Add(v.Wait + time.Millisecond)
+		again := b
+		require.True(t, again.Take(later, terms, cost).Granted, cost)
+	}
+}
+
+// Story: the process that counts is killed and starts again; the account had just
+// had its burst. It gets the rate from the start on and no second burst.
+func TestAStartSavesUpNothing(t *testing.T) {
+	c := Counter{Since: began}
+	require.False(t, c.Take(began.Add(10*time.Millisecond), "a", terms, 5000).Granted)
+	require.True(t, c.Take(began.Add(time.Minute), "b", terms, 36000).Granted)
+	require.False(t, c.Take(began.Add(time.Minute), "b", terms, 5000).Granted, "no more than a burst after a pause")
+}
+
+// Story: an operator lowers a quota while much is saved up. The new one holds from
+// then on.
+func TestALowerQuotaHoldsAtOnce(t *testing.T) {
+	c := Counter{Since: began}
+	now := began.Add(time.Minute)
+	require.True(t, c.Take(now, "a", terms, 1000).Granted)
+	lower := Terms{Rate: 400, Burst: 400}
+	require.True(t, c.Take(now, "a", lower, 400).Granted)
+	require.False(t, c.Take(now, "a", lower, 400).Granted)
+}
+
+// Story: an operator lowers a quota while an account is quiet. What came back until then
+// came back at the old rate.
+func TestWhatWasSavedUpBeforeAChangeStays(t *testing.T) {
+	c := Counter{Since: began}
+	now := began.Add(time.Minute)
+	require.True(t, c.Take(now, "a", terms, 36000).Granted)
+	lower := Terms{Rate: 400, Burst: 20000}
+	require.True(t, c.Take(now.Add(time.Second), "a", lower, 20000).Granted)
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -37,6 +37,8 @@
 	Addr netip.AddrPort
 	// Cores is its host's share of a processor.
 	Cores float64
+	// Since is when its first start put it on record.
+	Since time.Time
 }
 
 // Relays gives the members that watch for all, if there are as many as the fewest
@@ -135,6 +137,8 @@
 	others []*Peer
 	place  int
 	known  bool
+	// keepers are all processes, the largest first, as keepers of state.
+	keepers []keeper
 }
 
 // Set takes the members of the fleet; whole says that those which started together
@@ -148,9 +152,10 @@
 	f.place = slices.IndexFunc(able, func(m Member) bool { return m.Name == f.Self })
 	f.relay = slices.ContainsFunc(chosen, func(m Member) bool { return m.Name == f.Self })
 	before := f.others
-	f.others, f.peers = nil, nil
+	f.others, f.peers, f.keepers = nil, nil, nil
 	for _, m := range able {
 		if m.Name == f.Self {
+			f.keepers = append(f.keepers, keeper{Member: m})
 			continue
 		}
 		p := &Peer{Member: m, client: &send.Client{Base: m.Addr, DialTimeout: peerDial, Keep: peerKeep}}
@@ -158,6 +163,7 @@
 			p = before[n]
 		}
 		f.others = append(f.others, p)
+		f.keepers = append(f.keepers, keeper{m, p})
 		if slices.Contains(chosen, m) {
 			f.peers = append(f.peers, p)
 		}
--- /dev/null
+++ b/relay/owners.go
@@ -0,0 +1,69 @@
+package relay
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// keeper is a process as a keeper of state; peer is nil for this one.
+type keeper struct {
+	Member
+	peer *Peer
+}
+
+const (
+	// keeperPart is the part of the largest host's share of a processor from which a
+	// host keeps state: smaller ones answer late when they are busy.
+	keeperPart = 0.5
+	// keeperTogether is within what time processes are put on record that start
+	// together, and keeperKnown after what time one that came later is known to all.
+	//
+	// Failure: a host is added, and one process after the other learns of it. Those
+	// that know it go to it for its part of the keys, the others where they went
+	// before, and for up to the time between two readings of the records two
+	// processes keep one key's state apart. It shows as twice what a quota allows.
+	keeperTogether = 10 * time.Second
+	keeperKnown    = 45 * time.Second
+)
+
+// Owner is a process that keeps the state of a key. Peer is nil for this one.
+type Owner struct {
+	Peer *Peer
+}
+
+// Owners gives the processes that keep the state of a key: the first of them, and
+// where it can't be reached the next, at most so many. Processes that know the same
+// members give the same ones, and a lost one moves only its own keys.
+func (f *Fleet) Owners(now time.Time, key string, most int) []Owner {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	type ranked struct {
+		keeper
+		weight uint64
+	}
+	var able []ranked
+	first := f.firstSince()
+	for _, k := range f.keepers {
+		known := k.Since.Sub(first) <= keeperTogether || now.Sub(k.Since) >= keeperKnown
+		if known && k.Cores >= keeperPart*f.keepers[0].Cores {
+			able = append(able, ranked{k, nameHash(key + "/" + string(k.Name))})
+		}
+	}
+	slices.SortFunc(able, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	var owners []Owner
+	for _, k := range able[:min(len(able), most)] {
+		owners = append(owners, Owner{k.peer})
+	}
+	return owners
+}
+
+func (f *Fleet) firstSince() time.Time {
+	var first time.Time
+	for n, k := range f.keepers {
+		if n == 0 || k.Since.Before(first) {
+			first = k.Since
+		}
+	}
+	return first
+}
--- a/work/work.go
+++ b/work/work.go
@@ -75,6 +75,7 @@
 	ReasonNoKind      Reason = "unknown_kind"
 	ReasonNoService   Reason = "unknown_service"
 	ReasonCallerShare Reason = "caller_over_share"
+	ReasonQuota       Reason = "account_over_quota"
 	ReasonNoRoom      Reason = "no_room"
 	ReasonTooLate     Reason = "deadline_cannot_be_met"
 	ReasonInProgress  Reason = "key_in_progress"
@@ -107,7 +108,7 @@
 		return 413
 	case ReasonOtherBody, ReasonCrashes:
 		return 422
-	case ReasonCallerShare:
+	case ReasonCallerShare, ReasonQuota:
 		return 429
 	case ReasonUpstream, ReasonLost:
 		return 502
