--- a/conf/direct.go
+++ b/conf/direct.go
@@ -26,6 +26,9 @@
 //	ratio = 0.2
 //	fixed = 54
 //	span = "10s"
+//
+//	[quotas]
+//	slack = 140000
 type Direct struct {
 	Name work.Host
 	Zone work.Zone
@@ -49,6 +52,7 @@
 	// WatchWait is how long a watch at the store waits; default 10s.
 	WatchWait time.Duration
 	Repeats   Repeats
+	Quotas    Quotas
 	Log       Log
 	Limits    Limits
 }
@@ -65,6 +69,13 @@
 	Span time.Duration
 }
 
+// Quotas say how client accounts' quotas are kept.
+type Quotas struct {
+	// Slack is how much more than its quota an account may have run in a span of
+	// some seconds, in whatever quotas count; default 0.
+	Slack float64
+}
+
 // ParseDirect reads the settings of `direct`; file is the name given in
 // findings. The error is check.Findings.
 func ParseDirect(file string, text []byte) (Direct, error) {
@@ -85,6 +96,7 @@
 		StopWithin:    r.duration("stop_within"),
 		WatchWait:     r.duration("watch_wait"),
 		Repeats:       r.repeats(),
+		Quotas:        r.quotas(),
 		Log:           r.log(),
 		Limits:        r.limits(),
 	}
@@ -105,6 +117,11 @@
 	return p
 }
 
+func (r *reader) quotas() Quotas {
+	r.table("quotas")
+	return Quotas{Slack: r.number("quotas.slack")}
+}
+
 // number gives a number that is not negative, whole or not.
 func (r *reader) number(path string) float64 {
 	var n float64
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -32,6 +32,9 @@
 	// those that count: they go on giving out all of it, since they can't tell an
 	// entry that is cut off from one that is gone.
 	quotaAlone = 0.4
+	// quotaSlack is the part of the operators' slack that accounts may save up beside
+	// their burst. The rest is for what entries spend that can't reach those that count.
+	quotaSlack = 0.6
 	// quotaMost bounds a call, in bytes.
 	quotaMost = 4 << 10
 )
@@ -58,7 +61,9 @@
 type quotaCall struct {
 	Account work.Account `json:"account"`
 	Cost    float64      `json:"cost"`
-	Back    bool         `json:"back,omitempty"`
+	// Back gives back; Over says that it went beyond the burst.
+	Back bool `json:"back,omitempty"`
+	Over bool `json:"over,omitempty"`
 }
 
 // charge takes the request's cost from its account's quota, before anything is
@@ -75,8 +80,8 @@
 		s.quotas.note(now, r.account, cost, v)
 	}
 	if v.Granted {
-		r.cost = cost
-		s.Log.Debug("quota", "request", r.id, "account", r.account, "cost", cost, "left", v.Level, "by", by, "took", time.Since(now))
+		r.cost, r.over = cost, v.Over
+		s.Log.Debug("quota", "request", r.id, "account", r.account, "cost", cost, "over", v.Over, "left", v.Level, "by", by, "took", time.Since(now))
 		return nil
 	}
 	s.Log.Info("over quota", "request", r.id, "account", r.account, "cost", cost, "left", v.Level, "wait", v.Wait, "by", by,
@@ -84,12 +89,20 @@
 	return &failure{ran: work.NotRun, reason: work.ReasonQuota, detail: "the account is over its quota", retryAfter: v.Wait}
 }
 
+// overQuota refuses a request whose account is over its quota, and for which others
+// leave no room.
+func (s *Server) overQuota(r *request) *failure {
+	wait := s.lines.line(r.service.Name).returns(time.Now())
+	s.Log.Info("over quota", "request", r.id, "account", r.account, "cost", r.cost, "by", "no room", "asked", r.asked, "wait", wait)
+	return &failure{ran: work.NotRun, reason: work.ReasonQuota, detail: "the account is over its quota and no engine has room to spare", retryAfter: wait, final: true}
+}
+
 // giveBack gives back what a request took that has not run.
 func (s *Server) giveBack(r *request) {
 	if r.cost == 0 {
 		return
 	}
-	call := quotaCall{Account: r.account, Cost: r.cost, Back: true}
+	call := quotaCall{Account: r.account, Cost: r.cost, Back: true, Over: r.over}
 	r.cost = 0
 	client := r.client
 	s.later("give back quota", quotaOwners*quotaWithin, func(ctx context.Context) error {
@@ -103,9 +116,9 @@
 func (s *Server) takeQuota(ctx context.Context, a *paths.Account, call quotaCall) (v quota.Verdict, by string) {
 	now := time.Now()
 	owners := s.peers.fleet.Owners(now, string(a.Name), quotaOwners)
-	for _, o := range owners {
+	for n, o := range owners {
 		if o.Peer == nil {
-			return s.count(now, a, call), "self"
+			return s.count(now, a, call, n == 0), "self"
 		}
 		if s.quotas.rests(now, o.Peer) {
 			continue
@@ -124,21 +137,29 @@
 	if n := s.members.count(now); n > 1 {
 		part = quotaAlone / float64(n)
 	}
-	return apply(&s.quotas.alone, now, a, call, part), "alone"
+	return apply(&s.quotas.alone, now, call, quota.Terms{Quota: limitOf(a).Part(part)}), "alone"
+}
+
+// count answers for an account that this entry counts for. first says that no other
+// should: only that one grants what goes beyond the burst, which two would both do.
+func (s *Server) count(now time.Time, a *paths.Account, call quotaCall, first bool) quota.Verdict {
+	terms := quota.Terms{Quota: limitOf(a)}
+	if first {
+		terms.Slack = quotaSlack * s.live.Load().Quotas.Slack
+	}
+	return apply(&s.quotas.counter, now, call, terms)
 }
 
-// count answers for an account that this entry counts for.
-func (s *Server) count(now time.Time, a *paths.Account, call quotaCall) quota.Verdict {
-	return apply(&s.quotas.counter, now, a, call, 1)
+func limitOf(a *paths.Account) quota.Limit {
+	return quota.Limit{Rate: a.Quota.Rate, Burst: a.Quota.Burst}
 }
 
-func apply(c *quota.Counter, now time.Time, a *paths.Account, call quotaCall, part float64) quota.Verdict {
-	terms := quota.Terms{Rate: a.Quota.Rate, Burst: a.Quota.Burst}.Part(part)
+func apply(c *quota.Counter, now time.Time, call quotaCall, terms quota.Terms) quota.Verdict {
 	if call.Back {
-		c.Give(now, a.Name, terms, call.Cost)
+		c.Give(now, call.Account, terms, call.Cost, call.Over)
 		return quota.Verdict{Granted: true}
 	}
-	return c.Take(now, a.Name, terms, call.Cost)
+	return c.Take(now, call.Account, terms, call.Cost)
 }
 
 // serveQuota answers the other entries.
@@ -156,7 +177,9 @@
 	a := c.Named(call.Account)
 	v := quota.Verdict{Granted: true}
 	if a != nil && a.Quota.Limited() {
-		v = s.count(time.Now(), a, call)
+		now := time.Now()
+		first := s.peers.fleet.Owners(now, string(a.Name), 1)
+		v = s.count(now, a, call, len(first) > 0 && first[0].Peer == nil)
 	}
 	w.Header().Set("Content-Type", "application/json")
 	if err := json.NewEncoder(w).Encode(v); err != nil {
--- a/direct/request.go
+++ b/direct/request.go
@@ -31,7 +31,10 @@
 	// client is the account whose key the caller showed; nil where callers need none.
 	client *paths.Account
 	// cost is what was taken of its quota.
-	cost    float64
+	cost float64
+	// over says that it goes beyond its account's burst: it takes only what others
+	// leave.
+	over    bool
 	route   *paths.Route
 	service *paths.Service
 	// identity is the same for each send of the same work.
--- a/direct/room.go
+++ b/direct/room.go
@@ -48,11 +48,15 @@
 func (s *Server) room(ctx context.Context, r *request, role work.Role) (*room, *failure) {
 	l := s.lines.line(r.service.Name)
 	i, until, late := l.item(r)
+	late = late || r.over && !r.begun
 	if found, any := s.look(ctx, r, role, late); found != nil {
 		return found, nil
 	} else if !any {
 		return nil, s.unplaced(r)
 	}
+	if r.over && !r.begun {
+		return nil, s.overQuota(r)
+	}
 	if late {
 		return nil, s.unroomed(ctx, r, &queue.Refusal{Reason: work.ReasonTooLate, Detail: queue.DetailLapsed})
 	}
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -13,13 +13,19 @@
 //   - The process that counts is lost, or out of reach of some: those go to another,
 //     or spend a small part of their own share. Each of them starts with nothing
 //     saved up, so that starting again gives no account a second burst.
+//   - Requests are a fifth of a burst each and come in clumps, and engines have room:
+//     the sixth of a clump is refused though its account stays below its rate. An
+//     account may save up more than its burst, by the slack that the operators allow.
+//     What goes beyond the burst is served from what others leave, so that an account
+//     that asks for many times its quota has its rate, and takes nothing from others
+//     beyond that.
 //
 // # Usage
 //
 //	counter := quota.Counter{Since: started}           // at the process that counts
 //	v := counter.Take(now, account, terms, cost)
 //	if !v.Granted { refuse(v.Wait) }
-//	counter.Give(now, account, terms, cost)            // it did not run after all
+//	counter.Give(now, account, terms, cost, v.Over)    // it did not run after all
 //
 // The package reads no clock. Times are on one that does not step.
 package quota
@@ -31,40 +37,53 @@
 	"jacinthworks/work"
 )
 
-// Terms are an account's quota, in whatever its requests cost.
-type Terms struct {
+// Limit is a rate and what may be saved up, in whatever requests cost.
+type Limit struct {
 	// Rate is what comes back each second, Burst the most that is saved up.
 	Rate, Burst float64
 }
 
-// Part gives a part of the terms.
-func (t Terms) Part(part float64) Terms { return Terms{Rate: t.Rate * part, Burst: t.Burst * part} }
+// Part gives a part of the limit.
+func (l Limit) Part(part float64) Limit { return Limit{Rate: l.Rate * part, Burst: l.Burst * part} }
+
+// Terms are what an account may have: its quota, and how much more than its burst it
+// may save up.
+type Terms struct {
+	Quota Limit
+	Slack float64
+}
+
+// all is the limit of everything that an account has, with the slack.
+func (t Terms) all() Limit { return Limit{Rate: t.Quota.Rate, Burst: t.Quota.Burst + t.Slack} }
 
 // Verdict is the answer to a request for a part of a quota.
 type Verdict struct {
 	Granted bool `json:"granted"`
+	// Over says that it goes beyond the burst: it is for a request that takes nothing
+	// from others.
+	Over bool `json:"over,omitempty"`
 	// Wait is when the account will have enough, where it was not granted.
 	Wait time.Duration `json:"wait"`
 	// Level is what is left of what was saved up.
 	Level float64 `json:"level"`
 }
 
-// Bucket is what one account has saved up. The zero value is one that starts now
+// Bucket is what is saved up under one limit. The zero value is one that starts now
 // with nothing.
 type Bucket struct {
 	level float64
 	at    time.Time
-	// terms were in force until the last use.
-	terms Terms
+	// limit was in force until the last use.
+	limit Limit
 }
 
 // Take takes the cost of a request. One that costs more than can be saved up is
 // granted when all is there, and leaves a debt: else it could never run.
-func (b *Bucket) Take(now time.Time, t Terms, cost float64) Verdict {
-	b.refill(now, t)
-	need := min(cost, t.Burst)
+func (b *Bucket) Take(now time.Time, l Limit, cost float64) Verdict {
+	b.refill(now, l)
+	need := min(cost, l.Burst)
 	if b.level < need {
-		wait := time.Duration((need - b.level) / t.Rate * float64(time.Second))
+		wait := time.Duration((need - b.level) / l.Rate * float64(time.Second))
 		return Verdict{Wait: wait, Level: b.level}
 	}
 	b.level -= cost
@@ -72,20 +91,20 @@
 }
 
 // Give gives back what a request cost that has not run.
-func (b *Bucket) Give(now time.Time, t Terms, cost float64) {
-	b.refill(now, t)
-	b.level = min(b.level+cost, t.Burst)
+func (b *Bucket) Give(now time.Time, l Limit, cost float64) {
+	b.refill(now, l)
+	b.level = min(b.level+cost, l.Burst)
 }
 
-func (b *Bucket) refill(now time.Time, t Terms) {
+func (b *Bucket) refill(now time.Time, l Limit) {
 	if b.at.IsZero() {
 		b.at = now
 	}
-	if b.terms == (Terms{}) {
-		b.terms = t
+	if b.limit == (Limit{}) {
+		b.limit = l
 	}
-	b.level = min(b.level+b.terms.Rate*max(now.Sub(b.at), 0).Seconds(), b.terms.Burst, t.Burst)
-	b.at, b.terms = now, t
+	b.level = min(b.level+b.limit.Rate*max(now.Sub(b.at), 0).Seconds(), b.limit.Burst, l.Burst)
+	b.at, b.limit = now, l
 }
 
 // Counter counts for accounts. Set Since first; it must not be copied. It is safe
@@ -96,29 +115,41 @@
 	Since time.Time
 
 	mu sync.Mutex
-	of map[work.Account]*Bucket
+	of map[work.Account]*buckets
 }
 
-// Take takes the cost of a request from the account's quota.
+// buckets are all that an account had, and the part of it within the burst.
+type buckets struct{ all, quota Bucket }
+
+// Take takes the cost of a request.
 func (c *Counter) Take(now time.Time, a work.Account, t Terms, cost float64) Verdict {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.bucket(a).Take(now, t, cost)
+	b := c.buckets(a)
+	v := b.all.Take(now, t.all(), cost)
+	if v.Granted {
+		v.Over = !b.quota.Take(now, t.Quota, cost).Granted
+	}
+	return v
 }
 
-// Give gives back what a request cost that has not run.
-func (c *Counter) Give(now time.Time, a work.Account, t Terms, cost float64) {
+// Give gives back what a request cost that has not run; over is what was said of it.
+func (c *Counter) Give(now time.Time, a work.Account, t Terms, cost float64, over bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.bucket(a).Give(now, t, cost)
+	b := c.buckets(a)
+	b.all.Give(now, t.all(), cost)
+	if !over {
+		b.quota.Give(now, t.Quota, cost)
+	}
 }
 
-func (c *Counter) bucket(a work.Account) *Bucket {
+func (c *Counter) buckets(a work.Account) *buckets {
 	if c.of == nil {
-		c.of = make(map[work.Account]*Bucket)
+		c.of = make(map[work.Account]*buckets)
 	}
 	if c.of[a] == nil {
-		c.of[a] = &Bucket{at: c.Since}
+		c.of[a] = &buckets{all: Bucket{at: c.Since}, quota: Bucket{at: c.Since}}
 	}
 	return c.of[a]
 }
