assign, direct: one entry gives out the prefill engines for all

Cause: 26 entries choose among 11 to 16 prefill engines, each by what it sent itself. Ways: each entry by itself and by what answers tell of the load, as before; the engines' reports (a second old, so ruled out without a run); one entry that knows what all of them sent, asked for each prompt. The prompts of one service go to one entry: where that can't be reached, each chooses by itself as before.

--- /dev/null
+++ b/assign/assign.go
@@ -0,0 +1,153 @@
+// Package assign shares the work of many processes out over the engines of a pool.
+// One process keeps the board for all of them: what each engine was given and has
+// not ended.
+//
+// Load pattern: many processes send prompts to a few engines, and none of them knows
+// what the others sent. Each chooses well by what it has there itself, and together
+// they draw at random: at half of the engines' speed one prompt in four waits for
+// another, while engines beside it idle. It shows as prompts that take twice as long
+// as they need, some of them past the time that they are given, which are then read
+// again elsewhere and make the others wait. The report of an engine is a second old,
+// many times the work that it tells of.
+//
+// Work is counted in tokens that are not ended, and not by the time at which it
+// should be done: an engine that has turned slow keeps what it has and gets less. A
+// process that is lost ends nothing: what it was given lapses.
+//
+// # Usage
+//
+//	var b assign.Board
+//	a := b.Assign(now, engines, assign.Work{Tokens: 5000, Each: 20 * time.Microsecond, Within: time.Second}, random)
+//	if !a.Found() { ... }
+//	...
+//	b.End(a.Ticket) // whatever came of it
+//
+// The package reads no clock and draws no random numbers of its own.
+package assign
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+)
+
+// Engine is one that may be given work.
+type Engine struct {
+	ID string
+	// Cost is the time that it costs beside the work before: to reach it, or to try
+	// again where it fails.
+	Cost time.Duration
+}
+
+// Work is what is to be given.
+type Work struct {
+	Tokens int
+	// Each is the time that an engine takes for a token.
+	Each time.Duration
+	// Within is when the work is over, whether its end is told or not.
+	Within time.Duration
+}
+
+// Ticket names work that was given; zero is none.
+type Ticket uint64
+
+// Given is the answer to a request for an engine.
+type Given struct {
+	Engine string `json:"engine"`
+	Ticket Ticket `json:"ticket"`
+	// Ahead is the time until the engine begins with it.
+	Ahead time.Duration `json:"ahead"`
+}
+
+// Found says whether there was an engine.
+func (g Given) Found() bool { return g.Ticket != 0 }
+
+// Board is what the engines of a pool were given. The zero value is empty and ready
+// to use; it must not be copied. It is safe for concurrent use; its lock is a leaf.
+type Board struct {
+	mu    sync.Mutex
+	given map[Ticket]given
+	// tokens are those of each engine that are not ended.
+	tokens map[string]int
+	last   Ticket
+	swept  time.Time
+}
+
+type given struct {
+	engine string
+	tokens int
+	until  time.Time
+}
+
+const (
+	// sweepEvery is how often work that lapsed is looked for: all is looked through.
+	sweepEvery = 50 * time.Millisecond
+	// alike is the time by which engines may differ and be drawn from at random: a
+	// message takes longer.
+	alike = time.Millisecond
+)
+
+// Assign gives work to the engine that will be done with it first; none where there
+// are no engines.
+func (b *Board) Assign(now time.Time, engines []Engine, w Work, random *rand.Rand) Given {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.sweep(now)
+	best, least := -1, time.Duration(0)
+	for i, e := range engines {
+		score := e.Cost + time.Duration(b.tokens[e.ID])*w.Each + time.Duration(random.Int64N(int64(alike)))
+		if best < 0 || score < least {
+			best, least = i, score
+		}
+	}
+	if best < 0 {
+		return Given{}
+	}
+	id := engines[best].ID
+	ahead := time.Duration(b.tokens[id]) * w.Each
+	b.add(now, id, w)
+	return Given{Engine: id, Ticket: b.last, Ahead: ahead}
+}
+
+func (b *Board) add(now time.Time, id string, w Work) {
+	if b.given == nil {
+		b.given, b.tokens = make(map[Ticket]given), make(map[string]int)
+	}
+	b.last++
+	b.given[b.last] = given{engine: id, tokens: w.Tokens, until: now.Add(w.Within)}
+	b.tokens[id] += w.Tokens
+}
+
+// End takes work off the board, once.
+func (b *Board) End(t Ticket) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.end(t)
+}
+
+func (b *Board) end(t Ticket) {
+	g, known := b.given[t]
+	if !known {
+		return
+	}
+	delete(b.given, t)
+	if b.tokens[g.engine] -= g.tokens; b.tokens[g.engine] <= 0 {
+		delete(b.tokens, g.engine)
+	}
+}
+
+// sweep ends what has lapsed.
+//
+// Failure: the process that was given work is killed, or its word of the end is lost.
+// It shows as an engine that seems busy for good and gets nothing.
+func (b *Board) sweep(now time.Time) {
+	if now.Sub(b.swept) < sweepEvery {
+		return
+	}
+	b.swept = now
+	for t, g := range b.given {
+		if !now.Before(g.until) {
+			b.end(t)
+		}
+	}
+}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -79,6 +79,8 @@
 	mixes    mixes
 	peers    peers
 	quotas   quotas
+	keepers  keepers
+	boards   boards
 	// own is the version of this entry's record, as last written, and since when
 	// an entry of its name first wrote one.
 	own     plat.Version
--- /dev/null
+++ b/direct/keeper.go
@@ -0,0 +1,147 @@
+package direct
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/relay"
+	"jacinthworks/send"
+)
+
+// An entry keeps state for all where many of them have to go by one count. Which one
+// follows from the key of the state; see relay.Fleet.Owners.
+const (
+	// keeperWithin bounds a call: two round trips, for a connection and the answer,
+	// and a host that waits for its share of a processor.
+	keeperWithin = 80 * time.Millisecond
+	// keeperTries is how many entries are asked in turn.
+	keeperTries = 2
+	// keeperRest is how long an entry that did not answer is left alone: the time in
+	// which a killed process starts again.
+	keeperRest = time.Second
+	// keeperMost bounds a call, in bytes.
+	keeperMost = 16 << 10
+)
+
+// keepers are the entries that did not answer lately. The zero value is ready to
+// use; it must not be copied.
+type keepers struct {
+	mu      sync.Mutex // a leaf
+	resting map[*relay.Peer]time.Time
+}
+
+func (k *keepers) rests(now time.Time, p *relay.Peer) bool {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	return now.Before(k.resting[p])
+}
+
+// rest leaves an entry alone that did not answer.
+func (k *keepers) rest(now time.Time, p *relay.Peer) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	for other, until := range k.resting {
+		if now.After(until) {
+			delete(k.resting, other)
+		}
+	}
+	if k.resting == nil {
+		k.resting = make(map[*relay.Peer]time.Time)
+	}
+	k.resting[p] = now.Add(keeperRest)
+}
+
+// keeper is an entry that answered; nil stands for this one.
+type keeper struct{ peer *relay.Peer }
+
+// name is for the log.
+func (k keeper) name() string {
+	if k.peer == nil {
+		return "self"
+	}
+	return string(k.peer.Name)
+}
+
+// askKeeper makes a call at the entry that keeps the state of a key, or does it here
+// where that is this one: own is told whether no other entry should. It gives false
+// where none can be reached.
+func askKeeper[A any](ctx context.Context, s *Server, key, path string, call any, own func(first bool) A) (answer A, by keeper, ok bool) {
+	for n, o := range s.peers.fleet.Owners(time.Now(), key, keeperTries) {
+		if o.Peer == nil {
+			return own(n == 0), keeper{}, true
+		}
+		if s.keepers.rests(time.Now(), o.Peer) {
+			continue
+		}
+		err := callPeer(ctx, o.Peer, path, call, &answer)
+		if err == nil {
+			return answer, keeper{o.Peer}, true
+		}
+		if ctx.Err() != nil {
+			break
+		}
+		s.keepers.rest(time.Now(), o.Peer)
+		s.Log.Info("keeper not reached", "key", key, "entry", o.Peer.Name, "err", err)
+	}
+	var none A
+	return none, keeper{}, false
+}
+
+// first says whether no other entry should keep the state of a key.
+func (s *Server) first(key string) bool {
+	owners := s.peers.fleet.Owners(time.Now(), key, 1)
+	return len(owners) > 0 && owners[0].Peer == nil
+}
+
+// callPeer makes one call at another entry; a nil answer is not read.
+func callPeer(ctx context.Context, p *relay.Peer, path string, call, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, keeperWithin)
+	defer cancel()
+	body, err := json.Marshal(call)
+	if err != nil {
+		return errors.Wrap(err, "direct: call of an entry")
+	}
+	reply, err := p.Do(ctx, send.Request{
+		Method: http.MethodPost, Target: path, Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Silence: keeperWithin,
+	})
+	if err != nil {
+		return err
+	}
+	text, err := reply.All(shortAnswer)
+	switch {
+	case err != nil:
+		return err
+	case reply.Status != http.StatusOK:
+		return errors.Errorf("direct: call of an entry: status %d", reply.Status)
+	case answer == nil:
+		return nil
+	}
+	return errors.Wrap(json.NewDecoder(bytes.NewReader(text)).Decode(answer), "direct: answer of an entry")
+}
+
+// keeperHandler answers the calls of other entries; answer gives false where nothing
+// can be said, as before the configuration is known.
+func keeperHandler[C, A any](s *Server, answer func(C) (A, bool)) http.HandlerFunc {
+	return func(w http.ResponseWriter, h *http.Request) {
+		var call C
+		if err := json.NewDecoder(http.MaxBytesReader(w, h.Body, keeperMost)).Decode(&call); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		a, ok := answer(call)
+		if !ok {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		if err := json.NewEncoder(w).Encode(a); err != nil {
+			s.Log.Debug("answer not taken", "path", h.URL.Path, "err", err)
+		}
+	}
+}
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -36,6 +36,17 @@
 	change(m.of[s])
 }
 
+// promptTime is the time that a prefill engine takes for a token of a prompt; zero
+// while none was seen.
+func (m *mixes) promptTime(s work.Service) time.Duration {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	if m.of[s] == nil {
+		return 0
+	}
+	return m.of[s].PromptTime()
+}
+
 // samples gives what was seen of each service.
 func (m *mixes) samples(now time.Time) map[work.Service]place.Sample {
 	m.mu.Lock()
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -56,7 +56,9 @@
 	m.Handle("GET "+relay.Path+feedUpstreams, relay.Handler(&s.peers.upstreams))
 	m.Handle("GET "+relay.Path+feedNotices, relay.Handler(&s.peers.notices))
 	m.HandleFunc("GET "+mixPath, s.serveMix)
-	m.HandleFunc("POST "+quotaPath, s.serveQuota)
+	m.HandleFunc("POST "+quotaPath, keeperHandler(s, s.answerQuota))
+	m.HandleFunc("POST "+assignPath, keeperHandler(s, s.answerAssign))
+	m.HandleFunc("POST "+assignEndPath, keeperHandler(s, s.answerEnd))
 	return &http.Server{
 		Handler:           s.unlessLeaving(m),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
--- a/direct/place.go
+++ b/direct/place.go
@@ -49,6 +49,10 @@
 	// room, as far as known.
 	of   int
 	full bool
+	// by is the entry that chose, and ahead the wait that it expects; empty where the
+	// choice was this entry's own.
+	by    string
+	ahead time.Duration
 }
 
 // place chooses an upstream of a role for the request; "" is a plain one. It
@@ -88,7 +92,7 @@
 	s.Log.Info("placed", append([]any{
 		"request", r.id, "service", r.service.Name, "role", role, "upstream", o.Name, "of", p.of, "full", p.full, "own", o.Own,
 		"others", math.Round(10*o.Others) / 10, "tokens", o.Tokens, "fails", math.Round(100*o.Fails) / 100, "speed", o.Speed,
-		"heard", p.upstream.Age(time.Now()),
+		"heard", p.upstream.Age(time.Now()), "by", p.by, "ahead", p.ahead,
 	}, more...)...)
 }
 
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -63,18 +63,24 @@
 			// given only to an engine that is sure to answer.
 			OnlySure: !s.budgets.window(r.service.Name).Left(time.Now(), s.terms()),
 		}
-		p := s.place(r, work.RolePrefill, zone, load)
+		p, assigned := s.assignPrefill(ctx, r, zone, load)
+		if p.upstream == nil {
+			p = s.place(r, work.RolePrefill, zone, load)
+			p.ahead = p.offer.Wait(load)
+		}
 		s.logPlaced(r, work.RolePrefill, p, "only_sure", load.OnlySure)
 		if p.upstream == nil {
 			s.Log.Info("prefill passed over", "request", r.id, "why", "no engine", "only_sure", load.OnlySure)
 			return nil
 		}
-		if wait := p.offer.Wait(load); wait > s.prefillWait(r) {
-			s.Log.Info("prefill passed over", "request", r.id, "upstream", p.offer.Name, "wait", wait)
+		if p.ahead > s.prefillWait(r) {
+			s.Log.Info("prefill passed over", "request", r.id, "upstream", p.offer.Name, "wait", p.ahead)
+			s.endAssignment(r, assigned)
 			return nil
 		}
 		r.prefills++
 		done, f := s.prefillAt(ctx, r, p.upstream)
+		s.endAssignment(r, assigned)
 		if done != nil {
 			return done
 		}
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -1,33 +1,18 @@
 package direct
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"net/http"
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"jacinthworks/paths"
 	"jacinthworks/quota"
-	"jacinthworks/relay"
-	"jacinthworks/send"
 	"jacinthworks/work"
 )
 
 const (
 	// quotaPath is where the entry that counts for an account is asked.
 	quotaPath = "/v1/quota"
-	// quotaWithin bounds the call: two round trips, for a connection and the answer,
-	// and a host that waits for its share of a processor.
-	quotaWithin = 80 * time.Millisecond
-	// quotaOwners is how many entries are asked before an own share is spent.
-	quotaOwners = 2
-	// quotaRest is how long an entry that did not answer is left alone: the time in
-	// which a killed process starts again.
-	quotaRest = time.Second
 	// quotaAlone is the part of its share that an entry spends which reaches none of
 	// those that count: they go on giving out all of it, since they can't tell an
 	// entry that is cut off from one that is gone.
@@ -35,8 +20,6 @@
 	// quotaSlack is the part of the operators' slack that accounts may save up beside
 	// their burst. The rest is for what entries spend that can't reach those that count.
 	quotaSlack = 0.6
-	// quotaMost bounds a call, in bytes.
-	quotaMost = 4 << 10
 )
 
 // quotas are what this entry counts for others, and what it knows of accounts that
@@ -46,9 +29,8 @@
 	counter quota.Counter
 	alone   quota.Counter
 
-	mu      sync.Mutex // a leaf
-	resting map[*relay.Peer]time.Time
-	spent   map[work.Account]spent
+	mu    sync.Mutex // a leaf
+	spent map[work.Account]spent
 }
 
 // spent is an account that has not enough for a request of the cost until a time.
@@ -105,7 +87,7 @@
 	call := quotaCall{Account: r.account, Cost: r.cost, Back: true, Over: r.over}
 	r.cost = 0
 	client := r.client
-	s.later("give back quota", quotaOwners*quotaWithin, func(ctx context.Context) error {
+	s.later("give back quota", keeperTries*keeperWithin, func(ctx context.Context) error {
 		s.takeQuota(ctx, client, call)
 		return nil
 	})
@@ -114,25 +96,11 @@
 // takeQuota makes the call at the entry that counts for the account; where none of
 // those can be reached it spends a part of this entry's share.
 func (s *Server) takeQuota(ctx context.Context, a *paths.Account, call quotaCall) (v quota.Verdict, by string) {
-	now := time.Now()
-	owners := s.peers.fleet.Owners(now, string(a.Name), quotaOwners)
-	for n, o := range owners {
-		if o.Peer == nil {
-			return s.count(now, a, call, n == 0), "self"
-		}
-		if s.quotas.rests(now, o.Peer) {
-			continue
-		}
-		v, err := askQuota(ctx, o.Peer, call)
-		if err == nil {
-			return v, string(o.Peer.Name)
-		}
-		if ctx.Err() != nil {
-			break
-		}
-		s.quotas.rest(time.Now(), o.Peer)
-		s.Log.Info("quota not answered", "account", a.Name, "by", o.Peer.Name, "err", err)
+	own := func(first bool) quota.Verdict { return s.count(time.Now(), a, call, first) }
+	if v, k, ok := askKeeper(ctx, s, quotaKey(a.Name), quotaPath, call, own); ok {
+		return v, k.name()
 	}
+	now := time.Now()
 	part := 1.0
 	if n := s.members.count(now); n > 1 {
 		part = quotaAlone / float64(n)
@@ -140,6 +108,9 @@
 	return apply(&s.quotas.alone, now, call, quota.Terms{Quota: limitOf(a).Part(part)}), "alone"
 }
 
+// quotaKey is by which the entry is found that counts for an account.
+func quotaKey(a work.Account) string { return "quota/" + string(a) }
+
 // count answers for an account that this entry counts for. first says that no other
 // should: only that one grants what goes beyond the burst, which two would both do.
 func (s *Server) count(now time.Time, a *paths.Account, call quotaCall, first bool) quota.Verdict {
@@ -162,52 +133,17 @@
 	return c.Take(now, call.Account, terms, call.Cost)
 }
 
-// serveQuota answers the other entries.
-func (s *Server) serveQuota(w http.ResponseWriter, h *http.Request) {
-	var call quotaCall
-	if err := json.NewDecoder(http.MaxBytesReader(w, h.Body, quotaMost)).Decode(&call); err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
-	}
+// answerQuota answers the other entries.
+func (s *Server) answerQuota(call quotaCall) (v quota.Verdict, ok bool) {
 	c := s.holder.Current()
 	if c == nil {
-		w.WriteHeader(http.StatusServiceUnavailable)
-		return
+		return v, false
 	}
 	a := c.Named(call.Account)
-	v := quota.Verdict{Granted: true}
-	if a != nil && a.Quota.Limited() {
-		now := time.Now()
-		first := s.peers.fleet.Owners(now, string(a.Name), 1)
-		v = s.count(now, a, call, len(first) > 0 && first[0].Peer == nil)
-	}
-	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(v); err != nil {
-		s.Log.Debug("quota not taken", "err", err)
+	if a == nil || !a.Quota.Limited() {
+		return quota.Verdict{Granted: true}, true
 	}
-}
-
-func askQuota(ctx context.Context, p *relay.Peer, call quotaCall) (v quota.Verdict, err error) {
-	ctx, cancel := context.WithTimeout(ctx, quotaWithin)
-	defer cancel()
-	body, err := json.Marshal(call)
-	if err != nil {
-		return v, errors.Wrap(err, "direct: quota")
-	}
-	reply, err := p.Do(ctx, send.Request{
-		Method: http.MethodPost, Target: quotaPath, Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Silence: quotaWithin,
-	})
-	if err != nil {
-		return v, err
-	}
-	answer, err := reply.All(shortAnswer)
-	if err != nil {
-		return v, err
-	}
-	if reply.Status != http.StatusOK {
-		return v, errors.Errorf("direct: quota: status %d", reply.Status)
-	}
-	return v, errors.Wrap(json.NewDecoder(bytes.NewReader(answer)).Decode(&v), "direct: quota")
+	return s.count(time.Now(), a, call, s.first(quotaKey(a.Name))), true
 }
 
 // wait gives how long the account is known to have too little for the cost.
@@ -236,24 +172,3 @@
 	}
 	q.spent[a] = spent{cost: cost, until: now.Add(v.Wait)}
 }
-
-func (q *quotas) rests(now time.Time, p *relay.Peer) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return now.Before(q.resting[p])
-}
-
-// rest leaves an entry alone that did not answer.
-func (q *quotas) rest(now time.Time, p *relay.Peer) {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	for other, until := range q.resting {
-		if now.After(until) {
-			delete(q.resting, other)
-		}
-	}
-	if q.resting == nil {
-		q.resting = make(map[*relay.Peer]time.Time)
-	}
-	q.resting[p] = now.Add(quotaRest)
-}
--- a/place/mix.go
+++ b/place/mix.go
@@ -92,6 +92,10 @@
 	m.prefill = min(each, m.prefill*(1+step*prefillLow))
 }
 
+// PromptTime is the time for a token of a prompt that found its engine idle; zero
+// while none was seen.
+func (m *Mix) PromptTime() time.Duration { return time.Duration(m.prefill * float64(time.Second)) }
+
 // Answered notes tokens of an answer that took so long.
 func (m *Mix) Answered(now time.Time, answer int, took time.Duration) {
 	m.fade(now)
