quota, conf: the operators' tolerance of a window, over the quota

Ways: all of the slack saved up (before); half saved up and half coming back within a window, with the overage as a part of the quota (now). A sliding window was ruled out: an account that had its window in a second has nothing for seven.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -5,6 +5,7 @@
 	"net/netip"
 	"time"
 
+	"jacinthworks/quota"
 	"jacinthworks/work"
 )
 
@@ -28,6 +29,8 @@
 //	span = "10s"
 //
 //	[quotas]
+//	window = "8s"
+//	overage = 0.1
 //	slack = 140000
 type Direct struct {
 	Name work.Host
@@ -52,9 +55,12 @@
 	// WatchWait is how long a watch at the store waits; default 10s.
 	WatchWait time.Duration
 	Repeats   Repeats
-	Quotas    Quotas
-	Log       Log
-	Limits    Limits
+	// Quotas is how far client accounts may go over their quotas: an overage, which is a
+	// part of them, and a slack, in whatever quotas count, in any window. By default
+	// not at all.
+	Quotas quota.Tolerance
+	Log    Log
+	Limits Limits
 }
 
 // Repeats bound the sends beyond the first of each request, for all entries
@@ -69,13 +75,6 @@
 	Span time.Duration
 }
 
-// Quotas say how client accounts' quotas are kept.
-type Quotas struct {
-	// Slack is how much more than its quota an account may have run in a span of
-	// some seconds, in whatever quotas count; default 0.
-	Slack float64
-}
-
 // ParseDirect reads the settings of `direct`; file is the name given in
 // findings. The error is check.Findings.
 func ParseDirect(file string, text []byte) (Direct, error) {
@@ -117,9 +116,9 @@
 	return p
 }
 
-func (r *reader) quotas() Quotas {
+func (r *reader) quotas() quota.Tolerance {
 	r.table("quotas")
-	return Quotas{Slack: r.number("quotas.slack")}
+	return quota.Tolerance{Window: r.duration("quotas.window"), Part: r.number("quotas.overage"), Slack: r.number("quotas.slack")}
 }
 
 // number gives a number that is not negative, whole or not.
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -17,9 +17,10 @@
 	// those that count: they go on giving out all of it, since they can't tell an
 	// entry that is cut off from one that is gone.
 	quotaAlone = 0.4
-	// quotaSlack is the part of the operators' slack that accounts may save up beside
-	// their burst. The rest is for what entries spend that can't reach those that count.
-	quotaSlack = 0.6
+	// quotaOver is the part of the operators' tolerance that accounts get. The rest is for
+	// requests that reach their engines later than they were granted, and for what
+	// entries spend that can't reach the one that counts.
+	quotaOver = 0.7
 )
 
 // quotas are what this entry counts for others, and what it knows of accounts that
@@ -43,7 +44,7 @@
 type quotaCall struct {
 	Account work.Account `json:"account"`
 	Cost    float64      `json:"cost"`
-	// Back gives back; Over says that it went beyond the burst.
+	// Back gives back; Over says that it was granted over the quota.
 	Back bool `json:"back,omitempty"`
 	Over bool `json:"over,omitempty"`
 }
@@ -112,11 +113,11 @@
 func quotaKey(a work.Account) string { return "quota/" + string(a) }
 
 // count answers for an account that this entry counts for. first says that no other
-// should: only that one grants what goes beyond the burst, which two would both do.
+// should: only that one grants what goes over the quota, which two would both do.
 func (s *Server) count(now time.Time, a *paths.Account, call quotaCall, first bool) quota.Verdict {
 	terms := quota.Terms{Quota: limitOf(a)}
 	if first {
-		terms.Slack = quotaSlack * s.live.Load().Quotas.Slack
+		terms.Over = s.live.Load().Quotas.Over(terms.Quota, quotaOver)
 	}
 	return apply(&s.quotas.counter, now, call, terms)
 }
--- a/direct/request.go
+++ b/direct/request.go
@@ -32,8 +32,7 @@
 	client *paths.Account
 	// cost is what was taken of its quota.
 	cost float64
-	// over says that it goes beyond its account's burst: it takes only what others
-	// leave.
+	// over says that it goes over its account's quota: it takes only what others leave.
 	over    bool
 	route   *paths.Route
 	service *paths.Service
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -14,11 +14,10 @@
 //     or spend a small part of their own share. Each of them starts with nothing
 //     saved up, so that starting again gives no account a second burst.
 //   - Requests are a fifth of a burst each and come in clumps, and engines have room:
-//     the sixth of a clump is refused though its account stays below its rate. An
-//     account may save up more than its burst, by the slack that the operators allow.
-//     What goes beyond the burst is served from what others leave, so that an account
-//     that asks for many times its quota has its rate, and takes nothing from others
-//     beyond that.
+//     the sixth of a clump is refused though its account stays below its rate. What
+//     the operators allow over the quota is granted as well, to be served from what
+//     others leave: an account that asks for many times its quota has its rate, and
+//     takes nothing from others beyond that.
 //
 // # Usage
 //
@@ -46,21 +45,41 @@
 // Part gives a part of the limit.
 func (l Limit) Part(part float64) Limit { return Limit{Rate: l.Rate * part, Burst: l.Burst * part} }
 
-// Terms are what an account may have: its quota, and how much more than its burst it
-// may save up.
+// Terms are what an account may have: its quota, and what the operators allow over
+// it.
 type Terms struct {
-	Quota Limit
-	Slack float64
+	Quota, Over Limit
 }
 
-// all is the limit of everything that an account has, with the slack.
-func (t Terms) all() Limit { return Limit{Rate: t.Quota.Rate, Burst: t.Quota.Burst + t.Slack} }
+// all is the limit of everything that an account has.
+func (t Terms) all() Limit {
+	return Limit{Rate: t.Quota.Rate + t.Over.Rate, Burst: t.Quota.Burst + t.Over.Burst}
+}
+
+// Tolerance is how far an account may go over its quota: in any window, by a part of
+// the quota for that time and by a fixed amount.
+type Tolerance struct {
+	Window time.Duration
+	Part   float64
+	Slack  float64
+}
+
+// Over gives a part of the tolerance, for one account, as a limit under which no
+// window has more than that. Half of the slack is for clumps, half comes back within
+// a window.
+func (t Tolerance) Over(quota Limit, part float64) Limit {
+	if t.Window <= 0 {
+		return Limit{}
+	}
+	half := part * t.Slack / 2
+	return Limit{Rate: part*t.Part*quota.Rate + half/t.Window.Seconds(), Burst: part*t.Part*quota.Burst + half}
+}
 
 // Verdict is the answer to a request for a part of a quota.
 type Verdict struct {
 	Granted bool `json:"granted"`
-	// Over says that it goes beyond the burst: it is for a request that takes nothing
-	// from others.
+	// Over says that it goes over the quota: it is for a request that takes nothing from
+	// others.
 	Over bool `json:"over,omitempty"`
 	// Wait is when the account will have enough, where it was not granted.
 	Wait time.Duration `json:"wait"`
@@ -118,7 +137,7 @@
 	of map[work.Account]*buckets
 }
 
-// buckets are all that an account had, and the part of it within the burst.
+// buckets are all that an account had, and the part of it within its quota.
 type buckets struct{ all, quota Bucket }
 
 // Take takes the cost of a request.
