direct: entries that start in an outage know each other at once, and say when to return

Ruled out: that the callers' accounts were over their quotas (plain requests of 200 tokens were refused as well). Change: the records of the entries are read as soon as the configuration is known; an entry alone begins with its share saved up; returns before the configuration go by the same rule as those of an overload, which now stands in one place.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -78,9 +78,11 @@
 	changing changing
 	mixes    mixes
 	peers    peers
-	quotas   quotas
-	keepers  keepers
-	boards   boards
+	// unready say when what comes before the configuration should return.
+	unready returns
+	quotas  quotas
+	keepers keepers
+	boards  boards
 	// own is the version of this entry's record, as last written, and since when
 	// an entry of its name first wrote one.
 	own     plat.Version
@@ -90,6 +92,8 @@
 	// of roles was released.
 	leavingNow chan struct{}
 	rolesFree  chan struct{}
+	// configured is closed when the first configuration is in force.
+	configured chan struct{}
 	work       group.Group
 	workCtx    context.Context
 }
@@ -140,7 +144,7 @@
 	}
 	balancer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
 
-	s.findRelays(serving)
+	found := s.findRelays(serving)
 	var loops group.Group
 	loops.Go(serving, "ended work", s.reap)
 	loops.Go(serving, "configuration", s.configFeed().Run)
@@ -149,6 +153,9 @@
 	if s.Members != nil {
 		loops.Go(serving, "entries", s.register)
 	}
+	if !found {
+		loops.Go(serving, "relays", s.findRelaysLater)
+	}
 	if s.Notices != nil {
 		loops.Go(serving, "notices", s.noticeFeed().Run)
 	}
@@ -195,8 +202,9 @@
 	s.Settings.Limits = s.Settings.Limits.OrDefaults()
 	s.roster.Log = s.Log
 	s.peers.fleet.Self, s.peers.fleet.Fewest = s.Settings.Name, s.Settings.RelayFrom
-	s.leavingNow, s.rolesFree = make(chan struct{}), make(chan struct{}, 1)
+	s.leavingNow, s.rolesFree, s.configured = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
 	s.quotas.counter.Since = time.Now()
+	s.quotas.alone.Since = s.quotas.counter.Since.Add(-quotaSaved)
 	live := s.Settings
 	s.live.Store(&live)
 }
@@ -231,7 +239,11 @@
 // configFeed follows the configuration.
 func (s *Server) configFeed() *feed.Feed[*paths.Config] {
 	offer := func(now time.Time, c *paths.Config) {
+		first := s.holder.Current() == nil
 		changed, found := s.holder.Offer(now, c)
+		if changed && first {
+			close(s.configured)
+		}
 		if changed {
 			s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found))
 		}
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -141,23 +141,50 @@
 // relays, each of them watches the store for itself. The number of entries is not
 // taken from this reading: others that start at the same time are not among them,
 // and too few would share out too many repeats.
-func (s *Server) findRelays(ctx context.Context) {
+//
+// It reports false where the records could not be read.
+func (s *Server) findRelays(ctx context.Context) bool {
 	if s.Members == nil || !s.Settings.PeerListen.IsValid() {
-		return
+		return true
+	}
+	all, err := s.readRelays(ctx)
+	if err != nil {
+		s.Log.Info("records of the entries not read", "err", err)
+		return false
 	}
+	for _, i := range all {
+		if i.Name == string(s.Settings.Name) { // of an earlier start
+			s.own, s.since = plat.Version(i.Revision), i.Value.Since
+		}
+	}
+	return true
+}
+
+func (s *Server) readRelays(ctx context.Context) ([]feed.Item[Member], error) {
 	ctx, cancel := context.WithTimeout(ctx, relaysWithin)
 	defer cancel()
 	all, err := feed.All(ctx, s.Members, true)
 	if err != nil {
-		s.Log.Debug("records of the entries not read", "err", err)
-		return
+		return nil, err
 	}
 	s.setPeers(all, false)
-	for _, i := range all {
-		if i.Name == string(s.Settings.Name) { // of an earlier start
-			s.own, s.since = plat.Version(i.Revision), i.Value.Since
+	return all, nil
+}
+
+// findRelaysLater finds them as soon as the configuration is known.
+//
+// Failure: all entries start while the store is away. When it is back they serve, but
+// know nobody for some seconds: each counts for itself, and refuses accounts that are
+// far below their quotas.
+func (s *Server) findRelaysLater(ctx context.Context) error {
+	select {
+	case <-s.configured:
+		if _, err := s.readRelays(ctx); err != nil {
+			s.Log.Info("records of the entries not read", "err", err)
 		}
+	case <-ctx.Done():
 	}
+	return nil
 }
 
 func (s *Server) readMembers(ctx context.Context) error {
--- a/direct/line.go
+++ b/direct/line.go
@@ -24,8 +24,8 @@
 	freed chan struct{}
 	// toFirst is the time from finding room to the first event, as measured.
 	toFirst time.Duration
-	// full is when requests began to be refused, and refused when one last was.
-	full, refused time.Time
+	// returns say when what is refused should return.
+	returns returns
 	// short is when an engine last had no room.
 	short time.Time
 	// large is the memory that a large request needs, as seen lately.
@@ -96,32 +96,6 @@
 	return i, until, true
 }
 
-const (
-	// returnLeast is the least time to a return: engines take about as long
-	// to end what they run.
-	returnLeast = 3000 * time.Millisecond
-	// fullGap ends a time of refusals.
-	fullGap = 2 * time.Second
-	// returnJitter is the part of the time by which returns are spread.
-	returnJitter = 0.5
-)
-
-// returns gives when a refused request should return. How long an overload
-// will last is not known; the best guess is as long as it has lasted.
-//
-// Load pattern: a burst of some seconds, whose callers return once. Told to
-// return in the next second they are refused again, for good.
-func (l *line) returns(now time.Time) time.Duration {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	if now.Sub(l.refused) > fullGap {
-		l.full = now
-	}
-	l.refused = now
-	after := max(returnLeast, now.Sub(l.full))
-	return after + time.Duration(returnJitter*l.random.Float64()*float64(after))
-}
-
 const (
 	// contended is how long after an engine had no room smaller requests leave
 	// room for larger ones.
--- a/direct/line_test.go
+++ b/direct/line_test.go
@@ -80,12 +80,12 @@
 	var all lines
 	l := all.line("model")
 	now := time.Now()
-	early := l.returns(now)
+	early := l.returns.after(now)
 	require.GreaterOrEqual(t, early, returnLeast)
 	for at := time.Second; at < 10*time.Second; at += time.Second {
-		l.returns(now.Add(at))
+		l.returns.after(now.Add(at))
 	}
-	require.GreaterOrEqual(t, l.returns(now.Add(10*time.Second)), 10*time.Second)
+	require.GreaterOrEqual(t, l.returns.after(now.Add(10*time.Second)), 10*time.Second)
 	spread := 1 + returnJitter
-	require.LessOrEqual(t, l.returns(now.Add(20*time.Second)), time.Duration(spread*float64(returnLeast)), "a new overload")
+	require.LessOrEqual(t, l.returns.after(now.Add(20*time.Second)), time.Duration(spread*float64(returnLeast)), "a new overload")
 }
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -17,6 +17,9 @@
 	// those that count: they go on giving out all of it, since they can't tell an
 	// entry that is cut off from one that is gone.
 	quotaAlone = 0.4
+	// quotaSaved is the time for which an entry has saved up at its start for when it
+	// reaches none of those that count.
+	quotaSaved = time.Hour
 	// quotaOver is the part of the operators' tolerance that accounts get. The rest is for
 	// requests that reach their engines later than they were granted, and for what
 	// entries spend that can't reach the one that counts.
@@ -75,7 +78,7 @@
 // overQuota refuses a request whose account is over its quota, and for which others
 // leave no room.
 func (s *Server) overQuota(r *request) *failure {
-	wait := s.lines.line(r.service.Name).returns(time.Now())
+	wait := s.lines.line(r.service.Name).returns.after(time.Now())
 	s.Log.Info("over quota", "request", r.id, "account", r.account, "cost", r.cost, "by", "no room", "asked", r.asked, "wait", wait)
 	return &failure{ran: work.NotRun, reason: work.ReasonQuota, detail: "the account is over its quota and no engine has room to spare", retryAfter: wait, final: true}
 }
--- a/direct/request.go
+++ b/direct/request.go
@@ -111,7 +111,7 @@
 func (s *Server) accept(r *request, h *http.Request) *failure {
 	c := s.holder.Current()
 	if c == nil {
-		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "no configuration is known yet", retryAfter: time.Second}
+		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "no configuration is known yet", retryAfter: s.unready.after(r.accepted)}
 	}
 	r.version = c.Version
 	if r.id == "" {
