--- a/quota/quota.go
+++ b/quota/quota.go
@@ -96,13 +96,17 @@
 	limit Limit
 }
 
-// Take takes the cost of a request. One that costs more than can be saved up is
-// granted when all is there, and leaves a debt: else it could never run.
+// Take takes the cost of a request. It is granted while anything is saved up, and may
+// leave a debt of its own cost.
+//
+// Load pattern: an account near its quota sends requests of all sizes. Granted only
+// where the whole cost is saved up, a small one takes each bit that comes back, and one
+// of five times the size never finds enough. With a debt the next one waits for it,
+// whatever its size.
 func (b *Bucket) Take(now time.Time, l Limit, cost float64) Verdict {
 	b.refill(now, l)
-	need := min(cost, l.Burst)
-	if b.level < need {
-		wait := time.Duration((need - b.level) / l.Rate * float64(time.Second))
+	if b.level <= 0 {
+		wait := time.Duration((1 - b.level) / l.Rate * float64(time.Second))
 		return Verdict{Wait: wait, Level: b.level}
 	}
 	b.level -= cost
