direct: an account that has nothing is refused whatever the size of its requests

Cause: an entry that was told that a request can't be granted refused larger ones by itself and asked again for smaller ones, which got what came back.

--- a/direct/quota.go
+++ b/direct/quota.go
@@ -33,14 +33,9 @@
 	counter quota.Counter
 	alone   quota.Counter
 
-	mu    sync.Mutex // a leaf
-	spent map[work.Account]spent
-}
-
-// spent is an account that has not enough for a request of the cost until a time.
-type spent struct {
-	cost  float64
-	until time.Time
+	mu sync.Mutex // a leaf
+	// spent is until when an account has nothing.
+	spent map[work.Account]time.Time
 }
 
 // quotaCall asks the entry that counts to take the cost, or to give it back.
@@ -60,10 +55,10 @@
 	}
 	cost := r.client.Quota.Cost(r.ask.Prompt + r.ask.Output)
 	now := time.Now()
-	v, by := quota.Verdict{Wait: s.quotas.wait(now, r.account, cost)}, "known"
+	v, by := quota.Verdict{Wait: s.quotas.wait(now, r.account)}, "known"
 	if v.Wait <= 0 {
 		v, by = s.takeQuota(ctx, r.client, quotaCall{Account: r.account, Cost: cost})
-		s.quotas.note(now, r.account, cost, v)
+		s.quotas.note(now, r.account, v)
 	}
 	if v.Granted {
 		r.cost, r.over = cost, v.Over
@@ -150,29 +145,27 @@
 	return s.count(time.Now(), a, call, s.first(quotaKey(a.Name))), true
 }
 
-// wait gives how long the account is known to have too little for the cost.
+// wait gives how long the account is known to have nothing.
 //
 // Load pattern: an account sends many times its quota, and each refusal costs the
 // entry that counts as much as a grant. Told once, an entry refuses by itself what
-// can't be granted yet.
-func (q *quotas) wait(now time.Time, a work.Account, cost float64) time.Duration {
+// can't be granted yet, whatever its size: asking again for smaller requests only gave
+// them all that came back.
+func (q *quotas) wait(now time.Time, a work.Account) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if s := q.spent[a]; cost >= s.cost {
-		return max(0, s.until.Sub(now))
-	}
-	return 0
+	return max(0, q.spent[a].Sub(now))
 }
 
-// note remembers an account that has too little for the cost.
-func (q *quotas) note(now time.Time, a work.Account, cost float64, v quota.Verdict) {
+// note remembers an account that has nothing.
+func (q *quotas) note(now time.Time, a work.Account, v quota.Verdict) {
 	if v.Granted {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.spent == nil {
-		q.spent = make(map[work.Account]spent)
+		q.spent = make(map[work.Account]time.Time)
 	}
-	q.spent[a] = spent{cost: cost, until: now.Add(v.Wait)}
+	q.spent[a] = now.Add(v.Wait)
 }
