direct: a large pool's prefill engines are kept by several entries

Cause: one entry would be asked and told for every prompt of a service; at 300 hosts that is some thousand engines, and at the users' size 12,000. By shards of at most 64 engines no entry keeps more, and a pool of today's size stays in one piece. Ruled out: shards by zone (a zone may have one engine, or a thousand).

--- a/direct/assign.go
+++ b/direct/assign.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"strconv"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthworks/assign"
 	"jacinthworks/roster"
 	"jacinthworks/route"
@@ -21,29 +25,74 @@
 	assignFailing = 0.5
 )
 
+// shard is a part of the prefill engines of a service, which has a board of its own.
+//
+// Load pattern: a thousand engines, and hundreds of prompts a second. One entry that
+// keeps the board of all of them is asked and told by every other one for each prompt.
+// Prompts are drawn over the shards at random, which is even enough among dozens of engines.
+type shard struct {
+	Service work.Service `json:"service"`
+	// Of is the number of shards, a power of two; Number is this one's, from zero.
+	Of     int `json:"of"`
+	Number int `json:"number"`
+}
+
+const (
+	// shardMost is the most engines that are kept in one shard.
+	shardMost = 64
+	// shardsMost bounds what another entry may ask for: more engines than a service has.
+	shardsMost = 1 << 12
+)
+
+// shardOf draws one of the shards into which so many engines are divided. A power of
+// two leaves most engines where they are as their number grows.
+func shardOf(service work.Service, engines int, random *rand.Rand) shard {
+	p := shard{Service: service, Of: 1}
+	for p.Of*shardMost < engines {
+		p.Of *= 2
+	}
+	p.Number = random.IntN(p.Of)
+	return p
+}
+
+// has says whether an engine is in the shard.
+func (p shard) has(id roster.ID) bool {
+	return xxhash.Sum64String(string(id))%uint64(p.Of) == uint64(p.Number)
+}
+
+// sound says whether another entry can have drawn the shard.
+func (p shard) sound() bool {
+	return p.Of > 0 && p.Of <= shardsMost && p.Number >= 0 && p.Number < p.Of
+}
+
+// key is by which the entry is found that keeps the board.
+func (p shard) key() string {
+	return "board/" + string(p.Service) + "/" + strconv.Itoa(p.Number) + "/" + strconv.Itoa(p.Of)
+}
+
 // boards are what this entry keeps of the engines' work for all. The zero value is
 // ready to use; it must not be copied.
 type boards struct {
 	mu sync.Mutex // a leaf
-	of map[work.Service]*assign.Board
+	of map[shard]*assign.Board
 }
 
-func (b *boards) board(s work.Service) *assign.Board {
+func (b *boards) board(p shard) *assign.Board {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.of == nil {
-		b.of = make(map[work.Service]*assign.Board)
+		b.of = make(map[shard]*assign.Board)
 	}
-	if b.of[s] == nil {
-		b.of[s] = &assign.Board{}
+	if b.of[p] == nil {
+		b.of[p] = &assign.Board{}
 	}
-	return b.of[s]
+	return b.of[p]
 }
 
 // assignCall asks for an engine that is to read a prompt.
 type assignCall struct {
-	Service work.Service `json:"service"`
-	Tokens  int          `json:"tokens"`
+	Shard  shard `json:"shard"`
+	Tokens int   `json:"tokens"`
 	// Near is the availability zone of the engine that will fetch the prompt.
 	Near work.Zone `json:"near"`
 	// Within is how long the prompt may take.
@@ -54,14 +103,15 @@
 
 // assignEnd tells of work that has ended.
 type assignEnd struct {
-	Service work.Service  `json:"service"`
-	Ticket  assign.Ticket `json:"ticket"`
+	Shard  shard         `json:"shard"`
+	Ticket assign.Ticket `json:"ticket"`
 }
 
 // assignment is an engine that was given to a prompt, by an entry that wants to hear
 // of the end.
 type assignment struct {
 	by     keeper
+	shard  shard
 	ticket assign.Ticket
 }
 
@@ -69,41 +119,42 @@
 // one of them knows. It gives no upstream where that one can't be reached, or knows
 // an engine that is not known here.
 func (s *Server) assignPrefill(ctx context.Context, r *request, near work.Zone, l route.Load) (p placed, a assignment) {
-	call := assignCall{Service: r.service.Name, Tokens: l.Units, Near: near, Within: r.targetLatency(), Skip: s.skipped(r, l)}
+	engines, skip := s.prefillEngines(r, l)
+	call := assignCall{
+		Shard: shardOf(r.service.Name, engines, r.random), Tokens: l.Units, Near: near, Within: r.targetLatency(), Skip: skip,
+	}
 	own := func(bool) assign.Given { return s.assignHere(call) }
-	given, by, ok := askKeeper(ctx, s, boardKey(call.Service), assignPath, call, own)
+	given, by, ok := askKeeper(ctx, s, call.Shard.key(), assignPath, call, own)
 	if !ok || !given.Found() {
 		return placed{}, assignment{}
 	}
-	a = assignment{by: by, ticket: given.Ticket}
+	a = assignment{by: by, shard: call.Shard, ticket: given.Ticket}
 	u := s.roster.Member(roster.ID(given.Engine))
 	if u == nil || u.Server().Draining || u.Gone() {
-		s.endAssignment(r, a)
+		s.endAssignment(a)
 		return placed{}, assignment{}
 	}
-	p = placed{upstream: u, offer: u.Seen.Offer(time.Now()), of: len(s.roster.Of(r.service.Name)), by: by.name(), ahead: given.Ahead}
+	p = placed{upstream: u, offer: u.Seen.Offer(time.Now()), of: engines, by: by.name(), ahead: given.Ahead}
 	p.offer.Name = given.Engine
 	return p, a
 }
 
-func boardKey(s work.Service) string { return "board/" + string(s) }
-
-// skipped gives the engines that the request has tried, and those that refuse or fail
-// as this entry knows.
-func (s *Server) skipped(r *request, l route.Load) []roster.ID {
-	var skip []roster.ID
+// prefillEngines counts the prefill engines, and gives those that the request has tried,
+// or that refuse or fail as this entry knows.
+func (s *Server) prefillEngines(r *request, l route.Load) (n int, skip []roster.ID) {
 	now := time.Now()
 	for _, u := range s.roster.Of(r.service.Name) {
 		m := u.Server()
 		if m.Role != work.RolePrefill {
 			continue
 		}
+		n++
 		o := u.Seen.Offer(now)
 		if r.tried[m.Key()] || o.Held || o.Fails > assignFailing || l.OnlySure && !o.Sure {
 			skip = append(skip, m.ID)
 		}
 	}
-	return skip
+	return n, skip
 }
 
 // assignHere chooses for an entry by the board that is kept here.
@@ -114,10 +165,10 @@
 	}
 	now := time.Now()
 	var engines []assign.Engine
-	for _, u := range s.roster.Of(c.Service) {
+	for _, u := range s.roster.Of(c.Shard.Service) {
 		m := u.Server()
 		o := u.Seen.Offer(now)
-		if m.Role != work.RolePrefill || m.Draining || skip[m.ID] || o.Held {
+		if m.Role != work.RolePrefill || m.Draining || skip[m.ID] || o.Held || !c.Shard.has(m.ID) {
 			continue
 		}
 		e := assign.Engine{ID: string(m.ID), Cost: time.Duration(o.Fails * float64(c.Within))}
@@ -126,16 +177,16 @@
 		}
 		engines = append(engines, e)
 	}
-	each := s.mixes.promptTime(c.Service)
+	each := s.mixes.promptTime(c.Shard.Service)
 	if each <= 0 {
 		each = prefillRate
 	}
-	return s.boards.board(c.Service).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
+	return s.boards.board(c.Shard).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
 }
 
 // answerAssign answers the other entries; an entry that knows no engines can't.
 func (s *Server) answerAssign(c assignCall) (assign.Given, bool) {
-	if !s.roster.Known() || c.Tokens < 0 || c.Within <= 0 {
+	if !s.roster.Known() || c.Tokens < 0 || c.Within <= 0 || !c.Shard.sound() {
 		return assign.Given{}, false
 	}
 	return s.assignHere(c), true
@@ -143,17 +194,20 @@
 
 // answerEnd takes word that work has ended.
 func (s *Server) answerEnd(e assignEnd) (struct{}, bool) {
-	s.boards.board(e.Service).End(e.Ticket)
+	if !e.Shard.sound() {
+		return struct{}{}, false
+	}
+	s.boards.board(e.Shard).End(e.Ticket)
 	return struct{}{}, true
 }
 
 // endAssignment tells the entry that gave the engine that the prompt is read, or will
 // not be.
-func (s *Server) endAssignment(r *request, a assignment) {
+func (s *Server) endAssignment(a assignment) {
 	if a.ticket == 0 {
 		return
 	}
-	end := assignEnd{Service: r.service.Name, Ticket: a.ticket}
+	end := assignEnd{Shard: a.shard, Ticket: a.ticket}
 	if a.by.peer == nil {
 		s.answerEnd(end)
 		return
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -75,12 +75,12 @@
 		}
 		if p.ahead > s.prefillWait(r) {
 			s.Log.Info("prefill passed over", "request", r.id, "upstream", p.offer.Name, "wait", p.ahead)
-			s.endAssignment(r, assigned)
+			s.endAssignment(assigned)
 			return nil
 		}
 		r.prefills++
 		done, f := s.prefillAt(ctx, r, p.upstream)
-		s.endAssignment(r, assigned)
+		s.endAssignment(assigned)
 		if done != nil {
 			return done
 		}
