--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -25,10 +25,10 @@
 	prefillSlack = 4
 	prefillLeast = 250 * time.Millisecond
 	// prefillRate stands in until an engine was measured, in time for a token.
-	prefillRate = 50 * time.Microsecond
-	// ownRead is the time for a token of a prompt at a decode engine, which reads
-	// at half the speed of a prefill engine.
-	ownRead = 60 * time.Microsecond
+	prefillRate = 40 * time.Microsecond
+	// ownSlower is how many times as long a decode engine takes for a prompt: it reads at
+	// half the speed, and a quarter of what is measured at prefill engines is the call.
+	ownSlower = 1.5
 	// ownSpace is what must lie between two prompts that a decode engine reads:
 	// its answers make an event meanwhile.
 	ownSpace = 100 * time.Millisecond
@@ -107,13 +107,22 @@
 // come together, for longer than the routes allow. Shortly before, the same
 // prompts would have had a prefill engine to themselves within their targets.
 func (s *Server) prefillWait(r *request) time.Duration {
-	own := time.Duration(r.ask.Prompt) * ownRead
+	own := s.ownRead(r)
 	if own > r.pauseLeft() {
 		return r.left()
 	}
 	return max(own, time.Until(r.first.Add(r.targetLatency()))-own)
 }
 
+// ownRead is the time that a decode engine takes for the prompt.
+func (s *Server) ownRead(r *request) time.Duration {
+	each := s.mixes.promptTime(r.service.Name)
+	if each <= 0 {
+		each = prefillRate
+	}
+	return time.Duration(ownSlower * float64(r.ask.Prompt) * float64(each))
+}
+
 // pauseLeft is how long the answers of an engine may pause for a prompt.
 func (r *request) pauseLeft() time.Duration {
 	gap := r.route.TargetGap
@@ -125,8 +134,7 @@
 
 // ownTurn waits until no other prompt of this entry is read by the decode engine.
 func (s *Server) ownTurn(ctx context.Context, r *request, decode *room) {
-	took := time.Duration(r.ask.Prompt) * ownRead
-	if wait := decode.upstream.Seen.Read(time.Now(), took+ownSpace, ownWait); wait > 0 {
+	if wait := decode.upstream.Seen.Read(time.Now(), s.ownRead(r)+ownSpace, ownWait); wait > 0 {
 		s.Log.Info("waits for another prompt", "request", r.id, "upstream", decode.upstream.Server().ID, "wait", wait)
 		group.Pause(ctx, wait)
 	}
