paths, direct, assign: an account's rank zero is passed on; calls of other entries are checked

Cause, read in the diff: a configuration that comes through another entry loses a priority of zero, the highest, because a zero behind a pointer is not encoded; word of an end for a board that was lost could end work on the next one; a cost below zero, or a service that does not exist, from another entry was taken as it came. Before: TestAnAccountIsPassedOnWhole fails with a pointer (seen). After: passes.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -85,6 +85,9 @@
 	// alike is the time by which engines may differ and be drawn from at random: a
 	// message takes longer.
 	alike = time.Millisecond
+	// ticketSpare leaves a board room to count up from its first ticket. The first is
+	// drawn, so that word for a board that was lost ends nothing on the one after it.
+	ticketSpare = 16
 )
 
 // Assign gives work to the engine that will be done with it first; none where there
@@ -105,6 +108,9 @@
 	}
 	id := engines[best].ID
 	ahead := time.Duration(b.tokens[id]) * w.Each
+	if b.last == 0 {
+		b.last = Ticket(random.Uint64() >> ticketSpare)
+	}
 	b.add(now, id, w)
 	return Given{Engine: id, Ticket: b.last, Ahead: ahead}
 }
--- a/direct/assign.go
+++ b/direct/assign.go
@@ -184,9 +184,15 @@
 	return s.boards.board(c.Shard).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
 }
 
+// keeps says whether there can be a board of the shard.
+func (s *Server) keeps(p shard) bool {
+	c := s.holder.Current()
+	return c != nil && c.Service(p.Service) != nil && p.sound()
+}
+
 // answerAssign answers the other entries; an entry that knows no engines can't.
 func (s *Server) answerAssign(c assignCall) (assign.Given, bool) {
-	if !s.roster.Known() || c.Tokens < 0 || c.Within <= 0 || !c.Shard.sound() {
+	if !s.roster.Known() || c.Tokens < 0 || c.Within <= 0 || !s.keeps(c.Shard) {
 		return assign.Given{}, false
 	}
 	return s.assignHere(c), true
@@ -194,7 +200,7 @@
 
 // answerEnd takes word that work has ended.
 func (s *Server) answerEnd(e assignEnd) (struct{}, bool) {
-	if !e.Shard.sound() {
+	if !s.keeps(e.Shard) {
 		return struct{}{}, false
 	}
 	s.boards.board(e.Shard).End(e.Ticket)
--- a/direct/client.go
+++ b/direct/client.go
@@ -32,8 +32,8 @@
 
 // priority is the request's rank, 0 first: its account's, or else its route's.
 func (r *request) priority() int {
-	if r.client != nil && r.client.Priority != nil {
-		return *r.client.Priority
+	if r.client != nil && r.client.HasPriority {
+		return r.client.Priority
 	}
 	return r.route.Priority
 }
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -135,7 +135,7 @@
 // answerQuota answers the other entries.
 func (s *Server) answerQuota(call quotaCall) (v quota.Verdict, ok bool) {
 	c := s.holder.Current()
-	if c == nil {
+	if c == nil || call.Cost < 0 {
 		return v, false
 	}
 	a := c.Named(call.Account)
--- a/paths/account.go
+++ b/paths/account.go
@@ -7,8 +7,9 @@
 	Name work.Account
 	// Keys are the secrets that its callers show; any one of them will do.
 	Keys []string
-	// Priority, if set, goes before that of the route.
-	Priority *int
+	// Priority goes before that of the route, where HasPriority says that there is one.
+	Priority    int
+	HasPriority bool
 	Quota    Quota
 }
 
--- /dev/null
+++ b/paths/account_test.go
@@ -0,0 +1,55 @@
+package paths_test
+
+import (
+	"bytes"
+	"encoding/gob"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/paths"
+)
+
+// Story: an entry hears of the configuration through another one. An account of the
+// highest rank, zero, had the rank of its route there, since a zero behind a pointer is
+// not passed on.
+func TestAnAccountIsPassedOnWhole(t *testing.T) {
+	c := paths.Config{Version: 4, Accounts: []paths.Account{
+		{Name: "studs", Keys: []string{"a", "b"}, HasPriority: true, Quota: paths.Quota{Rate: 36000, Burst: 36000, ByTokens: true, PlainTokens: 200}},
+		{Name: "others", Keys: []string{"c"}},
+	}}
+	var b bytes.Buffer
+	require.NoError(t, gob.NewEncoder(&b).Encode(c))
+	var got paths.Config
+	require.NoError(t, gob.NewDecoder(&b).Decode(&got))
+	require.Equal(t, c, got)
+	var h paths.Holder
+	changed, found := h.Offer(time.Now(), &got)
+	require.True(t, changed)
+	require.Empty(t, found)
+	require.Equal(t, "studs", string(h.Current().Account("b").Name))
+	require.Nil(t, h.Current().Account(""))
+	require.Nil(t, h.Current().Account("d"))
+}
+
+// Story: operators give one key to two accounts, and a quota below zero. What can be
+// served is; the finding names the account and never the key.
+func TestFindingsOfAccountsNameNoKey(t *testing.T) {
+	c := paths.Config{Version: 1, Accounts: []paths.Account{
+		{Name: "studs", Keys: []string{"secret-1"}},
+		{Name: "others", Keys: []string{"secret-2", "secret-1"}, Quota: paths.Quota{Rate: -1}},
+		{Keys: []string{"secret-3"}},
+	}}
+	found := c.Check()
+	require.Len(t, found, 3)
+	require.NotContains(t, found.Error(), "secret")
+}
+
+func TestTheCostOfARequest(t *testing.T) {
+	tokens := paths.Quota{Rate: 1, ByTokens: true, PlainTokens: 200}
+	require.InDelta(t, 5200, tokens.Cost(5200), 0)
+	require.InDelta(t, 200, tokens.Cost(0), 0)
+	require.InDelta(t, 1, paths.Quota{Rate: 1}.Cost(5200), 0)
+	require.False(t, paths.Quota{Burst: 5}.Limited())
+}
