--- a/editor/fake_test.go
+++ b/editor/fake_test.go
@@ -2,23 +2,21 @@
 
 import (
 	"context"
-	"flag"
 	"fmt"
 	"sync"
+	"testing"
 	"time"
 
 	"github.com/pkg/errors"
 
 	"jacinthworks/plat"
 	"jacinthworks/table"
+	"jacinthworks/test/seeded"
 	"jacinthworks/work"
 )
 
 // Random tests draw from one seed, so that two runs of the tests agree.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // fault is what goes wrong with one call.
 type fault int
--- a/entry/stream_test.go
+++ b/entry/stream_test.go
@@ -2,24 +2,19 @@
 
 import (
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
 	"jacinthworks/claim"
+	"jacinthworks/test/seeded"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // token names one token of one attempt, so that none can pass for another.
 func token(r wire.Ref, n int) string { return fmt.Sprintf("%s/%d/%d ", r.Request, r.Attempt, n) }
--- a/member/member_test.go
+++ b/member/member_test.go
@@ -3,9 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"slices"
 	"testing"
 
@@ -13,14 +11,11 @@
 	"pgregory.net/rapid"
 
 	"jacinthworks/plat"
+	"jacinthworks/test/seeded"
 	"jacinthworks/work"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // fault is what befalls one write.
 type fault int
--- a/paths/account.go
+++ b/paths/account.go
@@ -10,7 +10,7 @@
 	// Priority goes before that of the route, where HasPriority says that there is one.
 	Priority    int
 	HasPriority bool
-	Quota    Quota
+	Quota       Quota
 }
 
 // Quota bounds what an account may have run, over all entries together. The zero
--- a/place/place_test.go
+++ b/place/place_test.go
@@ -1,10 +1,8 @@
 package place
 
 import (
-	"flag"
 	"fmt"
 	"math"
-	"os"
 	"testing"
 	"time"
 
@@ -13,16 +11,11 @@
 	"pgregory.net/rapid"
 
 	"jacinthworks/fence"
+	"jacinthworks/test/seeded"
 	"jacinthworks/work"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 var (
 	start   = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
--- a/quota/quota_test.go
+++ b/quota/quota_test.go
@@ -7,8 +7,12 @@
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
+
+	"jacinthworks/test/seeded"
 )
 
+func TestMain(m *testing.M) { seeded.Main(m) }
+
 var (
 	limit = Limit{Rate: 36000, Burst: 36000}
 	terms = Terms{Quota: limit, Over: Limit{Rate: 4000, Burst: 42000}}
--- a/side/model_test.go
+++ b/side/model_test.go
@@ -1,8 +1,6 @@
 package side
 
 import (
-	"flag"
-	"os"
 	"slices"
 	"testing"
 	"time"
@@ -11,15 +9,12 @@
 	"pgregory.net/rapid"
 
 	"jacinthworks/retry"
+	"jacinthworks/test/seeded"
 	"jacinthworks/wire"
 	"jacinthworks/work"
 )
 
-func TestMain(m *testing.M) {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // naiveEvent is one thing that befell an order. The naive ledger is the list of
 // all of them, and answers every question by reading it from the start.
--- a/story/story_test.go
+++ b/story/story_test.go
@@ -3,9 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
-	"flag"
 	"fmt"
-	"os"
 	"strings"
 	"sync"
 	"testing"
@@ -14,16 +12,11 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"jacinthworks/test/seeded"
 	"jacinthworks/work"
 )
 
-func TestMain(m *testing.M) {
-	flag.Parse()
-	if err := flag.Set("rapid.seed", "1"); err != nil {
-		panic(err)
-	}
-	os.Exit(m.Run())
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 var start = time.Date(2026, 12, 2, 8, 0, 0, 0, time.UTC)
 
--- a/table/helpers_test.go
+++ b/table/helpers_test.go
@@ -1,17 +1,15 @@
 package table
 
 import (
-	"flag"
+	"testing"
 	"time"
 
+	"jacinthworks/test/seeded"
 	"jacinthworks/work"
 )
 
 // Random tests draw from one seed, so that two runs of the tests agree.
-func init() {
-	_ = flag.Set("rapid.seed", "1")
-	_ = flag.Set("rapid.nofailfile", "true")
-}
+func TestMain(m *testing.M) { seeded.Main(m) }
 
 // sample gives a valid row of appraiser-lm.
 func sample(zone work.Zone, kind work.Kind) Row {
