--- a/direct/assign.go
+++ b/direct/assign.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"net/http"
 	"strconv"
 	"sync"
 	"time"
@@ -219,6 +220,6 @@
 		return
 	}
 	s.later("end assignment", keeperWithin, func(ctx context.Context) error {
-		return callPeer(ctx, a.by.peer, assignEndPath, end, nil)
+		return callPeer(ctx, a.by.peer, http.MethodPost, assignEndPath, keeperWithin, end, nil)
 	})
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -22,7 +22,6 @@
 	"net/http"
 	"net/netip"
 	"os"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -36,9 +35,7 @@
 	"jacinthworks/meter"
 	"jacinthworks/paths"
 	"jacinthworks/plat"
-	"jacinthworks/retry"
 	"jacinthworks/roster"
-	"jacinthworks/work"
 )
 
 // Server serves callers. Set the exported fields before Run.
@@ -98,24 +95,6 @@
 	workCtx    context.Context
 }
 
-// budgets are the allowances for repeats of each service.
-type budgets struct {
-	mu sync.Mutex // a leaf
-	of map[work.Service]*retry.Window
-}
-
-func (b *budgets) window(s work.Service) *retry.Window {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.of == nil {
-		b.of = make(map[work.Service]*retry.Window)
-	}
-	if b.of[s] == nil {
-		b.of[s] = &retry.Window{}
-	}
-	return b.of[s]
-}
-
 // Run serves until ctx ends, then drains and returns.
 func (s *Server) Run(ctx context.Context) error {
 	s.init()
--- a/direct/keeper.go
+++ b/direct/keeper.go
@@ -1,7 +1,6 @@
 package direct
 
 import (
-	"bytes"
 	"context"
 	"encoding/json"
 	"net/http"
@@ -79,7 +78,7 @@
 		if s.keepers.rests(time.Now(), o.Peer) {
 			continue
 		}
-		err := callPeer(ctx, o.Peer, path, call, &answer)
+		err := callPeer(ctx, o.Peer, http.MethodPost, path, keeperWithin, call, &answer)
 		if err == nil {
 			return answer, keeper{o.Peer}, true
 		}
@@ -99,17 +98,20 @@
 	return len(owners) > 0 && owners[0].Peer == nil
 }
 
-// callPeer makes one call at another entry; a nil answer is not read.
-func callPeer(ctx context.Context, p *relay.Peer, path string, call, answer any) error {
-	ctx, cancel := context.WithTimeout(ctx, keeperWithin)
+// callPeer makes one call at another entry. A nil call has no body; a nil answer is not
+// read.
+func callPeer(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, call, answer any) error {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	body, err := json.Marshal(call)
-	if err != nil {
-		return errors.Wrap(err, "direct: call of an entry")
+	ask := send.Request{Method: method, Target: path, Silence: within}
+	if call != nil {
+		body, err := json.Marshal(call)
+		if err != nil {
+			return errors.Wrap(err, "direct: call of an entry")
+		}
+		ask.Header, ask.Body = http.Header{"Content-Type": {"application/json"}}, body
 	}
-	reply, err := p.Do(ctx, send.Request{
-		Method: http.MethodPost, Target: path, Header: http.Header{"Content-Type": {"application/json"}}, Body: body, Silence: keeperWithin,
-	})
+	reply, err := p.Do(ctx, ask)
 	if err != nil {
 		return err
 	}
@@ -122,7 +124,7 @@
 	case answer == nil:
 		return nil
 	}
-	return errors.Wrap(json.NewDecoder(bytes.NewReader(text)).Decode(answer), "direct: answer of an entry")
+	return errors.Wrap(json.Unmarshal(text, answer), "direct: answer of "+string(p.Name))
 }
 
 // keeperHandler answers the calls of other entries; answer gives false where nothing
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -8,11 +8,8 @@
 	"sync"
 	"time"
 
-	"github.com/pkg/errors"
-
 	"jacinthworks/place"
 	"jacinthworks/relay"
-	"jacinthworks/send"
 	"jacinthworks/work"
 )
 
@@ -118,20 +115,9 @@
 	return sum, answered
 }
 
-func askMix(ctx context.Context, p *relay.Peer) (map[work.Service]place.Sample, error) {
-	reply, err := p.Do(ctx, send.Request{Method: http.MethodGet, Target: mixPath, Silence: mixWithin})
-	if err != nil {
-		return nil, err
-	}
-	body, err := reply.All(shortAnswer)
-	if err != nil {
-		return nil, err
-	}
-	if reply.Status != http.StatusOK {
-		return nil, errors.Errorf("direct: status %d", reply.Status)
-	}
-	var all map[work.Service]place.Sample
-	return all, errors.Wrap(json.Unmarshal(body, &all), "direct: mix of "+string(p.Name))
+func askMix(ctx context.Context, p *relay.Peer) (all map[work.Service]place.Sample, err error) {
+	err = callPeer(ctx, p, http.MethodGet, mixPath, mixWithin, nil, &all)
+	return all, err
 }
 
 // mixSent notes a stream that has its room.
--- a/direct/request.go
+++ b/direct/request.go
@@ -188,15 +188,3 @@
 	}
 	r.tried[u.Server().Key()] = true
 }
-
-// terms are the figures that bound repeats here: the fleet's, and this entry's
-// part of the fixed number.
-func (s *Server) terms() retry.Terms {
-	p := s.live.Load().Repeats
-	return retry.Terms{Ratio: p.Ratio, Share: p.Fixed / float64(s.members.count(time.Now())) * fixedPart, Span: p.Span}
-}
-
-// fixedPart is the part of the fixed number that is given out: the rest covers
-// entries that have just come, and repeats that were not asked for here, such
-// as a prefill that failed.
-const fixedPart = 0.6
