--- a/direct/room.go
+++ b/direct/room.go
@@ -191,7 +191,20 @@
 // fullFor is how long work is kept away from an engine that has just said that it
 // has no room.
 func (s *Server) fullFor() time.Duration {
-	return route.Search{Processes: s.members.count(time.Now())}.Rest()
+	return route.Search{Processes: s.searching(time.Now())}.Rest()
+}
+
+// searching counts the entries that look for room.
+//
+// Failure: until the records were read, more entries are assumed than most deployments
+// have, which keeps the sum of all shares small. Taken for those that ask engines, they
+// made an entry that is alone leave a full engine for longer than its requests may wait.
+// It shows as requests that are refused although a place came free.
+func (s *Server) searching(now time.Time) int {
+	if s.members.known.Load() {
+		return s.members.count(now)
+	}
+	return s.peers.fleet.Known()
 }
 
 func (s *Server) askHold(ctx context.Context, u *roster.Upstream, tokens int, life time.Duration) (Hold, error) {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -180,6 +180,13 @@
 	return f.others[:min(len(f.others), most)]
 }
 
+// Known counts the processes that are known, this one included.
+func (f *Fleet) Known() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return len(f.others) + 1
+}
+
 // Place gives the place of this process among all, the largest hosts first, from
 // zero; false while it is not known.
 func (f *Fleet) Place() (int, bool) {
