--- a/assign/assign.go
+++ b/assign/assign.go
@@ -1,6 +1,5 @@
 // Package assign shares the work of many processes out over the engines of a pool.
-// One process keeps the board for all of them: what each engine was given and has
-// not ended.
+// One process tracks for all of them what each engine was given and has not ended.
 //
 // Load pattern: many processes send prompts to a few engines, and none of them knows
 // what the others sent. Each chooses well by what it has there itself, and together
@@ -16,11 +15,11 @@
 //
 // # Usage
 //
-//	var b assign.Board
-//	a := b.Assign(now, engines, assign.Work{Tokens: 5000, Each: 20 * time.Microsecond, Within: time.Second}, random)
+//	var k assign.Tracker
+//	a := k.Assign(now, engines, assign.Work{Tokens: 5000, Each: 20 * time.Microsecond, Within: time.Second}, random)
 //	if !a.Found() { ... }
 //	...
-//	b.End(a.Ticket) // whatever came of it
+//	k.End(a.Ticket) // whatever came of it
 //
 // The package reads no clock and draws no random numbers of its own.
 package assign
@@ -62,9 +61,9 @@
 // Found says whether there was an engine.
 func (g Given) Found() bool { return g.Ticket != 0 }
 
-// Board is what the engines of a pool were given. The zero value is empty and ready
+// Tracker knows what the engines of a pool were given. The zero value is empty and ready
 // to use; it must not be copied. It is safe for concurrent use; its lock is a leaf.
-type Board struct {
+type Tracker struct {
 	mu    sync.Mutex
 	given map[Ticket]given
 	// tokens are those of each engine that are not ended.
@@ -85,20 +84,20 @@
 	// alike is the time by which engines may differ and be drawn from at random: a
 	// message takes longer.
 	alike = time.Millisecond
-	// ticketSpare leaves a board room to count up from its first ticket. The first is
-	// drawn, so that word for a board that was lost ends nothing on the one after it.
+	// ticketSpare leaves a tracker room to count up from its first ticket. The first is
+	// drawn, so that word for one that was lost ends nothing on the one after it.
 	ticketSpare = 16
 )
 
 // Assign gives work to the engine that will be done with it first; none where there
 // are no engines.
-func (b *Board) Assign(now time.Time, engines []Engine, w Work, random *rand.Rand) Given {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.sweep(now)
+func (k *Tracker) Assign(now time.Time, engines []Engine, w Work, random *rand.Rand) Given {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.sweep(now)
 	best, least := -1, time.Duration(0)
 	for i, e := range engines {
-		score := e.Cost + time.Duration(b.tokens[e.ID])*w.Each + time.Duration(random.Int64N(int64(alike)))
+		score := e.Cost + time.Duration(k.tokens[e.ID])*w.Each + time.Duration(random.Int64N(int64(alike)))
 		if best < 0 || score < least {
 			best, least = i, score
 		}
@@ -107,38 +106,38 @@
 		return Given{}
 	}
 	id := engines[best].ID
-	ahead := time.Duration(b.tokens[id]) * w.Each
-	if b.last == 0 {
-		b.last = Ticket(random.Uint64() >> ticketSpare)
+	ahead := time.Duration(k.tokens[id]) * w.Each
+	if k.last == 0 {
+		k.last = Ticket(random.Uint64() >> ticketSpare)
 	}
-	b.add(now, id, w)
-	return Given{Engine: id, Ticket: b.last, Ahead: ahead}
+	k.add(now, id, w)
+	return Given{Engine: id, Ticket: k.last, Ahead: ahead}
 }
 
-func (b *Board) add(now time.Time, id string, w Work) {
-	if b.given == nil {
-		b.given, b.tokens = make(map[Ticket]given), make(map[string]int)
+func (k *Tracker) add(now time.Time, id string, w Work) {
+	if k.given == nil {
+		k.given, k.tokens = make(map[Ticket]given), make(map[string]int)
 	}
-	b.last++
-	b.given[b.last] = given{engine: id, tokens: w.Tokens, until: now.Add(w.Within)}
-	b.tokens[id] += w.Tokens
+	k.last++
+	k.given[k.last] = given{engine: id, tokens: w.Tokens, until: now.Add(w.Within)}
+	k.tokens[id] += w.Tokens
 }
 
-// End takes work off the board, once.
-func (b *Board) End(t Ticket) {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	b.end(t)
+// End notes the end of work, once.
+func (k *Tracker) End(t Ticket) {
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	k.end(t)
 }
 
-func (b *Board) end(t Ticket) {
-	g, known := b.given[t]
+func (k *Tracker) end(t Ticket) {
+	g, known := k.given[t]
 	if !known {
 		return
 	}
-	delete(b.given, t)
-	if b.tokens[g.engine] -= g.tokens; b.tokens[g.engine] <= 0 {
-		delete(b.tokens, g.engine)
+	delete(k.given, t)
+	if k.tokens[g.engine] -= g.tokens; k.tokens[g.engine] <= 0 {
+		delete(k.tokens, g.engine)
 	}
 }
 
@@ -146,14 +145,14 @@
 //
 // Failure: the process that was given work is killed, or its word of the end is lost.
 // It shows as an engine that seems busy for good and gets nothing.
-func (b *Board) sweep(now time.Time) {
-	if now.Sub(b.swept) < sweepEvery {
+func (k *Tracker) sweep(now time.Time) {
+	if now.Sub(k.swept) < sweepEvery {
 		return
 	}
-	b.swept = now
-	for t, g := range b.given {
+	k.swept = now
+	for t, g := range k.given {
 		if !now.Before(g.until) {
-			b.end(t)
+			k.end(t)
 		}
 	}
 }
--- a/assign/assign_test.go
+++ b/assign/assign_test.go
@@ -68,23 +68,23 @@
 
 // Story: a burst of prompts from 26 processes at eleven engines. Each process knows
 // only what it sent itself, so that prompts wait for others while engines idle; one in
-// ten took over 400 ms. By the board of all they wait a fifth of that.
+// ten took over 400 ms. By one tracker for all they wait a fifth of that.
 func TestABurstOfPromptsFindsTheFreeEngines(t *testing.T) {
 	own, random := newPool(11), rand.New(rand.NewPCG(1, 1))
-	boards := make([]Board, 26)
+	trackers := make([]Tracker, 26)
 	alone := replay(own, random, func(now time.Time, tokens int) (int, func(time.Time)) {
-		b := &boards[random.IntN(len(boards))]
-		g := b.Assign(now, own.engines, Work{Tokens: tokens, Each: each, Within: time.Minute}, random)
-		return index(own, g), func(time.Time) { b.End(g.Ticket) }
+		k := &trackers[random.IntN(len(trackers))]
+		g := k.Assign(now, own.engines, Work{Tokens: tokens, Each: each, Within: time.Minute}, random)
+		return index(own, g), func(time.Time) { k.End(g.Ticket) }
 	})
 	all, random := newPool(11), rand.New(rand.NewPCG(1, 1))
-	var b Board
+	var k Tracker
 	together := replay(all, random, func(now time.Time, tokens int) (int, func(time.Time)) {
-		g := b.Assign(now, all.engines, Work{Tokens: tokens, Each: each, Within: time.Minute}, random)
-		return index(all, g), func(time.Time) { b.End(g.Ticket) }
+		g := k.Assign(now, all.engines, Work{Tokens: tokens, Each: each, Within: time.Minute}, random)
+		return index(all, g), func(time.Time) { k.End(g.Ticket) }
 	})
 	at := func(d []time.Duration, part float64) time.Duration { return d[int(part*float64(len(d)))] }
-	t.Logf("each by itself: half %v, nine tenths %v; by one board: %v, %v", at(alone, 0.5), at(alone, 0.9), at(together, 0.5), at(together, 0.9))
+	t.Logf("each by itself: half %v, nine tenths %v; by one tracker: %v, %v", at(alone, 0.5), at(alone, 0.9), at(together, 0.5), at(together, 0.9))
 	require.Less(t, at(together, 0.9), 250*time.Millisecond)
 	require.Less(t, at(together, 0.9), at(alone, 0.9)/2)
 }
@@ -96,36 +96,36 @@
 // Story: a process is killed with prompts under way and tells no end. Its engines must
 // be given work again.
 func TestWhatIsNotEndedLapses(t *testing.T) {
-	var b Board
+	var k Tracker
 	random := rand.New(rand.NewPCG(1, 1))
 	two := []Engine{{ID: "a"}, {ID: "b"}}
-	first := b.Assign(began, two, Work{Tokens: 50_000, Each: each, Within: time.Second}, random)
+	first := k.Assign(began, two, Work{Tokens: 50_000, Each: each, Within: time.Second}, random)
 	for range 3 {
-		g := b.Assign(began, two, Work{Tokens: 5_000, Each: each, Within: time.Second}, random)
+		g := k.Assign(began, two, Work{Tokens: 5_000, Each: each, Within: time.Second}, random)
 		require.NotEqual(t, first.Engine, g.Engine)
-		b.End(g.Ticket)
-		b.End(g.Ticket) // told twice
+		k.End(g.Ticket)
+		k.End(g.Ticket) // told twice
 	}
 	later := began.Add(2 * time.Second)
 	seen := make(map[string]bool)
 	for range 50 {
-		g := b.Assign(later, two, Work{Tokens: 5_000, Each: each, Within: time.Second}, random)
+		g := k.Assign(later, two, Work{Tokens: 5_000, Each: each, Within: time.Second}, random)
 		require.Zero(t, g.Ahead)
 		seen[g.Engine] = true
-		b.End(g.Ticket)
+		k.End(g.Ticket)
 	}
 	require.Len(t, seen, 2)
-	require.False(t, b.Assign(later, nil, Work{}, random).Found())
+	require.False(t, k.Assign(later, nil, Work{}, random).Found())
 }
 
 // Story: a near engine has work for a moment, a far one none. It is worth the wait as
 // long as that is shorter than the way.
 func TestNearEnginesAreWorthAShortWait(t *testing.T) {
-	var b Board
+	var k Tracker
 	random := rand.New(rand.NewPCG(1, 1))
 	engines := []Engine{{ID: "near"}, {ID: "far", Cost: 15 * time.Millisecond}}
 	w := Work{Tokens: 500, Each: each, Within: time.Second}
-	require.Equal(t, "near", b.Assign(began, engines, w, random).Engine)
-	require.Equal(t, "near", b.Assign(began, engines, w, random).Engine)
-	require.Equal(t, "far", b.Assign(began, engines, w, random).Engine)
+	require.Equal(t, "near", k.Assign(began, engines, w, random).Engine)
+	require.Equal(t, "near", k.Assign(began, engines, w, random).Engine)
+	require.Equal(t, "far", k.Assign(began, engines, w, random).Engine)
 }
--- a/direct/assign.go
+++ b/direct/assign.go
@@ -17,7 +17,7 @@
 )
 
 const (
-	// assignPath is where the entry that keeps a board is asked for an engine, and
+	// assignPath is where the entry that tracks the engines is asked for an engine, and
 	// assignEndPath where it is told that work has ended.
 	assignPath    = "/v1/assign"
 	assignEndPath = "/v1/assign_end"
@@ -26,10 +26,10 @@
 	assignFailing = 0.5
 )
 
-// shard is a part of the prefill engines of a service, which has a board of its own.
+// shard is a part of the prefill engines of a service, which has a tracker of its own.
 //
 // Load pattern: a thousand engines, and hundreds of prompts a second. One entry that
-// keeps the board of all of them is asked and told by every other one for each prompt.
+// tracks all of them is asked and told by every other one for each prompt.
 // Prompts are drawn over the shards at random, which is even enough among dozens of engines.
 type shard struct {
 	Service work.Service `json:"service"`
@@ -66,28 +66,28 @@
 	return p.Of > 0 && p.Of <= shardsMost && p.Number >= 0 && p.Number < p.Of
 }
 
-// key is by which the entry is found that keeps the board.
+// key is by which the entry is found that tracks it.
 func (p shard) key() string {
-	return "board/" + string(p.Service) + "/" + strconv.Itoa(p.Number) + "/" + strconv.Itoa(p.Of)
+	return "load/" + string(p.Service) + "/" + strconv.Itoa(p.Number) + "/" + strconv.Itoa(p.Of)
 }
 
-// boards are what this entry keeps of the engines' work for all. The zero value is
+// trackers are what this entry keeps of the engines' work for all. The zero value is
 // ready to use; it must not be copied.
-type boards struct {
+type trackers struct {
 	mu sync.Mutex // a leaf
-	of map[shard]*assign.Board
+	of map[shard]*assign.Tracker
 }
 
-func (b *boards) board(p shard) *assign.Board {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-	if b.of == nil {
-		b.of = make(map[shard]*assign.Board)
+func (t *trackers) tracker(p shard) *assign.Tracker {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.of == nil {
+		t.of = make(map[shard]*assign.Tracker)
 	}
-	if b.of[p] == nil {
-		b.of[p] = &assign.Board{}
+	if t.of[p] == nil {
+		t.of[p] = &assign.Tracker{}
 	}
-	return b.of[p]
+	return t.of[p]
 }
 
 // assignCall asks for an engine that is to read a prompt.
@@ -158,7 +158,7 @@
 	return n, skip
 }
 
-// assignHere chooses for an entry by the board that is kept here.
+// assignHere chooses for an entry by what is tracked here.
 func (s *Server) assignHere(c assignCall) assign.Given {
 	skip := make(map[roster.ID]bool, len(c.Skip))
 	for _, id := range c.Skip {
@@ -182,10 +182,10 @@
 	if each <= 0 {
 		each = prefillRate
 	}
-	return s.boards.board(c.Shard).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
+	return s.trackers.tracker(c.Shard).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
 }
 
-// keeps says whether there can be a board of the shard.
+// keeps says whether the shard can be tracked.
 func (s *Server) keeps(p shard) bool {
 	c := s.holder.Current()
 	return c != nil && c.Service(p.Service) != nil && p.sound()
@@ -204,7 +204,7 @@
 	if !s.keeps(e.Shard) {
 		return struct{}{}, false
 	}
-	s.boards.board(e.Shard).End(e.Ticket)
+	s.trackers.tracker(e.Shard).End(e.Ticket)
 	return struct{}{}, true
 }
 
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -76,10 +76,10 @@
 	mixes    mixes
 	peers    peers
 	// unready say when what comes before the configuration should return.
-	unready returns
-	quotas  quotas
-	keepers keepers
-	boards  boards
+	unready  returns
+	quotas   quotas
+	keepers  keepers
+	trackers trackers
 	// own is the version of this entry's record, as last written, and since when
 	// an entry of its name first wrote one.
 	own     plat.Version
