--- a/direct/direct.go
+++ b/direct/direct.go
@@ -125,19 +125,9 @@
 
 	found := s.findRelays(serving)
 	var loops group.Group
+	s.follow(serving, &loops, found)
 	loops.Go(serving, "ended work", s.reap)
-	loops.Go(serving, "configuration", s.configFeed().Run)
-	loops.Go(serving, "upstreams", s.serverFeed().Run)
 	loops.Go(serving, "idle connections", idle.run)
-	if s.Members != nil {
-		loops.Go(serving, "entries", s.register)
-	}
-	if !found {
-		loops.Go(serving, "relays", s.findRelaysLater)
-	}
-	if s.Notices != nil {
-		loops.Go(serving, "notices", s.noticeFeed().Run)
-	}
 	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "roles", s.planRoles)
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
@@ -167,6 +157,22 @@
 	return nil
 }
 
+// follow begins to follow what the platform's store holds; found says that the relays
+// are known.
+func (s *Server) follow(ctx context.Context, loops *group.Group, found bool) {
+	loops.Go(ctx, "configuration", s.configFeed().Run)
+	loops.Go(ctx, "upstreams", s.serverFeed().Run)
+	if s.Members != nil {
+		loops.Go(ctx, "entries", s.register)
+	}
+	if !found {
+		loops.Go(ctx, "relays", s.findRelaysLater)
+	}
+	if s.Notices != nil {
+		loops.Go(ctx, "notices", s.noticeFeed().Run)
+	}
+}
+
 // maxHeaderBytes bounds a request's header, in bytes; the configuration's own
 // limit is lower and stands for callers that keep to it.
 const maxHeaderBytes = 64 << 10
--- a/direct/engines.go
+++ b/direct/engines.go
@@ -133,7 +133,5 @@
 
 // prefillPart weighs a busy prefill engine against the memory of a decode engine. A
 // prompt can wait for some 100 ms within its target, so that prefill may be busier;
-// a decode engine without memory refuses. Worth on fixed seeds, 1.0 and 0.6 against
-// 0.75: +0.007 and not measured with nine engines (30 plays), -0.014 and +0.005 with
-// 38 (10 plays), where a difference of 0.009 is luck.
+// a decode engine without memory refuses.
 const prefillPart = 0.75
--- a/direct/line.go
+++ b/direct/line.go
@@ -68,8 +68,7 @@
 // item describes a request to the queue, and says until when it may wait. One
 // that would have its room after the target is of little use to its caller: it
 // is told to return instead. One that returns late is served from what the others
-// leave, or refused: waiting for it, it took the places of fresh ones (worth -0.006
-// and -0.025 with 38 engines, 10 plays each).
+// leave, or refused: waiting for it, it took the places of fresh ones.
 //
 // Load pattern: a burst is refused in part, and what was refused returns in the
 // next second. Served in order of arrival, it takes the places of fresh
@@ -101,8 +100,8 @@
 	// room for larger ones.
 	contended = 2 * time.Second
 	// marginPart is the part of what a large request needs more that a smaller
-	// one has to find free as well. A whole part levels the sizes and costs one
-	// in forty answers in time (8,231 without it, 8,013 at half, of 10,865).
+	// one has to find free as well. A whole part levels the sizes, and serves fewer in
+	// time.
 	marginPart = 0.25
 	// largeFade is how the need of the largest request seen falls with each
 	// request: by half in some 70.
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -105,7 +105,6 @@
 const (
 	// gatherEach is the pause after changes for each entry of the fleet, so that
 	// all entries together call the store at the same rate however many they are.
-	// With 68 entries a quiet day took 3,092 calls and not 4,873 (worth +0.017).
 	gatherEach = 15 * time.Millisecond
 	// gatherMost bounds it: changes are to be in force within a few seconds.
 	gatherMost = time.Second
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -87,8 +87,8 @@
 		if f.unsent {
 			// No try: its engine is kept away from. The next one comes from the
 			// budget of repeats all the same: without that, prompts went on to
-			// dark engines (worth -0.006, 30 pairs), and with the budget spent
-			// they go to engines that answered lately.
+			// dark engines, and with the budget spent they go to engines that
+			// answered lately.
 			continue
 		}
 		n++
--- a/place/even.go
+++ b/place/even.go
@@ -62,7 +62,7 @@
 const (
 	// EvenStep is the part of a pool that may leave it at once to even pools out:
 	// the rest has to carry its load while they change. One at a time, 14 of 38
-	// engines stayed with prefill that had work for six (worth -0.06, 10 plays).
+	// engines stayed with prefill that had work for six.
 	EvenStep = 0.5
 	// evenLeast is how full a pool must be for it to be evened out: what is
 	// known of one that has hardly any load is noise.
--- a/place/mix.go
+++ b/place/mix.go
@@ -12,9 +12,7 @@
 // taken at decode engines follows the arrivals after the length of an answer, and
 // whether a prefill engine was busy when it was asked says little. Judged by
 // these, roles follow a burst when it is over. What a request takes of each role
-// is the same in and out of a burst, and is known from a few of them. Together with
-// the even pools it brought 0.02 of worth, with nine engines and with 38 (40 and 10
-// plays of days with faults, on fixed seeds).
+// is the same in and out of a burst, and is known from a few of them.
 type Mix struct {
 	at time.Time
 	// What was seen; all fades alike. requests counts those sent, prompts is their
@@ -46,7 +44,7 @@
 	//
 	// Failure: a prompt is read again where its memory is kept, in a fifth of the
 	// time. With the least of all for the measure, prefill seemed to need a sixth of
-	// its engines for half a minute, and sixteen of 41 left it (worth -0.03).
+	// its engines for half a minute, and sixteen of 41 left it.
 	prefillLow  = 0.25
 	prefillStep = 0.08
 	// unseen is the part that is added to the ratio for one request; it falls
