direct: less is granted over the quota, and a standby saves up next to nothing

The largest account asked for seven times its usual while a third of the entries, the one that counts for it among them, were cut off: the next one granted a second burst, and nine entries spent parts of their own shares. Change: 0.5 of the tolerance for 0.7, a fifth of an entry's share for two fifths, and a quarter of a second saved up at a standby for a whole burst. Left: an entry that is cut off goes on counting for its own callers alone (docs/questions.md).

--- a/direct/quota.go
+++ b/direct/quota.go
@@ -16,14 +16,20 @@
 	// quotaAlone is the part of its share that an entry spends which reaches none of
 	// those that count: they go on giving out all of it, since they can't tell an
 	// entry that is cut off from one that is gone.
-	quotaAlone = 0.4
+	quotaAlone = 0.2
 	// quotaSaved is the time for which an entry has saved up at its start for when it
 	// reaches none of those that count.
 	quotaSaved = time.Hour
 	// quotaOver is the part of the operators' tolerance that accounts get. The rest is for
 	// requests that reach their engines later than they were granted, and for what
 	// entries spend that can't reach the one that counts.
-	quotaOver = 0.7
+	quotaOver = 0.5
+	// quotaStandby is the time for which an entry saves up that counts only while
+	// another can't be reached.
+	//
+	// Failure: the host that counts is cut off in the middle of a flood. The next one has
+	// counted nothing for minutes, and grants a second burst in the same window.
+	quotaStandby = 250 * time.Millisecond
 )
 
 // quotas are what this entry counts for others, and what it knows of accounts that
@@ -116,6 +122,8 @@
 	terms := quota.Terms{Quota: limitOf(a)}
 	if first {
 		terms.Over = s.live.Load().Quotas.Over(terms.Quota, quotaOver)
+	} else {
+		terms.Quota.Burst = min(terms.Quota.Burst, terms.Quota.Rate*quotaStandby.Seconds())
 	}
 	return apply(&s.quotas.counter, now, call, terms)
 }
