direct, pacer: the rate limit that an upstream states is read, and a change of it logged

Cause: an upstream states in its answers how many requests a second it takes of all entries together.

Change: the adapter decodes the field; roster.Seen keeps the belief with its age (pacer.Belief: an answer that may be older than what is known ends no limit); a line `rate limit` at each change of it, `limit` and `limit_age` in `placed`, and the counter jacinthworks_limited_total. No decision goes by it yet.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -61,6 +61,7 @@
 	if note.HasLoad {
 		a.upstream.Seen.Reported(time.Now(), note.Running)
 	}
+	s.heardLimit(r, a, note, reply.Status)
 	switch {
 	case note.Elsewhere:
 		reply.Close()
--- a/direct/place.go
+++ b/direct/place.go
@@ -4,6 +4,7 @@
 	"math"
 	"time"
 
+	"jacinthworks/meter"
 	"jacinthworks/paths"
 	"jacinthworks/roster"
 	"jacinthworks/route"
@@ -89,6 +90,10 @@
 		return
 	}
 	o := p.offer
+	if rate, age := p.upstream.Seen.Limited(time.Now()); rate.Limited() {
+		more = append(more, "limit", rate, "limit_age", age)
+		s.Meter.Count("jacinthworks_limited_total", meter.Labels{"service", string(r.service.Name), "outcome", "placed"})
+	}
 	s.Log.Info("placed", append([]any{
 		"request", r.id, "service", r.service.Name, "role", role, "upstream", o.Name, "of", p.of, "full", p.full, "own", o.Own,
 		"others", math.Round(10*o.Others) / 10, "tokens", o.Tokens, "fails", math.Round(100*o.Fails) / 100, "speed", o.Speed,
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthworks/fence"
+	"jacinthworks/pacer"
 	"jacinthworks/roster"
 	"jacinthworks/send"
 	"jacinthworks/work"
@@ -110,6 +111,10 @@
 	// included.
 	HasLoad bool
 	Running int
+	// HasLimit says that Limit is the rate limit that the upstream stated, or that it
+	// stated none.
+	HasLimit bool
+	Limit    pacer.Rate
 }
 
 // Handle is the memory of a prompt that was read, at an upstream.
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -5,6 +5,7 @@
 	"sync"
 	"time"
 
+	"jacinthworks/pacer"
 	"jacinthworks/route"
 )
 
@@ -56,6 +57,8 @@
 	refused, untaken int
 	// reads is when the prompts that it was given to read here will be read.
 	reads time.Time
+	// limit is the rate limit that it states.
+	limit pacer.Belief
 }
 
 // Work is what one request takes of an upstream.
@@ -205,6 +208,26 @@
 	s.reportedAt = now
 }
 
+// Limit takes what an answer said of its rate limit, and gives the rate that was
+// believed before and the one that is now.
+func (s *Seen) Limit(st pacer.Statement) (before, now pacer.Rate) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	before = s.limit.Rate()
+	s.limit.Learn(st)
+	return before, s.limit.Rate()
+}
+
+// Limited gives its rate limit, and how long ago an answer spoke of it.
+func (s *Seen) Limited(now time.Time) (pacer.Rate, time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.limit.Rate().Limited() {
+		return pacer.None, 0
+	}
+	return s.limit.Rate(), s.limit.Age(now)
+}
+
 // Offer gives the figures that a choice goes by.
 func (s *Seen) Offer(now time.Time) route.Offer {
 	s.mu.Lock()
