test: servers of the fleet soak state rate limits

Change: in one plan of two, from seed 200 on, one server states 0.5 to 5 requests a second for 4 to 8 s, overlapping with kills, suspensions, cuts and planned work. Seeds below 200 draw what they drew before.

--- a/test/fleet.go
+++ b/test/fleet.go
@@ -35,6 +35,7 @@
 	calls   []fleetCall
 	leaves  []leave
 	configs []configured
+	limits  []limitSpan
 }
 
 // server is the server that runs under a name now. Each start of it has an id
@@ -84,6 +85,13 @@
 	at     time.Time
 }
 
+// limitSpan is the time in which a server states a rate limit.
+type limitSpan struct {
+	server   *stand.Server
+	rate     float64
+	from, to time.Time // to is zero while it lasts
+}
+
 // configured is a version of the configuration that the store has taken.
 type configured struct {
 	generation int
--- a/test/fleetjudge.go
+++ b/test/fleetjudge.go
@@ -59,6 +59,7 @@
 	f.judgeCalm(&found, ran)
 	f.judgeLeaving(&found, ran)
 	f.judgeVersions(&found)
+	f.judgeLimits(&found)
 	f.judgeProcesses(&found)
 	return found
 }
--- a/test/fleetplan.go
+++ b/test/fleetplan.go
@@ -30,6 +30,14 @@
 	storeBehind  = 2 * time.Second
 )
 
+const (
+	// fleetLimitsFrom is the first seed whose plans have rate limits: those of the
+	// seeds before stay as they were drawn.
+	fleetLimitsFrom = 200
+	// fleetLimitLast is the least time that a limit lasts, and half of the longest.
+	fleetLimitLast = 4 * time.Second
+)
+
 // everyEntry is in place of an entry's number where a fault is all entries'.
 const everyEntry = -1
 
@@ -69,6 +77,9 @@
 		// Versions come in their order.
 		s.troubles[len(s.troubles)-1].at = fleetCalm + time.Duration(n)*fleetFaults/fleetVersions
 	}
+	if seed >= fleetLimitsFrom {
+		s.addLimit(rand.New(rand.NewPCG(seed, 11)))
+	}
 	for range 1 + r.IntN(2) {
 		s.add(r, drawWork(r))
 	}
@@ -85,6 +96,40 @@
 	return s
 }
 
+// addLimit has, in one plan of two, a server state a rate limit for some seconds.
+func (s *FleetSoak) addLimit(r *rand.Rand) {
+	if r.IntN(2) == 0 {
+		return
+	}
+	name := pick(r, []string{"app-1", "app-2", "decode-1", "prefill-1"})
+	rate := pick(r, []float64{0.5, 1, 2, 5})
+	var limited *stand.Server // the one that ran at the beginning
+	s.troubles = append(s.troubles, trouble{
+		name: fmt.Sprintf("limit %s to %v a second", name, rate), entry: everyEntry, planned: true,
+		at:   time.Duration(r.Int64N(int64(fleetCalm))),
+		last: fleetLimitLast + time.Duration(r.Int64N(int64(fleetLimitLast))),
+		begin: func(f *fleet) error {
+			limited = f.server(name)
+			limited.SetLimit(fmt.Sprint(rate))
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.limits = append(f.limits, limitSpan{server: limited, rate: rate, from: time.Now()})
+			return nil
+		},
+		end: func(f *fleet) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			limited.SetLimit("")
+			for n := range f.limits {
+				if f.limits[n].server == limited {
+					f.limits[n].to = time.Now()
+				}
+			}
+			return nil
+		},
+	})
+}
+
 func (s *FleetSoak) add(r *rand.Rand, t trouble) {
 	t.at = fleetCalm + time.Duration(r.Int64N(int64(fleetFaults/2)))
 	t.last = fleetLastMin + time.Duration(r.Int64N(int64(fleetLastMax-fleetLastMin)))
