direct: each field of upstreams' answers is named in the log once

Cause: in the incident nothing in the logs showed that upstreams had begun to state something; it had to be found in the code. The class of fault is a field that nobody reads.

Change: a line at the first answer with a header field of a name not seen before, at most 64 names a process, without values.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -57,6 +57,7 @@
 	if err != nil {
 		return nil, s.broke(ctx, r, a, err)
 	}
+	s.noteFields(r.id, a.start.ID, reply.Header)
 	note := s.Protocol.Note(reply.Status, reply.Header)
 	if note.HasLoad {
 		a.upstream.Seen.Reported(time.Now(), note.Running)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -79,6 +79,7 @@
 	unready  returns
 	quotas   quotas
 	limits   limits
+	fields   fields
 	keepers  keepers
 	trackers trackers
 	// own is the version of this entry's record, as last written, and since when
