direct: after a copy entries write their records anew, and one that starts asks the others

Cause: the store lacks records of entries that came lately, and the newest configuration, until the operators write it again. An entry that starts meanwhile served routes and keys that were taken away, which no other does.

Change: the record is written anew within two seconds, drawn at random; an entry that starts in a later era asks three others for the configuration in force and takes the highest version. Nothing is asked where no copy ever came.

Measured: TestAnEntryThatStartsAfterACopyAsksTheOthers fails without the asking (404 and 200 the other way round); TestAllHearOfTheNextChangeAfterACopy with 2 entries and with 14 through relays fails without the era in watches, and without the end of waiting ones.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -22,6 +22,7 @@
 	"net/http"
 	"net/netip"
 	"os"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -91,10 +92,13 @@
 	// of roles was released.
 	leavingNow chan struct{}
 	rolesFree  chan struct{}
+	// recordGone is told when the store may lack this entry's record.
+	recordGone chan struct{}
 	// configured is closed when the first configuration is in force.
-	configured chan struct{}
-	work       group.Group
-	workCtx    context.Context
+	configured     chan struct{}
+	configuredOnce sync.Once
+	work           group.Group
+	workCtx        context.Context
 }
 
 // Run serves until ctx ends, then drains and returns.
@@ -191,6 +195,7 @@
 	s.roster.Log = s.Log
 	s.peers.fleet.Self, s.peers.fleet.Fewest = s.Settings.Name, s.Settings.RelayFrom
 	s.leavingNow, s.rolesFree, s.configured = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
+	s.recordGone = make(chan struct{}, 1)
 	s.quotas.counter.Since = time.Now()
 	s.quotas.alone.Since = s.quotas.counter.Since.Add(-quotaSaved)
 	live := s.Settings
@@ -226,43 +231,44 @@
 
 // configFeed follows the configuration.
 func (s *Server) configFeed() *feed.Feed[*paths.Config] {
-	offer := func(now time.Time, c *paths.Config) {
-		first := s.holder.Current() == nil
-		changed, found := s.holder.Offer(now, c)
-		if changed && first {
-			close(s.configured)
-		}
-		if changed {
-			s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found))
-		}
-		if changed && len(found) > 0 {
-			s.Log.Warn("configuration has findings", "version", c.Version, "findings", found.Error())
-		}
-	}
 	return &feed.Feed[*paths.Config]{
 		Name: feedConfigs, Source: relayed(s, feedConfigs, s.Configs, &s.peers.configs), Log: s.Log, Wait: s.Settings.WatchWait,
-		Gather: s.gather,
+		Gather: s.gather, Rewound: s.rewound,
 		Listed: func(now time.Time, all []feed.Item[*paths.Config]) {
 			for _, c := range feed.Values(all) {
-				offer(now, c)
+				s.offerConfig(now, c, feedConfigs)
 			}
 		},
 		Changed: func(now time.Time, changes []feed.Change[*paths.Config]) {
 			for _, c := range changes {
 				if !c.Gone && c.Unread == nil {
-					offer(now, c.Value)
+					s.offerConfig(now, c.Value, feedConfigs)
 				}
 			}
 		},
 	}
 }
 
+// offerConfig takes a configuration that somebody told, if it is newer than the one in
+// force.
+func (s *Server) offerConfig(now time.Time, c *paths.Config, by string) {
+	changed, found := s.holder.Offer(now, c)
+	if !changed {
+		return
+	}
+	s.configuredOnce.Do(func() { close(s.configured) })
+	s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found), "by", by)
+	if len(found) > 0 {
+		s.Log.Warn("configuration has findings", "version", c.Version, "findings", found.Error())
+	}
+}
+
 // serverFeed follows the registry of upstreams.
 func (s *Server) serverFeed() *feed.Feed[roster.Server] {
 	return &feed.Feed[roster.Server]{
 		Name: feedUpstreams, Source: relayed(s, feedUpstreams, s.Servers, &s.peers.upstreams), Log: s.Log, Wait: s.Settings.WatchWait,
 		StaleStart: true, Gather: s.gather,
-		Listed: s.roster.Listed, Changed: s.roster.Changed, Lost: s.roster.Lost, Regained: s.roster.Regained,
+		Listed: s.roster.Listed, Changed: s.roster.Changed, Lost: s.roster.Lost, Regained: s.roster.Regained, Rewound: s.roster.Rewound,
 	}
 }
 
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -125,11 +125,36 @@
 			s.Log.Debug("records of the entries not read", "err", err)
 			wait = memberRetry
 		}
-		group.Pause(ctx, wait)
+		s.pauseRecord(ctx, wait)
 	}
 	return nil
 }
 
+// recordAgain is the longest time until an entry writes its record anew after the store
+// came back from an older copy, which all entries hear of at once.
+const recordAgain = 2 * time.Second
+
+// rewound notes that the store has come back from an older copy.
+func (s *Server) rewound(time.Time) {
+	s.Meter.Count("jacinthworks_store_copies_total", nil)
+	select {
+	case s.recordGone <- struct{}{}:
+	default: // is told already
+	}
+}
+
+// pauseRecord waits until this entry's record is to be written again.
+func (s *Server) pauseRecord(ctx context.Context, wait time.Duration) {
+	t := time.NewTimer(wait)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	case <-s.recordGone:
+		group.Pause(ctx, rand.N(recordAgain))
+	}
+}
+
 // relaysWithin bounds the wait for the relays at a start: two pages, which take some
 // milliseconds. Without them the store is watched directly.
 const relaysWithin = 300 * time.Millisecond
@@ -157,6 +182,7 @@
 			s.own, s.since = plat.Version(i.Revision), i.Value.Since
 		}
 	}
+	s.askConfigs(ctx, all)
 	return true
 }
 
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -56,6 +56,7 @@
 	m.Handle("GET "+relay.Path+feedUpstreams, relay.Handler(&s.peers.upstreams))
 	m.Handle("GET "+relay.Path+feedNotices, relay.Handler(&s.peers.notices))
 	m.HandleFunc("GET "+mixPath, s.serveMix)
+	m.HandleFunc("GET "+configPath, s.serveConfig)
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("POST "+quotaPath, keeperHandler(s, s.answerQuota))
 	m.HandleFunc("POST "+limitPath, keeperHandler(s, s.answerLimit))
