fence, conf: a process that starts does not take a copy for the first store

Cause: eras count from zero or from one, so that era one is either the first store or a copy. A process that starts after a copy took a missing record of the lease for a lease that nobody ever held.

Change: wherever eras are counted, a first reading waits for a whole lease, unless the settings say that the whole system starts for the first time (first_start, which the platform fills in) and the era is no higher than one.

TestAReleaseInACopyIsNotBelieved.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -54,7 +54,10 @@
 	StopWithin time.Duration
 	// WatchWait is how long a watch at the store waits; default 10s.
 	WatchWait time.Duration
-	Repeats   Repeats
+	// FirstStart says that the whole system starts for the first time, on a store that was
+	// just set up; default false.
+	FirstStart bool
+	Repeats    Repeats
 	// Quotas is how far client accounts may go over their quotas: an overage, which is a
 	// part of them, and a slack, in whatever quotas count, in any window. By default
 	// not at all.
@@ -94,6 +97,7 @@
 		Platform:      r.dialAddr("platform"),
 		StopWithin:    r.duration("stop_within"),
 		WatchWait:     r.duration("watch_wait"),
+		FirstStart:    r.boolean("first_start"),
 		Repeats:       r.repeats(),
 		Quotas:        r.quotas(),
 		Log:           r.log(),
--- a/conf/direct_test.go
+++ b/conf/direct_test.go
@@ -29,6 +29,12 @@
 	require.Equal(t, conf.Repeats{Ratio: 0.2, Fixed: 54, Span: 10 * time.Second}, d.Repeats)
 	require.Equal(t, 8*time.Second, d.StopWithin)
 	require.Equal(t, 10*time.Second, d.WatchWait)
+	require.False(t, d.FirstStart)
+	first, err := conf.ParseDirect("direct.toml", []byte("first_start = true\n"+directFile))
+	require.NoError(t, err)
+	require.True(t, first.FirstStart)
+	_, err = conf.ParseDirect("direct.toml", []byte("first_start = \"yes\"\n"+directFile))
+	require.ErrorContains(t, err, "first_start")
 	require.NoError(t, conf.CheckFile("direct.toml", []byte(directFile)))
 }
 
--- a/conf/reader.go
+++ b/conf/reader.go
@@ -193,6 +193,15 @@
 	return n
 }
 
+func (r *reader) boolean(path string) bool {
+	v := r.value(path)
+	b, ok := v.(bool)
+	if v != nil && !ok {
+		r.add(path, "must be true or false, not %s", typeName(v))
+	}
+	return b
+}
+
 func (r *reader) duration(path string) time.Duration {
 	s := r.text(path)
 	if s == "" {
--- a/direct/newest.go
+++ b/direct/newest.go
@@ -41,13 +41,13 @@
 }
 
 // askConfigs takes the newest configuration that some other entries have in force, where
-// the store has ever come back from a copy.
+// the store may ever have come back from a copy.
 //
 // Failure: an entry starts after the store has come back from an older copy, and before
 // the operators have written what it lacks. It serves routes and keys that were taken
 // away, which no other entry does.
 func (s *Server) askConfigs(ctx context.Context, known []feed.Item[Member]) {
-	if !slices.ContainsFunc(known, func(i feed.Item[Member]) bool { return i.Revision.Copied() }) {
+	if !slices.ContainsFunc(known, func(i feed.Item[Member]) bool { return i.Revision.MayBeCopied() }) {
 		return
 	}
 	others := drawn(s.peers.fleet.Others(len(known)), configAsked)
--- a/direct/reload.go
+++ b/direct/reload.go
@@ -50,6 +50,6 @@
 
 // needsRestart says whether settings changed that are read at the start only.
 func needsRestart(old, fresh conf.Direct) bool {
-	fresh.Repeats, fresh.Quotas, fresh.StopWithin = old.Repeats, old.Quotas, old.StopWithin
+	fresh.Repeats, fresh.Quotas, fresh.StopWithin, fresh.FirstStart = old.Repeats, old.Quotas, old.StopWithin, old.FirstStart
 	return old != fresh
 }
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -38,7 +38,7 @@
 	}
 	k := &lease.Keeper{
 		Records: s.Records, Name: rolesLease,
-		Guard: fence.Guard{Holder: s.Settings.Name, Incarnation: work.NewIncarnation()},
+		Guard: fence.Guard{Holder: s.Settings.Name, Incarnation: work.NewIncarnation(), Fresh: s.Settings.FirstStart},
 	}
 	planners := make(map[work.Service]*place.Planner)
 	held := false
--- a/epoch/epoch.go
+++ b/epoch/epoch.go
@@ -20,9 +20,6 @@
 	maxEra       = 1<<(64-revisionBits) - 1
 	// termEra is what an era adds to a term: more changes than a copy lacks.
 	termEra = 1 << 20
-	// firstEra is the highest era in which no store has come back from a copy, whether it
-	// counts from zero or from one.
-	firstEra = 1
 )
 
 // Position is a revision in an era. Positions are compared as numbers.
@@ -50,8 +47,9 @@
 	return strconv.FormatUint(p.Era(), 10) + "." + revision
 }
 
-// Copied says whether the store has ever come back from an older copy.
-func (p Position) Copied() bool { return p.Era() > firstEra }
+// MayBeCopied says whether the store may ever have come back from an older copy: it counts
+// eras, from zero or from one.
+func (p Position) MayBeCopied() bool { return p.Era() > 0 }
 
 // Term gives a number for fencing tokens that is higher for a later position, also of
 // a later era whose revisions began anew up to a million lower. It is about as short as
--- a/fence/fence.go
+++ b/fence/fence.go
@@ -60,6 +60,9 @@
 	Drift = 0.01
 	// Retry is the pause after an answer that was lost or refused.
 	Retry = 500 * time.Millisecond
+	// setUpEra is the highest era of a platform that was just set up, whether it counts
+	// from zero or from one.
+	setUpEra = 1
 )
 
 // The errors of May and Gave.
@@ -130,6 +133,9 @@
 type Guard struct {
 	Holder      work.Host
 	Incarnation work.Incarnation
+	// Fresh says that the platform's store was just set up, so that nobody can have held
+	// the lease before in the era that is found.
+	Fresh bool
 
 	state   state
 	version epoch.Position // of the record as last read or written
@@ -141,10 +147,11 @@
 	given   uint64         // orders given in this term
 	highest Number
 	nonce   uint64
-	// read says that version is of a reading or a write.
-	read  bool
-	sent  map[uint64]time.Time // our writes without a known outcome, by nonce
-	retry time.Time
+	// read says that the record was read, firstEra is the era of the first reading.
+	read     bool
+	firstEra uint64
+	sent     map[uint64]time.Time // our writes without a known outcome, by nonce
+	retry    time.Time
 }
 
 // Next says what to do now.
@@ -187,18 +194,21 @@
 	sent, ours := g.sent[r.Nonce]
 	missing := version.Revision() == 0
 	self := r.Holder == g.Holder && r.Incarnation == g.Incarnation && !missing
+	copied := g.isCopy(version)
+	if !g.read {
+		g.read, g.firstEra = true, version.Era()
+	}
 	switch {
-	case g.isCopy(version):
+	case copied:
 		g.sawCopy(answered, version)
 	case self && ours:
 		// The write whose answer was lost took effect.
 		g.took(sent, version)
-	case self && version == g.own, missing && !version.Copied():
+	case self && version == g.own, missing && g.isSound(version):
 		// Nobody wrote since we did, or ever: nobody else can be giving
 		// orders, and the write is conditional on its staying so.
 		g.state, g.version = free, version
 	case version != g.version || g.seen.IsZero():
-		g.read = true
 		g.state, g.version, g.seen, g.ends = waiting, version, answered, longer(TTL)
 		if r.Released {
 			g.ends = longer(OrderTime)
@@ -210,9 +220,15 @@
 	}
 }
 
-// isCopy says whether a reading is the first after the platform came back from a copy.
+// isSound says whether the platform can't have come back from a copy by then.
+func (g *Guard) isSound(version epoch.Position) bool {
+	set := g.Fresh && version.Era() <= setUpEra && (!g.read || version.Era() == g.firstEra)
+	return set || !version.MayBeCopied()
+}
+
+// isCopy says whether a reading may be the first after the platform came back from a copy.
 func (g *Guard) isCopy(version epoch.Position) bool {
-	return version.Copied() && (!g.read || version.Era() != g.version.Era())
+	return !g.isSound(version) && (!g.read || version.Era() != g.version.Era())
 }
 
 // sawCopy takes the first reading after the platform came back from an older copy.
@@ -223,7 +239,7 @@
 // all others wait for the whole time of a lease, whatever the record says.
 func (g *Guard) sawCopy(answered time.Time, version epoch.Position) {
 	held := g.term != 0 && answered.Before(g.renewed.Add(shorter(TTL)))
-	g.read, g.version, g.own = true, version, 0
+	g.version, g.own = version, 0
 	if held {
 		g.state = free
 		return
@@ -273,7 +289,7 @@
 	if !kept {
 		g.term, g.given = version.Term(), 0
 	}
-	g.state, g.version, g.own, g.renewed, g.seen, g.read = holding, version, version, sent, time.Time{}, true
+	g.state, g.version, g.own, g.renewed, g.seen = holding, version, version, sent, time.Time{}
 	clear(g.sent)
 }
 
--- a/fence/fence_test.go
+++ b/fence/fence_test.go
@@ -222,6 +222,7 @@
 	w.copies = copies
 	for i, rate := range []float64{1, 0.996, 1.004} {
 		h := &host{rate: rate, naive: naive}
+		h.guard.Fresh = true
 		h.guard.Holder, h.guard.Incarnation = work.Host([]string{"a", "b", "c"}[i]), 1
 		w.hosts = append(w.hosts, h)
 	}
@@ -301,6 +302,7 @@
 				w := newWorld(uint64(stopped))
 				for _, name := range []work.Host{"a", "b"} {
 					h := &host{rate: 1}
+					h.guard.Fresh = true
 					h.guard.Holder, h.guard.Incarnation = name, 1
 					w.hosts = append(w.hosts, h)
 				}
@@ -326,16 +328,19 @@
 func TestAReleaseInACopyIsNotBelieved(t *testing.T) {
 	released := Record{Holder: "a", Incarnation: 1, Nonce: 7, Released: true}
 	c := Guard{Holder: "c", Incarnation: 1}
-	c.Saw(start, released, epoch.At(2, 40))
+	c.Saw(start, released, epoch.At(1, 40))
 	require.GreaterOrEqual(t, c.Next(start).Until.Sub(start), TTL)
 	c = Guard{Holder: "c", Incarnation: 1}
-	c.Saw(start, released, epoch.At(1, 40))
-	require.Less(t, c.Next(start).Until.Sub(start), TTL, "no copy")
+	c.Saw(start, released, epoch.At(0, 40))
+	require.Less(t, c.Next(start).Until.Sub(start), TTL, "no eras are counted")
+	c = Guard{Holder: "c", Incarnation: 1, Fresh: true}
+	c.Saw(start, Record{}, epoch.At(1, 0))
+	require.Equal(t, Write, c.Next(start).Do, "the store was just set up")
 	c = Guard{Holder: "c", Incarnation: 1}
-	c.Saw(start, Record{}, epoch.At(2, 0))
+	c.Saw(start, Record{}, epoch.At(1, 0))
 	require.GreaterOrEqual(t, c.Next(start).Until.Sub(start), TTL, "the copy may lack the record")
 	c.Doubt()
-	c.Saw(start.Add(time.Second), Record{}, epoch.At(2, 0))
+	c.Saw(start.Add(time.Second), Record{}, epoch.At(1, 0))
 	require.GreaterOrEqual(t, c.Next(start).Until.Sub(start), TTL)
 }
 
