--- a/test/fleet.go
+++ b/test/fleet.go
@@ -108,9 +108,13 @@
 )
 
 // newFleet starts store, servers and entries, and waits until all are ready.
-func newFleet(bin Binaries, dir string) (*fleet, error) {
+// The store counts its eras where that is asked for.
+func newFleet(bin Binaries, dir string, eras bool) (*fleet, error) {
 	f := &fleet{w: newWorld(bin, dir), store: stand.NewStore(), servers: make(map[string]*server)}
 	f.store.SetStale(time.Second)
+	if eras {
+		f.store.CountEras()
+	}
 	f.configure(0)
 	for n := range 3 {
 		f.add(fmt.Sprintf("app-%d", n+1), "cards", "")
@@ -149,6 +153,13 @@
 // configure writes the configuration that sends probes to a generation. The
 // versions increase in uneven steps.
 func (f *fleet) configure(n int) {
+	f.writeConfig(n)
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.configs = append(f.configs, configured{generation: n, at: time.Now()})
+}
+
+func (f *fleet) writeConfig(n int) {
 	plain := []string{"cards"}
 	for i := range fleetVersions {
 		plain = append(plain, generation(i))
@@ -161,9 +172,25 @@
 		stand.Route{Prefix: "/resumed/", Kind: "streaming", Service: "model", Attempts: 2, Resumable: true},
 		stand.Route{Prefix: "/probe/", Kind: "idempotent", Service: generation(n), Attempts: 1},
 	))
+}
+
+// writeAnew writes again what the operators and the servers wrote, after the store came
+// back from a copy that may lack it, and takes out the entries of servers that are gone.
+func (f *fleet) writeAnew() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	f.configs = append(f.configs, configured{generation: n, at: time.Now()})
+	f.writeConfig(f.configs[len(f.configs)-1].generation)
+	runs := make(map[*stand.Server]bool)
+	for _, s := range f.servers {
+		runs[s.now] = true
+	}
+	for _, s := range f.past {
+		if runs[s] {
+			s.Register()
+		} else {
+			f.store.Delete("servers", s.Entry.ID)
+		}
+	}
 }
 
 // add starts a server under a name, for the first time or again.
--- a/test/fleetplan.go
+++ b/test/fleetplan.go
@@ -28,11 +28,13 @@
 	fleetDrain   = 2 * time.Second // that a leaving server serves on
 	storeSlow    = 300 * time.Millisecond
 	storeBehind  = 2 * time.Second
+	storeCopyAge = 7 * time.Second        // beyond a second
+	storeAnew    = 500 * time.Millisecond // until all has been written again
 )
 
 const (
-	// fleetLimitsFrom is the first seed whose plans have rate limits: those of the
-	// seeds before stay as they were drawn.
+	// fleetLimitsFrom is the first seed whose plans have rate limits and a store that
+	// counts eras: those of the seeds before stay as they were drawn.
 	fleetLimitsFrom = 200
 	// fleetLimitLast is the least time that a limit lasts, and half of the longest.
 	fleetLimitLast = 4 * time.Second
@@ -79,6 +81,7 @@
 	}
 	if seed >= fleetLimitsFrom {
 		s.addLimit(rand.New(rand.NewPCG(seed, 11)))
+		s.addCopies(rand.New(rand.NewPCG(seed, 12)))
 	}
 	for range 1 + r.IntN(2) {
 		s.add(r, drawWork(r))
@@ -130,6 +133,31 @@
 	})
 }
 
+// addCopies has, in one plan of two but for those with planned work only, the store come
+// back from older copies, once or twice.
+func (s *FleetSoak) addCopies(r *rand.Rand) {
+	if s.Seed%4 == 0 || r.IntN(2) == 0 {
+		return
+	}
+	for range 1 + r.IntN(2) {
+		age := time.Second + time.Duration(r.Int64N(int64(storeCopyAge)))
+		s.add(r, trouble{
+			name: fmt.Sprintf("store comes back from a copy %v old", age.Round(time.Millisecond)), entry: everyEntry,
+			begin: func(f *fleet) error {
+				f.store.SetDown(true)
+				f.store.Rewind(age)
+				return nil
+			},
+			end: func(f *fleet) error {
+				f.store.SetDown(false)
+				group.Pause(f.w.ctx, storeAnew)
+				f.writeAnew()
+				return nil
+			},
+		})
+	}
+}
+
 func (s *FleetSoak) add(r *rand.Rand, t trouble) {
 	t.at = fleetCalm + time.Duration(r.Int64N(int64(fleetFaults/2)))
 	t.last = fleetLastMin + time.Duration(r.Int64N(int64(fleetLastMax-fleetLastMin)))
@@ -294,7 +322,7 @@
 // Run plays the plan under traffic and judges it. Its error lists all findings;
 // tally says what the callers saw.
 func (s FleetSoak) Run(bin Binaries, dir string) (tally string, err error) {
-	f, err := newFleet(bin, dir)
+	f, err := newFleet(bin, dir, s.Seed >= fleetLimitsFrom)
 	defer f.close()
 	if err != nil {
 		return "", errors.Wrap(err, "fleet")
