entry, limit: a caller's rate holds over all entries

Cause, the class of the incident (a bound over all processes that each counts apart): with four entries a caller has four times the caller_rate of its row.

Change: the entry that comes first for the caller, service and kind by rendezvous among the entries' record counts for all; the next one stands by without a burst; an entry that reaches none has its part. A caller that was told to wait is refused without a call. The rendezvous of relay.Owners and this one are one function (relay.Rank). A count starts with nothing saved up at the process's start.

Not shown between processes: kills and cuts within a burst.

--- a/entry/entry.go
+++ b/entry/entry.go
@@ -56,6 +56,7 @@
 	self        atomic.Pointer[member.Member]
 	tables      table.Holder
 	schedulers  schedulers
+	rates       rates
 	owners      owners
 	retries     retry.Policy
 	crashes     retry.Ledger
@@ -150,6 +151,7 @@
 	e.Settings.Limits = e.Settings.Limits.OrDefaults()
 	e.Settings.Timings = e.Settings.Timings.OrDefaults()
 	e.started = time.Now()
+	e.rates.begin(e.started)
 	e.incarnation = work.NewIncarnation()
 	e.accounts = newAccounts(e.Settings.Callers)
 	e.sides.Local = &wire.Local{
--- a/entry/http.go
+++ b/entry/http.go
@@ -79,7 +79,7 @@
 		e.accept(r)
 		e.Step.At(steps.EntryAccepted)
 		if f == nil {
-			f = e.mayAccept(r)
+			f = e.mayAccept(h.Context(), r)
 		}
 		if f != nil {
 			e.refuse(w, r, f)
@@ -132,7 +132,7 @@
 }
 
 // mayAccept refuses what this entry must not take now.
-func (e *Entry) mayAccept(r *request) *failure {
+func (e *Entry) mayAccept(ctx context.Context, r *request) *failure {
 	if e.draining.Load() {
 		return &failure{ran: work.NotRun, reason: work.ReasonDraining, detail: "this entry is stopping", retryAfter: time.Second}
 	}
@@ -145,7 +145,7 @@
 	if f := e.findRow(r); f != nil {
 		return f
 	}
-	if wait, ok := e.schedulers.take(time.Now(), r); !ok {
+	if wait, ok := e.takeRate(ctx, r); !ok {
 		return &failure{ran: work.NotRun, reason: work.ReasonCallerShare, detail: "the caller is over its rate for this kind", retryAfter: wait}
 	}
 	return nil
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -46,6 +46,8 @@
 		return struct{}{}, nil
 	case wire.MethodStory:
 		return wire.Decode(params, e.giveStory)
+	case wire.MethodRate:
+		return wire.Decode(params, e.giveRate)
 	}
 	return nil, &wire.Refused{Reason: work.ReasonBadInput, Ran: work.NotRun, Detail: "no method " + method}
 }
--- a/entry/schedule.go
+++ b/entry/schedule.go
@@ -7,7 +7,6 @@
 	"sync"
 	"time"
 
-	"jacinthworks/limit"
 	"jacinthworks/queue"
 	"jacinthworks/route"
 	"jacinthworks/table"
@@ -63,9 +62,8 @@
 
 // schedulers holds a scheduler for each service in the table.
 type schedulers struct {
-	mu    sync.Mutex
-	all   map[work.Service]*scheduler
-	rates limit.Rates
+	mu  sync.Mutex
+	all map[work.Service]*scheduler
 }
 
 func (s *schedulers) of(name work.Service) *scheduler {
@@ -87,14 +85,6 @@
 	return s.all[name]
 }
 
-// take counts a request against its caller's rate for the row.
-func (s *schedulers) take(now time.Time, r *request) (time.Duration, bool) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	of := limit.Of{Account: r.account, Service: r.service, Kind: r.kind}
-	return s.rates.Take(now, of, r.row.CallerRate)
-}
-
 func (s *schedulers) each(do func(*scheduler)) {
 	s.mu.Lock()
 	all := make([]*scheduler, 0, len(s.all))
--- a/limit/limit.go
+++ b/limit/limit.go
@@ -1,5 +1,5 @@
 // Package limit bounds how many requests a second each caller may send for a
-// row of the table at one entry.
+// row of the table, over all entries: one of them counts for each caller and row.
 //
 // The load pattern it answers: a caller's program in a loop. Fair queueing
 // already keeps it from harming others, but each of its requests would still
@@ -9,14 +9,15 @@
 //
 // # Usage
 //
-//	var l limit.Rates
-//	wait, ok := l.Take(now, limit.Of{Account: a, Row: key}, row.CallerRate)
+//	l := limit.Rates{Since: started}          // at the entry that counts
+//	wait, ok := l.Take(now, limit.Of{Account: a, Service: s, Kind: k}, row.CallerRate, limit.Burst)
 //	if !ok { refuse(retryAfter(wait)) }
 //
 // The package reads no clock. Rates is not safe for concurrent use.
 package limit
 
 import (
+	"maps"
 	"time"
 
 	"jacinthworks/work"
@@ -26,15 +27,24 @@
 // let a page of look-ups load at once for a caller that keeps to its rate.
 const Burst = 5 * time.Second
 
+// StandbyBurst is the same at an entry that counts while the one before it can't be
+// reached: a second burst would be granted beside the first.
+const StandbyBurst = 250 * time.Millisecond
+
 // most bounds the buckets kept. Those that have filled up again say nothing
 // and are dropped first; 2,100 callers with a few kinds each fit.
 const most = 16384
 
 // Of names what a rate is counted by.
 type Of struct {
-	Account work.Account
-	Service work.Service
-	Kind    work.Kind
+	Account work.Account `json:"account"`
+	Service work.Service `json:"service"`
+	Kind    work.Kind    `json:"kind"`
+}
+
+// Key is by which the entry is found that counts.
+func (o Of) Key() string {
+	return "rate/" + string(o.Account) + "/" + string(o.Service) + "/" + string(o.Kind)
 }
 
 // bucket is a token bucket; level is in requests.
@@ -45,19 +55,24 @@
 
 // Rates holds a bucket for each caller and row. The zero value is ready to use.
 type Rates struct {
+	// Since is the start of the process: what callers had before is not known, so that
+	// they have saved up nothing then. Zero is long ago.
+	Since time.Time
+
 	buckets map[Of]bucket
 }
 
-// Take counts one request at the given rate, in requests a second; zero is no
-// limit. If there is no room it says when there will be.
-func (r *Rates) Take(now time.Time, of Of, rate float64) (time.Duration, bool) {
+// Take counts one request at the given rate, in requests a second, of which so much time
+// may be saved up; a rate of zero is no limit. If there is no room it says when there
+// will be.
+func (r *Rates) Take(now time.Time, of Of, rate float64, burst time.Duration) (time.Duration, bool) {
 	if rate <= 0 {
 		return 0, true
 	}
-	full := max(1, rate*Burst.Seconds())
+	full := max(1, rate*burst.Seconds())
 	b, known := r.buckets[of]
 	if !known {
-		b = bucket{level: full, at: now}
+		b = bucket{level: min(full, rate*now.Sub(r.Since).Seconds()), at: now}
 	}
 	b.level = min(full, b.level+now.Sub(b.at).Seconds()*rate)
 	b.at = now
@@ -88,3 +103,26 @@
 		}
 	}
 }
+
+// Told are the callers that were told to wait. The zero value is ready to use.
+//
+// Load pattern: a caller's program in a loop, which does not wait as it was told. Each
+// refusal would cost a call to the entry that counts; told once, the others refuse by
+// themselves until then.
+type Told struct{ until map[Of]time.Time }
+
+// Wait gives how long the caller is known to have nothing.
+func (t *Told) Wait(now time.Time, of Of) time.Duration { return max(0, t.until[of].Sub(now)) }
+
+// Note remembers a caller that has to wait.
+func (t *Told) Note(now time.Time, of Of, wait time.Duration) {
+	if t.until == nil {
+		t.until = make(map[Of]time.Time)
+	}
+	if len(t.until) >= most {
+		maps.DeleteFunc(t.until, func(_ Of, until time.Time) bool { return !until.After(now) })
+	}
+	if len(t.until) < most {
+		t.until[of] = now.Add(wait)
+	}
+}
--- a/limit/limit_test.go
+++ b/limit/limit_test.go
@@ -17,12 +17,12 @@
 	served := 0
 	for range 60 * 100 {
 		now = now.Add(10 * time.Millisecond)
-		if _, ok := r.Take(now, Of{Account: "loop"}, rate); ok {
+		if _, ok := r.Take(now, Of{Account: "loop"}, rate, Burst); ok {
 			served++
 		}
 	}
 	require.InDelta(t, 60*rate+rate*Burst.Seconds(), served, 1)
-	_, ok := r.Take(now, Of{Account: "other"}, rate)
+	_, ok := r.Take(now, Of{Account: "other"}, rate, Burst)
 	require.True(t, ok)
 }
 
@@ -35,13 +35,13 @@
 		rate := rapid.Float64Range(0.1, 100).Draw(t, "rate")
 		of := Of{Account: "a"}
 		for range rapid.IntRange(1, 2000).Draw(t, "sent") {
-			wait, ok := r.Take(now, of, rate)
+			wait, ok := r.Take(now, of, rate, Burst)
 			if ok {
 				continue
 			}
-			_, early := r.Take(now.Add(wait-time.Millisecond), of, rate)
+			_, early := r.Take(now.Add(wait-time.Millisecond), of, rate, Burst)
 			require.False(t, early && wait > time.Millisecond)
-			_, due := r.Take(now.Add(wait+time.Microsecond), of, rate)
+			_, due := r.Take(now.Add(wait+time.Microsecond), of, rate, Burst)
 			require.True(t, due)
 			return
 		}
--- a/relay/owners.go
+++ b/relay/owners.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"slices"
 	"time"
+
+	"jacinthworks/work"
 )
 
 // keeper is a process as a keeper of state; peer is nil for this one.
@@ -38,19 +40,15 @@
 func (f *Fleet) Owners(now time.Time, key string, most int) []Owner {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	type ranked struct {
-		keeper
-		weight uint64
-	}
-	var able []ranked
+	var able []keeper
 	first := f.firstSince()
 	for _, k := range f.keepers {
 		known := k.Since.Sub(first) <= keeperTogether || now.Sub(k.Since) >= keeperKnown
 		if known && k.Cores >= keeperPart*f.keepers[0].Cores {
-			able = append(able, ranked{k, nameHash(key + "/" + string(k.Name))})
+			able = append(able, k)
 		}
 	}
-	slices.SortFunc(able, func(a, b ranked) int { return cmp.Compare(b.weight, a.weight) })
+	Rank(key, able, func(k keeper) work.Host { return k.Name })
 	var owners []Owner
 	for _, k := range able[:min(len(able), most)] {
 		owners = append(owners, Owner{k.peer})
@@ -58,6 +56,14 @@
 	return owners
 }
 
+// Rank sorts processes into the order in which they keep the state of a key, by
+// rendezvous hashing: all that know the same processes find the same order, and one that
+// is lost moves only its own keys.
+func Rank[T any](key string, all []T, name func(T) work.Host) {
+	weight := func(t T) uint64 { return nameHash(key + "/" + string(name(t))) }
+	slices.SortFunc(all, func(a, b T) int { return cmp.Compare(weight(b), weight(a)) })
+}
+
 func (f *Fleet) firstSince() time.Time {
 	var first time.Time
 	for n, k := range f.keepers {
--- a/table/row.go
+++ b/table/row.go
@@ -22,7 +22,7 @@
 	// InFlight limits requests in progress per entry; QueueLimit those waiting.
 	InFlight   int `json:"in_flight"`
 	QueueLimit int `json:"queue_limit"`
-	// CallerRate limits requests a second per caller and entry; zero is no limit.
+	// CallerRate limits requests a second per caller, over all entries; zero is no limit.
 	CallerRate float64 `json:"caller_rate"`
 	// Deadline is the time from acceptance to the end of the answer.
 	Deadline Duration `json:"deadline"`
--- a/wire/order.go
+++ b/wire/order.go
@@ -6,6 +6,7 @@
 
 	"jacinthworks/claim"
 	"jacinthworks/engine"
+	"jacinthworks/limit"
 	"jacinthworks/retry"
 	"jacinthworks/work"
 )
@@ -153,6 +154,25 @@
 	Value   json.RawMessage `json:"value,omitempty"`
 }
 
+// MethodRate asks the entry that counts for a caller whether it may send one more
+// request: RateAsk to Rated.
+const MethodRate = "rate"
+
+// RateAsk is a request of a caller for a row of the table.
+type RateAsk struct {
+	Of limit.Of `json:"of"`
+	// Rate is the row's, in requests a second.
+	Rate float64 `json:"rate"`
+	// Standby says that the entry is not the first that counts for the caller.
+	Standby bool `json:"standby,omitempty"`
+}
+
+// Rated is the answer: if it may not, when it may.
+type Rated struct {
+	Granted bool          `json:"granted"`
+	Wait    time.Duration `json:"wait,omitempty"`
+}
+
 // MethodState asks an entry for its own state: nothing to State.
 const MethodState = "state"
 
