--- a/roster/roster.go
+++ b/roster/roster.go
@@ -130,12 +130,6 @@
 	doubted map[ID]doubt
 }
 
-// doubt is an entry of an older copy as it was listed, and until when it is not believed.
-type doubt struct {
-	entry Server
-	until time.Time
-}
-
 // Known says whether the registry was ever read.
 func (r *Roster) Known() bool {
 	r.mu.Lock()
@@ -234,57 +228,6 @@
 	r.away, r.returned = false, now
 }
 
-const (
-	// leftFor is how long a start that is gone is remembered: a copy is some seconds old.
-	leftFor = time.Minute
-	// doubtedFor is how long an entry of an older copy is not believed: by then an
-	// upstream that lives has written its own again, and one that does not has lapsed.
-	doubtedFor = 5 * time.Second
-)
-
-// Rewound notes that the registry has come back from an older copy, of which a list
-// follows. What it lacks may have come since, as after an outage.
-func (r *Roster) Rewound(now time.Time) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.away, r.returned, r.rewound = false, now, true
-}
-
-// corrected gives an entry of an older copy by what was known before.
-//
-// Failure: the copy names upstreams that have left since as ready. They get requests
-// again, until they are gone for the registry a second time. What an upstream has said
-// of its leaving holds until it writes its entry anew.
-func (r *Roster) corrected(now time.Time, i feed.Item[Server]) feed.Item[Server] {
-	if i.Unread != nil || i.Value.Draining {
-		return i
-	}
-	u := r.members[i.Value.ID]
-	at, left := r.left[i.Value.Key()]
-	if left && now.Sub(at) < leftFor || u != nil && u.Server().Same(i.Value.Start) && u.Server().Draining {
-		if r.doubted == nil {
-			r.doubted = make(map[ID]doubt)
-		}
-		r.doubted[i.Value.ID] = doubt{i.Value, now.Add(doubtedFor)}
-		i.Value.Draining = true
-		r.Log.Info("entry of an older copy corrected", "upstream", i.Value.ID, "service", i.Value.Service, "left", left)
-	}
-	return i
-}
-
-// gone remembers a start that has left.
-func (r *Roster) gone(now time.Time, s Start) {
-	if r.left == nil {
-		r.left = make(map[Key]time.Time)
-	}
-	for k, at := range r.left {
-		if now.Sub(at) >= leftFor {
-			delete(r.left, k)
-		}
-	}
-	r.left[s.Key()] = now
-}
-
 func (r *Roster) put(now time.Time, s Server) {
 	if r.members == nil {
 		r.members = make(map[ID]*Upstream)
@@ -373,16 +316,6 @@
 	}
 }
 
-// believe takes entries of an older copy as they are that nobody has written anew.
-func (r *Roster) believe(now time.Time) {
-	for id, d := range r.doubted {
-		if now.After(d.until) {
-			delete(r.doubted, id)
-			r.put(now, d.entry)
-		}
-	}
-}
-
 // expire removes lapsed members whose grace has passed.
 func (r *Roster) expire(now time.Time) {
 	r.believe(now)
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -85,13 +85,6 @@
 	at     time.Time
 }
 
-// limitSpan is the time in which a server states a rate limit.
-type limitSpan struct {
-	server   *stand.Server
-	rate     float64
-	from, to time.Time // to is zero while it lasts
-}
-
 // configured is a version of the configuration that the store has taken.
 type configured struct {
 	generation int
@@ -174,25 +167,6 @@
 	))
 }
 
-// writeAnew writes again what the operators and the servers wrote, after the store came
-// back from a copy that may lack it, and takes out the entries of servers that are gone.
-func (f *fleet) writeAnew() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.writeConfig(f.configs[len(f.configs)-1].generation)
-	runs := make(map[*stand.Server]bool)
-	for _, s := range f.servers {
-		runs[s.now] = true
-	}
-	for _, s := range f.past {
-		if runs[s] {
-			s.Register()
-		} else {
-			f.store.Delete("servers", s.Entry.ID)
-		}
-	}
-}
-
 // add starts a server under a name, for the first time or again.
 func (f *fleet) add(name, service, stage string) {
 	f.mu.Lock()
--- a/test/fleetlimit.go
+++ b/test/fleetlimit.go
@@ -1,6 +1,12 @@
 package test
 
-import "time"
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"jacinthworks/platform/stand"
+)
 
 // What a server that states a rate limit may get in limitIn: limitOver times what it
 // allows, and limitFixed more, of entries that were told limitTold before.
@@ -11,6 +17,47 @@
 	limitTold  = 500 * time.Millisecond
 )
 
+// limitSpan is the time in which a server states a rate limit.
+type limitSpan struct {
+	server   *stand.Server
+	rate     float64
+	from, to time.Time // to is zero while it lasts
+}
+
+// addLimit has, in one plan of two, a server state a rate limit for some seconds.
+func (s *FleetSoak) addLimit(r *rand.Rand) {
+	if r.IntN(2) == 0 {
+		return
+	}
+	name := pick(r, []string{"app-1", "app-2", "decode-1", "prefill-1"})
+	rate := pick(r, []float64{0.5, 1, 2, 5})
+	var limited *stand.Server // the one that ran at the beginning
+	s.troubles = append(s.troubles, trouble{
+		name: fmt.Sprintf("limit %s to %v a second", name, rate), entry: everyEntry, planned: true,
+		at:   time.Duration(r.Int64N(int64(fleetCalm))),
+		last: fleetLimitLast + time.Duration(r.Int64N(int64(fleetLimitLast))),
+		begin: func(f *fleet) error {
+			limited = f.server(name)
+			limited.SetLimit(fmt.Sprint(rate))
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			f.limits = append(f.limits, limitSpan{server: limited, rate: rate, from: time.Now()})
+			return nil
+		},
+		end: func(f *fleet) error {
+			f.mu.Lock()
+			defer f.mu.Unlock()
+			limited.SetLimit("")
+			for n := range f.limits {
+				if f.limits[n].server == limited {
+					f.limits[n].to = time.Now()
+				}
+			}
+			return nil
+		},
+	})
+}
+
 // judgeLimits: a server that states a rate limit gets no more than that of all entries
 // that know of it, whatever else goes on. One that was killed, suspended or cut lately is
 // left out.
--- a/test/fleetplan.go
+++ b/test/fleetplan.go
@@ -28,8 +28,6 @@
 	fleetDrain   = 2 * time.Second // that a leaving server serves on
 	storeSlow    = 300 * time.Millisecond
 	storeBehind  = 2 * time.Second
-	storeCopyAge = 7 * time.Second        // beyond a second
-	storeAnew    = 500 * time.Millisecond // until all has been written again
 )
 
 const (
@@ -99,65 +97,6 @@
 	return s
 }
 
-// addLimit has, in one plan of two, a server state a rate limit for some seconds.
-func (s *FleetSoak) addLimit(r *rand.Rand) {
-	if r.IntN(2) == 0 {
-		return
-	}
-	name := pick(r, []string{"app-1", "app-2", "decode-1", "prefill-1"})
-	rate := pick(r, []float64{0.5, 1, 2, 5})
-	var limited *stand.Server // the one that ran at the beginning
-	s.troubles = append(s.troubles, trouble{
-		name: fmt.Sprintf("limit %s to %v a second", name, rate), entry: everyEntry, planned: true,
-		at:   time.Duration(r.Int64N(int64(fleetCalm))),
-		last: fleetLimitLast + time.Duration(r.Int64N(int64(fleetLimitLast))),
-		begin: func(f *fleet) error {
-			limited = f.server(name)
-			limited.SetLimit(fmt.Sprint(rate))
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			f.limits = append(f.limits, limitSpan{server: limited, rate: rate, from: time.Now()})
-			return nil
-		},
-		end: func(f *fleet) error {
-			f.mu.Lock()
-			defer f.mu.Unlock()
-			limited.SetLimit("")
-			for n := range f.limits {
-				if f.limits[n].server == limited {
-					f.limits[n].to = time.Now()
-				}
-			}
-			return nil
-		},
-	})
-}
-
-// addCopies has, in one plan of two but for those with planned work only, the store come
-// back from older copies, once or twice.
-func (s *FleetSoak) addCopies(r *rand.Rand) {
-	if s.Seed%4 == 0 || r.IntN(2) == 0 {
-		return
-	}
-	for range 1 + r.IntN(2) {
-		age := time.Second + time.Duration(r.Int64N(int64(storeCopyAge)))
-		s.add(r, trouble{
-			name: fmt.Sprintf("store comes back from a copy %v old", age.Round(time.Millisecond)), entry: everyEntry,
-			begin: func(f *fleet) error {
-				f.store.SetDown(true)
-				f.store.Rewind(age)
-				return nil
-			},
-			end: func(f *fleet) error {
-				f.store.SetDown(false)
-				group.Pause(f.w.ctx, storeAnew)
-				f.writeAnew()
-				return nil
-			},
-		})
-	}
-}
-
 func (s *FleetSoak) add(r *rand.Rand, t trouble) {
 	t.at = fleetCalm + time.Duration(r.Int64N(int64(fleetFaults/2)))
 	t.last = fleetLastMin + time.Duration(r.Int64N(int64(fleetLastMax-fleetLastMin)))
