--- a/entry/rates_test.go
+++ b/entry/rates_test.go
@@ -30,7 +30,8 @@
 	ask.Standby = false
 	fresh.begin(now)
 	require.Zero(t, granted(&fresh, ask))
-	require.False(t, fresh.countAlone(now, ask, 4).Granted && fresh.countAlone(now, ask, 4).Granted)
+	fresh.countAlone(now, ask, 4) // one may be saved up
+	require.False(t, fresh.countAlone(now, ask, 4).Granted)
 }
 
 // Guards against a call for each refusal of a caller that does not wait.
