--- a/conf/direct.go
+++ b/conf/direct.go
@@ -85,6 +85,14 @@
 	if err != nil {
 		return Direct{}, err
 	}
+	d := readDirect(r)
+	r.distinct("listen", "ready_listen", "metrics_listen", "peer_listen")
+	r.unknownKeys()
+	return d, r.findings.Err()
+}
+
+// readDirect reads every setting.
+func readDirect(r *reader) Direct {
 	d := Direct{
 		Name:          work.Host(r.name("name")),
 		Zone:          work.Zone(r.name("zone")),
@@ -106,9 +114,7 @@
 	orDefault(&d.Cores, 1)
 	orDefault(&d.StopWithin, 8*time.Second)
 	orDefault(&d.WatchWait, 10*time.Second)
-	r.distinct("listen", "ready_listen", "metrics_listen", "peer_listen")
-	r.unknownKeys()
-	return d, r.findings.Err()
+	return d
 }
 
 func (r *reader) repeats() Repeats {
