again, direct: what is known of callers that come again has a package of its own

Two decisions without a connection, with their tests, leave direct: how long ago a caller first asked (Ages, was waits), and when a refused one should return (Returns, was returns). Names only; the tests are the same.

--- a/direct/waits.go
+++ b/again/ages.go
@@ -1,42 +1,59 @@
-package direct
+// Package again knows of callers that come again: how long ago they first asked, and when
+// one that is refused should return.
+//
+// The load patterns it answers: a burst is refused in part, and what was refused returns.
+// Taken for fresh, the returns take the places of requests that can still be served in
+// time, and so on after the burst; told to return in the next second, all of them meet the
+// same burst once more.
+//
+// # Usage
+//
+//	var ages again.Ages
+//	first := now.Add(-ages.Of(route, within)) // when the caller first asked
+//
+//	var returns again.Returns
+//	retryAfter := returns.After(now)
+//
+// The package reads no clock.
+package again
 
 import (
 	"sync"
 	"time"
 )
 
-// waits knows how long the callers of each route wait when they ask for the
+// Ages knows how long the callers of each route wait when they ask for the
 // first time. One that asks again has less time left, and tells by it how long
 // ago it first asked. The zero value is ready to use; it must not be copied.
-type waits struct {
-	mu sync.Mutex // a leaf
-	of map[string]*patience
+type Ages struct {
+	mu     sync.Mutex // a leaf
+	routes map[string]*patience
 }
 
-// age gives how long ago a caller that waits for so long first asked, at the
+// Of gives how long ago a caller that waits for so long first asked, at the
 // least.
-func (w *waits) age(route string, within time.Duration) time.Duration {
+func (a *Ages) Of(route string, within time.Duration) time.Duration {
 	if within <= 0 {
 		return 0
 	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	if w.of == nil {
-		w.of = make(map[string]*patience)
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.routes == nil {
+		a.routes = make(map[string]*patience)
 	}
-	p := w.of[route]
+	p := a.routes[route]
 	if p == nil {
 		p = &patience{}
-		w.of[route] = p
+		a.routes[route] = p
 	}
 	p.add(within)
 	return max(0, time.Duration(p.fresh()*float64(p.longest))-within)
 }
 
 const (
-	// waitsFade is how what is known falls with each request: by half in about
+	// agesFade is how what is known falls with each request: by half in about
 	// 350, so that a caller with far more time than all others is forgotten.
-	waitsFade = 0.998
+	agesFade = 0.998
 	// waitBuckets divide the longest time.
 	waitBuckets = 50
 	// freshLeast is the part of the fullest bucket's weight that makes a bucket
@@ -63,13 +80,13 @@
 }
 
 func (p *patience) add(within time.Duration) {
-	p.longest = time.Duration(waitsFade * float64(p.longest))
+	p.longest = time.Duration(agesFade * float64(p.longest))
 	if within > p.longest {
 		p.longest = within
 	}
 	p.total = 0
 	for n := range p.weights {
-		p.weights[n] *= waitsFade
+		p.weights[n] *= agesFade
 		p.total += p.weights[n]
 	}
 	p.weights[int(waitBuckets*float64(within)/float64(p.longest))]++
--- a/direct/returns_test.go
+++ b/again/returns_test.go
@@ -1,4 +1,4 @@
-package direct
+package again
 
 import (
 	"testing"
@@ -12,13 +12,13 @@
 // process that knew no configuration. Each is told at least three seconds, and the
 // longer it lasts the later, at different times.
 func TestReturnsFollowTheLengthOfAnOutage(t *testing.T) {
-	var r returns
+	var r Returns
 	began := time.Now()
 	for _, after := range []time.Duration{0, time.Second, 2 * time.Second, 3500 * time.Millisecond, 5 * time.Second} {
-		got := r.after(began.Add(after))
-		require.GreaterOrEqual(t, got, max(returnLeast, after))
-		require.LessOrEqual(t, got, time.Duration((1+returnJitter)*float64(max(returnLeast, after))))
+		got := r.After(began.Add(after))
+		require.GreaterOrEqual(t, got, max(Least, after))
+		require.LessOrEqual(t, got, time.Duration((1+Jitter)*float64(max(Least, after))))
 	}
-	fresh := r.after(began.Add(time.Minute))
-	require.LessOrEqual(t, fresh, time.Duration((1+returnJitter)*float64(returnLeast)), "it was over meanwhile")
+	fresh := r.After(began.Add(time.Minute))
+	require.LessOrEqual(t, fresh, time.Duration((1+Jitter)*float64(Least)), "it was over meanwhile")
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -29,6 +29,7 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"jacinthworks/again"
 	"jacinthworks/conf"
 	"jacinthworks/feed"
 	"jacinthworks/group"
@@ -71,13 +72,13 @@
 	crashes  crashes
 	budgets  budgets
 	lines    lines
-	waits    waits
+	ages     again.Ages
 	members  members
 	changing changing
 	mixes    mixes
 	peers    peers
 	// unready say when what comes before the configuration should return.
-	unready  returns
+	unready  again.Returns
 	quotas   quotas
 	limits   limits
 	fields   fields
--- a/direct/line.go
+++ b/direct/line.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"jacinthworks/again"
 	"jacinthworks/queue"
 	"jacinthworks/work"
 )
@@ -25,7 +26,7 @@
 	// toFirst is the time from finding room to the first event, as measured.
 	toFirst time.Duration
 	// returns say when what is refused should return.
-	returns returns
+	returns again.Returns
 	// short is when an engine last had no room.
 	short time.Time
 	// large is the memory that a large request needs, as seen lately.
--- a/direct/line_test.go
+++ b/direct/line_test.go
@@ -7,6 +7,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthworks/again"
 	"jacinthworks/queue"
 	"jacinthworks/work"
 )
@@ -80,12 +81,12 @@
 	var all lines
 	l := all.line("model")
 	now := time.Now()
-	early := l.returns.after(now)
-	require.GreaterOrEqual(t, early, returnLeast)
+	early := l.returns.After(now)
+	require.GreaterOrEqual(t, early, again.Least)
 	for at := time.Second; at < 10*time.Second; at += time.Second {
-		l.returns.after(now.Add(at))
+		l.returns.After(now.Add(at))
 	}
-	require.GreaterOrEqual(t, l.returns.after(now.Add(10*time.Second)), 10*time.Second)
-	spread := 1 + returnJitter
-	require.LessOrEqual(t, l.returns.after(now.Add(20*time.Second)), time.Duration(spread*float64(returnLeast)), "a new overload")
+	require.GreaterOrEqual(t, l.returns.After(now.Add(10*time.Second)), 10*time.Second)
+	spread := 1 + again.Jitter
+	require.LessOrEqual(t, l.returns.After(now.Add(20*time.Second)), time.Duration(spread*float64(again.Least)), "a new overload")
 }
--- a/direct/request.go
+++ b/direct/request.go
@@ -113,7 +113,7 @@
 func (s *Server) accept(r *request, h *http.Request) *failure {
 	c := s.holder.Current()
 	if c == nil {
-		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "no configuration is known yet", retryAfter: s.unready.after(r.accepted)}
+		return &failure{ran: work.NotRun, reason: work.ReasonStale, detail: "no configuration is known yet", retryAfter: s.unready.After(r.accepted)}
 	}
 	r.version = c.Version
 	if r.id == "" {
@@ -136,7 +136,7 @@
 	if r.service == nil {
 		return &failure{ran: work.NotRun, reason: work.ReasonNoUpstream, detail: "the route names a service that does not exist", retryAfter: time.Second}
 	}
-	r.first = r.accepted.Add(-s.waits.age(route.Name, r.ask.Within))
+	r.first = r.accepted.Add(-s.ages.Of(route.Name, r.ask.Within))
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
 	r.limit()
 	if s.crashes.ledger.Standing(r.accepted, r.identity) == retry.Stopped {
--- a/direct/room.go
+++ b/direct/room.go
@@ -106,7 +106,7 @@
 // unroomed turns a refusal of the queue into the request's.
 func (s *Server) unroomed(ctx context.Context, r *request, q *queue.Refusal) *failure {
 	f := &failure{ran: work.NotRun, reason: q.Reason, detail: string(q.Detail), final: true}
-	f.retryAfter = max(q.RetryAfter, s.lines.line(r.service.Name).returns.after(time.Now()))
+	f.retryAfter = max(q.RetryAfter, s.lines.line(r.service.Name).returns.After(time.Now()))
 	if ctx.Err() != nil {
 		f.reason = work.ReasonOf(ctx)
 	}
