direct, pacer: other entries are looked for by the keys that are counted here

Looks were bound to the counts of rate limits; they are asked for by key now, so that other counts can use them. No change of behaviour; tests as before.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -81,6 +81,7 @@
 	unready  again.Returns
 	quotas   quotas
 	limits   limits
+	reach    reach
 	fields   fields
 	keepers  keepers
 	trackers trackers
--- a/direct/limit.go
+++ b/direct/limit.go
@@ -9,7 +9,6 @@
 	"jacinthworks/group"
 	"jacinthworks/meter"
 	"jacinthworks/pacer"
-	"jacinthworks/relay"
 	"jacinthworks/roster"
 	"jacinthworks/work"
 )
@@ -37,7 +36,6 @@
 	// none of those that count.
 	keeper pacer.Keeper[roster.Key]
 	alone  pacer.Keeper[roster.Key]
-	reach  reach
 }
 
 // limitUse is what a limitCall is for.
@@ -201,10 +199,8 @@
 // countLimit answers for an upstream that this entry counts for.
 func (s *Server) countLimit(call limitCall) limitAnswer {
 	now, key := time.Now(), call.Start.Key()
-	if now.Sub(s.limits.keeper.Used()) > reachIdle {
-		s.limits.reach.wake()
-	}
-	a := countAt(&s.limits.keeper, now, call, s.standing(now, key))
+	s.reach.want(now, limitKey(key))
+	a := countAt(&s.limits.keeper, now, call, s.standing(now, limitKey(key)))
 	if said, news := s.limits.keeper.News(now, key); news {
 		n := limitNews{Start: call.Start, Said: said.Aged(now), By: s.Settings.Name}
 		s.answerLimitNews(n)
@@ -269,23 +265,6 @@
 	return s.countLimit(call), true
 }
 
-// standing is how sure this entry is to be the only one that counts for an upstream.
-func (s *Server) standing(now time.Time, key roster.Key) pacer.Standing {
-	return s.limits.reach.standing(now, s.before(now, key))
-}
-
-// before gives the entries that count for an upstream before this one does.
-func (s *Server) before(now time.Time, key roster.Key) []*relay.Peer {
-	var before []*relay.Peer
-	for _, o := range s.peers.fleet.Owners(now, limitKey(key), math.MaxInt) {
-		if o.Peer == nil {
-			break
-		}
-		before = append(before, o.Peer)
-	}
-	return before
-}
-
 // limitWithin is how long a plain request can wait for its turn at an upstream: not at
 // all where another one may take it, and else until its target.
 func (s *Server) limitWithin(r *request, u *roster.Upstream) time.Duration {
--- a/direct/reach.go
+++ b/direct/reach.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math"
 	"math/rand/v2"
 	"net/http"
 	"slices"
@@ -45,6 +46,36 @@
 	at    time.Time
 	seen  pacer.Sight[work.Host]
 	woken chan struct{}
+	// wanted are the keys for which it matters, and when it last did.
+	wanted map[string]time.Time
+}
+
+// want has looks made for some time, since this entry counts by the key.
+func (c *reach) want(now time.Time, key string) {
+	c.mu.Lock()
+	if c.wanted == nil {
+		c.wanted = make(map[string]time.Time)
+	}
+	idle := len(c.wanted) == 0
+	c.wanted[key] = now
+	c.mu.Unlock()
+	if idle {
+		c.wake()
+	}
+}
+
+// keys gives those that were wanted lately.
+func (c *reach) keys(now time.Time) (keys []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for key, at := range c.wanted {
+		if now.Sub(at) > reachIdle {
+			delete(c.wanted, key)
+			continue
+		}
+		keys = append(keys, key)
+	}
+	return keys
 }
 
 // wake has a look made now, and others after it.
@@ -99,15 +130,19 @@
 
 // lookAround looks for other entries while this one counts for upstreams.
 func (s *Server) lookAround(ctx context.Context) error {
-	woken := s.limits.reach.bell()
+	woken := s.reach.bell()
 	for {
 		select {
 		case <-ctx.Done():
 			return nil
 		case <-woken:
 		}
-		for ctx.Err() == nil && time.Since(s.limits.keeper.Used()) <= reachIdle {
-			s.lookOnce(ctx)
+		for ctx.Err() == nil {
+			keys := s.reach.keys(time.Now())
+			if len(keys) == 0 {
+				break
+			}
+			s.lookOnce(ctx, keys)
 			group.Pause(ctx, reachEvery)
 		}
 	}
@@ -115,9 +150,9 @@
 
 // lookOnce asks those that go before this entry, and then some of the others, which
 // also look for those that did not answer.
-func (s *Server) lookOnce(ctx context.Context) {
+func (s *Server) lookOnce(ctx context.Context, keys []string) {
 	now := time.Now()
-	before := s.allBefore(now)
+	before := s.allBefore(now, keys)
 	g := pacer.Sight[work.Host]{Before: make(map[work.Host]pacer.Presence)}
 	var missing []work.Host
 	for i, a := range askReach(ctx, before, reachCall{}) {
@@ -139,7 +174,7 @@
 			g.Before[name] = pacer.Alive
 		}
 	}
-	if s.limits.reach.found(time.Now(), g) {
+	if s.reach.found(time.Now(), g) {
 		s.Log.Info("entries reached", "answered", g.Answered, "silent", g.Silent, "before", g.Before, "took", time.Since(now))
 	}
 }
@@ -164,11 +199,27 @@
 	return some[:min(len(some), most)]
 }
 
-// allBefore gives the entries that count, before this one does, for any upstream that it
-// is asked for.
-func (s *Server) allBefore(now time.Time) []*relay.Peer {
+// standing is how sure this entry is to be the only one that counts by a key.
+func (s *Server) standing(now time.Time, key string) pacer.Standing {
+	return s.reach.standing(now, s.before(now, key))
+}
+
+// before gives the entries that count by a key before this one does.
+func (s *Server) before(now time.Time, key string) []*relay.Peer {
+	var before []*relay.Peer
+	for _, o := range s.peers.fleet.Owners(now, key, math.MaxInt) {
+		if o.Peer == nil {
+			break
+		}
+		before = append(before, o.Peer)
+	}
+	return before
+}
+
+// allBefore gives the entries that count before this one does by any of the keys.
+func (s *Server) allBefore(now time.Time, keys []string) []*relay.Peer {
 	var all []*relay.Peer
-	for _, key := range s.limits.keeper.Keys() {
+	for _, key := range keys {
 		for _, p := range s.before(now, key) {
 			if !slices.Contains(all, p) {
 				all = append(all, p)
--- a/pacer/keeper.go
+++ b/pacer/keeper.go
@@ -25,7 +25,6 @@
 type Keeper[K comparable] struct {
 	mu    sync.Mutex
 	of    map[K]*count
-	used  time.Time
 	swept time.Time
 }
 
@@ -92,27 +91,8 @@
 	return c.belief.Statement(), true
 }
 
-// Used gives when it was last asked.
-func (k *Keeper[K]) Used() time.Time {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	return k.used
-}
-
-// Keys gives the keys that it counts for.
-func (k *Keeper[K]) Keys() []K {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	var keys []K
-	for key := range k.of {
-		keys = append(keys, key)
-	}
-	return keys
-}
-
 func (k *Keeper[K]) learn(now time.Time, key K, said Statement) *count {
 	k.sweep(now)
-	k.used = now
 	if k.of == nil {
 		k.of = make(map[K]*count)
 	}
@@ -143,7 +123,7 @@
 // know of it. It shows as two bursts, or two whole limits, within seconds. A limit that
 // is older than the count was counted elsewhere before.
 func (c *count) terms(now time.Time, s Standing) Terms {
-	part := s.part()
+	part := s.Part()
 	tookOver := c.began.Sub(c.belief.Statement().since()) > transit
 	if tookOver && !s.Handed && now.Sub(c.began) < settleWithin {
 		part = min(part, settlePart)
--- a/pacer/model_test.go
+++ b/pacer/model_test.go
@@ -63,6 +63,7 @@
 	alone     pacer.Keeper[string]
 	sight     pacer.Sight[int]
 	looked    time.Time
+	asked     time.Time // when it last counted for another, or itself
 }
 
 // world is a fleet and one upstream, in virtual time.
@@ -183,6 +184,7 @@
 			if p.state == leaves {
 				continue
 			}
+			p.asked = w.now
 			call(&p.keeper, w.standing(p))
 			w.spread(p)
 			return took
@@ -201,6 +203,7 @@
 		}
 		switch w.call(p, o) {
 		case pacer.Alive:
+			o.asked = w.now
 			call(&o.keeper, w.standing(o))
 			w.spread(o)
 			return took + 2*oneWay
@@ -309,7 +312,7 @@
 		w.due()
 		for _, p := range w.all {
 			if p.state == runs || p.state == leaves {
-				if w.now.Sub(p.keeper.Used()) <= lookIdle && w.now.Sub(p.looked) >= lookEvery {
+				if w.now.Sub(p.asked) <= lookIdle && w.now.Sub(p.looked) >= lookEvery {
 					w.look(p)
 				}
 			}
--- a/pacer/standing.go
+++ b/pacer/standing.go
@@ -28,12 +28,12 @@
 	savedPart = 1
 )
 
-// part gives the part of the limit that may be given out.
+// Part gives the part of what is counted that may be given out.
 //
 // Failure: a fleet is cut in two, and each side finds a process that counts. It shows as
 // twice the limit. Only one side can have more than half of the processes. The others
 // give out their part of the fleet, which together is no more than a half.
-func (s Standing) part() float64 {
+func (s Standing) Part() float64 {
 	part := 1.0
 	if s.Members > 1 && 2*s.Reached <= s.Members {
 		part = float64(max(s.Reached, 1)) / float64(s.Members)
