direct: a prompt that a rate limit holds up costs the budget of repeats once

Cause: found while reading the diff. Where the engine of a repeated prompt was denied by its rate limit, the next choice took from the budget of repeats once more, though nothing had been sent.

Change: what was granted stays until a prompt is sent. No play; the tests of engines pass.

--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -52,10 +52,12 @@
 // then the decode engine reads it.
 func (s *Server) prefill(ctx context.Context, r *request, decode *room) *prefilled {
 	zone := decode.upstream.Server().Zone
+	granted := false // one more, from the budget of repeats
 	for n := 0; n < prefillTries && ctx.Err() == nil; {
-		if r.prefills > 0 && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
+		if r.prefills > 0 && !granted && !s.budgets.window(r.service.Name).Take(time.Now(), s.terms()) {
 			return nil
 		}
+		granted = true
 		load := route.Load{
 			Units: r.ask.Prompt, Tokens: r.ask.Prompt, Usual: route.Usual{Units: r.ask.Prompt, Tokens: r.ask.Prompt},
 			FailCost: r.targetLatency(), FarCost: farStage, SkipHeld: true,
@@ -83,6 +85,7 @@
 			continue // its engine is kept away from
 		}
 		r.prefills++
+		granted = false
 		done, f := s.prefillAt(ctx, r, p.upstream)
 		s.endAssignment(assigned)
 		if done != nil {
