--- a/direct/limit.go
+++ b/direct/limit.go
@@ -117,8 +117,8 @@
 	return true
 }
 
-// tellLimit tells the entry that counts: the others hear of the limit, and of its end,
-// when they next ask.
+// tellLimit tells the entry that counts, which tells the others of what they can't wait
+// for, and of the rest when they next ask.
 func (s *Server) tellLimit(u *roster.Upstream) {
 	s.later("tell rate limit", keeperTries*keeperWithin, func(ctx context.Context) error {
 		s.askLimit(ctx, u, limitCall{Use: limitTell})
