direct: an entry without records of others gives out the whole of a rate limit

Where no source of records is set there are no others, but thirty-two were assumed, as for the budget of repeats before the records are read.

--- a/direct/limit.go
+++ b/direct/limit.go
@@ -189,7 +189,10 @@
 		return a, k.name()
 	}
 	now := time.Now()
-	standing := pacer.Standing{Members: s.members.count(now), Reached: 1}
+	standing := pacer.Standing{Members: 1, Reached: 1}
+	if s.Members != nil {
+		standing.Members = s.members.count(now)
+	}
 	return countAt(&s.limits.alone, now, call, standing), "alone"
 }
 
