direct: an entry tells again of the deaths it saw after a copy; a test of records

After the store came back from a copy, entries that start learn of no evidence that it lacks. What an entry saw itself it tells again, with its record. TestRecordsAreWrittenAnew- AfterACopy fails without the writing (records missing for half a minute), passes with it.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -65,6 +65,13 @@
 	return c.own
 }
 
+// hasOwn says whether this entry saw upstreams die.
+func (c *crashes) hasOwn() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return len(c.own.Deaths) > 0
+}
+
 // tellDeaths tells the other entries of the upstreams that died here.
 //
 // Failure: a request crashes whatever runs it, and its caller sends it again, to
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -152,6 +152,9 @@
 	case <-t.C:
 	case <-s.recordGone:
 		group.Pause(ctx, rand.N(recordAgain))
+		if s.crashes.hasOwn() {
+			s.tellDeaths()
+		}
 	}
 }
 
