--- a/direct/reach.go
+++ b/direct/reach.go
@@ -128,7 +128,7 @@
 	Reached []work.Host `json:"reached,omitempty"`
 }
 
-// lookAround looks for other entries while this one counts for upstreams.
+// lookAround looks for other entries while this one counts for all by some key.
 func (s *Server) lookAround(ctx context.Context) error {
 	woken := s.reach.bell()
 	for {
