pacer: a statement from the future is taken for one of now

Bad input from another process: with a negative age a limit would hold until that time comes, whatever the upstream says. TestAStatementFromTheFutureIsOfNow failed before.

--- a/pacer/belief.go
+++ b/pacer/belief.go
@@ -31,9 +31,10 @@
 }
 
 // At gives the statement of another process by this one's clock: sent no later than
-// it was.
+// it was, and heard no later than now.
 func (a Aged) At(now time.Time) Statement {
-	return Statement{Rate: a.Rate, Sent: now.Add(-a.Sent - transit), Heard: now.Add(-a.Heard), Since: now.Add(-a.Since)}
+	ago := func(age time.Duration) time.Time { return now.Add(-max(age, 0)) }
+	return Statement{Rate: a.Rate, Sent: ago(a.Sent).Add(-transit), Heard: ago(a.Heard), Since: ago(a.Since)}
 }
 
 // Later gives the statement as it is so much later.
--- a/pacer/belief_test.go
+++ b/pacer/belief_test.go
@@ -40,3 +40,16 @@
 	require.True(t, pacer.Of(0).Limited())
 	require.Equal(t, pacer.Rate(2.4), pacer.Of(2.4))
 }
+
+// Guards against a limit that nothing ends, since another process said that it heard of it
+// in the future.
+func TestAStatementFromTheFutureIsOfNow(t *testing.T) {
+	var b pacer.Belief
+	b.Learn(pacer.Aged{Rate: 2, Sent: -time.Hour, Heard: -time.Hour, Since: -time.Hour}.At(at(0)))
+	require.Equal(t, pacer.Rate(2), b.Rate())
+	require.True(t, b.Learn(said(pacer.None, 10, 20)))
+	aged := b.Statement().Aged(at(50))
+	require.Equal(t, 30*time.Millisecond, aged.Heard)
+	require.Equal(t, 40*time.Millisecond, aged.Sent)
+	require.Equal(t, 130*time.Millisecond, aged.Later(100*time.Millisecond).Heard)
+}
