--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -38,6 +38,7 @@
 		Servers:  platform.Servers(store),
 		Records:  store,
 		Members:  platform.Entries(store),
+		Relays:   platform.Relays(store),
 		Notices:  platform.Notices(store),
 		Reloads:  reloads,
 		Reload: func() (conf.Direct, error) {
@@ -48,6 +49,10 @@
 			return conf.ParseDirect(a.Settings, text)
 		},
 	}
+	store.Called = func(verb, kind, outcome string) {
+		s.Meter.Count("jacinthworks_store_calls_total", meter.Labels{"call", verb, "kind", kind, "outcome", outcome})
+		s.Log.Debug("store called", "call", verb, "kind", kind, "outcome", outcome)
+	}
 	s.Meter.Gauge("jacinthworks_log_lines_dropped", nil, func() float64 { return float64(lines.Dropped()) })
 	if err := s.Run(ctx); err != nil {
 		fmt.Fprintln(errs, "jacinthworks:", err)
--- a/conf/direct.go
+++ b/conf/direct.go
@@ -18,6 +18,7 @@
 //	ready_listen = "10.1.0.38:8141"
 //	metrics_listen = "10.1.0.38:9464"
 //	peer_listen = "10.1.0.38:7380"
+//	seeds = ["10.1.0.17:7380", "10.2.0.8:7380"]
 //	cores = 0.304
 //	relay_from = 12
 //	platform = "10.200.1.7:8142"
@@ -42,6 +43,9 @@
 	MetricsListen netip.AddrPort
 	// PeerListen is where the other entries ask what this one has heard; optional.
 	PeerListen netip.AddrPort
+	// Seeds are PeerListen addresses of some entries, which this one asks when it starts;
+	// optional, and possibly out of date.
+	Seeds []netip.AddrPort
 	// Cores is the host's share of a processor: the largest hosts watch the
 	// platform for the others. Default 1.
 	Cores float64
@@ -100,6 +104,7 @@
 		ReadyListen:   r.listenAddr("ready_listen", true),
 		MetricsListen: r.listenAddr("metrics_listen", false),
 		PeerListen:    r.listenAddr("peer_listen", false),
+		Seeds:         r.addrPorts("seeds"),
 		Cores:         r.number("cores"),
 		RelayFrom:     int(r.integer("relay_from")),
 		Platform:      r.dialAddr("platform"),
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -36,7 +36,6 @@
 	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/paths"
-	"jacinthworks/plat"
 	"jacinthworks/roster"
 )
 
@@ -51,6 +50,8 @@
 	Servers feed.Source[roster.Server]
 	// Members, if set, are the records of all entries.
 	Members feed.Source[Member]
+	// Relays, if set, is the record of the entries that relay.
+	Relays feed.Source[Relays]
 	// Notices, if set, are what entries tell each other.
 	Notices feed.Source[Notice]
 	// Records, if set, holds the lease of the one entry that gives orders to
@@ -77,6 +78,7 @@
 	changing changing
 	mixes    mixes
 	peers    peers
+	records  records
 	// unready say when what comes before the configuration should return.
 	unready  again.Returns
 	quotas   quotas
@@ -85,15 +87,14 @@
 	fields   fields
 	keepers  keepers
 	trackers trackers
-	// own is the version of this entry's record, as last written, and since when
-	// an entry of its name first wrote one.
-	own     plat.Version
-	since   time.Time
-	leaving atomic.Bool
+	record   ownRecord
+	leaving  atomic.Bool
 	// leavingNow is closed when leaving is set; rolesFree is told when the lease
 	// of roles was released.
 	leavingNow chan struct{}
 	rolesFree  chan struct{}
+	// sought is closed when the records of the entries were looked for at the start.
+	sought chan struct{}
 	// recordGone is told when the store may lack this entry's record.
 	recordGone chan struct{}
 	// configured is closed when the first configuration is in force.
@@ -131,9 +132,8 @@
 	}
 	balancer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
 
-	found := s.findRelays(serving)
 	var loops group.Group
-	s.follow(serving, &loops, found)
+	s.follow(serving, &loops)
 	loops.Go(serving, "ended work", s.reap)
 	loops.Go(serving, "idle connections", idle.run)
 	loops.Go(serving, "settings", s.reload)
@@ -166,17 +166,21 @@
 	return nil
 }
 
-// follow begins to follow what the platform's store holds; found says that the relays
-// are known.
-func (s *Server) follow(ctx context.Context, loops *group.Group, found bool) {
+// follow begins to follow what the platform's store holds. Where others can be asked for
+// it, nothing waits for the records of the entries.
+func (s *Server) follow(ctx context.Context, loops *group.Group) {
+	if s.seed(ctx) {
+		loops.Go(ctx, "relays", s.findRelays)
+	} else if err := s.findRelaysOnce(ctx, relaysWithin); err == nil {
+		close(s.sought)
+	} else {
+		loops.Go(ctx, "relays", s.findRelaysLater)
+	}
 	loops.Go(ctx, "configuration", s.configFeed().Run)
 	loops.Go(ctx, "upstreams", s.serverFeed().Run)
 	if s.Members != nil {
 		loops.Go(ctx, "entries", s.register)
 	}
-	if !found {
-		loops.Go(ctx, "relays", s.findRelaysLater)
-	}
 	if s.Notices != nil {
 		loops.Go(ctx, "notices", s.noticeFeed().Run)
 	}
@@ -196,8 +200,9 @@
 	s.Settings.Limits = s.Settings.Limits.OrDefaults()
 	s.roster.Log = s.Log
 	s.peers.fleet.Self, s.peers.fleet.Fewest = s.Settings.Name, s.Settings.RelayFrom
+	s.peers.fleet.First = s.Settings.FirstStart
 	s.leavingNow, s.rolesFree, s.configured = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
-	s.recordGone = make(chan struct{}, 1)
+	s.recordGone, s.sought = make(chan struct{}, 1), make(chan struct{})
 	s.quotas.counter.Since = time.Now()
 	s.quotas.alone.Since = s.quotas.counter.Since.Add(-quotaSaved)
 	live := s.Settings
--- a/direct/fleet.go
+++ b/direct/fleet.go
@@ -20,18 +20,21 @@
 const (
 	// memberKind is the collection of the entries' records.
 	memberKind = "entries/"
-	// memberEvery is how often an entry writes its record anew and reads those
-	// of all, and memberGone when one that is not written any more counts no
-	// longer.
+	// memberEvery is how often an entry reads the records of all, and the shortest time
+	// between two writings of its own.
 	memberEvery = 30 * time.Second
-	memberGone  = 4 * memberEvery
+	// memberEach is the time between two writings for each entry of the fleet, so that all
+	// together write four records a second, however many they are.
+	memberEach = 250 * time.Millisecond
+	// memberMissed is how many writings may be missing until an entry counts no longer.
+	memberMissed = 4
 	// memberFirst is the time from an entry's first writing to its first
 	// reading: entries that start together have written theirs by then.
 	memberFirst = 3 * time.Second
 	// memberRetry is the pause after a write that failed.
 	memberRetry = 2 * time.Second
-	// membersUnknown is among how many entries the budget is shared out until
-	// the records were read: more than most deployments have.
+	// membersUnknown is among how many entries the budget is shared out at least until
+	// the number is known: more than most deployments have.
 	membersUnknown = 32
 )
 
@@ -42,6 +45,8 @@
 	Beat uint64 `json:"beat"`
 	// Written is when, by the writer's time of day.
 	Written time.Time `json:"written,omitzero"`
+	// Every is the time until it is written anew.
+	Every time.Duration `json:"every,omitempty"`
 	// Since is when an entry of this name first wrote it, by its time of day.
 	Since time.Time `json:"since,omitzero"`
 	// Peer is where it answers other entries, Zone and Cores its host's; entries
@@ -51,6 +56,23 @@
 	Cores float64        `json:"cores,omitempty"`
 }
 
+// gone is the time after which the entry is gone if its record was not written anew.
+func (m Member) gone() time.Duration { return memberMissed * max(m.Every, memberEvery) }
+
+// recordPeriod is the time between two writings of an entry's record in a fleet of so many.
+//
+// Load pattern: each entry writes its record in the same time whatever their number, so
+// that the writes of all grow with it.
+func recordPeriod(entries int) time.Duration {
+	return max(memberEvery, time.Duration(entries)*memberEach)
+}
+
+// nextRecord is when a record is to be written anew that was written at a time: as seldom
+// as the fleet's size has it, and before others take this entry for gone.
+func nextRecord(written time.Time, every time.Duration, entries int) time.Time {
+	return written.Add(min(recordPeriod(entries), (memberMissed-1)*max(every, memberEvery)))
+}
+
 // members counts the entries, among which the fixed number of repeats is
 // shared out, and the connections that an upstream takes.
 //
@@ -65,12 +87,15 @@
 	mu    sync.Mutex // a leaf
 	seen  map[string]heard
 	known atomic.Bool
+	// found is how many had a record when this entry started.
+	found atomic.Int64
 }
 
-// heard is an entry's last beat, and when it was first read.
+// heard is an entry's last beat, when it was first read, and how long it counts from then.
 type heard struct {
-	beat uint64
-	at   time.Time
+	beat  uint64
+	at    time.Time
+	lasts time.Duration
 }
 
 // listed takes all records.
@@ -80,7 +105,7 @@
 	seen := make(map[string]heard)
 	for _, i := range all {
 		// One that can't be read is an entry as well, of which no beat is heard.
-		seen[i.Name] = heard{beat: i.Value.Beat, at: now}
+		seen[i.Name] = heard{beat: i.Value.Beat, at: now, lasts: i.Value.gone()}
 		if old, known := m.seen[i.Name]; known && old.beat == i.Value.Beat {
 			seen[i.Name] = old
 		}
@@ -92,13 +117,13 @@
 // count gives the number of entries.
 func (m *members) count(now time.Time) int {
 	if !m.known.Load() {
-		return membersUnknown
+		return max(membersUnknown, int(m.found.Load()))
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	n := 0
 	for _, h := range m.seen {
-		if now.Sub(h.at) <= memberGone {
+		if now.Sub(h.at) <= h.lasts {
 			n++
 		}
 	}
@@ -111,25 +136,65 @@
 	if s.Records == nil {
 		return nil
 	}
+	select {
+	case <-s.sought:
+	case <-ctx.Done():
+		return nil
+	}
 	// A process that starts again must not seem to stand still.
 	for beat := rand.Uint64(); ctx.Err() == nil; beat++ {
 		wait := memberEvery
-		if err := s.writeMember(ctx, beat); err != nil {
-			s.Log.Debug("own record not written", "err", err)
+		if err := s.keepRecord(ctx, beat); err != nil {
+			s.Log.Info("own record not written", "err", err)
 			wait = memberRetry
 		}
 		if !s.members.known.Load() {
 			group.Pause(ctx, memberFirst)
 		}
 		if err := s.readMembers(ctx); err != nil {
-			s.Log.Debug("records of the entries not read", "err", err)
+			s.Log.Info("records of the entries not read", "err", err)
 			wait = memberRetry
 		}
-		s.pauseRecord(ctx, wait)
+		if err := s.tellRelays(ctx); err != nil {
+			s.Log.Info("relays not recorded", "err", err)
+		}
+		if s.pauseRecord(ctx, wait) {
+			s.record = ownRecord{since: s.record.since}
+		}
 	}
 	return nil
 }
 
+// ownRecord is this entry's record as the store has it.
+type ownRecord struct {
+	version plat.Version
+	// since is when an entry of this name first wrote one.
+	since time.Time
+	// written is when it was last written; zero where the store may lack it.
+	written time.Time
+	every   time.Duration
+}
+
+// found takes the record that an earlier start of this entry wrote. Where it says the same
+// of the entry, it need not be written before its time.
+func (s *Server) found(now time.Time, i feed.Item[Member]) {
+	m := i.Value
+	s.record = ownRecord{version: plat.Version(i.Revision), since: m.Since}
+	same := m.Peer == s.Settings.PeerListen && m.Zone == s.Settings.Zone && m.Cores == s.Settings.Cores
+	if age := now.Sub(m.Written); same && i.Unread == nil && age >= 0 && age < m.gone() {
+		s.record.written, s.record.every = now.Add(-age), m.Every
+	}
+}
+
+// keepRecord writes this entry's record if it is due.
+func (s *Server) keepRecord(ctx context.Context, beat uint64) error {
+	now := time.Now()
+	if r := s.record; !r.written.IsZero() && now.Before(nextRecord(r.written, r.every, s.members.count(now))) {
+		return nil
+	}
+	return s.writeMember(ctx, beat)
+}
+
 // recordAgain is the longest time until an entry writes its record anew after the store
 // came back from an older copy, which all entries hear of at once.
 const recordAgain = 2 * time.Second
@@ -143,8 +208,9 @@
 	}
 }
 
-// pauseRecord waits until this entry's record is to be written again.
-func (s *Server) pauseRecord(ctx context.Context, wait time.Duration) {
+// pauseRecord waits until the records are to be looked at again, and says whether the
+// store may lack this entry's.
+func (s *Server) pauseRecord(ctx context.Context, wait time.Duration) (lacking bool) {
 	t := time.NewTimer(wait)
 	defer t.Stop()
 	select {
@@ -155,47 +221,60 @@
 		if s.crashes.hasOwn() {
 			s.tellDeaths()
 		}
+		return true
 	}
+	return false
 }
 
-// relaysWithin bounds the wait for the relays at a start: two pages, which take some
-// milliseconds. Without them the store is watched directly.
-const relaysWithin = 300 * time.Millisecond
+const (
+	// relaysWithin bounds the reading of the records at a start: two pages, which take some
+	// milliseconds. Without them the store is watched directly.
+	relaysWithin = 300 * time.Millisecond
+	// seedsWithin is the same where seeds are asked, which may be starting as well.
+	seedsWithin = time.Second
+)
+
+// findRelays looks for the relays while seeds stand in for them.
+func (s *Server) findRelays(ctx context.Context) error {
+	if err := s.findRelaysOnce(ctx, seedsWithin); err != nil {
+		return s.findRelaysLater(ctx)
+	}
+	close(s.sought)
+	return nil
+}
 
-// findRelays reads the records of the entries before the feeds begin, so that these ask
-// the relays from the first watch on.
+// findRelaysOnce reads the records of the entries, by which the relays are known.
 //
 // Load pattern: many entries are killed at once and start again. Until they know the
-// relays, each of them watches the store for itself. The number of entries is not
-// taken from this reading: others that start at the same time are not among them,
-// and too few would share out too many repeats.
-//
-// It reports false where the records could not be read.
-func (s *Server) findRelays(ctx context.Context) bool {
+// relays, each of them watches the store for itself. The number of entries is taken from
+// this reading only where it is high: others that start at the same time may not be among
+// them, and too few would share out too many repeats.
+func (s *Server) findRelaysOnce(ctx context.Context, within time.Duration) error {
 	if s.Members == nil || !s.Settings.PeerListen.IsValid() {
-		return true
+		return nil
 	}
-	all, err := s.readRelays(ctx)
+	all, err := s.readRelays(ctx, within)
 	if err != nil {
 		s.Log.Info("records of the entries not read", "err", err)
-		return false
+		return err
 	}
 	for _, i := range all {
 		if i.Name == string(s.Settings.Name) { // of an earlier start
-			s.own, s.since = plat.Version(i.Revision), i.Value.Since
+			s.found(time.Now(), i)
 		}
 	}
 	s.askConfigs(ctx, all)
-	return true
+	return nil
 }
 
-func (s *Server) readRelays(ctx context.Context) ([]feed.Item[Member], error) {
-	ctx, cancel := context.WithTimeout(ctx, relaysWithin)
+func (s *Server) readRelays(ctx context.Context, within time.Duration) ([]feed.Item[Member], error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
-	all, err := feed.All(ctx, s.Members, true)
+	all, err := s.readRecords(ctx)
 	if err != nil {
 		return nil, err
 	}
+	s.members.found.Store(int64(len(all)))
 	s.setPeers(all, false)
 	return all, nil
 }
@@ -206,9 +285,10 @@
 // know nobody for some seconds: each counts for itself, and refuses accounts that are
 // far below their quotas.
 func (s *Server) findRelaysLater(ctx context.Context) error {
+	close(s.sought)
 	select {
 	case <-s.configured:
-		if _, err := s.readRelays(ctx); err != nil {
+		if _, err := s.readRelays(ctx, relaysWithin); err != nil {
 			s.Log.Info("records of the entries not read", "err", err)
 		}
 	case <-ctx.Done():
@@ -219,7 +299,7 @@
 func (s *Server) readMembers(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, storeWithin)
 	defer cancel()
-	all, err := feed.All(ctx, s.Members, true)
+	all, err := s.readRecords(ctx)
 	if err != nil {
 		return err
 	}
@@ -237,33 +317,40 @@
 func (s *Server) writeMember(ctx context.Context, beat uint64) error {
 	ctx, cancel := context.WithTimeout(ctx, storeWithin)
 	defer cancel()
-	if s.since.IsZero() {
-		s.since = time.Now()
+	if s.record.since.IsZero() {
+		s.record.since = time.Now()
 	}
 	// Its version is known from the last writing; at the start there is none, as a rule.
-	if s.putMember(ctx, beat) == nil {
-		return nil
+	err := s.putMember(ctx, beat)
+	if !errors.Is(err, plat.ErrConflict) && !errors.Is(err, plat.ErrMissing) {
+		return err
 	}
 	old, err := s.Records.Get(ctx, memberKind+string(s.Settings.Name))
 	if err != nil && !errors.Is(err, plat.ErrMissing) {
 		return err
 	}
 	var before Member
-	if json.Unmarshal(old.Value, &before) == nil && !before.Since.IsZero() && before.Since.Before(s.since) {
-		s.since = before.Since
+	if json.Unmarshal(old.Value, &before) == nil && !before.Since.IsZero() && before.Since.Before(s.record.since) {
+		s.record.since = before.Since
 	}
-	s.own = old.Version
+	s.record.version = old.Version
 	return s.putMember(ctx, beat)
 }
 
 func (s *Server) putMember(ctx context.Context, beat uint64) error {
+	now := time.Now()
+	every := recordPeriod(s.members.count(now))
 	value, err := json.Marshal(Member{
-		Name: s.Settings.Name, Beat: beat, Written: time.Now(), Since: s.since,
+		Name: s.Settings.Name, Beat: beat, Written: now, Every: every, Since: s.record.since,
 		Peer: s.Settings.PeerListen, Zone: s.Settings.Zone, Cores: s.Settings.Cores,
 	})
 	if err != nil {
 		return errors.Wrap(err, "direct: own record")
 	}
-	s.own, err = s.Records.Put(ctx, memberKind+string(s.Settings.Name), value, s.own)
-	return err
+	version, err := s.Records.Put(ctx, memberKind+string(s.Settings.Name), value, s.record.version)
+	if err != nil {
+		return err
+	}
+	s.record.version, s.record.written, s.record.every = version, now, every
+	return nil
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -51,10 +51,12 @@
 	}
 	// The port may have been left to the system.
 	s.Settings.PeerListen = l.Addr().(*net.TCPAddr).AddrPort()
+	s.peers.fleet.SelfAddr, s.peers.fleet.Seeds = s.Settings.PeerListen, s.Settings.Seeds
 	m := http.NewServeMux()
 	m.Handle("GET "+relay.Path+feedConfigs, relay.Handler(&s.peers.configs))
 	m.Handle("GET "+relay.Path+feedUpstreams, relay.Handler(&s.peers.upstreams))
 	m.Handle("GET "+relay.Path+feedNotices, relay.Handler(&s.peers.notices))
+	m.HandleFunc("GET "+recordsPath, s.serveRecords)
 	m.HandleFunc("GET "+mixPath, s.serveMix)
 	m.HandleFunc("GET "+configPath, s.serveConfig)
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
@@ -99,8 +101,8 @@
 func peersOf(now time.Time, all []Member) []relay.Member {
 	var members []relay.Member
 	for _, m := range all {
-		if now.Sub(m.Written).Abs() <= memberGone {
-			members = append(members, relay.Member{Name: m.Name, Zone: m.Zone, Addr: m.Peer, Cores: m.Cores, Since: m.Since})
+		if now.Sub(m.Written).Abs() <= m.gone() {
+			members = append(members, relay.Member{Name: m.Name, Zone: m.Zone, Addr: m.Peer, Cores: m.Cores, Since: m.Since.UTC()})
 		}
 	}
 	return members
--- a/direct/peers_test.go
+++ b/direct/peers_test.go
@@ -15,11 +15,12 @@
 		{Name: "gone", Written: now.Add(-7 * 24 * time.Hour), Cores: 0.8},
 		{Name: "older version", Cores: 0.8},
 		{Name: "there", Written: now.Add(-memberEvery), Cores: 0.1},
+		{Name: "writes seldom", Written: now.Add(-5 * memberEvery), Every: 2 * memberEvery, Cores: 0.1},
 		{Name: "clock some seconds ahead", Written: now.Add(5 * time.Second), Cores: 0.1},
 	}
 	var names []string
 	for _, m := range peersOf(now, all) {
 		names = append(names, string(m.Name))
 	}
-	require.Equal(t, []string{"there", "clock some seconds ahead"}, names)
+	require.Equal(t, []string{"there", "writes seldom", "clock some seconds ahead"}, names)
 }
--- a/direct/reload.go
+++ b/direct/reload.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"reflect"
 	"time"
 
 	"jacinthworks/conf"
@@ -41,15 +42,17 @@
 	}
 	d.Limits = d.Limits.OrDefaults()
 	old := s.live.Load()
-	if !asked && d == *old {
+	changed := !reflect.DeepEqual(d, *old)
+	if !asked && !changed {
 		return
 	}
 	s.live.Store(&d)
-	s.Log.Info("settings reloaded", "asked", asked, "changed", d != *old, "restart_needed", needsRestart(*old, d))
+	s.Log.Info("settings reloaded", "asked", asked, "changed", changed, "restart_needed", needsRestart(*old, d))
 }
 
 // needsRestart says whether settings changed that are read at the start only.
 func needsRestart(old, fresh conf.Direct) bool {
 	fresh.Repeats, fresh.Quotas, fresh.StopWithin, fresh.FirstStart = old.Repeats, old.Quotas, old.StopWithin, old.FirstStart
-	return old != fresh
+	fresh.Seeds = old.Seeds // only asked at a start
+	return !reflect.DeepEqual(old, fresh)
 }
--- a/direct/roles_test.go
+++ b/direct/roles_test.go
@@ -40,12 +40,29 @@
 			require.Equal(t, 0.8, m.Cores)
 			continue
 		}
-		require.LessOrEqual(t, s.standby(began.Add(standbyEvery), began, time.Time{}), time.Duration(0))
-		require.Positive(t, s.standby(began.Add(standbyEvery), began, began.Add(time.Second)))
+		place, known := s.peers.fleet.Place()
+		require.True(t, known)
+		period := standbyPeriod(place)
+		require.LessOrEqual(t, s.standby(began.Add(period), began, time.Time{}), time.Duration(0))
+		require.Positive(t, s.standby(began.Add(period), began, began.Add(time.Second)))
 	}
 	require.Equal(t, rolesHosts, looking)
 }
 
+// Guards against looks at the lease that grow with the fleet: one of 357 entries each 32
+// seconds is eleven a second. Those who would take over first look as often as ever.
+func TestLooksAtTheLeaseHardlyGrow(t *testing.T) {
+	require.Equal(t, standbyEvery, standbyPeriod(rolesHosts))
+	looks := func(entries int) (each float64) {
+		for place := rolesHosts; place < entries; place++ {
+			each += 1 / standbyPeriod(place).Seconds()
+		}
+		return each
+	}
+	require.Less(t, looks(300), 0.6)
+	require.Less(t, looks(3000), 0.9)
+}
+
 // Story: engines are idle for a quarter of a minute before the first requests come. A
 // planner that has seen them so takes the load for a passing one, and gives its first
 // orders when the first burst has begun.
--- a/direct/standby.go
+++ b/direct/standby.go
@@ -13,8 +13,9 @@
 	// the first reading of the last renewal: read only when it may have ended, a
 	// lost holder's shows after up to twice its time, in which no order is given.
 	lookEvery = 2 * time.Second
-	// standbyEvery is how often each other entry looks, for the case that those few
-	// are lost.
+	// standbyEvery is how often the next largest host looks, for the case that those few
+	// are lost. Others look the more rarely the smaller they are, so that the looks of
+	// all together grow with the logarithm of their number.
 	standbyEvery = 32 * time.Second
 	// placeWithin is how long after its start an entry waits to know its place.
 	placeWithin = memberFirst + time.Second
@@ -34,8 +35,13 @@
 		if looked.IsZero() {
 			looked = began
 		}
-		return min(looked.Add(standbyEvery).Sub(now), planEvery)
+		return min(looked.Add(standbyPeriod(place)).Sub(now), planEvery)
 	default:
 		return min(began.Add(placeWithin).Sub(now), planEvery)
 	}
 }
+
+// standbyPeriod is how often the entry at a place among all looks, the largest host first.
+func standbyPeriod(place int) time.Duration {
+	return standbyEvery * time.Duration(place) / rolesHosts
+}
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -10,6 +10,7 @@
 
 	"github.com/cespare/xxhash/v2"
 
+	"jacinthworks/lease"
 	"jacinthworks/send"
 	"jacinthworks/work"
 )
@@ -27,6 +28,9 @@
 	// whose host is gone stays on record for minutes.
 	failedFirst   = time.Second
 	failedLongest = 16 * time.Second
+	// handover is how long relays that were just chosen may take to know it themselves
+	// and to hear the source.
+	handover = 2 * time.Second
 )
 
 // Member is a process of the fleet.
@@ -125,6 +129,13 @@
 // knows of none, so that the source is watched directly. It must not be copied.
 type Fleet struct {
 	Self work.Host
+	// Seeds are where some processes can be asked before the members are known; they may be
+	// out of date. SelfAddr is where this one is asked.
+	Seeds    []netip.AddrPort
+	SelfAddr netip.AddrPort
+	// First says that the whole fleet starts for the first time: members that are not on
+	// record yet are still to come.
+	First bool
 	// Fewest is the number of processes from which relays are used; zero is
 	// DefaultFewest.
 	Fewest int
@@ -137,6 +148,14 @@
 	others []*Peer
 	place  int
 	known  bool
+	// chosen are the relays, this one included, and settled is when all processes know
+	// them as relays.
+	chosen  []Member
+	settled time.Time
+	// seeds are the processes that relay before the members are known, without this one;
+	// seed says that this is one of them.
+	seeds []*Peer
+	seed  bool
 	// keepers are all processes, the largest first, as keepers of state.
 	keepers []keeper
 }
@@ -151,16 +170,22 @@
 	f.known = f.known || whole
 	f.place = slices.IndexFunc(able, func(m Member) bool { return m.Name == f.Self })
 	f.relay = slices.ContainsFunc(chosen, func(m Member) bool { return m.Name == f.Self })
-	before := f.others
-	f.others, f.peers, f.keepers = nil, nil, nil
+	before := make(map[Member]*Peer, len(f.others))
+	for _, p := range f.others {
+		before[p.Member] = p
+	}
+	if !slices.Equal(chosen, f.chosen) {
+		f.settled = lease.Boottime().Add(handover)
+	}
+	f.others, f.peers, f.keepers, f.chosen = nil, nil, nil, chosen
 	for _, m := range able {
 		if m.Name == f.Self {
 			f.keepers = append(f.keepers, keeper{Member: m})
 			continue
 		}
-		p := &Peer{Member: m, client: &send.Client{Base: m.Addr, DialTimeout: peerDial, Keep: peerKeep}}
-		if n := slices.IndexFunc(before, func(p *Peer) bool { return p.Member == m }); n >= 0 {
-			p = before[n]
+		p := before[m]
+		if p == nil {
+			p = newPeer(m)
 		}
 		f.others = append(f.others, p)
 		f.keepers = append(f.keepers, keeper{m, p})
@@ -168,9 +193,58 @@
 			f.peers = append(f.peers, p)
 		}
 	}
-	// The processes spread over the relays.
+	f.spread(f.peers)
+}
+
+func newPeer(m Member) *Peer {
+	return &Peer{Member: m, client: &send.Client{Base: m.Addr, DialTimeout: peerDial, Keep: peerKeep}}
+}
+
+// spread has the processes of the fleet ask different ones first.
+func (f *Fleet) spread(peers []*Peer) {
 	mine := func(p *Peer) uint64 { return nameHash(string(f.Self) + "/" + string(p.Name)) }
-	slices.SortFunc(f.peers, func(a, b *Peer) int { return cmp.Compare(mine(a), mine(b)) })
+	slices.SortFunc(peers, func(a, b *Peer) int { return cmp.Compare(mine(a), mine(b)) })
+}
+
+// Seed has the processes relay that are on record as relays, and then those at Seeds,
+// until the members are known.
+func (f *Fleet) Seed(recorded []netip.AddrPort) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.seed, f.seeds = slices.Contains(recorded, f.SelfAddr), nil
+	f.addSeeds(recorded)
+	if len(recorded) == 0 {
+		f.seed = slices.Contains(f.Seeds, f.SelfAddr)
+	}
+	f.addSeeds(f.Seeds)
+}
+
+// addSeeds adds processes, in an order of this one's own.
+func (f *Fleet) addSeeds(all []netip.AddrPort) {
+	var fresh []*Peer
+	for _, at := range all {
+		known := slices.ContainsFunc(f.seeds, func(p *Peer) bool { return p.Addr == at })
+		if at != f.SelfAddr && !known {
+			fresh = append(fresh, newPeer(Member{Name: work.Host(at.String()), Addr: at}))
+		}
+	}
+	f.spread(fresh)
+	f.seeds = append(f.seeds, fresh...)
+}
+
+// bySeeds says whether the seeds relay: until it is known which processes there are.
+func (f *Fleet) bySeeds() bool {
+	return (f.seed || len(f.seeds) > 0) && !f.known && len(f.peers) == 0 && !f.relay && (f.First || len(f.others) == 0)
+}
+
+// Relays gives all relays where this process is one of them; else none.
+func (f *Fleet) Relays() []Member {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if !f.relay {
+		return nil
+	}
+	return f.chosen
 }
 
 // Others gives the other processes, at most so many, the largest hosts first.
@@ -199,7 +273,7 @@
 func (f *Fleet) Relayed() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return f.relay || len(f.peers) > 0
+	return f.relay || len(f.peers) > 0 || f.bySeeds()
 }
 
 // plan is what a watch does.
@@ -213,16 +287,27 @@
 	// stale says that no relay is left out: if all of them answer that they hear
 	// nothing of the source, it is away.
 	stale bool
+	// settling says that relays may not know yet that they are.
+	settling bool
 }
 
+// Asked gives the processes that relay for this one, in the order in which they are asked;
+// none where it relays itself or nobody does.
+func (f *Fleet) Asked(now time.Time) []*Peer { return f.plan(now).ask }
+
 func (f *Fleet) plan(now time.Time) plan {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := plan{alone: !f.relay && len(f.peers) == 0, self: f.relay, stale: true}
+	p := plan{alone: !f.relay && len(f.peers) == 0, self: f.relay, stale: true, settling: now.Before(f.settled)}
+	relays := f.peers
+	if f.bySeeds() {
+		relays = f.seeds
+		p.alone, p.self = false, f.seed
+	}
 	if p.alone || p.self {
 		return p
 	}
-	for _, peer := range f.peers {
+	for _, peer := range relays {
 		if peer.resting(now) {
 			p.stale = false
 			continue
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -1,6 +1,7 @@
 package relay
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -10,22 +11,26 @@
 	"jacinthworks/feed"
 )
 
-// knownMost bounds the members, those that are gone included, that a hub holds.
-// Beyond it those who know less list the source.
+// knownMost bounds the members, those that are gone included, that a hub holds: some
+// 300 bytes each. Beyond it those who know less list the source.
 const knownMost = 20000
 
-// Hub holds what is known of a collection since its list, for others to ask. The
-// zero value is ready to use; it must not be copied. It is safe for concurrent
-// use; its lock is a leaf. Times passed in are on a clock that counts the time for
-// which the host was suspended: else a process that was frozen takes what it
-// heard before for news.
+// Hub holds a copy of a collection, for others to ask. The zero value is ready to
+// use; it must not be copied. It is safe for concurrent use; its lock is a leaf. Times
+// passed in are on a clock that counts the time for which the host was suspended: else a
+// process that was frozen takes what it heard before for news.
 type Hub[T any] struct {
 	mu sync.Mutex
-	// known has the newest change of each member in (floor, at].
+	// known has the newest change of each member: of all members while the copy is
+	// whole, and of those that have gone in (floor, at].
 	known     map[string]known[T]
 	floor, at feed.Revision
-	// listed says that floor and at are the source's.
-	listed bool
+	// gaps are those between the revisions of two lists, oldest first.
+	gaps []gap
+	// listed says that floor and at are the source's, whole that no member is missing.
+	listed, whole bool
+	// pages are those of a list under way.
+	pages listing[T]
 	// heard is when the source itself last answered; zero while it does not.
 	heard time.Time
 	// refused is when it did not answer this process, zero after an answer.
@@ -36,6 +41,9 @@
 	// says that this process passes them on.
 	source string
 	relays bool
+	// version counts what changed here.
+	version uint64
+	packs   packs
 }
 
 // known is a change, and the revision up to which it was told.
@@ -44,22 +52,129 @@
 	at     feed.Revision
 }
 
+// gap is between the revision at which a list found the copy, and its own: what came and
+// went within it is not known.
+type gap struct{ from, to feed.Revision }
+
+// gapsMost bounds the gaps that are kept. Those who know less than the oldest of them list
+// the collection.
+const gapsMost = 16
+
+// listing gathers the pages of a list.
+type listing[T any] struct {
+	items map[string]feed.Item[T]
+	at    feed.Revision
+	// began is when its first page came, stale says that a page may be old.
+	began time.Time
+	stale bool
+}
+
 // Listed takes a page of a list of the source; first says that it begins one, stale
-// that it may be old. A list tells of no member that has gone: only changes after
-// it are known.
+// that it may be old. With the last page it takes the place of what was known.
 func (h *Hub[T]) Listed(now time.Time, first, stale bool, p feed.Page[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if first || p.At < h.at {
-		clear(h.known)
-		h.floor, h.at, h.listed = p.At, p.At, true
+	if first || h.pages.items == nil {
+		h.pages = listing[T]{items: make(map[string]feed.Item[T], len(p.Items)), at: p.At, began: now}
 	}
-	if !stale {
-		h.heard = now
+	h.pages.at = min(h.pages.at, p.At)
+	h.pages.stale = h.pages.stale || stale
+	for _, i := range p.Items {
+		h.pages.items[i.Name] = i
+	}
+	if p.More {
+		return
+	}
+	l := h.pages
+	h.pages = listing[T]{}
+	h.replace(l)
+	if !l.stale {
+		h.heard = l.began
 	}
 	h.tell()
 }
 
+// Copied takes the collection as a relay gave it.
+func (h *Hub[T]) Copied(p feed.Page[T]) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	l := listing[T]{items: make(map[string]feed.Item[T], len(p.Items)), at: p.At}
+	for _, i := range p.Items {
+		l.items[i.Name] = i
+	}
+	h.heard = time.Time{}
+	h.replace(l)
+	h.tell()
+}
+
+// replace takes a list. What it changes since the copy before it is told to others as
+// changes, so that they need no list of their own.
+//
+// Load pattern: the source has forgotten its history. Each of hundreds of processes
+// lists the whole collection, although hardly anything has changed.
+func (h *Hub[T]) replace(l listing[T]) {
+	goesOn := h.whole && l.at >= h.at && l.at.Era() == h.at.Era()
+	if goesOn {
+		h.addGap(gap{h.at, l.at})
+	} else {
+		h.known, h.floor, h.gaps = make(map[string]known[T], len(l.items)), l.at, nil
+	}
+	for name, i := range l.items {
+		old, was := h.known[name]
+		if was && !old.change.Gone && i.Unread == nil && i.Revision != 0 && old.change.Revision == i.Revision {
+			continue
+		}
+		h.known[name] = known[T]{feed.Change[T]{Item: i}, l.at}
+	}
+	for name, k := range h.known {
+		if _, there := l.items[name]; !there && !k.change.Gone {
+			k.change.Gone = true
+			h.known[name] = known[T]{k.change, l.at}
+		}
+	}
+	h.at, h.listed, h.whole = l.at, true, true
+	h.prune()
+}
+
+// addGap notes that a list was at a later revision than the copy.
+//
+// Failure: a member came and went between the two, and a process that has heard of it from
+// elsewhere is told that nothing has changed. It shows as an upstream that one process goes
+// on using.
+func (h *Hub[T]) addGap(g gap) {
+	if g.to <= g.from+1 {
+		return
+	}
+	h.gaps = append(h.gaps, g)
+	if len(h.gaps) > gapsMost {
+		h.floor = max(h.floor, h.gaps[0].to)
+		h.gaps = h.gaps[1:]
+	}
+}
+
+// inGap says whether a revision lies within a gap.
+func (h *Hub[T]) inGap(at feed.Revision) bool {
+	return slices.ContainsFunc(h.gaps, func(g gap) bool { return g.from < at && at < g.to })
+}
+
+// prune forgets members that have gone, once there are many. Those who know less list
+// the collection.
+func (h *Hub[T]) prune() {
+	if len(h.known) <= knownMost {
+		return
+	}
+	for name, k := range h.known {
+		if k.change.Gone {
+			delete(h.known, name)
+		}
+	}
+	h.floor = h.at
+	if len(h.known) > knownMost {
+		clear(h.known)
+		h.whole = false
+	}
+}
+
 // Watched takes an answer of the source to a watch.
 func (h *Hub[T]) Watched(now time.Time, after feed.Revision, changes []feed.Change[T], at feed.Revision) {
 	h.mu.Lock()
@@ -91,9 +206,9 @@
 // nothing else has changed. It shows as an upstream that one process never hears
 // of. After a gap nothing before it is vouched for.
 func (h *Hub[T]) take(after feed.Revision, changes []feed.Change[T], at feed.Revision) {
-	if after > h.at || !h.listed || len(h.known)+len(changes) > knownMost {
+	if after > h.at || !h.listed {
 		clear(h.known)
-		h.floor, h.at, h.listed = after, after, true
+		h.floor, h.at, h.gaps, h.listed, h.whole = after, after, nil, true, false
 	}
 	if h.known == nil {
 		h.known = make(map[string]known[T])
@@ -108,11 +223,14 @@
 	}
 	if at > h.at || len(changes) > 0 {
 		h.at = at
+		h.prune()
 		h.tell()
 	}
 }
 
+// tell wakes those who wait for changes.
 func (h *Hub[T]) tell() {
+	h.version++
 	if h.news != nil {
 		close(h.news)
 		h.news = nil
@@ -128,26 +246,90 @@
 // far back. next, given without an error and with errBehind, is closed when there
 // may be more.
 func (h *Hub[T]) Since(now time.Time, after feed.Revision) (changes []feed.Change[T], at feed.Revision, next <-chan struct{}, err error) {
+	n, err := h.since(now, after)
+	return n.changes, n.at, n.next, err
+}
+
+// news is what a hub answers.
+type news[T any] struct {
+	changes []feed.Change[T]
+	at      feed.Revision
+	// version is the hub's.
+	version uint64
+	next    <-chan struct{}
+}
+
+func (h *Hub[T]) since(now time.Time, after feed.Revision) (n news[T], err error) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	switch {
-	case !h.listed || h.heard.IsZero() || now.Sub(h.heard) > Fresh:
-		return nil, 0, nil, ErrStale
-	case after < h.floor:
-		return nil, 0, nil, feed.ErrHistory
+	case !h.fresh(now):
+		return n, ErrStale
+	case after < h.floor, h.inGap(after):
+		return n, feed.ErrHistory
+	}
+	n.next = h.waited()
+	if after > h.at {
+		return n, errBehind
 	}
+	n.at, n.version = h.at, h.version
+	if after == h.at {
+		return n, nil
+	}
+	for _, k := range h.known {
+		if k.at > after {
+			n.changes = append(n.changes, k.change)
+		}
+	}
+	return n, nil
+}
+
+// waited gives what is closed at the next change of anything.
+func (h *Hub[T]) waited() <-chan struct{} {
 	if h.news == nil {
 		h.news = make(chan struct{})
 	}
-	if after > h.at {
-		return nil, 0, h.news, errBehind
+	return h.news
+}
+
+// fresh says whether the source was heard lately.
+func (h *Hub[T]) fresh(now time.Time) bool {
+	return h.listed && !h.heard.IsZero() && now.Sub(h.heard) <= Fresh
+}
+
+// all gives all members, none of which has gone. ErrStale says that the source was not
+// heard lately, or that members are missing here.
+func (h *Hub[T]) all(now time.Time) (n news[T], err error) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	n.next = h.waited()
+	if !h.fresh(now) || !h.whole {
+		return n, ErrStale
 	}
+	n.at, n.version = h.at, h.version
 	for _, k := range h.known {
-		if k.at > after {
-			changes = append(changes, k.change)
+		if !k.change.Gone {
+			n.changes = append(n.changes, k.change)
 		}
 	}
-	return changes, h.at, h.news, nil
+	return n, nil
+}
+
+// At is the newest revision that is known here, zero for none.
+func (h *Hub[T]) At() feed.Revision {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.at
+}
+
+// watchWait is how long a relay's watch of the source waits.
+func (h *Hub[T]) watchWait() time.Duration {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.heard.IsZero() {
+		return firstWait
+	}
+	return relayWait
 }
 
 // mayAsk says whether the source may be asked although no relay hears of it.
--- a/relay/hub_test.go
+++ b/relay/hub_test.go
@@ -1,12 +1,14 @@
 package relay
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
+	"jacinthworks/epoch"
 	"jacinthworks/feed"
 )
 
@@ -93,6 +95,74 @@
 	require.Equal(t, []feed.Change[int]{put("b", 21)}, all)
 }
 
+func pageOf(at feed.Revision, changes ...feed.Change[int]) feed.Page[int] {
+	p := feed.Page[int]{At: at}
+	for _, c := range changes {
+		p.Items = append(p.Items, c.Item)
+	}
+	return p
+}
+
+// Guards against a list by every process where the source has forgotten its history.
+func TestAListTellsOthersWhatItChanges(t *testing.T) {
+	var h Hub[int]
+	h.Listed(start, true, false, pageOf(10, put("a", 1), put("b", 2), put("c", 3)))
+	h.Listed(start, true, false, feed.Page[int]{At: 20, More: true, Items: []feed.Item[int]{put("a", 1).Item}})
+	all, at, _, err := h.Since(start, 10)
+	require.NoError(t, err)
+	require.EqualValues(t, 10, at, "the list is not whole yet")
+	require.Empty(t, all)
+	h.Listed(start, false, false, pageOf(21, put("b", 15), put("d", 16)))
+	all, at, _, err = h.Since(start, 10)
+	require.NoError(t, err)
+	require.EqualValues(t, 20, at)
+	gone := put("c", 3)
+	gone.Gone = true
+	require.ElementsMatch(t, []feed.Change[int]{put("b", 15), put("d", 16), gone}, all)
+	n, err := h.all(start)
+	require.NoError(t, err)
+	require.ElementsMatch(t, []feed.Change[int]{put("a", 1), put("b", 15), put("d", 16)}, n.changes)
+}
+
+// Guards against a list that is passed on with members missing, or from before a copy of
+// the source that is older than another.
+func TestOnlyAWholeCopyIsPassedOn(t *testing.T) {
+	var h Hub[int]
+	h.Listed(start, true, false, pageOf(10, put("a", 1)))
+	h.Watched(start, 12, []feed.Change[int]{put("b", 13)}, 13)
+	_, err := h.all(start)
+	require.ErrorIs(t, err, ErrStale, "what came between 10 and 12 is missing")
+	h.Listed(start, true, false, pageOf(14, put("a", 1), put("b", 13)))
+	_, err = h.all(start)
+	require.NoError(t, err)
+	later := epoch.At(1, 5)
+	h.Listed(start, true, false, pageOf(later, put("a", epoch.At(1, 1))))
+	_, _, _, err = h.Since(start, 14)
+	require.ErrorIs(t, err, feed.ErrHistory, "who knows the earlier copy has to list")
+	h.Copied(pageOf(later, put("a", epoch.At(1, 1))))
+	_, err = h.all(start)
+	require.ErrorIs(t, err, ErrStale, "what a relay gave is not passed on")
+}
+
+// Guards against a hub that grows with each member that ever was.
+func TestMembersThatAreGoneAreForgotten(t *testing.T) {
+	var h Hub[int]
+	h.Listed(start, true, false, pageOf(1, put("a", 1)))
+	at := feed.Revision(1)
+	for range knownMost + 10 {
+		c := put(fmt.Sprint("upstream-", at), at+1)
+		c.Gone = true
+		h.Watched(start, at, []feed.Change[int]{c}, at+1)
+		at++
+	}
+	require.LessOrEqual(t, len(h.known), knownMost)
+	n, err := h.all(start)
+	require.NoError(t, err)
+	require.Len(t, n.changes, 1)
+	_, _, _, err = h.Since(start, 1)
+	require.ErrorIs(t, err, feed.ErrHistory)
+}
+
 // world is a collection with its history, as the source has it.
 type world struct {
 	at      feed.Revision
@@ -112,6 +182,15 @@
 	return s
 }
 
+// page is the whole collection.
+func (w *world) page() feed.Page[int] {
+	p := feed.Page[int]{At: w.at}
+	for name, value := range w.state(w.at) {
+		p.Items = append(p.Items, put(name, feed.Revision(value)).Item)
+	}
+	return p
+}
+
 func (w *world) since(after, to feed.Revision) []feed.Change[int] {
 	var out []feed.Change[int]
 	for _, c := range w.history {
@@ -146,7 +225,7 @@
 		list()
 		for range rapid.IntRange(1, 60).Draw(t, "steps") {
 			h := hubs[rapid.IntRange(0, 1).Draw(t, "relay")]
-			switch rapid.IntRange(0, 6).Draw(t, "step") {
+			switch rapid.IntRange(0, 8).Draw(t, "step") {
 			case 0, 1:
 				w.change(t)
 			case 2: // the relay watches
@@ -157,7 +236,17 @@
 				}
 			case 3: // the relay starts anew
 				*h = Hub[int]{}
-				h.Listed(now, true, rapid.Bool().Draw(t, "stale"), page(w.at))
+				h.Listed(now, true, rapid.Bool().Draw(t, "stale"), w.page())
+			case 7: // the source has forgotten its history, and the relay lists anew
+				h.Listed(now, true, false, w.page())
+			case 8: // a relay gives the whole collection
+				n, err := h.all(now)
+				if err != nil || n.at < own.At() {
+					continue
+				}
+				own.Copied(pageOf(n.at, n.changes...))
+				at, copied = n.at, map[string]int{}
+				apply(copied, n.changes)
 			case 4:
 				h.Lost(now)
 			case 5:
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -1,9 +1,7 @@
 package relay
 
 import (
-	"bytes"
 	"context"
-	"encoding/gob"
 	"net/http"
 	"strconv"
 	"time"
@@ -27,104 +25,136 @@
 	maxAnswer = 8 << 20
 
 	queryAfter = "after"
+	queryList  = "list"
 	queryWait  = "wait_ms"
 	headerAt   = "Revision"
 )
 
-// told is a change as relays pass it on.
-type told[T any] struct {
-	Name     string
-	Revision feed.Revision
-	Value    T
-	// Unread is the cause where the member can't be read.
-	Unread string
-	Gone   bool
-}
-
-func (t told[T]) change() feed.Change[T] {
-	c := feed.Change[T]{Item: feed.Item[T]{Name: t.Name, Revision: t.Revision, Value: t.Value}, Gone: t.Gone}
-	if t.Unread != "" {
-		c.Unread = errors.New(t.Unread)
-	}
-	return c
-}
-
-// Handler answers polls from the hub.
+// Handler answers polls, and who lists the collection, from the hub.
 func Handler[T any](h *Hub[T]) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		after, err := strconv.ParseUint(r.URL.Query().Get(queryAfter), 10, 64)
-		if err != nil {
-			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
-			return
-		}
-		ms, err := strconv.ParseInt(r.URL.Query().Get(queryWait), 10, 64)
+		q := r.URL.Query()
+		ms, err := strconv.ParseInt(q.Get(queryWait), 10, 64)
 		if err != nil || ms < 0 {
 			http.Error(w, "wait_ms must be a whole number", http.StatusBadRequest)
 			return
 		}
 		wait := min(time.Duration(ms)*time.Millisecond, PollWait)
-		changes, at, err := await(r.Context(), h, feed.Revision(after), wait)
-		switch {
-		case errors.Is(err, feed.ErrHistory):
-			w.WriteHeader(http.StatusGone)
-		case err != nil:
-			w.WriteHeader(http.StatusServiceUnavailable)
-		default:
-			answer(w, changes, at)
+		if q.Has(queryList) {
+			answerList(w, r, h, wait)
+			return
 		}
+		after, err := strconv.ParseUint(q.Get(queryAfter), 10, 64)
+		if err != nil {
+			http.Error(w, "after: "+err.Error(), http.StatusBadRequest)
+			return
+		}
+		answerPoll(w, r, h, feed.Revision(after), wait)
 	})
 }
 
+func answerPoll[T any](w http.ResponseWriter, r *http.Request, h *Hub[T], after feed.Revision, wait time.Duration) {
+	n, err := await(r.Context(), h, after, wait)
+	switch {
+	case errors.Is(err, feed.ErrHistory):
+		w.WriteHeader(http.StatusGone)
+	case err != nil:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case len(n.changes) == 0:
+		w.Header().Set(headerAt, strconv.FormatUint(uint64(n.at), 10))
+		w.WriteHeader(http.StatusNoContent)
+	default:
+		write(w, h, packed{version: n.version, after: after, at: n.at}, n.changes)
+	}
+}
+
+func answerList[T any](w http.ResponseWriter, r *http.Request, h *Hub[T], wait time.Duration) {
+	n, err := awaitAll(r.Context(), h, wait)
+	if err != nil {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	write(w, h, packed{version: n.version, at: n.at, list: true}, n.changes)
+}
+
 // await waits for changes after a revision.
-func await[T any](ctx context.Context, h *Hub[T], after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
+func await[T any](ctx context.Context, h *Hub[T], after feed.Revision, wait time.Duration) (news[T], error) {
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
-		changes, at, next, err := h.Since(lease.Boottime(), after)
-		if err != nil && !errors.Is(err, errBehind) || len(changes) > 0 {
-			return changes, at, err
+		n, err := h.since(lease.Boottime(), after)
+		if err != nil && !errors.Is(err, errBehind) || len(n.changes) > 0 {
+			return n, err
 		}
 		select {
-		case <-next:
+		case <-n.next:
 		case <-end.C:
 			// The answer that nothing has changed is one as well: it has to be fresh.
-			changes, at, _, err := h.Since(lease.Boottime(), after)
-			return changes, at, err
+			return h.since(lease.Boottime(), after)
 		case <-ctx.Done():
-			return nil, 0, ctx.Err()
+			return n, ctx.Err()
 		}
 	}
 }
 
-func answer[T any](w http.ResponseWriter, changes []feed.Change[T], at feed.Revision) {
-	w.Header().Set(headerAt, strconv.FormatUint(uint64(at), 10))
-	if len(changes) == 0 {
-		w.WriteHeader(http.StatusNoContent)
-		return
-	}
-	all := make([]told[T], 0, len(changes))
-	for _, c := range changes {
-		t := told[T]{Name: c.Name, Revision: c.Revision, Value: c.Value, Gone: c.Gone}
-		if c.Unread != nil {
-			t.Unread = c.Unread.Error()
+// awaitAll waits until the hub has listed the collection for the first time.
+//
+// Load pattern: all processes start at once, the relays among them. Turned away by a relay
+// that has just begun its own list, each of the others lists the source.
+func awaitAll[T any](ctx context.Context, h *Hub[T], wait time.Duration) (news[T], error) {
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		n, err := h.all(lease.Boottime())
+		if err == nil || h.At() > 0 {
+			return n, err
+		}
+		select {
+		case <-n.next:
+		case <-end.C:
+			return n, err
+		case <-ctx.Done():
+			return n, ctx.Err()
 		}
-		all = append(all, t)
 	}
-	var body bytes.Buffer
-	if err := gob.NewEncoder(&body).Encode(all); err != nil {
+}
+
+// write sends changes, as they were packed for another before where it can.
+func write[T any](w http.ResponseWriter, h *Hub[T], key packed, changes []feed.Change[T]) {
+	body, err := h.packs.pack(key, func() ([]byte, error) { return encode(changes) })
+	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
-	w.Header().Set("Content-Length", strconv.Itoa(body.Len()))
-	_, _ = w.Write(body.Bytes()) // a broken connection is the other's to notice
+	w.Header().Set(headerAt, strconv.FormatUint(uint64(key.at), 10))
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	_, _ = w.Write(body) // a broken connection is the other's to notice
 }
 
-// poll asks a relay.
+// poll asks a relay for changes.
 func poll[T any](ctx context.Context, p *Peer, name string, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
+	changes, at, err := ask[T](ctx, p, name, queryAfter+"="+strconv.FormatUint(uint64(after), 10), wait)
+	if err == nil && at < after {
+		return nil, 0, errors.Errorf("relay: %s: revision %s after %s", p.Name, at, after)
+	}
+	return changes, at, err
+}
+
+// list asks a relay for the whole collection.
+func list[T any](ctx context.Context, p *Peer, name string, wait time.Duration) (feed.Page[T], error) {
+	all, at, err := ask[T](ctx, p, name, queryList+"=1", wait)
+	if err != nil {
+		return feed.Page[T]{}, err
+	}
+	items, err := itemsOf(all)
+	return feed.Page[T]{At: at, Items: items}, errors.Wrap(err, string(p.Name))
+}
+
+// ask makes one call at a relay.
+func ask[T any](ctx context.Context, p *Peer, name, query string, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+pollPatience)
 	defer cancel()
-	target := Path + name + "?" + queryAfter + "=" + strconv.FormatUint(uint64(after), 10) +
-		"&" + queryWait + "=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	target := Path + name + "?" + query + "&" + queryWait + "=" + strconv.FormatInt(wait.Milliseconds(), 10)
 	reply, err := p.client.Do(ctx, send.Request{Method: http.MethodGet, Target: target, Silence: wait + pollPatience})
 	if err != nil {
 		return nil, 0, errors.Wrap(err, "relay: "+string(p.Name))
@@ -143,24 +173,9 @@
 		return nil, 0, errors.Errorf("relay: %s: status %d", p.Name, reply.Status)
 	}
 	at, err := strconv.ParseUint(reply.Header.Get(headerAt), 10, 64)
-	if err != nil || feed.Revision(at) < after {
-		return nil, 0, errors.Errorf("relay: %s: revision %q after %d", p.Name, reply.Header.Get(headerAt), after)
+	if err != nil {
+		return nil, 0, errors.Wrap(err, "relay: revision of "+string(p.Name))
 	}
 	changes, err := decode[T](body)
 	return changes, feed.Revision(at), errors.Wrap(err, "relay: "+string(p.Name))
 }
-
-func decode[T any](body []byte) ([]feed.Change[T], error) {
-	if len(body) == 0 {
-		return nil, nil
-	}
-	var all []told[T]
-	if err := gob.NewDecoder(bytes.NewReader(body)).Decode(&all); err != nil {
-		return nil, errors.Wrap(err, "relay: answer")
-	}
-	var changes []feed.Change[T]
-	for _, t := range all {
-		changes = append(changes, t.change())
-	}
-	return changes, nil
-}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -27,12 +27,15 @@
 
 import (
 	"context"
+	"math/rand/v2"
+	"syscall"
 	"time"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
 	"jacinthworks/feed"
+	"jacinthworks/group"
 	"jacinthworks/lease"
 )
 
@@ -48,6 +51,17 @@
 	// within the seconds in which a change is to be in force.
 	PollWait     = time.Second
 	pollPatience = 500 * time.Millisecond
+	// listWait is how long a relay that has just started may take for its own list.
+	listWait = 400 * time.Millisecond
+	// upWithin is how long relays are tried whose hosts are up and whose processes are
+	// not, upAgain the time between two tries.
+	upWithin = 500 * time.Millisecond
+	upAgain  = 40 * time.Millisecond
+	// settleAgain is the time between two polls while relays learn that they are.
+	settleAgain = 150 * time.Millisecond
+	// firstWait is the wait of a watch by a relay that has not heard the source yet: until
+	// then it answers nobody.
+	firstWait = 10 * time.Millisecond
 	// directEvery is the time between two calls to the source while relays answer
 	// that the source does not answer them.
 	//
@@ -70,8 +84,21 @@
 	Log    hclog.Logger
 }
 
-// List gives a page from the source itself.
+// List gives the collection as a relay has it or, for a relay and where none answers, a
+// page from the source itself.
+//
+// Load pattern: many processes start at once, or the source has forgotten its history.
+// Each of them lists all members: at the source, calls and bytes are the product of
+// processes and members.
 func (s Source[T]) List(ctx context.Context, after string, stale bool) (feed.Page[T], error) {
+	plan := s.Fleet.plan(lease.Boottime())
+	if after == "" && !plan.alone && !plan.self {
+		if p, ok := s.listed(ctx); ok {
+			return p, nil
+		}
+	}
+	// Others list at a relay: what it lists itself is not to be old.
+	stale = stale && !plan.self
 	p, err := s.Direct.List(ctx, after, stale)
 	if err == nil {
 		s.Hub.Listed(lease.Boottime(), after == "", stale, p)
@@ -79,19 +106,81 @@
 	return p, err
 }
 
-// Watch waits for changes at a relay or, for a relay and where none answers, at
+// listed asks the relays for the collection, and for a short time those again that are
+// not up yet.
+func (s Source[T]) listed(ctx context.Context) (feed.Page[T], bool) {
+	began := lease.Boottime()
+	for {
+		page, err := First(ctx, FirstAfter, s.Fleet.plan(lease.Boottime()).ask, s.listAt)
+		took := lease.Boottime().Sub(began)
+		switch {
+		case err == nil:
+			s.Hub.Copied(page)
+			s.Log.Info("collection listed by a relay", "feed", s.Name, "members", len(page.Items), "revision", page.At.String(), "took", took)
+			return page, true
+		case !errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil || took > upWithin:
+			s.Log.Info("collection not listed by relays", "feed", s.Name, "err", err, "took", took)
+			return feed.Page[T]{}, false
+		}
+		group.Pause(ctx, upAgain/2+rand.N(upAgain))
+	}
+}
+
+// listAt asks one relay for the collection.
+func (s Source[T]) listAt(ctx context.Context, p *Peer) (feed.Page[T], error) {
+	page, err := list[T](ctx, p, s.Name, listWait)
+	switch {
+	case err == nil && page.At < s.Hub.At():
+		return page, errBehind
+	case err == nil:
+		p.answered()
+	case errors.Is(err, ErrStale), errors.Is(err, syscall.ECONNREFUSED), ctx.Err() != nil:
+	default:
+		p.failed(lease.Boottime())
+	}
+	return page, err
+}
+
+// Watch waits for changes at a relay and, for a relay and where none answers, at
 // the source.
 func (s Source[T]) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
-	now := lease.Boottime()
-	plan := s.Fleet.plan(now)
+	plan := s.Fleet.plan(lease.Boottime())
 	if plan.alone {
 		s.Hub.from(s.Log, s.Name, "", false, "no relays")
 		return s.direct(ctx, after, wait)
 	}
-	why := "is a relay"
-	if !plan.self {
-		why = "all relays rest"
+	if plan.self {
+		s.Hub.from(s.Log, s.Name, "", true, "is a relay")
+		return s.direct(ctx, after, min(wait, s.Hub.watchWait()))
+	}
+	changes, at, err := s.polled(ctx, after, wait)
+	for errors.Is(err, ErrStale) && plan.settling && ctx.Err() == nil {
+		// Load pattern: a fleet has just chosen its relays, and learns of it within a
+		// second. Turned away by processes that do not know it yet, each of the others
+		// watches the source.
+		group.Pause(ctx, settleAgain/2+rand.N(settleAgain))
+		plan = s.Fleet.plan(lease.Boottime())
+		changes, at, err = s.polled(ctx, after, wait)
+	}
+	switch {
+	case err == nil, errors.Is(err, feed.ErrHistory), ctx.Err() != nil:
+		return changes, at, err
+	case errors.Is(err, ErrStale) && !s.Hub.mayAsk(lease.Boottime()):
+		return nil, 0, errors.Wrap(err, "relay: all relays")
 	}
+	s.Hub.from(s.Log, s.Name, "", false, err.Error())
+	return s.direct(ctx, after, min(wait, relayWait))
+}
+
+// errResting says that all relays are left alone for now.
+var errResting = errors.New("relay: all relays rest")
+
+// polled asks the relays for changes, one after the other. ErrStale says that all of them
+// answer and none hears the source, feed.ErrHistory that the collection has to be listed.
+func (s Source[T]) polled(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
+	plan := s.Fleet.plan(lease.Boottime())
+	cause := errResting
+	allStale := plan.stale && len(plan.ask) > 0
 	for _, p := range plan.ask {
 		changes, at, err := poll[T](ctx, p, s.Name, after, min(wait, PollWait))
 		switch {
@@ -100,22 +189,18 @@
 			s.Hub.Relayed(after, changes, at)
 			s.Hub.from(s.Log, s.Name, string(p.Name), false, "answers")
 			return changes, at, nil
-		case ctx.Err() != nil:
+		case ctx.Err() != nil, errors.Is(err, feed.ErrHistory):
 			return nil, 0, err
-		case errors.Is(err, feed.ErrHistory):
-			// It started later than this process. The source still knows.
-			plan.stale = false
 		case !errors.Is(err, ErrStale):
 			p.failed(lease.Boottime())
-			plan.stale = false
+			allStale = false
 		}
-		why = err.Error()
+		cause = err
 	}
-	if !plan.self && plan.stale && !s.Hub.mayAsk(lease.Boottime()) {
-		return nil, 0, errors.Wrap(ErrStale, "relay: all relays")
+	if !allStale && errors.Is(cause, ErrStale) {
+		return nil, 0, errors.Errorf("%v; others do not answer", cause)
 	}
-	s.Hub.from(s.Log, s.Name, "", plan.self, why)
-	return s.direct(ctx, after, min(wait, relayWait))
+	return nil, 0, cause
 }
 
 // directPatience is what the source may take beyond the wait of a watch.
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -16,6 +16,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/feed"
+	"jacinthworks/lease"
 	"jacinthworks/work"
 )
 
@@ -26,7 +27,10 @@
 	log     []feed.Change[int]
 	down    bool
 	changed chan struct{}
-	calls   atomic.Int64
+	// floor is the revision up to which history is forgotten.
+	floor feed.Revision
+	calls atomic.Int64
+	lists atomic.Int64
 }
 
 var errDown = errors.New("down")
@@ -43,6 +47,16 @@
 	return o.at
 }
 
+// forget drops all history.
+func (o *origin) forget() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	o.at += 100 // changes of other collections
+	o.floor = o.at
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
 func (o *origin) setDown(down bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -51,6 +65,7 @@
 
 func (o *origin) List(context.Context, string, bool) (feed.Page[int], error) {
 	o.calls.Add(1)
+	o.lists.Add(1)
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.down {
@@ -74,11 +89,13 @@
 				all = append(all, c)
 			}
 		}
-		at, down, changed := o.at, o.down, o.changed
+		at, down, changed, floor := o.at, o.down, o.changed, o.floor
 		o.mu.Unlock()
 		switch {
 		case down:
 			return nil, 0, errDown
+		case after < floor:
+			return nil, 0, feed.ErrHistory
 		case len(all) > 0:
 			return all, at, nil
 		}
@@ -230,6 +247,62 @@
 	require.Less(t, time.Since(began), 2*time.Second)
 }
 
+// Guards against a list at the source by every process that starts.
+func TestProcessesThatStartListAtRelays(t *testing.T) {
+	o := newOrigin()
+	first := o.put("first")
+	all := startAll(t, o, 40)
+	allSee(t, all, first, 10*time.Second)
+	require.LessOrEqual(t, o.lists.Load(), int64(relays))
+}
+
+// Guards against a list at the source by every process when history is forgotten, and
+// against a change that is missed then.
+func TestForgottenHistoryIsListedByRelaysAlone(t *testing.T) {
+	o := newOrigin()
+	all := startAll(t, o, 40)
+	allSee(t, all, o.put("first"), 10*time.Second)
+	before := o.lists.Load()
+	for n := range 3 {
+		o.put(fmt.Sprint("lost-", n))
+		o.forget()
+		time.Sleep(50 * time.Millisecond)
+	}
+	allSee(t, all, o.put("last"), 10*time.Second)
+	require.LessOrEqual(t, o.lists.Load()-before, int64(4*relays))
+}
+
+// Guards against a process that believes a relay which hands out nonsense: it lists the
+// source, and leaves the relay alone.
+func TestARelayThatHandsOutNonsenseIsLeftAlone(t *testing.T) {
+	twice, err := encode([]feed.Change[int]{put("a", 1), put("a", 2)})
+	require.NoError(t, err)
+	sound, err := encode([]feed.Change[int]{put("a", 1)})
+	require.NoError(t, err)
+	for name, body := range map[string][]byte{
+		"a member twice": twice,
+		"half an answer": sound[:len(sound)/2],
+		"no form":        {9, 9, 9},
+		"100 MB":         make([]byte, 100<<20),
+	} {
+		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set(headerAt, "7")
+			_, _ = w.Write(body)
+		}))
+		o := newOrigin()
+		o.put("there")
+		f := &Fleet{Self: "self"}
+		f.Seed([]netip.AddrPort{netip.MustParseAddrPort(h.Listener.Addr().String())})
+		s := Source[int]{Name: "numbers", Direct: o, Hub: &Hub[int]{}, Fleet: f, Log: hclog.NewNullLogger()}
+		p, err := s.List(t.Context(), "", true)
+		require.NoError(t, err, name)
+		require.Len(t, p.Items, 1, name)
+		require.Equal(t, "there", p.Items[0].Name, name)
+		require.True(t, f.seeds[0].resting(lease.Boottime()), name)
+		h.Close()
+	}
+}
+
 // turned is a source that turns this process away.
 type turned struct{ *origin }
 
