relay: relays that have just lost the source are polled again before it is asked

Cause: the store breaks off the waiting watches of both relays where it forgets its history. Change: an entry whose relays all hear nothing polls them again for half a second, and asks the store then.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -287,8 +287,16 @@
 	// stale says that no relay is left out: if all of them answer that they hear
 	// nothing of the source, it is away.
 	stale bool
-	// settling says that relays may not know yet that they are.
-	settling bool
+	// settled is when relays that were just chosen know that they are.
+	settled time.Time
+}
+
+// patience is until when relays that hear nothing of the source are polled again.
+func (p plan) patience(now time.Time) time.Time {
+	if until := now.Add(staleWithin); until.After(p.settled) {
+		return until
+	}
+	return p.settled
 }
 
 // Asked gives the processes that relay for this one, in the order in which they are asked;
@@ -298,7 +306,7 @@
 func (f *Fleet) plan(now time.Time) plan {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	p := plan{alone: !f.relay && len(f.peers) == 0, self: f.relay, stale: true, settling: now.Before(f.settled)}
+	p := plan{alone: !f.relay && len(f.peers) == 0, self: f.relay, stale: true, settled: f.settled}
 	relays := f.peers
 	if f.bySeeds() {
 		relays = f.seeds
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -57,8 +57,14 @@
 	// not, upAgain the time between two tries.
 	upWithin = 500 * time.Millisecond
 	upAgain  = 40 * time.Millisecond
-	// settleAgain is the time between two polls while relays learn that they are.
-	settleAgain = 150 * time.Millisecond
+	// staleWithin is how long relays that have just lost the source are polled again
+	// before it is asked itself, staleAgain the time between two polls.
+	//
+	// Load pattern: the source breaks off waiting watches, or has forgotten its history.
+	// The relays are back within some 100 ms; asked by each process meanwhile, it gets as
+	// many calls as there are processes.
+	staleWithin = 500 * time.Millisecond
+	staleAgain  = 150 * time.Millisecond
 	// firstWait is the wait of a watch by a relay that has not heard the source yet: until
 	// then it answers nobody.
 	firstWait = 10 * time.Millisecond
@@ -154,13 +160,14 @@
 		return s.direct(ctx, after, min(wait, s.Hub.watchWait()))
 	}
 	changes, at, err := s.polled(ctx, after, wait)
-	for errors.Is(err, ErrStale) && plan.settling && ctx.Err() == nil {
-		// Load pattern: a fleet has just chosen its relays, and learns of it within a
-		// second. Turned away by processes that do not know it yet, each of the others
-		// watches the source.
-		group.Pause(ctx, settleAgain/2+rand.N(settleAgain))
-		plan = s.Fleet.plan(lease.Boottime())
+	patience := plan.patience(lease.Boottime())
+	for errors.Is(err, ErrStale) && lease.Boottime().Before(patience) && s.Hub.mayAsk(lease.Boottime()) && ctx.Err() == nil {
+		group.Pause(ctx, staleAgain/2+rand.N(staleAgain))
+		began := lease.Boottime()
 		changes, at, err = s.polled(ctx, after, wait)
+		if now := lease.Boottime(); now.Sub(began) > staleAgain {
+			patience = plan.patience(now) // a relay was back meanwhile
+		}
 	}
 	switch {
 	case err == nil, errors.Is(err, feed.ErrHistory), ctx.Err() != nil:
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -57,6 +57,14 @@
 	o.changed = make(chan struct{})
 }
 
+// wake ends all watches.
+func (o *origin) wake() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	close(o.changed)
+	o.changed = make(chan struct{})
+}
+
 func (o *origin) setDown(down bool) {
 	o.mu.Lock()
 	defer o.mu.Unlock()
@@ -272,6 +280,40 @@
 	require.LessOrEqual(t, o.lists.Load()-before, int64(4*relays))
 }
 
+// asked is a source that counts the watches of one process.
+type asked struct {
+	*origin
+	watches *atomic.Int64
+}
+
+func (a asked) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[int], feed.Revision, error) {
+	a.watches.Add(1)
+	return a.origin.Watch(ctx, after, wait)
+}
+
+// Guards against a watch of the source by every process when it breaks off the watches
+// of the relays.
+func TestAWatchThatBreaksOffIsNotAnOutage(t *testing.T) {
+	o := newOrigin()
+	var watches atomic.Int64
+	all := startAll(t, o, 40, func(n int) feed.Source[int] {
+		if n < relays {
+			return o
+		}
+		return asked{o, &watches}
+	})
+	allSee(t, all, o.put("first"), 10*time.Second)
+	for range 3 {
+		o.setDown(true)
+		o.wake()
+		time.Sleep(20 * time.Millisecond)
+		o.setDown(false)
+		time.Sleep(time.Second)
+	}
+	allSee(t, all, o.put("last"), 10*time.Second)
+	require.Zero(t, watches.Load(), "the relays ask again, the others wait for them")
+}
+
 // Guards against a process that believes a relay which hands out nonsense: it lists the
 // source, and leaves the relay alone.
 func TestARelayThatHandsOutNonsenseIsLeftAlone(t *testing.T) {
