relay: in a large fleet, some processes stand between the relays and the rest

Change: beyond 64 processes for each relay, one in 64 stands between: it polls the relays, and the others poll two of these, in their own availability zone first, before the relays. What is passed on says when the source told it, so that anybody vouches for what it has by its age: 1.8 s at a relay, 3.3 s behind one. Without relays only those between watch the source.

--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -10,7 +10,6 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"jacinthworks/lease"
 	"jacinthworks/send"
 	"jacinthworks/work"
 )
@@ -19,6 +18,11 @@
 	// relays is how many processes watch the source for all: one may be lost
 	// without a call more to the source.
 	relays = 2
+	// DefaultDegree is how many processes one passes changes on to, about. Beyond that
+	// number for each relay, others stand between the relays and the rest.
+	DefaultDegree = 64
+	// middles is how many of these each process asks, before the relays.
+	middles = 2
 	// DefaultFewest is the number of processes from which relays are used. A few
 	// watches are cheap, and small deployments bound changes more tightly than a
 	// relay that falls silent is found.
@@ -49,8 +53,9 @@
 // (zero is DefaultFewest): the largest hosts, in different availability zones. All
 // processes that know the same members choose the same ones. One that knows others
 // asks a process that does not watch, and is told that it can't vouch for anything.
-func Relays(all []Member, fewest int) []Member {
-	able := ranked(all)
+func Relays(all []Member, fewest int) []Member { return chosenOf(ranked(all), fewest) }
+
+func chosenOf(able []Member, fewest int) []Member {
 	if fewest <= 0 {
 		fewest = DefaultFewest
 	}
@@ -71,19 +76,70 @@
 	return chosen
 }
 
+// role is what a process does for the others.
+type role int
+
+const (
+	leafRole role = iota
+	middleRole
+	relayRole
+)
+
+// between gives the members that stand between the relays and the rest of a large fleet,
+// one for each degree of members: the next largest hosts, spread over the availability
+// zones.
+//
+// Load pattern: two processes pass each change on to all others, and answer a poll of each
+// once a second. Their connections, memory and bytes grow with the fleet; with processes
+// between, they grow with its root.
+func between(able, chosen []Member, degree int) []Member {
+	if len(chosen) == 0 || len(able) <= relays*degree {
+		return nil
+	}
+	most := (len(able) + degree - 1) / degree
+	var some []Member
+	inZone := make(map[work.Zone]int)
+	taken := make(map[work.Host]bool)
+	for _, m := range chosen {
+		taken[m.Name] = true
+	}
+	for round := 1; len(some) < most; round++ {
+		before := len(some)
+		for _, m := range able {
+			if len(some) < most && inZone[m.Zone] < round && !taken[m.Name] {
+				inZone[m.Zone]++
+				taken[m.Name] = true
+				some = append(some, m)
+			}
+		}
+		if len(some) == before {
+			break
+		}
+	}
+	return some
+}
+
 // ranked gives the members that others can ask, the largest hosts first, and those
 // of one size in an order that is the same everywhere.
 func ranked(all []Member) []Member {
-	var able []Member
+	type hashed struct {
+		Member
+		hash uint64
+	}
+	var able []hashed
 	for _, m := range all {
 		if m.Addr.IsValid() {
-			able = append(able, m)
+			able = append(able, hashed{m, nameHash(m.Name)})
 		}
 	}
-	slices.SortFunc(able, func(a, b Member) int {
-		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(nameHash(a.Name), nameHash(b.Name)), cmp.Compare(a.Name, b.Name))
+	slices.SortFunc(able, func(a, b hashed) int {
+		return cmp.Or(cmp.Compare(b.Cores, a.Cores), cmp.Compare(a.hash, b.hash), cmp.Compare(a.Name, b.Name))
 	})
-	return able
+	members := make([]Member, 0, len(able))
+	for _, h := range able {
+		members = append(members, h.Member)
+	}
+	return members
 }
 
 // nameHash orders names in a way that does not follow how hosts are named.
@@ -93,6 +149,8 @@
 type Peer struct {
 	Member
 	client *send.Client
+	// call takes the place of calls through client, if set.
+	call func(ctx context.Context, r send.Request) (*answered, error)
 
 	mu    sync.Mutex // a leaf
 	fails int
@@ -133,6 +191,8 @@
 	// out of date. SelfAddr is where this one is asked.
 	Seeds    []netip.AddrPort
 	SelfAddr netip.AddrPort
+	// Degree is how many processes one passes changes on to; zero is DefaultDegree.
+	Degree int
 	// First says that the whole fleet starts for the first time: members that are not on
 	// record yet are still to come.
 	First bool
@@ -148,6 +208,8 @@
 	others []*Peer
 	place  int
 	known  bool
+	// connect, if set, prepares each new peer.
+	connect func(*Peer)
 	// chosen are the relays, this one included, and settled is when all processes know
 	// them as relays.
 	chosen  []Member
@@ -156,48 +218,88 @@
 	// seed says that this is one of them.
 	seeds []*Peer
 	seed  bool
-	// keepers are all processes, the largest first, as keepers of state.
-	keepers []keeper
+	// keepers are those that keep state, began is when the first of all was put on record.
+	keepers []*keeper
+	began   time.Time
 }
 
 // Set takes the members of the fleet; whole says that those which started together
 // with this one had time to be among them.
 func (f *Fleet) Set(all []Member, whole bool) {
 	able := ranked(all)
-	chosen := Relays(all, f.Fewest)
+	chosen := chosenOf(able, f.Fewest)
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.known = f.known || whole
 	f.place = slices.IndexFunc(able, func(m Member) bool { return m.Name == f.Self })
-	f.relay = slices.ContainsFunc(chosen, func(m Member) bool { return m.Name == f.Self })
 	before := make(map[Member]*Peer, len(f.others))
 	for _, p := range f.others {
 		before[p.Member] = p
 	}
 	if !slices.Equal(chosen, f.chosen) {
-		f.settled = lease.Boottime().Add(handover)
+		f.settled = boottime().Add(handover)
+	}
+	degree := f.Degree
+	if degree <= 0 {
+		degree = DefaultDegree
+	}
+	roles := make(map[work.Host]role)
+	for _, m := range between(able, chosen, degree) {
+		roles[m.Name] = middleRole
+	}
+	for _, m := range chosen {
+		roles[m.Name] = relayRole
+	}
+	f.relay = roles[f.Self] == relayRole
+	var zone work.Zone
+	if f.place >= 0 {
+		zone = able[f.place].Zone
 	}
-	f.others, f.peers, f.keepers, f.chosen = nil, nil, nil, chosen
+	var above []*Peer
+	var keepers []keeper
+	f.others, f.peers, f.chosen = nil, nil, chosen
 	for _, m := range able {
 		if m.Name == f.Self {
-			f.keepers = append(f.keepers, keeper{Member: m})
+			keepers = append(keepers, keeper{Member: m})
 			continue
 		}
 		p := before[m]
 		if p == nil {
-			p = newPeer(m)
+			p = f.newPeer(m)
 		}
 		f.others = append(f.others, p)
-		f.keepers = append(f.keepers, keeper{m, p})
-		if slices.Contains(chosen, m) {
+		keepers = append(keepers, keeper{m, p})
+		switch roles[m.Name] {
+		case relayRole:
 			f.peers = append(f.peers, p)
+		case middleRole:
+			above = append(above, p)
 		}
 	}
+	f.setKeepers(keepers)
 	f.spread(f.peers)
+	if roles[f.Self] != leafRole {
+		return
+	}
+	f.spread(above)
+	slices.SortStableFunc(above, func(a, b *Peer) int { return cmp.Compare(distance(a.Zone, zone), distance(b.Zone, zone)) })
+	f.peers = slices.Concat(above[:min(len(above), middles)], f.peers)
+}
+
+// distance is zero within an availability zone.
+func distance(a, b work.Zone) int {
+	if a == b {
+		return 0
+	}
+	return 1
 }
 
-func newPeer(m Member) *Peer {
-	return &Peer{Member: m, client: &send.Client{Base: m.Addr, DialTimeout: peerDial, Keep: peerKeep}}
+func (f *Fleet) newPeer(m Member) *Peer {
+	p := &Peer{Member: m, client: &send.Client{Base: m.Addr, DialTimeout: peerDial, Keep: peerKeep}}
+	if f.connect != nil {
+		f.connect(p)
+	}
+	return p
 }
 
 // spread has the processes of the fleet ask different ones first.
@@ -225,7 +327,7 @@
 	for _, at := range all {
 		known := slices.ContainsFunc(f.seeds, func(p *Peer) bool { return p.Addr == at })
 		if at != f.SelfAddr && !known {
-			fresh = append(fresh, newPeer(Member{Name: work.Host(at.String()), Addr: at}))
+			fresh = append(fresh, f.newPeer(Member{Name: work.Host(at.String()), Addr: at}))
 		}
 	}
 	f.spread(fresh)
--- a/relay/hub.go
+++ b/relay/hub.go
@@ -31,8 +31,11 @@
 	listed, whole bool
 	// pages are those of a list under way.
 	pages listing[T]
-	// heard is when the source itself last answered; zero while it does not.
+	// heard is when the source last answered this process, or the relay that passed its
+	// answer on; zero while it does not.
 	heard time.Time
+	// direct says that it answered this process.
+	direct bool
 	// refused is when it did not answer this process, zero after an answer.
 	refused time.Time
 	// news is closed at the next change of anything.
@@ -89,20 +92,21 @@
 	h.pages = listing[T]{}
 	h.replace(l)
 	if !l.stale {
-		h.heard = l.began
+		h.heard, h.direct = l.began, true
 	}
 	h.tell()
 }
 
-// Copied takes the collection as a relay gave it.
-func (h *Hub[T]) Copied(p feed.Page[T]) {
+// Copied takes the collection as a relay gave it, which the source told it at the time
+// given.
+func (h *Hub[T]) Copied(heard time.Time, p feed.Page[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	l := listing[T]{items: make(map[string]feed.Item[T], len(p.Items)), at: p.At}
 	for _, i := range p.Items {
 		l.items[i.Name] = i
 	}
-	h.heard = time.Time{}
+	h.heard, h.direct = heard, false
 	h.replace(l)
 	h.tell()
 }
@@ -179,16 +183,15 @@
 func (h *Hub[T]) Watched(now time.Time, after feed.Revision, changes []feed.Change[T], at feed.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard, h.refused = now, time.Time{}
+	h.heard, h.direct, h.refused = now, true, time.Time{}
 	h.take(after, changes, at)
 }
 
-// Relayed takes the answer of a relay: others are not told by it that the source
-// answers this process.
-func (h *Hub[T]) Relayed(after feed.Revision, changes []feed.Change[T], at feed.Revision) {
+// Relayed takes the answer of a relay, which the source told it at the time given.
+func (h *Hub[T]) Relayed(heard time.Time, after feed.Revision, changes []feed.Change[T], at feed.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard = time.Time{}
+	h.heard, h.direct = heard, false
 	h.take(after, changes, at)
 }
 
@@ -196,7 +199,7 @@
 func (h *Hub[T]) Lost(now time.Time) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.heard, h.refused = time.Time{}, now
+	h.heard, h.direct, h.refused = time.Time{}, false, now
 	h.tell()
 }
 
@@ -254,6 +257,7 @@
 type news[T any] struct {
 	changes []feed.Change[T]
 	at      feed.Revision
+	heard   time.Time
 	// version is the hub's.
 	version uint64
 	next    <-chan struct{}
@@ -272,7 +276,7 @@
 	if after > h.at {
 		return n, errBehind
 	}
-	n.at, n.version = h.at, h.version
+	n.at, n.version, n.heard = h.at, h.version, h.heard
 	if after == h.at {
 		return n, nil
 	}
@@ -294,7 +298,11 @@
 
 // fresh says whether the source was heard lately.
 func (h *Hub[T]) fresh(now time.Time) bool {
-	return h.listed && !h.heard.IsZero() && now.Sub(h.heard) <= Fresh
+	most := Fresh
+	if !h.direct {
+		most = FreshRelayed
+	}
+	return h.listed && !h.heard.IsZero() && now.Sub(h.heard) <= most
 }
 
 // all gives all members, none of which has gone. ErrStale says that the source was not
@@ -306,7 +314,7 @@
 	if !h.fresh(now) || !h.whole {
 		return n, ErrStale
 	}
-	n.at, n.version = h.at, h.version
+	n.at, n.version, n.heard = h.at, h.version, h.heard
 	for _, k := range h.known {
 		if !k.change.Gone {
 			n.changes = append(n.changes, k.change)
@@ -326,7 +334,7 @@
 func (h *Hub[T]) watchWait() time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	if h.heard.IsZero() {
+	if !h.direct {
 		return firstWait
 	}
 	return relayWait
--- a/relay/owners.go
+++ b/relay/owners.go
@@ -40,15 +40,13 @@
 func (f *Fleet) Owners(now time.Time, key string, most int) []Owner {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var able []keeper
-	first := f.firstSince()
+	able := make([]*keeper, 0, len(f.keepers))
 	for _, k := range f.keepers {
-		known := k.Since.Sub(first) <= keeperTogether || now.Sub(k.Since) >= keeperKnown
-		if known && k.Cores >= keeperPart*f.keepers[0].Cores {
+		if k.Since.Sub(f.began) <= keeperTogether || now.Sub(k.Since) >= keeperKnown {
 			able = append(able, k)
 		}
 	}
-	Rank(key, able, func(k keeper) work.Host { return k.Name })
+	Rank(key, able, func(k *keeper) work.Host { return k.Name })
 	var owners []Owner
 	for _, k := range able[:min(len(able), most)] {
 		owners = append(owners, Owner{k.peer})
@@ -56,20 +54,33 @@
 	return owners
 }
 
+// setKeepers takes all processes, the largest host first: those on large hosts keep state.
+func (f *Fleet) setKeepers(all []keeper) {
+	f.keepers, f.began = nil, time.Time{}
+	for n, k := range all {
+		if n == 0 || k.Since.Before(f.began) {
+			f.began = k.Since
+		}
+		if k.Cores >= keeperPart*all[0].Cores {
+			f.keepers = append(f.keepers, &k)
+		}
+	}
+}
+
 // Rank sorts processes into the order in which they keep the state of a key, by
 // rendezvous hashing: all that know the same processes find the same order, and one that
 // is lost moves only its own keys.
 func Rank[T any](key string, all []T, name func(T) work.Host) {
-	weight := func(t T) uint64 { return nameHash(key + "/" + string(name(t))) }
-	slices.SortFunc(all, func(a, b T) int { return cmp.Compare(weight(b), weight(a)) })
-}
-
-func (f *Fleet) firstSince() time.Time {
-	var first time.Time
-	for n, k := range f.keepers {
-		if n == 0 || k.Since.Before(first) {
-			first = k.Since
-		}
+	type weighed struct {
+		t      T
+		weight uint64
+	}
+	some := make([]weighed, 0, len(all))
+	for _, t := range all {
+		some = append(some, weighed{t, nameHash(key + "/" + string(name(t)))})
+	}
+	slices.SortFunc(some, func(a, b weighed) int { return cmp.Compare(b.weight, a.weight) })
+	for n, w := range some {
+		all[n] = w.t
 	}
-	return first
 }
--- a/relay/pack.go
+++ b/relay/pack.go
@@ -12,8 +12,8 @@
 	"jacinthworks/feed"
 )
 
-// told is a change as relays pass it on.
-type told[T any] struct {
+// wired is a change as relays pass it on.
+type wired[T any] struct {
 	Name     string
 	Revision feed.Revision
 	Value    T
@@ -22,7 +22,7 @@
 	Gone   bool
 }
 
-func (t told[T]) change() feed.Change[T] {
+func (t wired[T]) change() feed.Change[T] {
 	c := feed.Change[T]{Item: feed.Item[T]{Name: t.Name, Revision: t.Revision, Value: t.Value}, Gone: t.Gone}
 	if t.Unread != "" {
 		c.Unread = errors.New(t.Unread)
@@ -75,9 +75,9 @@
 
 // encode gives changes in the form in which they are sent.
 func encode[T any](changes []feed.Change[T]) ([]byte, error) {
-	all := make([]told[T], 0, len(changes))
+	all := make([]wired[T], 0, len(changes))
 	for _, c := range changes {
-		t := told[T]{Name: c.Name, Revision: c.Revision, Value: c.Value, Gone: c.Gone}
+		t := wired[T]{Name: c.Name, Revision: c.Revision, Value: c.Value, Gone: c.Gone}
 		if c.Unread != nil {
 			t.Unread = c.Unread.Error()
 		}
@@ -119,7 +119,7 @@
 	default:
 		return nil, errors.Errorf("relay: answer of form %d", body[0])
 	}
-	var all []told[T]
+	var all []wired[T]
 	if err := gob.NewDecoder(from).Decode(&all); err != nil {
 		return nil, errors.Wrap(err, "relay: answer")
 	}
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -9,7 +9,6 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/feed"
-	"jacinthworks/lease"
 	"jacinthworks/send"
 )
 
@@ -28,6 +27,8 @@
 	queryList  = "list"
 	queryWait  = "wait_ms"
 	headerAt   = "Revision"
+	// headerAge is how long ago the source told what is answered, in milliseconds.
+	headerAge = "Age-Ms"
 )
 
 // Handler answers polls, and who lists the collection, from the hub.
@@ -61,10 +62,11 @@
 	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case len(n.changes) == 0:
+		w.Header().Set(headerAge, age(n.heard))
 		w.Header().Set(headerAt, strconv.FormatUint(uint64(n.at), 10))
 		w.WriteHeader(http.StatusNoContent)
 	default:
-		write(w, h, packed{version: n.version, after: after, at: n.at}, n.changes)
+		write(w, h, packed{version: n.version, after: after, at: n.at}, n)
 	}
 }
 
@@ -74,7 +76,7 @@
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	write(w, h, packed{version: n.version, at: n.at, list: true}, n.changes)
+	write(w, h, packed{version: n.version, at: n.at, list: true}, n)
 }
 
 // await waits for changes after a revision.
@@ -82,7 +84,7 @@
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
-		n, err := h.since(lease.Boottime(), after)
+		n, err := h.since(boottime(), after)
 		if err != nil && !errors.Is(err, errBehind) || len(n.changes) > 0 {
 			return n, err
 		}
@@ -90,7 +92,7 @@
 		case <-n.next:
 		case <-end.C:
 			// The answer that nothing has changed is one as well: it has to be fresh.
-			return h.since(lease.Boottime(), after)
+			return h.since(boottime(), after)
 		case <-ctx.Done():
 			return n, ctx.Err()
 		}
@@ -105,7 +107,7 @@
 	end := time.NewTimer(wait)
 	defer end.Stop()
 	for {
-		n, err := h.all(lease.Boottime())
+		n, err := h.all(boottime())
 		if err == nil || h.At() > 0 {
 			return n, err
 		}
@@ -119,63 +121,101 @@
 	}
 }
 
+// age is how long ago the source was heard, in milliseconds.
+func age(heard time.Time) string {
+	return strconv.FormatInt(boottime().Sub(heard).Milliseconds(), 10)
+}
+
 // write sends changes, as they were packed for another before where it can.
-func write[T any](w http.ResponseWriter, h *Hub[T], key packed, changes []feed.Change[T]) {
-	body, err := h.packs.pack(key, func() ([]byte, error) { return encode(changes) })
+func write[T any](w http.ResponseWriter, h *Hub[T], key packed, n news[T]) {
+	body, err := h.packs.pack(key, func() ([]byte, error) { return encode(n.changes) })
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set(headerAt, strconv.FormatUint(uint64(key.at), 10))
+	w.Header().Set(headerAge, age(n.heard))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // a broken connection is the other's to notice
 }
 
 // poll asks a relay for changes.
-func poll[T any](ctx context.Context, p *Peer, name string, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
-	changes, at, err := ask[T](ctx, p, name, queryAfter+"="+strconv.FormatUint(uint64(after), 10), wait)
-	if err == nil && at < after {
-		return nil, 0, errors.Errorf("relay: %s: revision %s after %s", p.Name, at, after)
+func poll[T any](ctx context.Context, p *Peer, name string, after feed.Revision, wait time.Duration) (told[T], error) {
+	t, err := ask[T](ctx, p, name, queryAfter+"="+strconv.FormatUint(uint64(after), 10), wait)
+	if err == nil && t.at < after {
+		return t, errors.Errorf("relay: %s: revision %s after %s", p.Name, t.at, after)
 	}
-	return changes, at, err
+	return t, err
 }
 
 // list asks a relay for the whole collection.
-func list[T any](ctx context.Context, p *Peer, name string, wait time.Duration) (feed.Page[T], error) {
-	all, at, err := ask[T](ctx, p, name, queryList+"=1", wait)
+func list[T any](ctx context.Context, p *Peer, name string, wait time.Duration) (feed.Page[T], time.Time, error) {
+	t, err := ask[T](ctx, p, name, queryList+"=1", wait)
 	if err != nil {
-		return feed.Page[T]{}, err
+		return feed.Page[T]{}, time.Time{}, err
 	}
-	items, err := itemsOf(all)
-	return feed.Page[T]{At: at, Items: items}, errors.Wrap(err, string(p.Name))
+	items, err := itemsOf(t.changes)
+	return feed.Page[T]{At: t.at, Items: items}, t.heard, errors.Wrap(err, string(p.Name))
 }
 
 // ask makes one call at a relay.
-func ask[T any](ctx context.Context, p *Peer, name, query string, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
+func ask[T any](ctx context.Context, p *Peer, name, query string, wait time.Duration) (told[T], error) {
 	ctx, cancel := context.WithTimeout(ctx, wait+pollPatience)
 	defer cancel()
 	target := Path + name + "?" + query + "&" + queryWait + "=" + strconv.FormatInt(wait.Milliseconds(), 10)
-	reply, err := p.client.Do(ctx, send.Request{Method: http.MethodGet, Target: target, Silence: wait + pollPatience})
-	if err != nil {
-		return nil, 0, errors.Wrap(err, "relay: "+string(p.Name))
-	}
-	body, err := reply.All(maxAnswer)
+	reply, err := p.get(ctx, send.Request{Method: http.MethodGet, Target: target, Silence: wait + pollPatience})
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "relay: "+string(p.Name))
+		return told[T]{}, errors.Wrap(err, "relay: "+string(p.Name))
 	}
-	switch reply.Status {
+	switch reply.status {
 	case http.StatusOK, http.StatusNoContent:
 	case http.StatusGone:
-		return nil, 0, errors.Wrap(feed.ErrHistory, "relay: "+string(p.Name))
+		return told[T]{}, errors.Wrap(feed.ErrHistory, "relay: "+string(p.Name))
 	case http.StatusServiceUnavailable:
-		return nil, 0, errors.Wrap(ErrStale, "relay: "+string(p.Name))
+		return told[T]{}, errors.Wrap(ErrStale, "relay: "+string(p.Name))
 	default:
-		return nil, 0, errors.Errorf("relay: %s: status %d", p.Name, reply.Status)
+		return told[T]{}, errors.Errorf("relay: %s: status %d", p.Name, reply.status)
+	}
+	at, err := strconv.ParseUint(reply.header.Get(headerAt), 10, 64)
+	if err != nil {
+		return told[T]{}, errors.Wrap(err, "relay: revision of "+string(p.Name))
+	}
+	age, err := strconv.ParseInt(reply.header.Get(headerAge), 10, 64)
+	if err != nil || age < 0 {
+		return told[T]{}, errors.Errorf("relay: age %q of %s", reply.header.Get(headerAge), p.Name)
+	}
+	changes, err := decode[T](reply.body)
+	heard := boottime().Add(-time.Duration(age) * time.Millisecond)
+	return told[T]{changes: changes, at: feed.Revision(at), heard: heard}, errors.Wrap(err, "relay: "+string(p.Name))
+}
+
+// told is what a relay answered.
+type told[T any] struct {
+	changes []feed.Change[T]
+	at      feed.Revision
+	// heard is when the source told it, by this process's clock.
+	heard time.Time
+}
+
+// answered is a whole answer.
+type answered struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+// get makes one call at the process.
+func (p *Peer) get(ctx context.Context, r send.Request) (*answered, error) {
+	if p.call != nil {
+		return p.call(ctx, r)
+	}
+	reply, err := p.client.Do(ctx, r)
+	if err != nil {
+		return nil, err
 	}
-	at, err := strconv.ParseUint(reply.Header.Get(headerAt), 10, 64)
+	body, err := reply.All(maxAnswer)
 	if err != nil {
-		return nil, 0, errors.Wrap(err, "relay: revision of "+string(p.Name))
+		return nil, err
 	}
-	changes, err := decode[T](body)
-	return changes, feed.Revision(at), errors.Wrap(err, "relay: "+string(p.Name))
+	return &answered{reply.Status, reply.Header, body}, nil
 }
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -7,11 +7,11 @@
 // all calls of a quiet day were for upstreams that registered one after the other.
 //
 // What a process learns through a relay is what the source said, in the source's
-// revisions: a relay holds the newest change of each member since its own list, and
-// gives those after the revision that the other names. It answers only while it
-// has heard from the source itself within Fresh. So a copy is at most Fresh and a
-// round trip older than one that is watched directly, also where the relay is cut
-// off from the source; a relay that is frozen, or gone, is found by the poll that
+// revisions: a relay holds the newest change of each member, and gives those after the
+// revision that the other names. It says how long ago the source told it, and answers only
+// while that is within Fresh; in a large fleet, where processes stand between the relays
+// and the rest, these answer within FreshRelayed. So a copy is at most that and a round trip
+// older than one that is watched directly, also where a relay is cut off from the source; a relay that is frozen, or gone, is found by the poll that
 // it does not answer. Nothing that a relay holds is kept anywhere: each process
 // that starts lists the source itself.
 //
@@ -46,6 +46,9 @@
 	// Fresh is the age of its last answer from the source up to which a relay
 	// answers others: a watch, and a source that takes most of a second to answer.
 	Fresh = relayWait + 800*time.Millisecond
+	// FreshRelayed is the same for one that was told by another relay: it polls that one
+	// for so much longer, at the most.
+	FreshRelayed = Fresh + PollWait + pollPatience
 	// PollWait is how long a poll of a relay waits for a change, and pollPatience
 	// what the answer may take beyond it: by then a frozen relay is found, well
 	// within the seconds in which a change is to be in force.
@@ -77,6 +80,9 @@
 	directEvery = 2 * time.Second
 )
 
+// boottime is the clock by which the age of what was heard is counted.
+var boottime = lease.Boottime
+
 // ErrStale says that a relay can't vouch for what it holds.
 var ErrStale = errors.New("relay: not fresh")
 
@@ -97,7 +103,7 @@
 // Each of them lists all members: at the source, calls and bytes are the product of
 // processes and members.
 func (s Source[T]) List(ctx context.Context, after string, stale bool) (feed.Page[T], error) {
-	plan := s.Fleet.plan(lease.Boottime())
+	plan := s.Fleet.plan(boottime())
 	if after == "" && !plan.alone && !plan.self {
 		if p, ok := s.listed(ctx); ok {
 			return p, nil
@@ -107,7 +113,7 @@
 	stale = stale && !plan.self
 	p, err := s.Direct.List(ctx, after, stale)
 	if err == nil {
-		s.Hub.Listed(lease.Boottime(), after == "", stale, p)
+		s.Hub.Listed(boottime(), after == "", stale, p)
 	}
 	return p, err
 }
@@ -115,13 +121,14 @@
 // listed asks the relays for the collection, and for a short time those again that are
 // not up yet.
 func (s Source[T]) listed(ctx context.Context) (feed.Page[T], bool) {
-	began := lease.Boottime()
+	began := boottime()
 	for {
-		page, err := First(ctx, FirstAfter, s.Fleet.plan(lease.Boottime()).ask, s.listAt)
-		took := lease.Boottime().Sub(began)
+		from, err := First(ctx, FirstAfter, s.Fleet.plan(boottime()).ask, s.listAt)
+		page := from.page
+		took := boottime().Sub(began)
 		switch {
 		case err == nil:
-			s.Hub.Copied(page)
+			s.Hub.Copied(from.heard, page)
 			s.Log.Info("collection listed by a relay", "feed", s.Name, "members", len(page.Items), "revision", page.At.String(), "took", took)
 			return page, true
 		case !errors.Is(err, syscall.ECONNREFUSED) || ctx.Err() != nil || took > upWithin:
@@ -132,25 +139,31 @@
 	}
 }
 
+// copied is a collection as a relay gave it, and when the source told it.
+type copied[T any] struct {
+	page  feed.Page[T]
+	heard time.Time
+}
+
 // listAt asks one relay for the collection.
-func (s Source[T]) listAt(ctx context.Context, p *Peer) (feed.Page[T], error) {
-	page, err := list[T](ctx, p, s.Name, listWait)
+func (s Source[T]) listAt(ctx context.Context, p *Peer) (copied[T], error) {
+	page, heard, err := list[T](ctx, p, s.Name, listWait)
 	switch {
 	case err == nil && page.At < s.Hub.At():
-		return page, errBehind
+		err = errBehind
 	case err == nil:
 		p.answered()
 	case errors.Is(err, ErrStale), errors.Is(err, syscall.ECONNREFUSED), ctx.Err() != nil:
 	default:
-		p.failed(lease.Boottime())
+		p.failed(boottime())
 	}
-	return page, err
+	return copied[T]{page, heard}, err
 }
 
 // Watch waits for changes at a relay and, for a relay and where none answers, at
 // the source.
 func (s Source[T]) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
-	plan := s.Fleet.plan(lease.Boottime())
+	plan := s.Fleet.plan(boottime())
 	if plan.alone {
 		s.Hub.from(s.Log, s.Name, "", false, "no relays")
 		return s.direct(ctx, after, wait)
@@ -160,19 +173,19 @@
 		return s.direct(ctx, after, min(wait, s.Hub.watchWait()))
 	}
 	changes, at, err := s.polled(ctx, after, wait)
-	patience := plan.patience(lease.Boottime())
-	for errors.Is(err, ErrStale) && lease.Boottime().Before(patience) && s.Hub.mayAsk(lease.Boottime()) && ctx.Err() == nil {
+	patience := plan.patience(boottime())
+	for errors.Is(err, ErrStale) && boottime().Before(patience) && s.Hub.mayAsk(boottime()) && ctx.Err() == nil {
 		group.Pause(ctx, staleAgain/2+rand.N(staleAgain))
-		began := lease.Boottime()
+		began := boottime()
 		changes, at, err = s.polled(ctx, after, wait)
-		if now := lease.Boottime(); now.Sub(began) > staleAgain {
+		if now := boottime(); now.Sub(began) > staleAgain {
 			patience = plan.patience(now) // a relay was back meanwhile
 		}
 	}
 	switch {
 	case err == nil, errors.Is(err, feed.ErrHistory), ctx.Err() != nil:
 		return changes, at, err
-	case errors.Is(err, ErrStale) && !s.Hub.mayAsk(lease.Boottime()):
+	case errors.Is(err, ErrStale) && !s.Hub.mayAsk(boottime()):
 		return nil, 0, errors.Wrap(err, "relay: all relays")
 	}
 	s.Hub.from(s.Log, s.Name, "", false, err.Error())
@@ -185,21 +198,21 @@
 // polled asks the relays for changes, one after the other. ErrStale says that all of them
 // answer and none hears the source, feed.ErrHistory that the collection has to be listed.
 func (s Source[T]) polled(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
-	plan := s.Fleet.plan(lease.Boottime())
+	plan := s.Fleet.plan(boottime())
 	cause := errResting
 	allStale := plan.stale && len(plan.ask) > 0
 	for _, p := range plan.ask {
-		changes, at, err := poll[T](ctx, p, s.Name, after, min(wait, PollWait))
+		t, err := poll[T](ctx, p, s.Name, after, min(wait, PollWait))
 		switch {
 		case err == nil:
 			p.answered()
-			s.Hub.Relayed(after, changes, at)
+			s.Hub.Relayed(t.heard, after, t.changes, t.at)
 			s.Hub.from(s.Log, s.Name, string(p.Name), false, "answers")
-			return changes, at, nil
+			return t.changes, t.at, nil
 		case ctx.Err() != nil, errors.Is(err, feed.ErrHistory):
 			return nil, 0, err
 		case !errors.Is(err, ErrStale):
-			p.failed(lease.Boottime())
+			p.failed(boottime())
 			allStale = false
 		}
 		cause = err
@@ -221,9 +234,9 @@
 	case errors.Is(err, feed.ErrEra):
 		return nil, 0, err // it answers, and is listed next
 	case err != nil:
-		s.Hub.Lost(lease.Boottime())
+		s.Hub.Lost(boottime())
 		return nil, 0, err
 	}
-	s.Hub.Watched(lease.Boottime(), after, changes, at)
+	s.Hub.Watched(boottime(), after, changes, at)
 	return changes, at, nil
 }
