relay: when the source was heard is counted from the call, not from the answer

Cause: a process that is suspended between the answer of a relay and its reading of it would count the age from the reading, and pass seconds-old news on as fresh (found on reading the diff). Now the relay says when it heard the source from when it was called, which holds however late the answer is read. Test: an answer that is read 8 s late; times from the future are refused.

--- a/relay/poll.go
+++ b/relay/poll.go
@@ -27,8 +27,9 @@
 	queryList  = "list"
 	queryWait  = "wait_ms"
 	headerAt   = "Revision"
-	// headerAge is how long ago the source told what is answered, in milliseconds.
-	headerAge = "Age-Ms"
+	// headerHeard is when the source told what is answered, in milliseconds from when the
+	// call came; negative before it.
+	headerHeard = "Heard-Ms"
 )
 
 // Handler answers polls, and who lists the collection, from the hub.
@@ -55,6 +56,7 @@
 }
 
 func answerPoll[T any](w http.ResponseWriter, r *http.Request, h *Hub[T], after feed.Revision, wait time.Duration) {
+	called := boottime()
 	n, err := await(r.Context(), h, after, wait)
 	switch {
 	case errors.Is(err, feed.ErrHistory):
@@ -62,21 +64,22 @@
 	case err != nil:
 		w.WriteHeader(http.StatusServiceUnavailable)
 	case len(n.changes) == 0:
-		w.Header().Set(headerAge, age(n.heard))
+		setHeard(w.Header(), called, n.heard)
 		w.Header().Set(headerAt, strconv.FormatUint(uint64(n.at), 10))
 		w.WriteHeader(http.StatusNoContent)
 	default:
-		write(w, h, packed{version: n.version, after: after, at: n.at}, n)
+		write(w, h, packed{version: n.version, after: after, at: n.at}, called, n)
 	}
 }
 
 func answerList[T any](w http.ResponseWriter, r *http.Request, h *Hub[T], wait time.Duration) {
+	called := boottime()
 	n, err := awaitAll(r.Context(), h, wait)
 	if err != nil {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
-	write(w, h, packed{version: n.version, at: n.at, list: true}, n)
+	write(w, h, packed{version: n.version, at: n.at, list: true}, called, n)
 }
 
 // await waits for changes after a revision.
@@ -121,20 +124,24 @@
 	}
 }
 
-// age is how long ago the source was heard, in milliseconds.
-func age(heard time.Time) string {
-	return strconv.FormatInt(boottime().Sub(heard).Milliseconds(), 10)
+// setHeard says when the source was heard, to who called at a time.
+//
+// Failure: the process that asked is suspended before it reads the answer, and takes the
+// time at which it reads for that of the answer. It shows as news seconds old that are
+// passed on as fresh. Counted from the call, what was heard never seems later than it was.
+func setHeard(h http.Header, called, heard time.Time) {
+	h.Set(headerHeard, strconv.FormatInt(heard.Sub(called).Milliseconds(), 10))
 }
 
 // write sends changes, as they were packed for another before where it can.
-func write[T any](w http.ResponseWriter, h *Hub[T], key packed, n news[T]) {
+func write[T any](w http.ResponseWriter, h *Hub[T], key packed, called time.Time, n news[T]) {
 	body, err := h.packs.pack(key, func() ([]byte, error) { return encode(n.changes) })
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set(headerAt, strconv.FormatUint(uint64(key.at), 10))
-	w.Header().Set(headerAge, age(n.heard))
+	setHeard(w.Header(), called, n.heard)
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	_, _ = w.Write(body) // a broken connection is the other's to notice
 }
@@ -163,6 +170,7 @@
 	ctx, cancel := context.WithTimeout(ctx, wait+pollPatience)
 	defer cancel()
 	target := Path + name + "?" + query + "&" + queryWait + "=" + strconv.FormatInt(wait.Milliseconds(), 10)
+	called := boottime()
 	reply, err := p.get(ctx, send.Request{Method: http.MethodGet, Target: target, Silence: wait + pollPatience})
 	if err != nil {
 		return told[T]{}, errors.Wrap(err, "relay: "+string(p.Name))
@@ -180,12 +188,12 @@
 	if err != nil {
 		return told[T]{}, errors.Wrap(err, "relay: revision of "+string(p.Name))
 	}
-	age, err := strconv.ParseInt(reply.header.Get(headerAge), 10, 64)
-	if err != nil || age < 0 {
-		return told[T]{}, errors.Errorf("relay: age %q of %s", reply.header.Get(headerAge), p.Name)
+	ms, err := strconv.ParseInt(reply.header.Get(headerHeard), 10, 64)
+	heard := called.Add(time.Duration(ms) * time.Millisecond)
+	if err != nil || heard.After(boottime()) {
+		return told[T]{}, errors.Errorf("relay: %s heard the source at %q", p.Name, reply.header.Get(headerHeard))
 	}
 	changes, err := decode[T](reply.body)
-	heard := boottime().Add(-time.Duration(age) * time.Millisecond)
 	return told[T]{changes: changes, at: feed.Revision(at), heard: heard}, errors.Wrap(err, "relay: "+string(p.Name))
 }
 
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -11,8 +11,8 @@
 // revision that the other names. It says how long ago the source told it, and answers only
 // while that is within Fresh; in a large fleet, where processes stand between the relays
 // and the rest, these answer within FreshRelayed. So a copy is at most that and a round trip
-// older than one that is watched directly, also where a relay is cut off from the source; a relay that is frozen, or gone, is found by the poll that
-// it does not answer. Nothing that a relay holds is kept anywhere: each process
+// older than one that is watched directly, also where a relay is cut off from the source;
+// a relay that is frozen, or gone, is found by the poll that it does not answer. Nothing that a relay holds is kept anywhere: each process
 // that starts lists the source itself.
 //
 // # Usage
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -329,6 +329,7 @@
 	} {
 		h := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 			w.Header().Set(headerAt, "7")
+			w.Header().Set(headerHeard, "0")
 			_, _ = w.Write(body)
 		}))
 		o := newOrigin()
--- a/relay/spread_test.go
+++ b/relay/spread_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"math/rand/v2"
+	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"sync"
@@ -238,3 +239,26 @@
 		})
 	}
 }
+
+// Guards against old news that are passed on as fresh by a process that was suspended
+// before it read them, and against a process that has heard of the future.
+func TestNewsAreAsOldAsTheyWereWhenAsked(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		real := boottime
+		boottime = time.Now
+		defer func() { boottime = real }()
+		heard := "100"
+		p := &Peer{call: func(context.Context, send.Request) (*answered, error) {
+			time.Sleep(8 * time.Second) // its context has ended; what is there is read all the same
+			return &answered{http.StatusNoContent, http.Header{headerAt: {"7"}, headerHeard: {heard}}, nil}, nil
+		}}
+		began := time.Now()
+		told, err := poll[int](t.Context(), p, "numbers", 7, PollWait)
+		require.NoError(t, err)
+		require.Equal(t, began.Add(100*time.Millisecond), told.heard)
+		for _, heard = range []string{"9000", "", "soon", "1e3"} {
+			_, err = poll[int](t.Context(), p, "numbers", 7, PollWait)
+			require.Error(t, err, heard)
+		}
+	})
+}
