feed: processes that know a collection pause longer when they are refused again and again

Change: after five refusals in a row they pause up to 1.6 s, like those that know nothing yet. Up to then a change comes as soon as before. The test is as it was.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -167,6 +167,9 @@
 	// busyPause is the last one after refusals for too many calls. With its
 	// jitter it stays under three seconds.
 	busyPause = 1600 * time.Millisecond
+	// refusalsMost is how many of them a process that knows the collection takes before it
+	// pauses as long as one that does not.
+	refusalsMost = 5
 	// eraPause is the longest pause before the list of a new era, which all processes
 	// hear of at once.
 	eraPause = 300 * time.Millisecond
@@ -213,6 +216,8 @@
 	pages    Pages[T]
 	lost     bool
 	pause    time.Duration
+	// refusals counts those for too many calls since the source last answered.
+	refusals int
 	// unread are the versions of members that were logged as unreadable.
 	unread map[string]unreadAt
 }
@@ -366,7 +371,7 @@
 func (f *Feed[T]) answered() time.Time {
 	now := time.Now()
 	f.heard.Store(&now)
-	f.pause = 0
+	f.pause, f.refusals = 0, 0
 	if f.lost {
 		f.lost = false
 		f.Log.Info("regained", "feed", f.Name, "revision", f.revision.String())
@@ -390,9 +395,13 @@
 	most := lastPause
 	// Failure: a process that knows a collection is refused for some seconds, and
 	// then waits for seconds more. It shows as a change that is in force too late.
-	// Only one that knows nothing yet waits that long.
-	if errors.Is(err, ErrBusy) && !f.listed {
-		most = busyPause
+	// One that knows nothing yet waits that long at once, the others when they were
+	// refused again and again: else they alone may be more than the source takes.
+	if errors.Is(err, ErrBusy) {
+		f.refusals++
+		if !f.listed || f.refusals > refusalsMost {
+			most = busyPause
+		}
 	}
 	f.pause = min(max(2*f.pause, firstPause), most)
 	group.Pause(ctx, f.pause/2+rand.N(f.pause))
