direct: a write to a caller that does not read is bounded

A caller that keeps its connection and reads nothing held its answer, and its server's, until the request's end or beyond: the test without the change has the server still writing after 5 s.

--- a/direct/request.go
+++ b/direct/request.go
@@ -81,7 +81,7 @@
 
 // serve takes one request from its header to its end.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
-	r := &request{accepted: time.Now(), w: w, random: random()}
+	r := &request{accepted: time.Now(), w: newDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: random()}
 	r.until = r.accepted.Add(defaultWithin)
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
