--- a/direct/direct.go
+++ b/direct/direct.go
@@ -12,7 +12,8 @@
 // where the service has engines for that (prefill.go); answered whole
 // (plain.go) or event by event (stream.go); ended once, with an answer or a
 // refusal (end.go). What the entries tell each other is in notice.go, who of them
-// gives orders to engines in roles.go.
+// gives orders to engines in roles.go, who relays for the others in relays.go. Each
+// has a record (register.go), which relays hand on (records.go).
 package direct
 
 import (
--- a/direct/relays.go
+++ b/direct/relays.go
@@ -106,3 +106,73 @@
 	s.Log.Info("relays recorded", "entries", now.Entries)
 	return nil
 }
+
+const (
+	// relaysWithin bounds the reading of the records at a start: two pages, which take some
+	// milliseconds. Without them the store is watched directly.
+	relaysWithin = 300 * time.Millisecond
+	// seedsWithin is the same where seeds are asked, which may be starting as well.
+	seedsWithin = time.Second
+)
+
+// findRelays looks for the relays while seeds stand in for them.
+func (s *Server) findRelays(ctx context.Context) error {
+	if err := s.findRelaysOnce(ctx, seedsWithin); err != nil {
+		return s.findRelaysLater(ctx)
+	}
+	close(s.sought)
+	return nil
+}
+
+// findRelaysOnce reads the records of the entries, by which the relays are known.
+//
+// Load pattern: many entries are killed at once and start again. Until they know the
+// relays, each of them watches the store for itself. The number of entries is taken from
+// this reading only where it is high: others that start at the same time may not be among
+// them, and too few would share out too many repeats.
+func (s *Server) findRelaysOnce(ctx context.Context, within time.Duration) error {
+	if s.Members == nil || !s.Settings.PeerListen.IsValid() {
+		return nil
+	}
+	all, err := s.readRelays(ctx, within)
+	if err != nil {
+		s.Log.Info("records of the entries not read", "err", err)
+		return err
+	}
+	for _, i := range all {
+		if i.Name == string(s.Settings.Name) { // of an earlier start
+			s.found(time.Now(), i)
+		}
+	}
+	s.askConfigs(ctx, all)
+	return nil
+}
+
+func (s *Server) readRelays(ctx context.Context, within time.Duration) ([]feed.Item[Member], error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	all, err := s.readRecords(ctx)
+	if err != nil {
+		return nil, err
+	}
+	s.members.found.Store(int64(len(all)))
+	s.setPeers(all, false)
+	return all, nil
+}
+
+// findRelaysLater finds them as soon as the configuration is known.
+//
+// Failure: all entries start while the store is away. When it is back they serve, but
+// know nobody for some seconds: each counts for itself, and refuses accounts that are
+// far below their quotas.
+func (s *Server) findRelaysLater(ctx context.Context) error {
+	close(s.sought)
+	select {
+	case <-s.configured:
+		if _, err := s.readRelays(ctx, relaysWithin); err != nil {
+			s.Log.Info("records of the entries not read", "err", err)
+		}
+	case <-ctx.Done():
+	}
+	return nil
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -17,7 +17,8 @@
 //
 // # Usage
 //
-//	fleet := relay.Fleet{Self: "front-1"}
+//	fleet := relay.Fleet{Self: "front-1", SelfAddr: addr, Seeds: seeds}
+//	fleet.Seed(recorded) // the relays on record, asked before the members are known
 //	hub := &relay.Hub[roster.Server]{}
 //	source := relay.Source[roster.Server]{Name: "upstreams", Direct: store, Hub: hub, Fleet: &fleet, Log: log}
 //	mux.Handle("GET "+relay.Path+"upstreams", relay.Handler(hub)) // where the others ask
