direct: a body that is too large closes its connection, as before

The writer with a deadline hid the server's own from http.MaxBytesReader, which then no longer closes the connection (found on reading the diff).

--- a/direct/request.go
+++ b/direct/request.go
@@ -165,7 +165,12 @@
 	if most <= 0 {
 		most = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(r.w, h.Body, most))
+	// The server's own writer: it closes the connection of a body that is too large.
+	w := r.w
+	if bounded, ok := w.(*deadlineWriter); ok {
+		w = bounded.Unwrap()
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, most))
 	var large *http.MaxBytesError
 	switch {
 	case errors.As(err, &large):
