--- a/relay/hub.go
+++ b/relay/hub.go
@@ -11,8 +11,8 @@
 	"jacinthworks/feed"
 )
 
-// knownMost bounds the members, those that are gone included, that a hub holds: some
-// 300 bytes each. Beyond it those who know less list the source.
+// knownMost bounds the members, those that are gone included, that a hub holds.
+// Beyond it those who know less list the source.
 const knownMost = 20000
 
 // Hub holds a copy of a collection, for others to ask. The zero value is ready to
