direct: lines and metrics of what upstreams state of leaving and of pauses

Both fields are read now and noted with the upstream, a line says when such a belief begins, and `placed` has it with its age. No decision goes by it. A field that can't be read has a line and a metric.

go test ./roster ./direct pass.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -63,6 +63,7 @@
 		a.upstream.Seen.Reported(time.Now(), note.Running)
 	}
 	s.heardLimit(r, a, note, reply.Status)
+	s.heardStated(r.id, a.upstream, note)
 	switch {
 	case note.Elsewhere:
 		reply.Close()
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -86,6 +86,7 @@
 	limits   limits
 	reach    reach
 	fields   fields
+	unread   fields
 	keepers  keepers
 	trackers trackers
 	record   ownRecord
--- a/direct/fields.go
+++ b/direct/fields.go
@@ -48,6 +48,9 @@
 	return first
 }
 
+// first says whether no answer had the field before.
+func (f *fields) first(name string) bool { return len(f.fresh(http.Header{name: nil})) > 0 }
+
 // noteFields logs the fields that an answer is the first to have, without their values,
 // which are the caller's.
 func (s *Server) noteFields(id work.RequestID, upstream roster.ID, h http.Header) {
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -115,6 +115,13 @@
 	// stated none.
 	HasLimit bool
 	Limit    pacer.Rate
+	// Leaving says that the upstream is on its way out.
+	Leaving bool
+	// Backoff is for how long the upstream wants nothing of this process; zero where it
+	// does not say.
+	Backoff time.Duration
+	// Unread are the names of fields that say nothing which could be read.
+	Unread []string
 }
 
 // Handle is the memory of a prompt that was read, at an upstream.
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -61,6 +61,8 @@
 	limit pacer.Belief
 	// paused keeps work away until its rate limit allows some.
 	paused time.Time
+	// stated is what it has said of itself beside.
+	stated Stated
 }
 
 // Work is what one request takes of an upstream.
@@ -253,6 +255,27 @@
 	return s.limit.Rate(), s.limit.Age(now)
 }
 
+// Leave takes an answer that says that it leaves, and says whether it is the first.
+func (s *Seen) Leave(now time.Time) (news bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stated.Leave(now)
+}
+
+// BackOff takes an answer that asks for a pause, and says whether it lasts longer by it.
+func (s *Seen) BackOff(now time.Time, pause time.Duration) (longer bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stated.BackOff(now, pause)
+}
+
+// Stated gives what it has said of itself.
+func (s *Seen) Stated() Stated {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stated
+}
+
 // Offer gives the figures that a choice goes by.
 func (s *Seen) Offer(now time.Time) route.Offer {
 	s.mu.Lock()
