direct: nothing new goes to an upstream that says that it leaves

What callers saw: requests at an upstream for up to 12 s after its answers had begun to say that it leaves, while the registry, which was away, still had it as ready.

Cause: no code read the field. The registry's word alone kept work away, and each way of sending looked at it in its own words. The class: a peer states a bound, the adapter drops it, and no decision reads it.

Now one question, Upstream.Access, is asked at each choice and again just before each send, by requests, prompts, calls for room, states and orders; what each answer states is heard in one place, exchange. A test reads the code and fails where something is sent without asking, or past exchange. What the upstream says of itself holds for its start, whatever the registry says after.

--- a/direct/assign.go
+++ b/direct/assign.go
@@ -131,7 +131,7 @@
 	}
 	a = assignment{by: by, shard: call.Shard, ticket: given.Ticket}
 	u := s.roster.Member(roster.ID(given.Engine))
-	if u == nil || u.Server().Draining || u.Gone() {
+	if u == nil || !u.Access(time.Now()).Open() {
 		s.endAssignment(a)
 		return placed{}, assignment{}
 	}
@@ -151,7 +151,7 @@
 		}
 		n++
 		o := u.Seen.Offer(now)
-		if r.tried[m.Key()] || o.Held || o.Fails > assignFailing || l.OnlySure && !o.Sure {
+		if r.tried[m.Key()] || !u.Access(now).Open() || o.Held || o.Fails > assignFailing || l.OnlySure && !o.Sure {
 			skip = append(skip, m.ID)
 		}
 	}
@@ -169,7 +169,7 @@
 	for _, u := range s.roster.Of(c.Shard.Service) {
 		m := u.Server()
 		o := u.Seen.Offer(now)
-		if m.Role != work.RolePrefill || m.Draining || skip[m.ID] || o.Held || !c.Shard.has(m.ID) {
+		if m.Role != work.RolePrefill || !u.Access(now).Open() || skip[m.ID] || o.Held || !c.Shard.has(m.ID) {
 			continue
 		}
 		e := assign.Engine{ID: string(m.ID), Cost: time.Duration(o.Fails * float64(c.Within))}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -27,11 +27,16 @@
 	began   time.Time
 	// counted says that the upstream's load has the attempt already.
 	counted bool
+	// permit allows it by the upstream's rate limit.
+	permit permit
 }
 
 // try sends the request to an upstream and waits for the header of its answer.
 // The caller of try closes the reply, and calls done.
 func (s *Server) try(ctx context.Context, r *request, a *attempt) (*send.Reply, *failure) {
+	if !s.admits(r.id, a.upstream) {
+		return nil, s.withheld(r, a)
+	}
 	server := a.upstream.Server()
 	a.start, a.began = server.Start, time.Now()
 	a.stamp.Upstream, a.stamp.Account, a.stamp.Within, a.stamp.Priority = server.ID, r.holder(), r.left(), r.priority()
@@ -47,7 +52,7 @@
 		a.upstream.Seen.Begin(a.work)
 	}
 	s.crashes.begin(a.start.Key(), r)
-	reply, err := s.client(a.upstream).Do(ctx, send.Request{
+	reply, note, err := s.exchange(ctx, r.id, a.upstream, send.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, Silence: a.silence,
 		// A kept connection can break just as it is used, which leaves open
 		// whether the request ran.
@@ -57,13 +62,10 @@
 	if err != nil {
 		return nil, s.broke(ctx, r, a, err)
 	}
-	s.noteFields(r.id, a.start.ID, reply.Header)
-	note := s.Protocol.Note(reply.Status, reply.Header)
 	if note.HasLoad {
 		a.upstream.Seen.Reported(time.Now(), note.Running)
 	}
 	s.heardLimit(r, a, note, reply.Status)
-	s.heardStated(r.id, a.upstream, note)
 	switch {
 	case note.Elsewhere:
 		reply.Close()
--- a/direct/engines.go
+++ b/direct/engines.go
@@ -33,9 +33,10 @@
 
 // engines gives the engines of a service that take work.
 func (s *Server) engines(service work.Service) []*roster.Upstream {
+	now := time.Now()
 	var all []*roster.Upstream
 	for _, u := range s.roster.Of(service) {
-		if m := u.Server(); !m.Draining && m.Role != "" {
+		if m := u.Server(); m.Role != "" && u.Access(now).Open() {
 			all = append(all, u)
 		}
 	}
--- a/direct/limit.go
+++ b/direct/limit.go
@@ -274,7 +274,7 @@
 	now := time.Now()
 	for _, other := range s.roster.Of(r.service.Name) {
 		m := other.Server()
-		if other != u && !m.Draining && !r.tried[m.Key()] && !other.Seen.Offer(now).Held {
+		if other != u && other.Access(now).Open() && !r.tried[m.Key()] && !other.Seen.Offer(now).Held {
 			return 0
 		}
 	}
--- a/direct/place.go
+++ b/direct/place.go
@@ -65,7 +65,7 @@
 	var members []*roster.Upstream
 	for _, u := range s.roster.Of(r.service.Name) {
 		m := u.Server()
-		if m.Draining || m.Role != role || r.tried[m.Key()] {
+		if m.Role != role || r.tried[m.Key()] || !u.Access(now).Open() {
 			continue
 		}
 		o := u.Seen.Offer(now)
@@ -94,12 +94,6 @@
 		more = append(more, "limit", rate, "limit_age", age)
 		s.Meter.Count("jacinthworks_limited_total", meter.Labels{"service", string(r.service.Name), "outcome", "placed"})
 	}
-	if st := p.upstream.Seen.Stated(); !st.Leaving.IsZero() {
-		more = append(more, "leaving", time.Since(st.Leaving))
-	}
-	if st, now := p.upstream.Seen.Stated(), time.Now(); st.Paused(now) > 0 {
-		more = append(more, "backoff", st.Paused(now), "backoff_age", now.Sub(st.Asked))
-	}
 	s.Log.Info("placed", append([]any{
 		"request", r.id, "service", r.service.Name, "role", role, "upstream", o.Name, "of", p.of, "full", p.full, "own", o.Own,
 		"others", math.Round(10*o.Others) / 10, "tokens", o.Tokens, "fails", math.Round(100*o.Fails) / 100, "speed", o.Speed,
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -39,7 +39,7 @@
 			continue
 		}
 		s.logPlaced(r, "", p, allowed.log()...)
-		a := &attempt{upstream: p.upstream, silence: r.patience()}
+		a := &attempt{upstream: p.upstream, silence: r.patience(), permit: allowed}
 		f := s.call(ctx, r, a)
 		if f == nil {
 			return nil
@@ -115,8 +115,8 @@
 // has says whether another upstream is left that was not tried.
 func (s *Server) has(r *request, role work.Role, but roster.Start) bool {
 	for _, u := range s.roster.Of(r.service.Name) {
-		m := u.Server()
-		if !m.Draining && m.Role == role && m.Key() != but.Key() && !r.tried[m.Key()] && u.Seen.Paused(time.Now()) == 0 {
+		m, now := u.Server(), time.Now()
+		if m.Role == role && m.Key() != but.Key() && !r.tried[m.Key()] && u.Access(now).Open() && u.Seen.Paused(now) == 0 {
 			return true
 		}
 	}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -80,17 +80,23 @@
 			s.endAssignment(assigned)
 			return nil
 		}
-		if _, _, ok := s.permit(ctx, r, p.upstream, 0); !ok {
+		allowed, _, ok := s.permit(ctx, r, p.upstream, 0)
+		if !ok {
 			s.endAssignment(assigned)
 			continue // its engine is kept away from
 		}
 		r.prefills++
 		granted = false
-		done, f := s.prefillAt(ctx, r, p.upstream)
+		done, f := s.prefillAt(ctx, r, p.upstream, allowed)
 		s.endAssignment(assigned)
 		if done != nil {
 			return done
 		}
+		if f.granted {
+			r.prefills--
+			granted = true
+			continue // nothing was sent
+		}
 		if f.unsent {
 			// No try: its engine is kept away from. The next one comes from the
 			// budget of repeats all the same: without that, prompts went on to
@@ -147,14 +153,14 @@
 	}
 }
 
-func (s *Server) prefillAt(ctx context.Context, r *request, u *roster.Upstream) (*prefilled, *failure) {
+func (s *Server) prefillAt(ctx context.Context, r *request, u *roster.Upstream, allowed permit) (*prefilled, *failure) {
 	offer := u.Seen.Offer(time.Now())
 	each := offer.Speed
 	if each == 0 {
 		each = prefillRate
 	}
 	a := &attempt{
-		upstream: u, work: roster.Work{Tokens: r.ask.Prompt, Prompt: r.ask.Prompt},
+		upstream: u, permit: allowed, work: roster.Work{Tokens: r.ask.Prompt, Prompt: r.ask.Prompt},
 		silence: min(max(prefillLeast, prefillSlack*each*time.Duration(r.ask.Prompt+offer.Queued)), r.targetLatency()),
 	}
 	a.stamp.Stage = StagePrefill
@@ -187,7 +193,7 @@
 		return
 	}
 	s.later("free handle", freeWithin, func(ctx context.Context) error {
-		reply, err := s.client(p.upstream).Do(ctx, s.Protocol.Free(p.handle))
+		reply, _, err := s.exchange(ctx, r.id, p.upstream, s.Protocol.Free(p.handle))
 		if err != nil {
 			s.Log.Info("handle not freed", "request", r.id, "err", err)
 			return nil
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math"
 	"time"
 
@@ -200,7 +201,10 @@
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	s.Protocol.Stamp(r.Header, Stamp{Upstream: u.Server().ID, Within: within})
-	reply, err := s.client(u).Do(ctx, r)
+	if !s.admits("", u) {
+		return nil, 0, errBarred
+	}
+	reply, _, err := s.exchange(ctx, "", u, r)
 	if err != nil {
 		return nil, 0, err
 	}
@@ -224,7 +228,10 @@
 		}
 		_, status, err := s.ask(ctx, e.upstream, r, orderWithin)
 		outcome := orderUnknown
-		if err == nil {
+		switch {
+		case errors.Is(err, errBarred):
+			outcome = OrderRefused
+		case err == nil:
 			outcome = s.Protocol.Ordered(status)
 		}
 		overrun := k.Gave(o.Fence)
--- a/direct/room.go
+++ b/direct/room.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"time"
 
 	"jacinthworks/queue"
@@ -88,17 +89,17 @@
 	}
 }
 
-// stillThere gives the room, or another where its engine has begun to leave.
+// stillThere gives the room, or another where its engine takes nothing new any more.
 //
-// Failure: an engine registers that it leaves while a prompt is read for it,
+// Failure: an engine leaves, or asks for a pause, while a prompt is read for it,
 // which can take seconds where prefill engines are lost. It shows as a request
 // that reaches a server which takes nothing new any more. Looking again just
 // before the send leaves the time of one message.
 func (s *Server) stillThere(ctx context.Context, r *request, role work.Role, p *room) (*room, *failure) {
-	if !p.upstream.Server().Draining && !p.upstream.Gone() {
+	if p.upstream.Access(time.Now()).Open() {
 		return p, nil
 	}
-	s.Log.Info("engine leaves, other room is sought", "request", r.id, "upstream", p.upstream.Server().ID)
+	s.Log.Info("engine takes nothing new, other room is sought", "request", r.id, "upstream", p.upstream.Server().ID)
 	s.release(r, p)
 	return s.room(ctx, r, role)
 }
@@ -186,6 +187,8 @@
 	began := time.Now()
 	h, err := s.askHold(ctx, u, tokens, r.engine().HoldLife)
 	switch {
+	case errors.Is(err, errBarred):
+		return ""
 	case err != nil:
 		u.Seen.Failed(time.Now())
 		r.avoid(u)
@@ -250,7 +253,7 @@
 
 // dropNow frees held room and waits for the answer.
 func (s *Server) dropNow(ctx context.Context, r *request, u *roster.Upstream, h Hold) {
-	reply, err := s.client(u).Do(ctx, s.Protocol.Drop(h))
+	reply, _, err := s.exchange(ctx, r.id, u, s.Protocol.Drop(h))
 	if err != nil {
 		s.Log.Info("hold not dropped", "request", r.id, "err", err)
 		return
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -33,7 +33,7 @@
 		if f == nil {
 			return nil
 		}
-		if !s.again(ctx, r, f) {
+		if !f.granted && !s.again(ctx, r, f) {
 			return f
 		}
 		e.restart()
@@ -59,7 +59,7 @@
 		s.free(r, from)
 		return f
 	}
-	a := &attempt{upstream: p.upstream, work: p.work, counted: true, silence: r.headerPatience()}
+	a := &attempt{upstream: p.upstream, work: p.work, counted: true, silence: r.headerPatience(), permit: p.permit}
 	a.stamp.LastEvent, a.stamp.Hold = e.last, p.hold
 	if from != nil {
 		a.stamp.Stage, a.stamp.Source = StageDecode, from.handle
