direct: nothing goes to an upstream in a pause that it has asked for

What callers saw: an upstream refused with 503 and `Retry-After` 3, and got up to ten requests of the same entry in that time, each refused again; repeats were spent on it, and callers were told to return within the pause.

Cause: nobody read the field. A refusal kept work away by a time of our own, some hundred ms, and plain requests took such an upstream all the same where it seemed the fastest.

The pause is a bar of Upstream.Access, the one that ends later of two, and ends with the start. Where all upstreams that stay have asked for one, a request is refused at once, not run, with the time until the first ends, spread over 0.15 of it. Engines in a pause are no loss to the plan of roles: their last account stands.

--- a/direct/engines.go
+++ b/direct/engines.go
@@ -31,18 +31,22 @@
 // a time, and goes on at the next one.
 const askedMost = 128
 
-// engines gives the engines of a service that take work.
+// engines gives the engines of a service that stay, those that have asked for a pause
+// included: a pause is no loss.
 func (s *Server) engines(service work.Service) []*roster.Upstream {
 	now := time.Now()
 	var all []*roster.Upstream
 	for _, u := range s.roster.Of(service) {
-		if m := u.Server(); m.Role != "" && u.Access(now).Open() {
+		if m := u.Server(); m.Role != "" && stays(u.Access(now)) {
 			all = append(all, u)
 		}
 	}
 	return all
 }
 
+// stays says whether an upstream will be sent something again.
+func stays(a roster.Access) bool { return a.Open() || a.Bar == roster.BarBackoff }
+
 // sample gives the engines to be asked: the same ones each time, so that
 // connections to them are used again, but for those that come and go.
 func sample(pool []*roster.Upstream, salt work.Host) []*roster.Upstream {
@@ -55,14 +59,22 @@
 	return drawn[:askedMost]
 }
 
-// states asks engines for their accounts, all at once.
-func (s *Server) states(ctx context.Context, engines []*roster.Upstream) []engineState {
+// accounts are the engines' last accounts of themselves, for one goroutine.
+type accounts map[roster.Key]State
+
+// states asks engines for their accounts, all at once. One that has asked for a pause is
+// taken to be as it last said.
+func (s *Server) states(ctx context.Context, engines []*roster.Upstream, last accounts) []engineState {
 	ctx, cancel := context.WithTimeout(ctx, stateWithin)
 	defer cancel()
 	answers := make(chan *engineState, len(engines))
 	for _, u := range engines {
 		go func() { // its end is read below
 			m := u.Server()
+			if state, known := last[m.Key()]; known && !u.Access(time.Now()).Open() {
+				answers <- &engineState{upstream: u, server: m, state: state}
+				return
+			}
 			state, err := s.askState(ctx, u)
 			if err != nil {
 				s.Log.Debug("no state of an engine", "upstream", m.ID, "err", err)
@@ -86,6 +98,10 @@
 			all = append(all, *e)
 		}
 	}
+	clear(last)
+	for _, e := range all {
+		last[e.server.Key()] = e.state
+	}
 	return all
 }
 
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -38,7 +38,7 @@
 		return true
 	}
 	m := u.Server()
-	s.Log.Info("not sent", "request", id, "upstream", m.ID, "service", m.Service, "why", a.Bar)
+	s.Log.Info("not sent", "request", id, "upstream", m.ID, "service", m.Service, "why", a.Bar, "left", a.Left)
 	s.Meter.Count("jacinthworks_not_sent_total", meter.Labels{"service", string(m.Service), "why", string(a.Bar)})
 	return false
 }
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -31,7 +31,7 @@
 		p := s.place(r, "", s.Settings.Zone, route.Load{Units: 1, FailCost: r.failCost(), FarCost: farCall})
 		if p.upstream == nil {
 			s.logPlaced(r, "", p)
-			return s.unplaced(r)
+			return s.unplaced(r, "")
 		}
 		allowed, wait, ok := s.permit(ctx, r, p.upstream, s.limitWithin(r, p.upstream))
 		if !ok {
@@ -50,16 +50,43 @@
 	}
 }
 
-// unplaced is the refusal where no upstream is left to try.
-func (s *Server) unplaced(r *request) *failure {
-	if r.limitWait > 0 {
-		return &failure{
-			ran: r.tries.Ran(), reason: work.ReasonNoRoom, detail: "upstreams are at their rate limits", retryAfter: r.limitWait, final: true,
-		}
+// unplaced is the refusal where no upstream of a role is left to try.
+func (s *Server) unplaced(r *request, role work.Role) *failure {
+	f := &failure{ran: r.tries.Ran(), reason: work.ReasonNoRoom, final: true}
+	wait, paused := s.pausedFor(r.service.Name, role)
+	switch {
+	case r.limitWait > 0 && (!paused || r.limitWait < wait):
+		f.detail, f.retryAfter = "upstreams are at their rate limits", r.limitWait
+		return f
+	case paused:
+		f.detail, f.retryAfter = "all upstreams have asked for a pause", wait+time.Duration(pauseSpread*r.random.Float64()*float64(wait))
+		return f
 	}
 	return &failure{ran: r.tries.Ran(), reason: work.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
 }
 
+// pauseSpread is the part of a pause over which those who wait for its end return: all at
+// once, they would bring about the next one.
+const pauseSpread = 0.15
+
+// pausedFor gives the time until the first upstream of a role may be sent something again,
+// and whether all that stay have asked for a pause.
+func (s *Server) pausedFor(service work.Service, role work.Role) (wait time.Duration, all bool) {
+	now := time.Now()
+	for _, u := range s.roster.Of(service) {
+		if u.Server().Role != role {
+			continue
+		}
+		switch a := u.Access(now); {
+		case a.Open():
+			return 0, false
+		case a.Left > 0 && (!all || a.Left < wait):
+			wait, all = a.Left, true
+		}
+	}
+	return wait, all
+}
+
 // patience bounds an attempt's silence where another can follow; zero is no
 // bound. One that hangs would take the whole time else.
 func (r *request) patience() time.Duration {
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -41,7 +41,7 @@
 		Records: s.Records, Name: rolesLease,
 		Guard: fence.Guard{Holder: s.Settings.Name, Incarnation: work.NewIncarnation(), Fresh: s.Settings.FirstStart},
 	}
-	planners := make(map[work.Service]*place.Planner)
+	planners, last := make(map[work.Service]*place.Planner), make(map[work.Service]accounts)
 	held := false
 	began, looked := time.Now(), time.Time{}
 	stepping := false // the lease has another step to take at once
@@ -70,7 +70,7 @@
 			clear(planners)
 		}
 		if held {
-			s.planOnce(ctx, k, planners)
+			s.planOnce(ctx, k, planners, last)
 			wait = min(wait, nextPlan(time.Now(), planners))
 		} else {
 			wait = min(wait, lookEvery)
@@ -117,7 +117,7 @@
 }
 
 // planOnce looks at the engines of each service and gives the orders due.
-func (s *Server) planOnce(ctx context.Context, k *lease.Keeper, planners map[work.Service]*place.Planner) {
+func (s *Server) planOnce(ctx context.Context, k *lease.Keeper, planners map[work.Service]*place.Planner, last map[work.Service]accounts) {
 	c := s.holder.Current()
 	if c == nil {
 		return
@@ -129,7 +129,10 @@
 			continue
 		}
 		pool := s.engines(v.Name)
-		states := s.states(ctx, sample(pool, s.Settings.Name))
+		if last[v.Name] == nil {
+			last[v.Name] = make(accounts)
+		}
+		states := s.states(ctx, sample(pool, s.Settings.Name), last[v.Name])
 		mix := ratioOf(samples[v.Name])
 		seen := view(v, states, mix)
 		s.Log.Info("engines", "service", v.Name, "of", len(pool), "answered", len(states), "ratio", mix.ratio, "sure", mix.sure,
--- a/direct/room.go
+++ b/direct/room.go
@@ -55,7 +55,7 @@
 	if found, any := s.look(ctx, r, role, late); found != nil {
 		return found, nil
 	} else if !any {
-		return nil, s.unplaced(r)
+		return nil, s.unplaced(r, role)
 	}
 	if r.over && !r.begun {
 		return nil, s.overQuota(r)
@@ -75,7 +75,7 @@
 		case ctx.Err() != nil:
 			return nil, s.unroomed(ctx, r, &queue.Refusal{Reason: work.ReasonOf(ctx)})
 		case !any:
-			return nil, s.unplaced(r)
+			return nil, s.unplaced(r, role)
 		case !time.Now().Before(until):
 			return nil, s.unroomed(ctx, r, l.lapsed(i))
 		}
--- a/roster/access.go
+++ b/roster/access.go
@@ -13,12 +13,16 @@
 	// one that says so itself.
 	BarDraining Bar = "draining"
 	BarLeaving  Bar = "leaving"
+	// BarBackoff is of one that wants nothing of this process for a time.
+	BarBackoff Bar = "backoff"
 )
 
 // Access says whether an upstream may be sent something new.
 type Access struct {
 	// Bar is why not; empty where it may.
 	Bar Bar
+	// Left is how long the bar lasts yet; zero where no time ends it.
+	Left time.Duration
 }
 
 // Open says that it may.
@@ -27,7 +31,7 @@
 // Access says whether the upstream may be sent something new, by the registry's word and
 // its own. Ask at the choice of an upstream, and again just before the send: an answer to
 // another request may have come between.
-func (u *Upstream) Access(time.Time) Access {
+func (u *Upstream) Access(now time.Time) Access {
 	u.mu.Lock()
 	gone, draining := u.gone, u.server.Draining
 	u.mu.Unlock()
@@ -37,13 +41,16 @@
 	case draining:
 		return Access{Bar: BarDraining}
 	}
-	return u.Seen.Stated().Access()
+	return u.Seen.Stated().Access(now)
 }
 
 // Access says whether one that has said so much may be sent something new.
-func (s Stated) Access() Access {
-	if !s.Leaving.IsZero() {
+func (s Stated) Access(now time.Time) Access {
+	switch left := s.Paused(now); {
+	case !s.Leaving.IsZero():
 		return Access{Bar: BarLeaving}
+	case left > 0:
+		return Access{Bar: BarBackoff, Left: left}
 	}
 	return Access{}
 }
