roster: a start that the registry drops and has again is the same upstream

The registry drops what it does not hear, also in its own outage, and has it again; the upstream goes on serving, and got requests as one that had said nothing.

The start that returns at its address is the upstream of before, with all that was seen of it and the requests that it still has. Remembered for ten minutes; a later start is a new one.

TestWhatAStartStatedOutlivesItsEntry failed before (open instead of leaving).

--- a/roster/copy.go
+++ b/roster/copy.go
@@ -13,8 +13,12 @@
 }
 
 const (
-	// leftFor is how long a start that is gone is remembered: a copy is some seconds old.
+	// leftFor is how long a start that is gone is not believed to be ready: a copy is some
+	// seconds old.
 	leftFor = time.Minute
+	// pastFor is how long what a start has said is remembered after it has gone: a registry
+	// that was away may have dropped it while it went on serving.
+	pastFor = 10 * time.Minute
 	// doubtedFor is how long an entry of an older copy is not believed: by then an
 	// upstream that lives has written its own again, and one that does not has lapsed.
 	doubtedFor = 5 * time.Second
@@ -38,8 +42,8 @@
 		return i
 	}
 	u := r.members[i.Value.ID]
-	at, left := r.left[i.Value.Key()]
-	if left && now.Sub(at) < leftFor || u != nil && u.Server().Same(i.Value.Start) && u.Server().Draining {
+	past, left := r.past[i.Value.Key()]
+	if left && now.Sub(past.at) < leftFor || u != nil && u.Server().Same(i.Value.Start) && u.Server().Draining {
 		if r.doubted == nil {
 			r.doubted = make(map[ID]doubt)
 		}
@@ -50,17 +54,40 @@
 	return i
 }
 
+// departed is a start that has left the directory, and when.
+type departed struct {
+	upstream *Upstream
+	at       time.Time
+}
+
 // gone remembers a start that has left.
-func (r *Roster) gone(now time.Time, s Start) {
-	if r.left == nil {
-		r.left = make(map[Key]time.Time)
+func (r *Roster) gone(now time.Time, u *Upstream) {
+	if r.past == nil {
+		r.past = make(map[Key]departed)
 	}
-	for k, at := range r.left {
-		if now.Sub(at) >= leftFor {
-			delete(r.left, k)
+	for k, d := range r.past {
+		if now.Sub(d.at) >= pastFor {
+			delete(r.past, k)
 		}
 	}
-	r.left[s.Key()] = now
+	r.past[u.Server().Key()] = departed{u, now}
+}
+
+// back gives the upstream of a start that had left and is there again; nil for none.
+//
+// Failure: the registry drops an upstream that it did not hear, and has it again. Taken for
+// a new one, it gets requests again although it has said that it leaves, or wants a pause.
+func (r *Roster) back(s Server) *Upstream {
+	d, known := r.past[s.Key()]
+	if !known || d.upstream.Server().Addr != s.Addr {
+		return nil
+	}
+	delete(r.past, s.Key())
+	u := d.upstream
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.gone, u.restarted = false, false
+	return u
 }
 
 // believe takes entries of an older copy as they are that nobody has written anew.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -123,8 +123,8 @@
 	known    bool
 	// rewound says that the next list is of an older copy of the registry.
 	rewound bool
-	// left are starts that are gone, and since when.
-	left map[Key]time.Time
+	// past are starts that are gone.
+	past map[Key]departed
 	// doubted are entries of an older copy that were corrected, until they are written
 	// anew or have stood long enough.
 	doubted map[ID]doubt
@@ -244,9 +244,12 @@
 	}
 	delete(r.lapsed, s.ID)
 	if u == nil {
-		u = &Upstream{Client: &send.Client{Base: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, Keep: keepUnstated}}
+		back := r.back(s)
+		if u = back; u == nil {
+			u = &Upstream{Client: &send.Client{Base: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, Keep: keepUnstated}}
+		}
 		r.members[s.ID] = u
-		r.Log.Info("upstream known", "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining, "born", s.Born)
+		r.Log.Info("upstream known", "again", back != nil, "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining, "born", s.Born)
 	}
 	u.mu.Lock()
 	old := u.server
@@ -297,7 +300,7 @@
 	s := u.server
 	u.mu.Unlock()
 	u.Client.Forget()
-	r.gone(time.Now(), s.Start)
+	r.gone(time.Now(), u)
 	delete(r.members, id)
 	delete(r.lapsed, id)
 	delete(r.doubted, id)
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/feed"
+	"jacinthworks/pacer"
 	"jacinthworks/work"
 )
 
@@ -174,3 +175,32 @@
 	require.Equal(t, longest, s.Read(now, took, longest), "none waits for longer")
 	require.Zero(t, s.Read(now.Add(time.Second), took, longest))
 }
+
+// Guards against what an upstream has said of itself being forgotten when the registry
+// drops its entry and has it again, and against it being held against a later start.
+func TestWhatAStartStatedOutlivesItsEntry(t *testing.T) {
+	r := &Roster{Log: hclog.NewNullLogger()}
+	now := time.Now()
+	r.Listed(now, []feed.Item[Server]{item("a", false), item("b", false), item("c", false)})
+	u := r.Of("cards")
+	u[0].Seen.Leave(now)
+	u[1].Seen.BackOff(now, 10*time.Second)
+	u[2].Seen.Limit(pacer.Statement{Rate: 2, Sent: now, Heard: now})
+	for _, id := range []string{"a", "b", "c"} {
+		r.Changed(now, gone(id))
+		r.Changed(now.Add(time.Second), []feed.Change[Server]{{Item: item(id, false)}})
+	}
+	again := r.Of("cards")
+	now = now.Add(2 * time.Second)
+	require.Equal(t, BarLeaving, again[0].Access(now).Bar)
+	require.Equal(t, Access{Bar: BarBackoff, Left: 8 * time.Second}, again[1].Access(now))
+	rate, _ := again[2].Seen.Limited(now)
+	require.Equal(t, pacer.Rate(2), rate)
+	later := item("a", false)
+	later.Value.Born = now
+	r.Changed(now, []feed.Change[Server]{{Item: later}})
+	r.Changed(now, gone("a"))
+	later.Value.Born = now.Add(time.Minute)
+	r.Changed(now, []feed.Change[Server]{{Item: later}})
+	require.True(t, r.Member("a").Access(now).Open(), "another start")
+}
