fleet soak: servers ask for pauses, and leave before the registry says so

Plans from seed 300 on have both, in one of two each, and the judge holds against each incarnation of an entry that was told what reached the server after it. The rule binds a request made 2 s after the answer; the soak allows 0.5 s.

--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -35,9 +35,10 @@
 
 // fleetSeeds are the plans of each run of CI: four for a start, 161, in which a
 // list that is behind comes half a second after a version of the configuration,
-// three with rate limits, one of them with a store that comes back from a copy, then
-// those that have found something, with what it was.
-var fleetSeeds = []uint64{1, 2, 3, 4, 161, 204, 206, 218}
+// three with rate limits, one of them with a store that comes back from a copy, two with
+// servers that say that they leave and ask for pauses, then those that have found
+// something, with what it was.
+var fleetSeeds = []uint64{1, 2, 3, 4, 161, 204, 206, 218, 301, 308}
 
 // TestFleetSoakFreshSeeds runs for as long as it is told, four plans at a time,
 // and prints the seed of what it finds.
--- a/test/fleetjudge.go
+++ b/test/fleetjudge.go
@@ -60,6 +60,7 @@
 	f.judgeLeaving(&found, ran)
 	f.judgeVersions(&found)
 	f.judgeLimits(&found)
+	f.judgeStated(&found)
 	f.judgeProcesses(&found)
 	return found
 }
--- a/test/fleetplan.go
+++ b/test/fleetplan.go
@@ -34,6 +34,8 @@
 	// fleetLimitsFrom is the first seed whose plans have rate limits and a store that
 	// counts eras: those of the seeds before stay as they were drawn.
 	fleetLimitsFrom = 200
+	// fleetStatedFrom is the same for servers that ask for pauses, or leave unregistered.
+	fleetStatedFrom = 300
 	// fleetLimitLast is the least time that a limit lasts, and half of the longest.
 	fleetLimitLast = 4 * time.Second
 )
@@ -81,6 +83,9 @@
 		s.addLimit(rand.New(rand.NewPCG(seed, 11)))
 		s.addCopies(rand.New(rand.NewPCG(seed, 12)))
 	}
+	if seed >= fleetStatedFrom {
+		s.addStated(rand.New(rand.NewPCG(seed, 13)))
+	}
 	for range 1 + r.IntN(2) {
 		s.add(r, drawWork(r))
 	}
