--- a/direct/engines.go
+++ b/direct/engines.go
@@ -81,6 +81,7 @@
 				answers <- nil
 				return
 			}
+			s.heardStated("", u, Note{Leaving: state.Leaving})
 			// Failure: an engine started anew under its id, and the registry does not
 			// tell yet. An order by what the earlier start had taken would be one to
 			// the later.
--- a/direct/fields.go
+++ b/direct/fields.go
@@ -4,6 +4,7 @@
 	"net/http"
 	"sync"
 
+	"jacinthworks/meter"
 	"jacinthworks/roster"
 	"jacinthworks/work"
 )
@@ -11,7 +12,7 @@
 // fieldsMost bounds how many names of answers' header fields are remembered.
 const fieldsMost = 64
 
-// fields are the names of header fields that answers had. The zero value is ready to
+// fields are names of header fields that answers had. The zero value is ready to
 // use; it must not be copied.
 //
 // Failure: upstreams begin to state something that no code reads, and nothing in the
@@ -51,10 +52,14 @@
 // first says whether no answer had the field before.
 func (f *fields) first(name string) bool { return len(f.fresh(http.Header{name: nil})) > 0 }
 
-// noteFields logs the fields that an answer is the first to have, without their values,
-// which are the caller's.
+// noteFields logs and counts the fields that an answer is the first to have and that have
+// no meaning here, without their values, which are the caller's.
 func (s *Server) noteFields(id work.RequestID, upstream roster.ID, h http.Header) {
 	for _, name := range s.fields.fresh(h) {
-		s.Log.Info("answer has a new field", "request", id, "upstream", upstream, "field", name)
+		if s.Protocol.Known(name) {
+			continue
+		}
+		s.Log.Warn("answer has an unknown field", "request", id, "upstream", upstream, "field", name)
+		s.Meter.Count("jacinthworks_fields_unknown_total", meter.Labels{"field", name})
 	}
 }
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -25,6 +25,8 @@
 	Stamp(h http.Header, s Stamp)
 	// Note tells what an answer says beside its body.
 	Note(status int, h http.Header) Note
+	// Known says whether a header field of an answer has a meaning here, be it used or not.
+	Known(name string) bool
 	// Handle reads the answer to a prefill.
 	Handle(body []byte) (Handle, error)
 	// Free gives the call that frees a prefilled prompt.
@@ -43,24 +45,16 @@
 	Ordered(status int) Ordered
 }
 
-// Part is one part of a prompt, which other requests may share.
-type Part struct {
-	ID     string
-	Tokens int
-}
-
 // Ask is what a request says of itself.
 type Ask struct {
 	// ID is the caller's, one for each send.
 	ID work.RequestID
 	// Within is how long the caller waits; zero where it does not say.
 	Within time.Duration
-	Model  string
 	// Prompt and Output are the prompt's tokens and the most of the answer.
 	Prompt, Output int
 	// Likely is the caller's guess of the answer's tokens; zero for none.
 	Likely int
-	Parts  []Part
 	// LastEvent is the last event that the caller has of the stream.
 	LastEvent string
 }
@@ -150,6 +144,8 @@
 	// tokens, that cannot be given up.
 	Running, Waiting int
 	Memory, Taken    int
+	// Leaving says that it is on its way out.
+	Leaving bool
 }
 
 // Ordered is what an engine answers to an order.
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -66,8 +66,6 @@
 	Attempts int
 	// Priority is the route's rank; 0 is served first.
 	Priority int
-	// Affinity is for requests that share prompts or sessions.
-	Affinity bool
 	// Resumable streams may go on at another upstream.
 	Resumable bool
 	// Open routes are for callers without a key as well.
@@ -99,19 +97,12 @@
 
 // Engine describes a service whose upstreams are model engines.
 type Engine struct {
-	// Slots is how many requests an engine runs at once.
-	Slots int
 	// TokensPerEvent is how many tokens of an answer come as one event; zero for
 	// one.
 	TokensPerEvent int
-	// KVTokens is an engine's memory in tokens, KVTokenBytes the size of one.
-	KVTokens     int
-	KVTokenBytes int64
-	// LinkRate is the rate of an engine's link in bytes a second.
-	LinkRate float64
-	// HandleLife is how long an engine keeps the memory of a prompt that
-	// nobody fetches, SwitchTime how long a change of role takes it away.
-	HandleLife time.Duration
+	// KVTokens is an engine's memory in tokens.
+	KVTokens int
+	// SwitchTime is how long a change of role takes an engine away.
 	SwitchTime time.Duration
 	// HoldLife is how long room can be held for a request that is on its way;
 	// zero where engines hold none.
@@ -121,8 +112,6 @@
 // Service is a pool of upstreams that routes name.
 type Service struct {
 	Name work.Service
-	// HealthPath answers whether an upstream thinks itself healthy.
-	HealthPath string
 	// MaxConnections is how many connections an upstream takes from all
 	// callers together; zero is any number.
 	MaxConnections int
@@ -132,8 +121,7 @@
 
 // Limits bound what a caller may send, and how long it may take.
 type Limits struct {
-	MaxHeader int
-	MaxBody   int64
+	MaxBody int64
 	// HeaderTimeout is the time for a request's header, IdleTimeout the time
 	// that a connection is kept without a request.
 	HeaderTimeout time.Duration
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -59,8 +59,6 @@
 	Draining bool
 	// Role is that of a model engine; empty for a plain server.
 	Role work.Role
-	// Cold is how much longer it is slow after its start.
-	Cold time.Duration
 }
 
 // Upstream is a member of the directory.
