again: those who are refused during a pause return one after the other

Load pattern: upstreams ask for a pause, and what is refused in it returns at its end in one clump, which brings about the next pause.

The rate is that of the upstreams by their slots and measured speed, divided among the entries.

--- a/direct/line.go
+++ b/direct/line.go
@@ -27,6 +27,8 @@
 	toFirst time.Duration
 	// returns say when what is refused should return.
 	returns again.Returns
+	// stagger is the same where upstreams have asked for a pause.
+	stagger again.Stagger
 	// short is when an engine last had no room.
 	short time.Time
 	// large is the memory that a large request needs, as seen lately.
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -53,38 +53,43 @@
 // unplaced is the refusal where no upstream of a role is left to try.
 func (s *Server) unplaced(r *request, role work.Role) *failure {
 	f := &failure{ran: r.tries.Ran(), reason: work.ReasonNoRoom, final: true}
-	wait, paused := s.pausedFor(r.service.Name, role)
+	wait, each, paused := s.pausedFor(r.service.Name, role)
 	switch {
 	case r.limitWait > 0 && (!paused || r.limitWait < wait):
 		f.detail, f.retryAfter = "upstreams are at their rate limits", r.limitWait
 		return f
 	case paused:
-		f.detail, f.retryAfter = "all upstreams have asked for a pause", wait+time.Duration(pauseSpread*r.random.Float64()*float64(wait))
+		f.detail = "all upstreams have asked for a pause"
+		f.retryAfter = s.lines.line(r.service.Name).stagger.After(time.Now(), wait, each)
 		return f
 	}
 	return &failure{ran: r.tries.Ran(), reason: work.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
 }
 
-// pauseSpread is the part of a pause over which those who wait for its end return: all at
-// once, they would bring about the next one.
-const pauseSpread = 0.15
-
 // pausedFor gives the time until the first upstream of a role may be sent something again,
-// and whether all that stay have asked for a pause.
-func (s *Server) pausedFor(service work.Service, role work.Role) (wait time.Duration, all bool) {
+// how often this entry's part of all of them takes a request, and whether all that stay
+// have asked for a pause.
+func (s *Server) pausedFor(service work.Service, role work.Role) (wait, each time.Duration, all bool) {
 	now := time.Now()
+	rate := 0.0 // requests a second
 	for _, u := range s.roster.Of(service) {
 		if u.Server().Role != role {
 			continue
 		}
 		switch a := u.Access(now); {
 		case a.Open():
-			return 0, false
+			return 0, 0, false
 		case a.Left > 0 && (!all || a.Left < wait):
 			wait, all = a.Left, true
 		}
+		o := u.Seen.Offer(now)
+		o.Slots = u.Server().Slots
+		rate += o.Rate()
+	}
+	if rate > 0 {
+		each = time.Duration(float64(s.searching(now)) / rate * float64(time.Second))
 	}
-	return wait, all
+	return wait, each, all
 }
 
 // patience bounds an attempt's silence where another can follow; zero is no
--- a/route/offer.go
+++ b/route/offer.go
@@ -84,6 +84,15 @@
 	return time.Duration(float64(o.Speed) * (float64(l.Units+o.Queued) + o.Others*float64(l.Usual.Units)))
 }
 
+// Rate estimates how many calls it answers a second.
+func (o Offer) Rate() float64 {
+	speed := o.Speed
+	if speed == 0 {
+		speed = defaultCall
+	}
+	return float64(max(o.Slots, 1)) / speed.Seconds()
+}
+
 // Score estimates the time to an answer, failures counted by what they cost.
 func (o Offer) Score(l Load) time.Duration {
 	speed := o.Speed
