--- a/direct/stated.go
+++ b/direct/stated.go
@@ -20,7 +20,8 @@
 		s.Log.Info("upstream leaves", "request", id, "upstream", m.ID, "service", m.Service, "draining", m.Draining, "registry_age", u.Age(now))
 		s.Meter.Count("jacinthworks_upstream_stated_total", meter.Labels{"service", string(m.Service), "what", "leaving"})
 	}
-	before := u.Seen.Stated().Paused(now)
+	stated := u.Seen.Stated()
+	before := stated.Paused(now)
 	if u.Seen.BackOff(now, n.Backoff) {
 		s.Log.Info("upstream asks for a pause", "request", id, "upstream", m.ID, "service", m.Service, "pause", n.Backoff, "before", before)
 		s.Meter.Count("jacinthworks_upstream_stated_total", meter.Labels{"service", string(m.Service), "what", "backoff"})
--- a/roster/access.go
+++ b/roster/access.go
@@ -41,15 +41,15 @@
 	case draining:
 		return Access{Bar: BarDraining}
 	}
-	return u.Seen.Stated().Access(now)
+	return u.Seen.access(now)
 }
 
-// Access says whether one that has said so much may be sent something new.
-func (s Stated) Access(now time.Time) Access {
-	switch left := s.Paused(now); {
-	case !s.Leaving.IsZero():
+// access says whether one that has said so much may be sent something new.
+func (s *Stated) access(now time.Time) Access {
+	if !s.Leaving.IsZero() {
 		return Access{Bar: BarLeaving}
-	case left > 0:
+	}
+	if left := s.Paused(now); left > 0 {
 		return Access{Bar: BarBackoff, Left: left}
 	}
 	return Access{}
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -269,6 +269,12 @@
 	return s.stated.BackOff(now, pause)
 }
 
+func (s *Seen) access(now time.Time) Access {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.stated.access(now)
+}
+
 // Stated gives what it has said of itself.
 func (s *Seen) Stated() Stated {
 	s.mu.Lock()
--- a/roster/stated.go
+++ b/roster/stated.go
@@ -34,4 +34,4 @@
 }
 
 // Paused gives how long the upstream wants nothing yet.
-func (s Stated) Paused(now time.Time) time.Duration { return max(0, s.Backoff.Sub(now)) }
+func (s *Stated) Paused(now time.Time) time.Duration { return max(0, s.Backoff.Sub(now)) }
