--- a/roster/access_test.go
+++ b/roster/access_test.go
@@ -28,6 +28,8 @@
 	// that requests may still have.
 	entries map[ID]Server
 	held    []*Upstream
+	// earlier are entries of starts that later ones have followed.
+	earlier []Server
 	born    time.Time
 }
 
@@ -43,6 +45,9 @@
 	id := ID(rapid.SampledFrom([]string{"a", "b"}).Draw(t, "id"))
 	e, known := m.entries[id]
 	if !known || rapid.IntRange(0, 3).Draw(t, "later") == 0 {
+		if known {
+			m.earlier = append(m.earlier, e)
+		}
 		m.born = m.born.Add(time.Millisecond)
 		e = Server{Start: Start{ID: id, Born: m.born}, Service: "cards", Addr: netip.MustParseAddrPort("127.0.0.1:9")}
 	}
@@ -65,6 +70,17 @@
 	}
 }
 
+// late has word of an earlier start come after that of the later one.
+func (m *model) late(t *rapid.T) {
+	if len(m.earlier) == 0 {
+		return
+	}
+	e := rapid.SampledFrom(m.earlier).Draw(t, "earlier")
+	if m.r.Member(e.ID) != nil {
+		m.r.Changed(m.now, []feed.Change[Server]{{Item: feed.Item[Server]{Name: string(e.ID), Value: e}}})
+	}
+}
+
 // answer has one of the upstreams that requests have say something, in whatever order.
 func (m *model) answer(t *rapid.T) {
 	if len(m.held) == 0 {
@@ -101,6 +117,9 @@
 			continue
 		}
 		server := u.Server()
+		if !server.Same(m.entries[id].Start) {
+			t.Fatalf("%s is of an earlier start", id)
+		}
 		s, got := m.said[server.Key()], u.Access(m.now)
 		want := Access{}
 		switch {
@@ -128,7 +147,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		m := newModel()
 		t.Repeat(map[string]func(*rapid.T){
-			"register": m.register, "lapse": m.lapse, "back": m.back, "answer": m.answer, "pass": m.pass, "": m.check,
+			"register": m.register, "lapse": m.lapse, "back": m.back, "late": m.late, "answer": m.answer, "pass": m.pass, "": m.check,
 		})
 	})
 }
