--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -154,7 +154,7 @@
 	a.upstream.Seen.End(a.work)
 	s.crashes.end(a.start.Key(), r)
 	if a.counted {
-		s.lines.line(r.service.Name).free()
+		s.lines.Line(r.service.Name).Free()
 	}
 }
 
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -38,6 +38,7 @@
 	"jacinthworks/meter"
 	"jacinthworks/paths"
 	"jacinthworks/roster"
+	"jacinthworks/turns"
 )
 
 // Server serves callers. Set the exported fields before Run.
@@ -73,7 +74,7 @@
 	roster   roster.Roster
 	crashes  crashes
 	budgets  budgets
-	lines    lines
+	lines    turns.Lines
 	ages     again.Ages
 	members  members
 	changing changing
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -47,7 +47,7 @@
 func (s *Server) withheld(r *request, a *attempt) *failure {
 	if a.counted {
 		a.upstream.Seen.End(a.work)
-		s.lines.line(r.service.Name).free()
+		s.lines.Line(r.service.Name).Free()
 	}
 	if a.stamp.Hold != "" {
 		s.drop(r, a.upstream, a.stamp.Hold)
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -60,7 +60,7 @@
 		return f
 	case paused:
 		f.detail = "all upstreams have asked for a pause"
-		f.retryAfter = s.lines.line(r.service.Name).stagger.After(time.Now(), wait, each)
+		f.retryAfter = s.lines.Line(r.service.Name).Stagger.After(time.Now(), wait, each)
 		return f
 	}
 	return &failure{ran: r.tries.Ran(), reason: work.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -79,7 +79,7 @@
 // overQuota refuses a request whose account is over its quota, and for which others
 // leave no room.
 func (s *Server) overQuota(r *request) *failure {
-	wait := s.lines.line(r.service.Name).returns.After(time.Now())
+	wait := s.lines.Line(r.service.Name).Returns.After(time.Now())
 	s.Log.Info("over quota", "request", r.id, "account", r.account, "cost", r.cost, "by", "no room", "asked", r.asked, "wait", wait)
 	return &failure{ran: work.NotRun, reason: work.ReasonQuota, detail: "the account is over its quota and no engine has room to spare", retryAfter: wait, final: true}
 }
--- a/direct/room.go
+++ b/direct/room.go
@@ -49,8 +49,8 @@
 // they waited for the reading. Holding the place first holds because the engine
 // itself counts what it has promised, to all callers together.
 func (s *Server) room(ctx context.Context, r *request, role work.Role) (*room, *failure) {
-	l := s.lines.line(r.service.Name)
-	i, until, late := l.item(r)
+	l := s.lines.Line(r.service.Name)
+	i, until, late := item(l, r)
 	late = late || r.over && !r.begun
 	if found, any := s.look(ctx, r, role, late); found != nil {
 		return found, nil
@@ -63,10 +63,10 @@
 	if late {
 		return nil, s.unroomed(ctx, r, &queue.Refusal{Reason: work.ReasonTooLate, Detail: queue.DetailLapsed})
 	}
-	if refusal := l.enter(ctx, i, until); refusal != nil {
+	if refusal := l.Enter(ctx, i, until); refusal != nil {
 		return nil, s.unroomed(ctx, r, refusal)
 	}
-	defer l.leave()
+	defer l.Leave()
 	for {
 		found, any := s.look(ctx, r, role, late)
 		switch {
@@ -77,11 +77,11 @@
 		case !any:
 			return nil, s.unplaced(r, role)
 		case !time.Now().Before(until):
-			return nil, s.unroomed(ctx, r, l.lapsed(i))
+			return nil, s.unroomed(ctx, r, l.Lapsed(i))
 		}
 		t := time.NewTimer(lookAgain)
 		select {
-		case <-l.freed:
+		case <-l.Freed():
 		case <-t.C:
 		case <-ctx.Done():
 		}
@@ -107,7 +107,7 @@
 // unroomed turns a refusal of the queue into the request's.
 func (s *Server) unroomed(ctx context.Context, r *request, q *queue.Refusal) *failure {
 	f := &failure{ran: work.NotRun, reason: q.Reason, detail: string(q.Detail), final: true}
-	f.retryAfter = max(q.RetryAfter, s.lines.line(r.service.Name).returns.After(time.Now()))
+	f.retryAfter = max(q.RetryAfter, s.lines.Line(r.service.Name).Returns.After(time.Now()))
 	if ctx.Err() != nil {
 		f.reason = work.ReasonOf(ctx)
 	}
@@ -165,7 +165,7 @@
 	need := r.ask.Prompt + max(int(holdPart*float64(r.tokens()-r.ask.Prompt)), leastOutput)
 	more := 0
 	if !r.begun {
-		more = s.lines.line(r.service.Name).margin(time.Now(), need)
+		more = s.lines.Line(r.service.Name).Margin(time.Now(), need)
 	}
 	if late {
 		more = max(more, int(reserve*float64(r.engine().KVTokens)))
@@ -196,7 +196,7 @@
 		return ""
 	case h == "":
 		u.Seen.Full(time.Now().Add(s.fullFor()))
-		s.lines.line(r.service.Name).noRoom(time.Now())
+		s.lines.Line(r.service.Name).NoRoom(time.Now())
 		s.Log.Debug("no room held", "request", r.id, "upstream", u.Server().ID, "took", time.Since(began))
 	}
 	return h
@@ -237,7 +237,7 @@
 func (s *Server) release(r *request, p *room) {
 	p.upstream.Seen.End(p.work)
 	s.unpermit(p.permit)
-	s.lines.line(r.service.Name).free()
+	s.lines.Line(r.service.Name).Free()
 	if p.hold != "" {
 		s.drop(r, p.upstream, p.hold)
 	}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -8,6 +8,7 @@
 	"sync/atomic"
 	"time"
 
+	"jacinthworks/events"
 	"jacinthworks/send"
 	"jacinthworks/work"
 )
@@ -27,7 +28,7 @@
 
 // stream serves a request that is answered event by event.
 func (s *Server) stream(ctx context.Context, r *request) *failure {
-	e := &events{last: r.ask.LastEvent}
+	e := &events.Cutter{Last: r.ask.LastEvent}
 	for {
 		f := s.streamOnce(ctx, r, e)
 		if f == nil {
@@ -36,12 +37,12 @@
 		if !f.granted && !s.again(ctx, r, f) {
 			return f
 		}
-		e.restart()
+		e.Restart()
 	}
 }
 
 // streamOnce makes one attempt at the rest of a stream.
-func (s *Server) streamOnce(ctx context.Context, r *request, e *events) *failure {
+func (s *Server) streamOnce(ctx context.Context, r *request, e *events.Cutter) *failure {
 	role := s.lastRole(r)
 	p, f := s.room(ctx, r, role)
 	if f != nil {
@@ -60,7 +61,7 @@
 		return f
 	}
 	a := &attempt{upstream: p.upstream, work: p.work, counted: true, silence: r.headerPatience(), permit: p.permit}
-	a.stamp.LastEvent, a.stamp.Hold = e.last, p.hold
+	a.stamp.LastEvent, a.stamp.Hold = e.Last, p.hold
 	if from != nil {
 		a.stamp.Stage, a.stamp.Source = StageDecode, from.handle
 	}
@@ -185,7 +186,7 @@
 }
 
 // events passes the events of an answer on as they come.
-func (s *Server) events(ctx context.Context, r *request, a *attempt, reply *send.Reply, e *events, placed time.Time) *failure {
+func (s *Server) events(ctx context.Context, r *request, a *attempt, reply *send.Reply, e *events.Cutter, placed time.Time) *failure {
 	reply.SetSilence(r.left() + silenceSlack)
 	p := s.pulse(r, a, reply)
 	defer p.end()
@@ -205,14 +206,14 @@
 		last = time.Now()
 		if n > 0 && first == 0 {
 			first = time.Since(a.began)
-			s.lines.line(r.service.Name).saw(time.Since(placed))
+			s.lines.Line(r.service.Name).Saw(time.Since(placed))
 		}
 		if n > 0 {
 			pace.add(s, r, buffer[:n])
 		}
 		fresh := buffer[:n]
 		if r.route.Resumable {
-			fresh = e.add(fresh)
+			fresh = e.Add(fresh)
 		}
 		if len(fresh) > 0 {
 			if !r.begun {
@@ -234,7 +235,7 @@
 		if !errors.Is(err, io.EOF) {
 			return s.broke(ctx, r, a, err)
 		}
-		if len(e.rest) > 0 {
+		if len(e.Rest()) > 0 {
 			return s.broke(ctx, r, a, errors.New("direct: the stream ends in the middle of an event"))
 		}
 		break
@@ -243,7 +244,7 @@
 		s.header(r, reply) // a stream without events
 	}
 	s.done(r, a, first, 1, true)
-	s.end(r, "answered", "upstream", a.start.ID, "status", reply.Status, "first", first, "longest_gap", longest, "last_event", e.last)
+	s.end(r, "answered", "upstream", a.start.ID, "status", reply.Status, "first", first, "longest_gap", longest, "last_event", e.Last)
 	return nil
 }
 
--- a/direct/events_test.go
+++ b/events/events_test.go
@@ -1,4 +1,4 @@
-package direct
+package events
 
 import (
 	"strings"
@@ -8,13 +8,13 @@
 )
 
 func TestWholeEventsOnly(t *testing.T) {
-	var e events
-	require.Empty(t, e.add([]byte("id: 1\nda")))
-	require.Equal(t, "id: 1\ndata: a\n\n", string(e.add([]byte("ta: a\n\nid: 2\ndata"))))
-	require.Equal(t, "1", e.last)
-	e.restart()
-	require.Equal(t, "id: 2\ndata: b\n\n", string(e.add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))), "what was given out is not given again")
-	require.Equal(t, ": note\r\n\r\n", string(e.add([]byte(": note\r\n\r\n"))))
+	var c Cutter
+	require.Empty(t, c.Add([]byte("id: 1\nda")))
+	require.Equal(t, "id: 1\ndata: a\n\n", string(c.Add([]byte("ta: a\n\nid: 2\ndata"))))
+	require.Equal(t, "1", c.Last)
+	c.Restart()
+	require.Equal(t, "id: 2\ndata: b\n\n", string(c.Add([]byte("id: 1\ndata: a\n\nid: 2\ndata: b\n\n"))), "what was given out is not given again")
+	require.Equal(t, ": note\r\n\r\n", string(c.Add([]byte(": note\r\n\r\n"))))
 }
 
 // FuzzEvents cuts a stream at any place: what is given out is the same as for
@@ -25,11 +25,11 @@
 	f.Add(": x\n\n\n\nid: 5\n\nid: 4\n\n", 3)
 	f.Fuzz(func(t *testing.T, stream string, at int) {
 		at = min(max(at, 0), len(stream))
-		var whole, parts events
-		all := string(whole.add([]byte(stream)))
-		cut := string(parts.add([]byte(stream[:at]))) + string(parts.add([]byte(stream[at:])))
+		var whole, parts Cutter
+		all := string(whole.Add([]byte(stream)))
+		cut := string(parts.Add([]byte(stream[:at]))) + string(parts.Add([]byte(stream[at:])))
 		require.Equal(t, all, cut)
-		require.Equal(t, whole.last, parts.last)
-		require.True(t, strings.HasSuffix(stream, string(whole.rest)))
+		require.Equal(t, whole.Last, parts.Last)
+		require.True(t, strings.HasSuffix(stream, string(whole.Rest())))
 	})
 }
--- a/direct/line.go
+++ b/turns/line.go
@@ -1,4 +1,21 @@
-package direct
+// Package turns lets requests look for room one at a time, in the order of their queue.
+//
+// The load pattern it answers: engines are full. Where all look at once, a small request
+// takes each place that comes free, and one that needs more memory never finds enough of it.
+//
+// # Usage
+//
+//	var lines turns.Lines
+//	l := lines.Line(service)
+//	if refusal := l.Enter(ctx, item, until); refusal != nil {
+//		return refusal
+//	}
+//	defer l.Leave()
+//	select {
+//	case <-l.Freed(): // a place may have come free
+//	case <-ctx.Done():
+//	}
+package turns
 
 import (
 	"context"
@@ -11,11 +28,13 @@
 	"jacinthworks/work"
 )
 
-// line lets the requests of a service look for room one at a time, in the order
-// of its queue: else a small request takes each place that comes free, and one
-// that needs more memory never finds enough of it. The zero value is ready to
-// use; it must not be copied.
-type line struct {
+// Line is that of one service. Get it from Lines; it must not be copied.
+type Line struct {
+	// Returns say when what is refused should return, Stagger the same where upstreams
+	// have asked for a pause.
+	Returns again.Returns
+	Stagger again.Stagger
+
 	mu     sync.Mutex // a leaf
 	queue  queue.Queue
 	turns  map[work.RequestID]chan *queue.Refusal
@@ -25,31 +44,29 @@
 	freed chan struct{}
 	// toFirst is the time from finding room to the first event, as measured.
 	toFirst time.Duration
-	// returns say when what is refused should return.
-	returns again.Returns
-	// stagger is the same where upstreams have asked for a pause.
-	stagger again.Stagger
 	// short is when an engine last had no room.
 	short time.Time
 	// large is the memory that a large request needs, as seen lately.
 	large float64
 }
 
-// lines holds the line of each service.
-type lines struct {
+// Lines holds the line of each service. The zero value is ready to use; it must not be
+// copied.
+type Lines struct {
 	mu sync.Mutex // a leaf
-	of map[work.Service]*line
+	of map[work.Service]*Line
 }
 
-func (l *lines) line(s work.Service) *line {
+// Line gives the line of a service.
+func (l *Lines) Line(s work.Service) *Line {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.of == nil {
-		l.of = make(map[work.Service]*line)
+		l.of = make(map[work.Service]*Line)
 	}
 	if l.of[s] == nil {
-		l.of[s] = &line{
-			turns: make(map[work.RequestID]chan *queue.Refusal), random: random(),
+		l.of[s] = &Line{
+			turns: make(map[work.RequestID]chan *queue.Refusal), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			freed: make(chan struct{}, 1), toFirst: firstGuess,
 		}
 	}
@@ -64,40 +81,6 @@
 	firstKeep = 0.8
 )
 
-// begunWait is how long a stream that has begun waits to go on elsewhere:
-// callers leave after some two seconds without an event.
-const begunWait = 1500 * time.Millisecond
-
-// item describes a request to the queue, and says until when it may wait. One
-// that would have its room after the target is of little use to its caller: it
-// is told to return instead. One that returns late is served from what the others
-// leave, or refused: waiting for it, it took the places of fresh ones.
-//
-// Load pattern: a burst is refused in part, and what was refused returns in the
-// next second. Served in order of arrival, it takes the places of fresh
-// requests, which are then late as well, and so on after the burst.
-func (l *line) item(r *request) (i queue.Item, until time.Time, late bool) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	i = queue.Item{
-		ID: r.id, Account: r.account, Priority: queue.Priorities - 1 - r.priority(),
-		Prompt: r.ask.Prompt, Output: r.tokens() - r.ask.Prompt,
-		FirstToken: r.first.Add(r.targetLatency()), Deadline: r.until, ToFirstToken: l.toFirst, ToEnd: l.toFirst,
-	}
-	// Failure: a stream that goes on elsewhere is told to return as if it had
-	// not begun. It shows as an answer that is cut in its middle.
-	if r.begun {
-		i.Priority, i.FirstToken = queue.Priorities-1, time.Time{}
-		i.Deadline = time.Now().Add(begunWait + i.ToEnd)
-		return i, i.Deadline.Add(-i.ToEnd), false
-	}
-	until = i.FirstToken.Add(-i.ToFirstToken)
-	if until.After(r.accepted) {
-		return i, until, false
-	}
-	return i, until, true
-}
-
 const (
 	// contended is how long after an engine had no room smaller requests leave
 	// room for larger ones.
@@ -111,20 +94,20 @@
 	largeFade = 0.99
 )
 
-// noRoom notes that an engine had no room.
-func (l *line) noRoom(now time.Time) {
+// NoRoom notes that an engine had no room.
+func (l *Line) NoRoom(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.short = now
 }
 
-// margin gives how much more memory than it needs a request must find.
+// Margin gives how much more memory than it needs a request must find.
 //
 // Load pattern: engines are nearly full, and what comes free is taken at once
 // by whoever fits into it. Requests of 6,000 tokens were refused four times as
 // often as those of 2,000. While requests are refused, smaller ones have to
-// leave part of a large one's room.
-func (l *line) margin(now time.Time, need int) int {
+// Leave part of a large one's room.
+func (l *Line) Margin(now time.Time, need int) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.large = max(largeFade*l.large, float64(need))
@@ -134,16 +117,16 @@
 	return int(marginPart * max(0, l.large-float64(need)))
 }
 
-// saw notes the time from finding room to the first event.
-func (l *line) saw(took time.Duration) {
+// Saw notes the time from finding room to the first event.
+func (l *Line) Saw(took time.Duration) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.toFirst = time.Duration(firstKeep*float64(l.toFirst) + (1-firstKeep)*float64(took))
 }
 
-// enter waits for the request's turn. A refusal says that there is none; else
-// leave must be called.
-func (l *line) enter(ctx context.Context, i queue.Item, until time.Time) *queue.Refusal {
+// Enter waits for the request's turn. A refusal says that there is none; else
+// Leave must be called.
+func (l *Line) Enter(ctx context.Context, i queue.Item, until time.Time) *queue.Refusal {
 	turn, refusal := l.arrive(i)
 	if turn == nil {
 		return refusal
@@ -169,7 +152,7 @@
 // timer may be early by less than that.
 const lapseAgain = 5 * time.Millisecond
 
-func (l *line) arrive(i queue.Item) (chan *queue.Refusal, *queue.Refusal) {
+func (l *Line) arrive(i queue.Item) (chan *queue.Refusal, *queue.Refusal) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -189,7 +172,7 @@
 
 // abandon takes out a request whose caller is gone, and passes on a turn that
 // it was given meanwhile.
-func (l *line) abandon(i queue.Item, turn chan *queue.Refusal) *queue.Refusal {
+func (l *Line) abandon(i queue.Item, turn chan *queue.Refusal) *queue.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -202,8 +185,8 @@
 	return &queue.Refusal{Reason: work.ReasonCallerGone}
 }
 
-// leave passes the turn on.
-func (l *line) leave() {
+// Leave passes the turn on.
+func (l *Line) Leave() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -211,9 +194,9 @@
 	l.next(now)
 }
 
-// lapsed gives the refusal of the request whose turn it is and for which no
+// Lapsed gives the refusal of the request whose turn it is and for which no
 // room was found in time.
-func (l *line) lapsed(i queue.Item) *queue.Refusal {
+func (l *Line) Lapsed(i queue.Item) *queue.Refusal {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	now := time.Now()
@@ -230,9 +213,9 @@
 	return own
 }
 
-func (l *line) sweep(now time.Time) { l.refuse(l.queue.Lapsed(now, l.random)) }
+func (l *Line) sweep(now time.Time) { l.refuse(l.queue.Lapsed(now, l.random)) }
 
-func (l *line) refuse(all []queue.Refused) {
+func (l *Line) refuse(all []queue.Refused) {
 	for _, r := range all {
 		if turn := l.turns[r.Item.ID]; turn != nil {
 			delete(l.turns, r.Item.ID)
@@ -241,7 +224,7 @@
 	}
 }
 
-func (l *line) next(now time.Time) {
+func (l *Line) next(now time.Time) {
 	i, ok := l.queue.Next(now, queue.AnyPrompt)
 	l.busy = ok
 	if ok {
@@ -251,10 +234,20 @@
 	}
 }
 
-// free tells the one whose turn it is that a place may have come free.
-func (l *line) free() {
+// Free tells the one whose turn it is that a place may have come free.
+func (l *Line) Free() {
 	select {
 	case l.freed <- struct{}{}:
 	default:
 	}
 }
+
+// Freed is told when a place may have come free.
+func (l *Line) Freed() <-chan struct{} { return l.freed }
+
+// ToFirst is the time from finding room to the first event, as measured.
+func (l *Line) ToFirst() time.Duration {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.toFirst
+}
--- a/direct/line_test.go
+++ b/turns/line_test.go
@@ -1,4 +1,4 @@
-package direct
+package turns
 
 import (
 	"context"
@@ -23,10 +23,10 @@
 // were taken out of the queue and nobody told them: their callers waited until
 // they gave up themselves, and the line stood still for all who came after.
 func TestAllThatLapseTogetherAreTold(t *testing.T) {
-	var all lines
-	l := all.line("model")
+	var all Lines
+	l := all.Line("model")
 	first, until := waiting("first", 30*time.Millisecond)
-	require.Nil(t, l.enter(t.Context(), first, until))
+	require.Nil(t, l.Enter(t.Context(), first, until))
 	told := make(chan *queue.Refusal, 2)
 	for _, id := range []string{"second", "third"} {
 		i, _ := waiting(id, time.Until(until)) // no later than the first
@@ -38,7 +38,7 @@
 	for time.Now().Before(until) {
 		time.Sleep(time.Until(until)) // the time that a request may wait
 	}
-	require.NotNil(t, l.lapsed(first))
+	require.NotNil(t, l.Lapsed(first))
 	for range 2 {
 		select {
 		case refusal := <-told:
@@ -47,30 +47,30 @@
 			t.Fatal("a request that can't be served any more was not told")
 		}
 	}
-	l.leave()
+	l.Leave()
 	next, until := waiting("next", time.Minute)
-	require.Nil(t, l.enter(t.Context(), next, until), "the line goes on")
+	require.Nil(t, l.Enter(t.Context(), next, until), "the line goes on")
 }
 
 // Story: a caller leaves while its request waits, just as it gets its turn. The
 // turn must go on to the next.
 func TestATurnOfOneWhoLeftIsPassedOn(t *testing.T) {
-	var all lines
-	l := all.line("model")
+	var all Lines
+	l := all.Line("model")
 	first, until := waiting("first", time.Minute)
-	require.Nil(t, l.enter(t.Context(), first, until))
+	require.Nil(t, l.Enter(t.Context(), first, until))
 	second, _ := waiting("second", time.Minute)
 	turn, refusal := l.arrive(second)
 	require.Nil(t, refusal)
 	third, until := waiting("third", time.Minute)
 	entered := make(chan *queue.Refusal, 1)
-	go func() { entered <- l.enter(t.Context(), third, until) }()
+	go func() { entered <- l.Enter(t.Context(), third, until) }()
 	require.Eventually(t, func() bool {
 		l.mu.Lock()
 		defer l.mu.Unlock()
 		return l.queue.Len() == 2
 	}, 5*time.Second, time.Millisecond)
-	l.leave()
+	l.Leave()
 	gone, cancel := context.WithCancel(t.Context())
 	cancel()
 	require.Error(t, gone.Err())
@@ -79,15 +79,15 @@
 }
 
 func TestReturnsGrowWithTheOverload(t *testing.T) {
-	var all lines
-	l := all.line("model")
+	var all Lines
+	l := all.Line("model")
 	now := time.Now()
-	early := l.returns.After(now)
+	early := l.Returns.After(now)
 	require.GreaterOrEqual(t, early, again.Least)
 	for at := time.Second; at < 10*time.Second; at += time.Second {
-		l.returns.After(now.Add(at))
+		l.Returns.After(now.Add(at))
 	}
-	require.GreaterOrEqual(t, l.returns.After(now.Add(10*time.Second)), 10*time.Second)
+	require.GreaterOrEqual(t, l.Returns.After(now.Add(10*time.Second)), 10*time.Second)
 	spread := 1 + again.Jitter
-	require.LessOrEqual(t, l.returns.After(now.Add(20*time.Second)), time.Duration(spread*float64(again.Least)), "a new overload")
+	require.LessOrEqual(t, l.Returns.After(now.Add(20*time.Second)), time.Duration(spread*float64(again.Least)), "a new overload")
 }
