--- a/direct/assign_test.go
+++ b/assign/shard_test.go
@@ -1,34 +1,34 @@
-package direct
+package assign
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"testing"
 
 	"github.com/stretchr/testify/require"
-
-	"jacinthworks/roster"
 )
 
 // Story: a pool grows from ten engines to a thousand. One entry was asked for every
 // prompt; with shards no entry keeps more than some dozens of engines, each engine is
 // in one shard, and small pools stay whole.
 func TestLargePoolsAreKeptInShards(t *testing.T) {
+	random := rand.New(rand.NewPCG(1, 2))
 	for _, engines := range []int{1, 10, 64, 65, 300, 1050} {
-		drawn := make(map[shard]int)
+		drawn := make(map[Shard]int)
 		for range 4000 {
-			drawn[shardOf("model", engines, random())]++
+			drawn[ShardOf("model", engines, random)]++
 		}
-		in := make(map[shard]int)
+		in := make(map[Shard]int)
 		for n := range engines {
 			for g := range drawn {
-				if g.has(roster.ID(fmt.Sprintf("i-%d", n))) {
+				if g.Has(fmt.Sprintf("i-%d", n)) {
 					in[g]++
 				}
 			}
 		}
 		total := 0
 		for g, n := range in {
-			require.True(t, g.sound())
+			require.True(t, g.Sound())
 			require.Less(t, n, 2*shardMost)
 			require.InDelta(t, 4000/len(drawn), drawn[g], 200)
 			total += n
@@ -36,7 +36,7 @@
 		require.Equal(t, engines, total)
 		require.Equal(t, engines <= shardMost, len(drawn) == 1)
 	}
-	require.False(t, shard{Of: 0}.sound())
-	require.False(t, shard{Of: 4, Number: 4}.sound())
-	require.False(t, shard{Of: 1 << 20}.sound())
+	require.False(t, Shard{Of: 0}.Sound())
+	require.False(t, Shard{Of: 4, Number: 4}.Sound())
+	require.False(t, Shard{Of: 1 << 20}.Sound())
 }
--- a/direct/assign.go
+++ b/direct/assign.go
@@ -2,14 +2,9 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"net/http"
-	"strconv"
-	"sync"
 	"time"
 
-	"github.com/cespare/xxhash/v2"
-
 	"jacinthworks/assign"
 	"jacinthworks/roster"
 	"jacinthworks/route"
@@ -26,74 +21,10 @@
 	assignFailing = 0.5
 )
 
-// shard is a part of the prefill engines of a service, which has a tracker of its own.
-//
-// Load pattern: a thousand engines, and hundreds of prompts a second. One entry that
-// tracks all of them is asked and told by every other one for each prompt.
-// Prompts are drawn over the shards at random, which is even enough among dozens of engines.
-type shard struct {
-	Service work.Service `json:"service"`
-	// Of is the number of shards, a power of two; Number is this one's, from zero.
-	Of     int `json:"of"`
-	Number int `json:"number"`
-}
-
-const (
-	// shardMost is the most engines that are kept in one shard.
-	shardMost = 64
-	// shardsMost bounds what another entry may ask for: more engines than a service has.
-	shardsMost = 1 << 12
-)
-
-// shardOf draws one of the shards into which so many engines are divided. A power of
-// two leaves most engines where they are as their number grows.
-func shardOf(service work.Service, engines int, random *rand.Rand) shard {
-	p := shard{Service: service, Of: 1}
-	for p.Of*shardMost < engines {
-		p.Of *= 2
-	}
-	p.Number = random.IntN(p.Of)
-	return p
-}
-
-// has says whether an engine is in the shard.
-func (p shard) has(id roster.ID) bool {
-	return xxhash.Sum64String(string(id))%uint64(p.Of) == uint64(p.Number)
-}
-
-// sound says whether another entry can have drawn the shard.
-func (p shard) sound() bool {
-	return p.Of > 0 && p.Of <= shardsMost && p.Number >= 0 && p.Number < p.Of
-}
-
-// key is by which the entry is found that tracks it.
-func (p shard) key() string {
-	return "load/" + string(p.Service) + "/" + strconv.Itoa(p.Number) + "/" + strconv.Itoa(p.Of)
-}
-
-// trackers are what this entry keeps of the engines' work for all. The zero value is
-// ready to use; it must not be copied.
-type trackers struct {
-	mu sync.Mutex // a leaf
-	of map[shard]*assign.Tracker
-}
-
-func (t *trackers) tracker(p shard) *assign.Tracker {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	if t.of == nil {
-		t.of = make(map[shard]*assign.Tracker)
-	}
-	if t.of[p] == nil {
-		t.of[p] = &assign.Tracker{}
-	}
-	return t.of[p]
-}
-
 // assignCall asks for an engine that is to read a prompt.
 type assignCall struct {
-	Shard  shard `json:"shard"`
-	Tokens int   `json:"tokens"`
+	Shard  assign.Shard `json:"shard"`
+	Tokens int          `json:"tokens"`
 	// Near is the availability zone of the engine that will fetch the prompt.
 	Near work.Zone `json:"near"`
 	// Within is how long the prompt may take.
@@ -104,7 +35,7 @@
 
 // assignEnd tells of work that has ended.
 type assignEnd struct {
-	Shard  shard         `json:"shard"`
+	Shard  assign.Shard  `json:"shard"`
 	Ticket assign.Ticket `json:"ticket"`
 }
 
@@ -112,7 +43,7 @@
 // of the end.
 type assignment struct {
 	by     keeper
-	shard  shard
+	shard  assign.Shard
 	ticket assign.Ticket
 }
 
@@ -122,10 +53,10 @@
 func (s *Server) assignPrefill(ctx context.Context, r *request, near work.Zone, l route.Load) (p placed, a assignment) {
 	engines, skip := s.prefillEngines(r, l)
 	call := assignCall{
-		Shard: shardOf(r.service.Name, engines, r.random), Tokens: l.Units, Near: near, Within: r.targetLatency(), Skip: skip,
+		Shard: assign.ShardOf(r.service.Name, engines, r.random), Tokens: l.Units, Near: near, Within: r.targetLatency(), Skip: skip,
 	}
 	own := func(bool) assign.Given { return s.assignHere(call) }
-	given, by, ok := askKeeper(ctx, s, call.Shard.key(), assignPath, keeperTries, call, own)
+	given, by, ok := askKeeper(ctx, s, call.Shard.Key(), assignPath, keeperTries, call, own)
 	if !ok || !given.Found() {
 		return placed{}, assignment{}
 	}
@@ -169,7 +100,7 @@
 	for _, u := range s.roster.Of(c.Shard.Service) {
 		m := u.Server()
 		o := u.Seen.Offer(now)
-		if m.Role != work.RolePrefill || !u.Access(now).Open() || skip[m.ID] || o.Held || !c.Shard.has(m.ID) {
+		if m.Role != work.RolePrefill || !u.Access(now).Open() || skip[m.ID] || o.Held || !c.Shard.Has(string(m.ID)) {
 			continue
 		}
 		e := assign.Engine{ID: string(m.ID), Cost: time.Duration(o.Fails * float64(c.Within))}
@@ -178,17 +109,17 @@
 		}
 		engines = append(engines, e)
 	}
-	each := s.mixes.promptTime(c.Shard.Service)
+	each := s.mixes.PromptTime(c.Shard.Service)
 	if each <= 0 {
 		each = prefillRate
 	}
-	return s.trackers.tracker(c.Shard).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
+	return s.trackers.Tracker(c.Shard).Assign(now, engines, assign.Work{Tokens: c.Tokens, Each: each, Within: c.Within}, random())
 }
 
 // keeps says whether the shard can be tracked.
-func (s *Server) keeps(p shard) bool {
+func (s *Server) keeps(p assign.Shard) bool {
 	c := s.holder.Current()
-	return c != nil && c.Service(p.Service) != nil && p.sound()
+	return c != nil && c.Service(p.Service) != nil && p.Sound()
 }
 
 // answerAssign answers the other entries; an entry that knows no engines can't.
@@ -204,7 +135,7 @@
 	if !s.keeps(e.Shard) {
 		return struct{}{}, false
 	}
-	s.trackers.tracker(e.Shard).End(e.Ticket)
+	s.trackers.Tracker(e.Shard).End(e.Ticket)
 	return struct{}{}, true
 }
 
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -51,7 +51,7 @@
 	if !a.counted {
 		a.upstream.Seen.Begin(a.work)
 	}
-	s.crashes.begin(a.start.Key(), r)
+	s.crashes.Begin(a.start.Key(), r, r.identity)
 	reply, note, err := s.exchange(ctx, r.id, a.upstream, send.Request{
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, Silence: a.silence,
 		// A kept connection can break just as it is used, which leaves open
@@ -152,7 +152,7 @@
 // ended gives back what the attempt took of its upstream.
 func (s *Server) ended(r *request, a *attempt) {
 	a.upstream.Seen.End(a.work)
-	s.crashes.end(a.start.Key(), r)
+	s.crashes.End(a.start.Key(), r)
 	if a.counted {
 		s.lines.Line(r.service.Name).Free()
 	}
@@ -165,7 +165,7 @@
 	outcome := "answered"
 	if good {
 		a.upstream.Seen.Answered(now, took, units)
-		s.crashes.ledger.Survived(now, r.identity)
+		s.crashes.Ledger.Survived(now, r.identity)
 	} else {
 		a.upstream.Seen.Failed(now)
 		outcome = "upstream_failed"
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -6,7 +6,6 @@
 	"net"
 	"net/netip"
 	"strconv"
-	"sync"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -22,55 +21,9 @@
 // broke: a live one accepts within milliseconds.
 const deathWithin = 300 * time.Millisecond
 
-// crashes attributes the deaths of upstreams to requests. The zero value is
-// ready to use; it must not be copied.
-type crashes struct {
-	// ledger has the evidence of all entries.
-	ledger retry.Ledger
-
-	mu      sync.Mutex // a leaf
-	running map[roster.Key]map[*request]retry.Identity
-	// own is what this entry saw itself; telling says that it is being told to
-	// the others.
-	own     retry.Record
-	telling bool
-}
-
-const (
-	// deathsGather is the time in which deaths are gathered for one notice: one
-	// upstream's requests break one after the other.
-	deathsGather = 300 * time.Millisecond
-	// deathsTold bounds the deaths in a notice, the newest kept: the callers of
-	// a request that crashes what runs it send it again within seconds.
-	deathsTold = 8
-)
-
-// saw takes in a death that this entry saw, and says whether it is to be told.
-func (c *crashes) saw(d retry.Death) bool {
-	c.ledger.Died(d)
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.own = c.own.Merge(retry.Record{Deaths: []retry.Death{d}})
-	c.own.Deaths = c.own.Deaths[:min(len(c.own.Deaths), deathsTold)]
-	first := !c.telling
-	c.telling = true
-	return first
-}
-
-// told gives what is to be told now.
-func (c *crashes) told() retry.Record {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.telling = false
-	return c.own
-}
-
-// hasOwn says whether this entry saw upstreams die.
-func (c *crashes) hasOwn() bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return len(c.own.Deaths) > 0
-}
+// deathsGather is the time in which deaths are gathered for one notice: one
+// upstream's requests break one after the other.
+const deathsGather = 300 * time.Millisecond
 
 // tellDeaths tells the other entries of the upstreams that died here.
 //
@@ -83,7 +36,7 @@
 	}
 	s.later("tell of deaths", deathsGather+2*storeWithin, func(ctx context.Context) error {
 		group.Pause(ctx, deathsGather)
-		s.notify(ctx, deathsNotice+string(s.Settings.Name), Notice{By: s.Settings.Name, Evidence: s.crashes.told()})
+		s.notify(ctx, deathsNotice+string(s.Settings.Name), Notice{By: s.Settings.Name, Evidence: s.crashes.Told()})
 		return nil
 	})
 }
@@ -93,45 +46,10 @@
 	if len(n.Evidence.Deaths) == 0 || n.By == s.Settings.Name {
 		return
 	}
-	s.crashes.ledger.Merge(now, n.Evidence)
+	s.crashes.Ledger.Merge(now, n.Evidence)
 	s.Log.Info("deaths told", "by", n.By, "deaths", len(n.Evidence.Deaths), "newest", n.Evidence.Deaths[0].Upstream)
 }
 
-// begin notes that an upstream has a request, end that it has it no more.
-func (c *crashes) begin(id roster.Key, r *request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.running == nil {
-		c.running = make(map[roster.Key]map[*request]retry.Identity)
-	}
-	if c.running[id] == nil {
-		c.running[id] = make(map[*request]retry.Identity)
-	}
-	c.running[id][r] = r.identity
-}
-
-func (c *crashes) end(id roster.Key, r *request) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	delete(c.running[id], r)
-	if len(c.running[id]) == 0 {
-		delete(c.running, id)
-	}
-}
-
-// at gives what an upstream has of this process's, the given request included.
-func (c *crashes) at(id roster.Key, r *request) []retry.Identity {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	all := []retry.Identity{r.identity}
-	for other, identity := range c.running[id] {
-		if other != r {
-			all = append(all, identity)
-		}
-	}
-	return all
-}
-
 // suspect looks whether an upstream that broke a connection is dead, and notes
 // what it ran.
 //
@@ -140,14 +58,14 @@
 // connection alone says little, since answers are lost as well; one to an
 // upstream that takes no connection any more is a death.
 func (s *Server) suspect(r *request, a *attempt) {
-	ids := s.crashes.at(a.start.Key(), r)
+	ids := s.crashes.At(a.start.Key(), r, r.identity)
 	addr := a.upstream.Server().Addr
 	s.later("look at a broken upstream", 2*deathWithin, func(ctx context.Context) error {
 		err := takesNone(ctx, addr)
 		if err == nil && !a.upstream.Restarted() {
 			return nil
 		}
-		if s.crashes.saw(retry.Death{Upstream: work.Host(a.start.ID), Incarnation: incarnationOf(a.start), Time: time.Now(), Running: ids}) {
+		if s.crashes.Saw(retry.Death{Upstream: work.Host(a.start.ID), Incarnation: incarnationOf(a.start), Time: time.Now(), Running: ids}) {
 			s.tellDeaths()
 		}
 		s.Log.Info("upstream died", "upstream", a.start.ID, "born", a.start.Born, "request", r.id, "running", len(ids), "err", err)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -31,14 +31,20 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/again"
+	"jacinthworks/assign"
 	"jacinthworks/conf"
 	"jacinthworks/feed"
 	"jacinthworks/group"
 	"jacinthworks/lease"
 	"jacinthworks/meter"
+	"jacinthworks/pacer"
 	"jacinthworks/paths"
+	"jacinthworks/place"
+	"jacinthworks/relay"
+	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/turns"
+	"jacinthworks/work"
 )
 
 // Server serves callers. Set the exported fields before Run.
@@ -72,24 +78,24 @@
 	live     atomic.Pointer[conf.Direct]
 	holder   paths.Holder
 	roster   roster.Roster
-	crashes  crashes
+	crashes  retry.Crashes[roster.Key, *request]
 	budgets  budgets
 	lines    turns.Lines
 	ages     again.Ages
 	members  members
 	changing changing
-	mixes    mixes
+	mixes    place.Mixes
 	peers    peers
 	records  records
 	// unready say when what comes before the configuration should return.
 	unready  again.Returns
 	quotas   quotas
 	limits   limits
-	reach    reach
+	reach    pacer.Watch[work.Host]
 	fields   fields
 	unread   fields
-	keepers  keepers
-	trackers trackers
+	keepers  relay.Silent
+	trackers assign.Trackers
 	record   ownRecord
 	leaving  atomic.Bool
 	// leavingNow is closed when leaving is set; rolesFree is told when the lease
--- a/direct/keeper.go
+++ b/direct/keeper.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"github.com/pkg/errors"
@@ -22,73 +21,19 @@
 	// keeperTries is how many entries are asked in turn, beside those that are known not
 	// to answer.
 	keeperTries = 2
-	// keeperProbe is how often an entry that did not answer is tried again, beside the
-	// requests: about the time in which a killed process starts again.
-	keeperProbe = time.Second
-	// keeperForgotten is when one that nobody asked for any more is forgotten.
-	keeperForgotten = time.Minute
 	// keeperMost bounds a call, in bytes.
 	keeperMost = 16 << 10
 	// alivePath is where an entry answers that it can be asked.
 	alivePath = "/v1/alive"
 )
 
-// keepers are the entries that did not answer, until they do. The zero value is ready
-// to use; it must not be copied.
-//
-// Failure: a large host is taken away for good, and its record stays for minutes. Tried
-// again by a request each second, it held up one in ten by the time that a call has,
-// which is most of what a plain call aims at. Here the next entry is asked at once, and
-// the lost one is tried beside the requests.
-type keepers struct {
-	mu   sync.Mutex                // a leaf
-	lost map[*relay.Peer]time.Time // when to try again
-}
-
-// use says whether an entry is to be asked, and else whether to try it now.
-func (k *keepers) use(now time.Time, p *relay.Peer) (ask, try bool) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	next, lost := k.lost[p]
-	if !lost {
-		return true, false
-	}
-	if now.Before(next) {
-		return false, false
-	}
-	k.lost[p] = now.Add(keeperProbe)
-	return false, true
-}
-
-// lose notes an entry that did not answer.
-func (k *keepers) lose(now time.Time, p *relay.Peer) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	if k.lost == nil {
-		k.lost = make(map[*relay.Peer]time.Time)
-	}
-	for other, next := range k.lost {
-		if now.Sub(next) > keeperForgotten {
-			delete(k.lost, other)
-		}
-	}
-	k.lost[p] = now.Add(keeperProbe)
-}
-
-// regain notes one that answers again.
-func (k *keepers) regain(p *relay.Peer) {
-	k.mu.Lock()
-	defer k.mu.Unlock()
-	delete(k.lost, p)
-}
-
 // tryKeeper tries an entry that did not answer.
 func (s *Server) tryKeeper(p *relay.Peer) {
 	s.later("try keeper", keeperWithin, func(ctx context.Context) error {
 		if err := callPeer(ctx, p, http.MethodGet, alivePath, keeperWithin, nil, nil); err != nil {
 			return err
 		}
-		s.keepers.regain(p)
+		s.keepers.Regain(p)
 		s.Log.Info("keeper reached again", "entry", p.Name)
 		return nil
 	})
@@ -122,7 +67,7 @@
 		if o.Peer == nil {
 			return own(n == 0), keeper{}, true
 		}
-		ask, try := s.keepers.use(time.Now(), o.Peer)
+		ask, try := s.keepers.Use(time.Now(), o.Peer)
 		if try {
 			s.tryKeeper(o.Peer)
 		}
@@ -139,7 +84,7 @@
 		if ctx.Err() != nil {
 			break
 		}
-		s.keepers.lose(time.Now(), o.Peer)
+		s.keepers.Lose(time.Now(), o.Peer)
 		s.Log.Info("keeper not reached", "key", key, "entry", o.Peer.Name, "err", err)
 	}
 	if last >= 0 && ctx.Err() == nil {
--- a/direct/limit.go
+++ b/direct/limit.go
@@ -202,7 +202,7 @@
 // countLimit answers for an upstream that this entry counts for.
 func (s *Server) countLimit(call limitCall) limitAnswer {
 	now, key := time.Now(), call.Start.Key()
-	s.reach.want(now, limitKey(key))
+	s.reach.Want(now, limitKey(key))
 	a := countAt(&s.limits.keeper, now, call, s.standing(now, limitKey(key)))
 	if said, news := s.limits.keeper.News(now, key); news {
 		n := limitNews{Start: call.Start, Said: said.Aged(now), By: s.Settings.Name}
@@ -224,7 +224,7 @@
 	began := time.Now()
 	s.later("spread rate limit", spreadWithin, func(ctx context.Context) error {
 		for _, p := range s.peers.fleet.Others(s.peers.fleet.Known()) {
-			if ask, _ := s.keepers.use(time.Now(), p); !ask {
+			if ask, _ := s.keepers.Use(time.Now(), p); !ask {
 				continue
 			}
 			late := n
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -5,7 +5,6 @@
 	"context"
 	"encoding/json"
 	"net/http"
-	"sync"
 	"time"
 
 	"jacinthworks/place"
@@ -13,48 +12,6 @@
 	"jacinthworks/work"
 )
 
-// mixes measure what the requests of each service take of its engines. The zero
-// value is ready to use; it must not be copied.
-type mixes struct {
-	mu sync.Mutex // a leaf
-	of map[work.Service]*place.Mix
-}
-
-// note changes the measurement of a service.
-func (m *mixes) note(s work.Service, change func(*place.Mix)) {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.of == nil {
-		m.of = make(map[work.Service]*place.Mix)
-	}
-	if m.of[s] == nil {
-		m.of[s] = &place.Mix{}
-	}
-	change(m.of[s])
-}
-
-// promptTime is the time that a prefill engine takes for a token of a prompt; zero
-// while none was seen.
-func (m *mixes) promptTime(s work.Service) time.Duration {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	if m.of[s] == nil {
-		return 0
-	}
-	return m.of[s].PromptTime()
-}
-
-// samples gives what was seen of each service.
-func (m *mixes) samples(now time.Time) map[work.Service]place.Sample {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	all := make(map[work.Service]place.Sample, len(m.of))
-	for s, x := range m.of {
-		all[s] = x.Sample(now)
-	}
-	return all
-}
-
 // mixRatio is how many prefill engines are kept busy for each decode engine that
 // is; sure says that it may take engines from decode.
 type mixRatio struct {
@@ -81,7 +38,7 @@
 // serveMix answers the holder of the roles.
 func (s *Server) serveMix(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s.mixes.samples(time.Now())); err != nil {
+	if err := json.NewEncoder(w).Encode(s.mixes.Samples(time.Now())); err != nil {
 		s.Log.Debug("mix not taken", "err", err)
 	}
 }
@@ -102,7 +59,7 @@
 			answers <- all
 		}()
 	}
-	sum = s.mixes.samples(time.Now())
+	sum = s.mixes.Samples(time.Now())
 	for range others {
 		all := <-answers
 		if all != nil {
@@ -129,11 +86,11 @@
 	answer := r.tokens() - r.ask.Prompt
 	// Its memory grows with the answer: half of that on the mean.
 	memory := (float64(r.ask.Prompt) + float64(answer)/2) / float64(e.KVTokens)
-	s.mixes.note(r.service.Name, func(x *place.Mix) { x.Sent(time.Now(), r.ask.Prompt, answer, memory) })
+	s.mixes.Note(r.service.Name, func(x *place.Mix) { x.Sent(time.Now(), r.ask.Prompt, answer, memory) })
 }
 
 func (s *Server) mixPrefilled(r *request, took time.Duration) {
-	s.mixes.note(r.service.Name, func(x *place.Mix) { x.Prefilled(time.Now(), r.ask.Prompt, took) })
+	s.mixes.Note(r.service.Name, func(x *place.Mix) { x.Prefilled(time.Now(), r.ask.Prompt, took) })
 }
 
 // notedEvents is how many events of an answer are noted at once.
@@ -158,6 +115,6 @@
 		return
 	}
 	tokens, took := p.events*max(r.engine().TokensPerEvent, 1), now.Sub(p.began)
-	s.mixes.note(r.service.Name, func(x *place.Mix) { x.Answered(now, tokens, took) })
+	s.mixes.Note(r.service.Name, func(x *place.Mix) { x.Answered(now, tokens, took) })
 	p.began, p.events = now, 0
 }
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -129,7 +129,7 @@
 
 // ownRead is the time that a decode engine takes for the prompt.
 func (s *Server) ownRead(r *request) time.Duration {
-	each := s.mixes.promptTime(r.service.Name)
+	each := s.mixes.PromptTime(r.service.Name)
 	if each <= 0 {
 		each = prefillRate
 	}
--- a/direct/prefill_test.go
+++ b/direct/prefill_test.go
@@ -25,7 +25,7 @@
 	}
 	measured := func(each time.Duration) *Server {
 		s := &Server{}
-		s.mixes.note(work.Service("model"), func(x *place.Mix) { x.Prefilled(now, 1000, 1000*each) })
+		s.mixes.Note(work.Service("model"), func(x *place.Mix) { x.Prefilled(now, 1000, 1000*each) })
 		return s
 	}
 	require.Less(t, ask(measured(23*time.Microsecond), 5200), time.Second)
--- a/direct/reach.go
+++ b/direct/reach.go
@@ -20,12 +20,6 @@
 const (
 	// reachPath is where an entry is asked which others it reaches.
 	reachPath = "/v1/reach"
-	// reachEvery is how often an entry that counts for others looks for them, and
-	// reachIdle when it stops since nobody asks any more.
-	reachEvery = time.Second
-	reachIdle  = 10 * time.Second
-	// reachStale is when what was found tells nothing any more.
-	reachStale = 3 * reachEvery
 	// reachMost is how many of the others are asked each time, drawn at random: enough
 	// to tell a side of a fleet that was cut in two.
 	reachMost = 16
@@ -34,91 +28,6 @@
 	reachIndirect = keeperWithin / 2
 )
 
-// reach is which other entries this one reaches, while it counts for all. The zero value
-// is ready to use; it must not be copied.
-//
-// Failure: an entry that counts is cut off, and another one takes its place; or only the
-// way between the two is cut, and both count. Each asks others, at random, whether they
-// reach the one that it misses, so that silence on one way is not taken for a loss.
-type reach struct {
-	mu sync.Mutex // a leaf
-	// at is the time of the last look.
-	at    time.Time
-	seen  pacer.Sight[work.Host]
-	woken chan struct{}
-	// wanted are the keys for which it matters, and when it last did.
-	wanted map[string]time.Time
-}
-
-// want has looks made for some time, since this entry counts by the key.
-func (c *reach) want(now time.Time, key string) {
-	c.mu.Lock()
-	if c.wanted == nil {
-		c.wanted = make(map[string]time.Time)
-	}
-	idle := len(c.wanted) == 0
-	c.wanted[key] = now
-	c.mu.Unlock()
-	if idle {
-		c.wake()
-	}
-}
-
-// keys gives those that were wanted lately.
-func (c *reach) keys(now time.Time) (keys []string) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for key, at := range c.wanted {
-		if now.Sub(at) > reachIdle {
-			delete(c.wanted, key)
-			continue
-		}
-		keys = append(keys, key)
-	}
-	return keys
-}
-
-// wake has a look made now, and others after it.
-func (c *reach) wake() {
-	select {
-	case c.bell() <- struct{}{}:
-	default:
-	}
-}
-
-func (c *reach) bell() chan struct{} {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.woken == nil {
-		c.woken = make(chan struct{}, 1)
-	}
-	return c.woken
-}
-
-// found takes what a look found, and says whether it differs from the last.
-func (c *reach) found(now time.Time, g pacer.Sight[work.Host]) (changed bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	changed = !g.Equal(c.seen)
-	c.at, c.seen = now, g
-	return changed
-}
-
-// standing gives how sure this entry can be to be the only one that counts, where others
-// go before it.
-func (c *reach) standing(now time.Time, before []*relay.Peer) pacer.Standing {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if now.Sub(c.at) > reachStale {
-		return pacer.Unlooked(len(before))
-	}
-	var names []work.Host
-	for _, p := range before {
-		names = append(names, p.Name)
-	}
-	return c.seen.Standing(names)
-}
-
 // reachCall asks which of some entries another one reaches.
 type reachCall struct {
 	Entries []work.Host `json:"entries,omitempty"`
@@ -130,7 +39,7 @@
 
 // lookAround looks for other entries while this one counts for all by some key.
 func (s *Server) lookAround(ctx context.Context) error {
-	woken := s.reach.bell()
+	woken := s.reach.Bell()
 	for {
 		select {
 		case <-ctx.Done():
@@ -138,12 +47,12 @@
 		case <-woken:
 		}
 		for ctx.Err() == nil {
-			keys := s.reach.keys(time.Now())
+			keys := s.reach.Keys(time.Now())
 			if len(keys) == 0 {
 				break
 			}
 			s.lookOnce(ctx, keys)
-			group.Pause(ctx, reachEvery)
+			group.Pause(ctx, pacer.LookEvery)
 		}
 	}
 }
@@ -174,7 +83,7 @@
 			g.Before[name] = pacer.Alive
 		}
 	}
-	if s.reach.found(time.Now(), g) {
+	if s.reach.Found(time.Now(), g) {
 		s.Log.Info("entries reached", "answered", g.Answered, "silent", g.Silent, "before", g.Before, "took", time.Since(now))
 	}
 }
@@ -201,7 +110,7 @@
 
 // standing is how sure this entry is to be the only one that counts by a key.
 func (s *Server) standing(now time.Time, key string) pacer.Standing {
-	return s.reach.standing(now, s.before(now, key))
+	return s.reach.Standing(now, names(s.before(now, key)))
 }
 
 // before gives the entries that count by a key before this one does.
@@ -270,3 +179,11 @@
 	calls.Wait()
 	return a, true
 }
+
+// names gives those of the entries.
+func names(all []*relay.Peer) (names []work.Host) {
+	for _, p := range all {
+		names = append(names, p.Name)
+	}
+	return names
+}
--- a/direct/register.go
+++ b/direct/register.go
@@ -115,7 +115,7 @@
 	case <-t.C:
 	case <-s.recordGone:
 		group.Pause(ctx, rand.N(recordAgain))
-		if s.crashes.hasOwn() {
+		if s.crashes.HasOwn() {
 			s.tellDeaths()
 		}
 		return true
--- a/direct/request.go
+++ b/direct/request.go
@@ -139,7 +139,7 @@
 	r.first = r.accepted.Add(-s.ages.Of(route.Name, r.ask.Within))
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
 	r.limit()
-	if s.crashes.ledger.Standing(r.accepted, r.identity) == retry.Stopped {
+	if s.crashes.Ledger.Standing(r.accepted, r.identity) == retry.Stopped {
 		return &failure{ran: work.NotRun, reason: work.ReasonCrashes, detail: "upstreams died running it"}
 	}
 	if f := s.charge(h.Context(), r); f != nil {
