--- a/direct/idle.go
+++ b/conns/idle.go
@@ -1,4 +1,14 @@
-package direct
+// Package conns bounds what callers' connections cost a server: how long one is kept without
+// a request, and how long a write to one may block.
+//
+// # Usage
+//
+//	idle := &conns.Idle{Limit: limit}
+//	server := &http.Server{ConnState: idle.State}
+//	go idle.Run(ctx)
+//
+//	w = conns.NewWriter(w, within) // in a handler
+package conns
 
 import (
 	"context"
@@ -18,29 +28,21 @@
 	// KB, a lost request its caller.
 	idleTimes = 2
 	idleSweep = time.Second
-	// idleUnknown holds until a configuration says more.
-	idleUnknown = time.Minute
 )
 
-// idleLimit is how long a caller's connection is kept without a request.
-func (s *Server) idleLimit() time.Duration {
-	if c := s.holder.Current(); c != nil && c.Limits.IdleTimeout > 0 {
-		return c.Limits.IdleTimeout
-	}
-	return idleUnknown
-}
-
-// idlers closes callers' connections that have no request for longer than the
+// Idle closes callers' connections that have no request for longer than the
 // limit. The limit is a configuration's and changes while they are open, which
-// http.Server's own IdleTimeout does not follow.
-type idlers struct {
-	limit func() time.Duration
+// http.Server's own IdleTimeout does not follow. Set Limit first; it must not be copied.
+type Idle struct {
+	// Limit gives how long one is kept.
+	Limit func() time.Duration
 
 	mu    sync.Mutex // a leaf
 	since map[net.Conn]time.Time
 }
 
-func (i *idlers) state(c net.Conn, s http.ConnState) {
+// State takes a change of a connection; it is for http.Server.ConnState.
+func (i *Idle) State(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	if s == http.StateIdle {
@@ -53,7 +55,8 @@
 	delete(i.since, c)
 }
 
-func (i *idlers) run(ctx context.Context) error {
+// Run looks at the connections until ctx ends.
+func (i *Idle) Run(ctx context.Context) error {
 	t := time.NewTicker(idleSweep)
 	defer t.Stop()
 	for {
@@ -66,8 +69,8 @@
 	}
 }
 
-func (i *idlers) sweep(now time.Time) {
-	limit := idleTimes * i.limit()
+func (i *Idle) sweep(now time.Time) {
+	limit := idleTimes * i.Limit()
 	i.mu.Lock()
 	defer i.mu.Unlock()
 	for c, at := range i.since {
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -33,6 +33,7 @@
 	"jacinthworks/again"
 	"jacinthworks/assign"
 	"jacinthworks/conf"
+	"jacinthworks/conns"
 	"jacinthworks/feed"
 	"jacinthworks/group"
 	"jacinthworks/lease"
@@ -92,8 +93,8 @@
 	quotas   quotas
 	limits   limits
 	reach    pacer.Watch[work.Host]
-	fields   fields
-	unread   fields
+	fields   meter.Names
+	unread   meter.Names
 	keepers  relay.Silent
 	trackers assign.Trackers
 	record   ownRecord
@@ -131,12 +132,12 @@
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	s.workCtx = serving
-	idle := &idlers{limit: s.idleLimit}
+	idle := &conns.Idle{Limit: s.idleLimit}
 	public := &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ConnState:         idle.state,
+		ConnState:         idle.State,
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
 	balancer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
@@ -144,7 +145,7 @@
 	var loops group.Group
 	s.follow(serving, &loops)
 	loops.Go(serving, "ended work", s.reap)
-	loops.Go(serving, "idle connections", idle.run)
+	loops.Go(serving, "idle connections", idle.Run)
 	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "roles", s.planRoles)
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
@@ -303,3 +304,14 @@
 
 // random gives the source of draws for one request.
 func random() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+// idleUnknown holds until a configuration says more.
+const idleUnknown = time.Minute
+
+// idleLimit is how long a caller's connection is kept without a request.
+func (s *Server) idleLimit() time.Duration {
+	if c := s.holder.Current(); c != nil && c.Limits.IdleTimeout > 0 {
+		return c.Limits.IdleTimeout
+	}
+	return idleUnknown
+}
--- a/direct/request.go
+++ b/direct/request.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"jacinthworks/conns"
 	"jacinthworks/paths"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
@@ -81,7 +82,7 @@
 
 // serve takes one request from its header to its end.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
-	r := &request{accepted: time.Now(), w: newDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: random()}
+	r := &request{accepted: time.Now(), w: conns.NewWriter(w, s.Settings.Limits.WriteTimeout), random: random()}
 	r.until = r.accepted.Add(defaultWithin)
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
@@ -167,7 +168,7 @@
 	}
 	// The server's own writer: it closes the connection of a body that is too large.
 	w := r.w
-	if bounded, ok := w.(*deadlineWriter); ok {
+	if bounded, ok := w.(*conns.Writer); ok {
 		w = bounded.Unwrap()
 	}
 	body, err := io.ReadAll(http.MaxBytesReader(w, h.Body, most))
--- a/direct/stated.go
+++ b/direct/stated.go
@@ -34,7 +34,7 @@
 // noteUnread logs a field of an answer that could not be read, once for each name.
 func (s *Server) noteUnread(id work.RequestID, upstream roster.ID, name string) {
 	s.Meter.Count("jacinthworks_fields_unread_total", meter.Labels{"field", name})
-	if s.unread.first(name) {
+	if s.unread.First(name) {
 		s.Log.Warn("field of an answer not read", "request", id, "upstream", upstream, "field", name)
 	}
 }
