--- a/decision_test.go
+++ b/decision_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 	}
-	for _, path := range []string{"admit", "queue", "route", "limit", "eject", "retry", "fence", "place", "claim", "table", "assign", "quota"} {
+	for _, path := range []string{"admit", "queue", "route", "limit", "eject", "retry", "fence", "place", "claim", "table", "assign", "quota", "again", "events", "pacer", "turns"} {
 		visit(path)
 	}
 	require.Contains(t, seen, "work")
