direct: an account of another start says nothing of this one, and what leaves counts for no rate

Found on reading the diff: an engine's account was heard before it was known to be of the start that was asked, and the rate at which returns are told counted upstreams that leave.

--- a/direct/engines.go
+++ b/direct/engines.go
@@ -81,7 +81,6 @@
 				answers <- nil
 				return
 			}
-			s.heardStated("", u, Note{Leaving: state.Leaving})
 			// Failure: an engine started anew under its id, and the registry does not
 			// tell yet. An order by what the earlier start had taken would be one to
 			// the later.
@@ -90,6 +89,7 @@
 				answers <- nil
 				return
 			}
+			s.heardStated("", u, Note{Leaving: state.Leaving})
 			answers <- &engineState{upstream: u, server: m, state: state}
 		}()
 	}
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -76,10 +76,14 @@
 		if u.Server().Role != role {
 			continue
 		}
-		switch a := u.Access(now); {
-		case a.Open():
+		a := u.Access(now)
+		if a.Open() {
 			return 0, 0, false
-		case a.Left > 0 && (!all || a.Left < wait):
+		}
+		if a.Left <= 0 {
+			continue // it leaves
+		}
+		if !all || a.Left < wait {
 			wait, all = a.Left, true
 		}
 		o := u.Seen.Offer(now)
