roster: an upstream that refuses now and then is not sure to answer

A first prompt that is refused is an arrival beyond the first, and the budget can't take it back; so without budget it goes only to engines that are sure to answer. Refusals did not count against that: an engine that sheds half of its calls was sure after each that it answered.

Ruled out: repeats past the budget (207 refused answers, each next one was taken from it), second prompts read (3), restarts.

--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -147,6 +147,22 @@
 	require.False(t, s.Offer(now.Add(2*failHalf)).Sure, "it has failed since")
 }
 
+// Guards against an upstream that refuses every other request and counts as sure after each
+// that it answers.
+func TestOneThatRefusesNowAndThenIsNotSure(t *testing.T) {
+	var s Seen
+	now := time.Now()
+	for range 5 {
+		s.Answered(now, time.Millisecond, 1)
+		s.Refused(now)
+	}
+	s.Answered(now, time.Millisecond, 1)
+	require.False(t, s.Offer(now).Sure)
+	s.Back() // the refusals were those of its other role
+	s.Answered(now, time.Millisecond, 1)
+	require.True(t, s.Offer(now).Sure)
+}
+
 // Story: an engine crashes, and its entry lives on for seconds. Each request in
 // turn dials it, and loses one of its tries by that.
 func TestAnUpstreamThatTakesNoConnectionIsLeftAlone(t *testing.T) {
--- a/roster/seen.go
+++ b/roster/seen.go
@@ -21,8 +21,8 @@
 	// speed: some ten answers tell.
 	speedKeep = 0.8
 	// sureAnswers is the weight of recent answers, and sureFails the part of
-	// failures beside them, by which an upstream counts as sure to answer: one
-	// answer within the last half-life, and no failure since.
+	// failures and refusals beside them, by which an upstream counts as sure to answer:
+	// one answer within the last half-life, and neither since.
 	sureAnswers = 0.5
 	sureFails   = 0.1
 	// failPrior is the weight, in answers, of the belief that it does not fail.
@@ -41,9 +41,9 @@
 	// others is what other processes had there at the time of the report.
 	others     float64
 	reportedAt time.Time
-	// fails and answers are counts that decay.
-	fails, answers float64
-	decayedAt      time.Time
+	// fails, refusals and answers are counts that decay.
+	fails, refusals, answers float64
+	decayedAt                time.Time
 	// speed is the time of one unit of work: a call, or a prompt token.
 	speed time.Duration
 	// holdUntil keeps work away for a moment after it said that it is full.
@@ -139,6 +139,8 @@
 func (s *Seen) Refused(now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.decay(now)
+	s.refusals++
 	s.holdUntil = now.Add(min(refusedFirst<<min(s.refused, 10), refusedLongest))
 	s.refused++
 }
@@ -200,7 +202,7 @@
 func (s *Seen) Back() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.away, s.holdUntil, s.refused, s.speed = time.Time{}, time.Time{}, 0, 0
+	s.away, s.holdUntil, s.refused, s.refusals, s.speed = time.Time{}, time.Time{}, 0, 0, 0
 }
 
 // Reported notes the load that an answer told of: all requests there, running
@@ -294,7 +296,7 @@
 		Tokens: s.tokens,
 		Queued: s.queued,
 		Fails:  s.fails / (s.fails + s.answers + failPrior),
-		Sure:   s.answers >= sureAnswers && s.fails < s.answers*sureFails,
+		Sure:   s.answers >= sureAnswers && s.fails+s.refusals < s.answers*sureFails,
 		Speed:  s.speed,
 		Held:   now.Before(s.holdUntil) || now.Before(s.away) || now.Before(s.paused),
 	}
@@ -304,6 +306,7 @@
 	if !s.decayedAt.IsZero() {
 		by := fade(now.Sub(s.decayedAt), failHalf)
 		s.fails *= by
+		s.refusals *= by
 		s.answers *= by
 	}
 	s.decayedAt = now
