direct, roster: an engine has its next role when its change should be over, without the registry's word

The notice of an order that was taken names the new role, and the engine has it from the end of the change on; any word of the registry after that goes before. An order without an answer names none.

TestAnEngineHasItsNextRoleWithoutTheRegistry.

--- a/direct/change.go
+++ b/direct/change.go
@@ -7,6 +7,7 @@
 
 	"jacinthworks/fence"
 	"jacinthworks/roster"
+	"jacinthworks/work"
 )
 
 const (
@@ -22,6 +23,9 @@
 type Change struct {
 	roster.Start
 	Fence fence.Number `json:"fence"`
+	// To is the role that the engine has after it; empty where it may not carry the
+	// order out.
+	To work.Role `json:"to,omitempty"`
 }
 
 // changing are the engines that this entry has lately told to change their
@@ -96,6 +100,9 @@
 			}
 		}
 		u.Seen.Away(now.Add(away))
+		if one.To != "" {
+			u.Becomes(one.To, now.Add(away))
+		}
 		s.Log.Info("engine changes its role", "upstream", one.ID, "fence", one.Fence, "told_by", n.By, "away", away)
 	}
 }
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -149,8 +149,13 @@
 		}
 		var taken []Change
 		for _, o := range p.Plan(time.Now(), seen, k.May) {
-			if s.changeRole(ctx, k, states, o) {
-				taken = append(taken, Change{Start: startOf(states, o.Host), Fence: o.Fence})
+			one := Change{Start: startOf(states, o.Host), Fence: o.Fence}
+			switch s.changeRole(ctx, k, states, o) {
+			case OrderTaken:
+				one.To = o.To.Role
+				taken = append(taken, one)
+			case orderUnknown:
+				taken = append(taken, one)
 			}
 		}
 		if len(taken) > 0 {
@@ -216,10 +221,8 @@
 }
 
 // changeRole gives one order. It names how many orders the engine had taken:
-// one that is carried out late, after another, is then not carried out at all. It
-// reports whether the engine is to be kept away from: unless it said that it does
-// not carry the order out.
-func (s *Server) changeRole(ctx context.Context, k *lease.Keeper, states []engineState, o place.Order) bool {
+// one that is carried out late, after another, is then not carried out at all.
+func (s *Server) changeRole(ctx context.Context, k *lease.Keeper, states []engineState, o place.Order) Ordered {
 	for _, e := range states {
 		if work.Host(e.server.ID) != o.Host {
 			continue
@@ -227,7 +230,7 @@
 		r, err := s.Protocol.ChangeRole(o.To.Role, s.Settings.Name, o.Fence, e.state.Orders)
 		if err != nil {
 			s.Log.Error("order not given", "upstream", o.Host, "err", err)
-			return false
+			return OrderRefused
 		}
 		_, status, err := s.ask(ctx, e.upstream, r, orderWithin)
 		outcome := orderUnknown
@@ -240,9 +243,9 @@
 		overrun := k.Gave(o.Fence)
 		s.Log.Info("order", "upstream", o.Host, "from", o.From, "to", o.To, "fence", o.Fence, "after", e.state.Orders,
 			"grounds", o.Grounds, "outcome", outcome, "status", status, "err", err, "overrun", overrun)
-		return outcome == OrderTaken || outcome == orderUnknown
+		return outcome
 	}
-	return false
+	return OrderRefused
 }
 
 // orderUnknown is the outcome of an order without an answer.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -72,17 +72,35 @@
 	server Server
 	heard  time.Time
 	gone   bool
+	// next is the role that it is changing to, and from when it should have it; empty for
+	// none.
+	next   work.Role
+	nextAt time.Time
 	// restarted says that a later start has taken its place.
 	restarted bool
 }
 
-// Server is what the registry last said.
+// Server is what the registry last said, in the role that it has by now.
 func (u *Upstream) Server() Server {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	if u.next != "" && !time.Now().Before(u.nextAt) {
+		u.server.Role, u.next = u.next, ""
+		u.Seen.Back()
+	}
 	return u.server
 }
 
+// Becomes notes that it has taken an order to change its role, which is done by a time.
+//
+// Failure: an engine changes its role while the registry is away, which does not tell. Each
+// process takes it for one of its former role, and is turned away by each of them.
+func (u *Upstream) Becomes(role work.Role, at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	u.next, u.nextAt = role, at
+}
+
 // Age is how long ago the registry last spoke of it.
 func (u *Upstream) Age(now time.Time) time.Duration {
 	u.mu.Lock()
@@ -252,6 +270,9 @@
 	u.mu.Lock()
 	old := u.server
 	u.server, u.heard = s, now
+	if s.Role == u.next {
+		u.next = ""
+	}
 	u.mu.Unlock()
 	if old.ID != "" && old.Role != s.Role {
 		u.Seen.Back()
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -135,6 +135,31 @@
 	require.False(t, s.Offer(now).Held)
 }
 
+// Guards against an engine that is taken for one of its former role while the registry, which
+// is away, does not tell of the change.
+func TestAnEngineHasItsNextRoleWithoutTheRegistry(t *testing.T) {
+	r := &Roster{Log: hclog.NewNullLogger()}
+	entry := func(role work.Role) feed.Item[Server] {
+		i := item("a", false)
+		i.Value.Role = role
+		return i
+	}
+	now := time.Now()
+	r.Listed(now, []feed.Item[Server]{entry(work.RolePrefill)})
+	u := r.Of("cards")[0]
+	u.Becomes(work.RoleDecode, now.Add(time.Hour))
+	require.Equal(t, work.RolePrefill, u.Server().Role, "not yet")
+	r.Changed(now, []feed.Change[Server]{{Item: entry(work.RolePrefill)}})
+	u.Becomes(work.RoleDecode, now)
+	require.Equal(t, work.RoleDecode, u.Server().Role)
+	r.Changed(now, []feed.Change[Server]{{Item: entry(work.RolePrefill)}})
+	require.Equal(t, work.RolePrefill, u.Server().Role, "the registry's word")
+	u.Becomes(work.RoleDecode, now.Add(time.Hour))
+	r.Changed(now, []feed.Change[Server]{{Item: entry(work.RoleDecode)}})
+	r.Changed(now, []feed.Change[Server]{{Item: entry(work.RolePrefill)}})
+	require.Equal(t, work.RolePrefill, u.Server().Role, "the change was over")
+}
+
 func TestSureIsWhoAnsweredLately(t *testing.T) {
 	var s Seen
 	now := time.Now()
