--- a/conf/direct.go
+++ b/conf/direct.go
@@ -33,6 +33,11 @@
 //	window = "8s"
 //	overage = 0.1
 //	slack = 140000
+//
+//	[hard_load]
+//	slots = "auto"
+//	shares = "auto"
+//	speeds = "auto"
 type Direct struct {
 	Name domain.Host
 	Zone domain.Zone
@@ -69,6 +74,7 @@
 	// overage, which is a fraction of the quota, plus a slack, which is a fixed amount in
 	// the unit of the quota. The default is zero.
 	QuotaTolerance quota.Tolerance
+	HardLoad       HardLoad
 	Log            Log
 	Limits         Limits
 }
@@ -86,6 +92,30 @@
 	Window time.Duration
 }
 
+// Mode says whether a feature is used: always, never, or where what upstreams state and the
+// configuration call for it. The zero value is Auto.
+type Mode string
+
+// The modes of a feature.
+const (
+	Auto Mode = "auto"
+	On   Mode = "on"
+	Off  Mode = "off"
+)
+
+// HardLoad switches the features for deployments with more load than capacity.
+type HardLoad struct {
+	// Slots lets one entry assign the slots of a small pool of plain upstreams for all
+	// entries; default Auto.
+	Slots Mode
+	// Shares lets entries share what each client account and each priority received;
+	// default Auto.
+	Shares Mode
+	// Speeds lets placement and roles follow the measured speed of each upstream; default
+	// Auto.
+	Speeds Mode
+}
+
 // ParseDirect reads the settings of `direct`; file is the file name for findings. The
 // error is check.Findings.
 func ParseDirect(file string, text []byte) (Direct, error) {
@@ -118,6 +148,7 @@
 		FirstStart:      r.boolean("first_start"),
 		RetryBudget:     r.retryBudget(),
 		QuotaTolerance:  r.quotas(),
+		HardLoad:        r.hardLoad(),
 		Log:             r.log(),
 		Limits:          r.limits(),
 	}
@@ -141,6 +172,17 @@
 	return quota.Tolerance{Window: r.duration("quotas.window"), Fraction: r.number("quotas.overage"), FixedExcess: r.number("quotas.slack")}
 }
 
+func (r *reader) hardLoad() HardLoad {
+	r.table("hard_load")
+	return HardLoad{Slots: r.mode("hard_load.slots"), Shares: r.mode("hard_load.shares"), Speeds: r.mode("hard_load.speeds")}
+}
+
+func (r *reader) mode(path string) Mode {
+	m := Mode(r.oneOf(path, string(Auto), string(On), string(Off)))
+	orDefault(&m, Auto)
+	return m
+}
+
 // number reads a non-negative number, which may be a TOML integer or float.
 func (r *reader) number(path string) float64 {
 	var n float64
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -67,6 +67,10 @@
 	if info.LoadReported {
 		a.upstream.Stats.RecordLoad(time.Now(), info.InFlight)
 	}
+	if info.HostLoad > 0 {
+		a.upstream.Stats.RecordHostLoad(time.Now(), info.HostLoad)
+		s.hostLoads.record(r.service.Name)
+	}
 	s.recordLimit(r, a, info, reply.Status)
 	switch {
 	case info.Misdirected:
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -97,6 +97,7 @@
 	malformedFields  meter.SeenNames
 	unresponsive     relay.Unresponsive
 	trackers         assign.Trackers
+	hostLoads        hostLoads
 	ownRecord        ownRecord
 	draining         atomic.Bool
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -91,7 +91,7 @@
 		}
 		r.prefills++
 		charged = false
-		result, f := s.attemptPrefill(ctx, r, p.upstream, permitted)
+		result, f := s.attemptPrefill(ctx, r, p, permitted)
 		s.endAssignment(assigned)
 		if result != nil {
 			return result
@@ -158,15 +158,26 @@
 	}
 }
 
-func (s *Server) attemptPrefill(ctx context.Context, r *request, u *roster.Upstream, permitted permit) (*prefillResult, *failure) {
-	candidate := u.Stats.Candidate(time.Now())
-	tokenTime := candidate.UnitTime
+// prefillTimeout bounds the wait for the response to a prefill that other prompts, some of
+// them of other entries, are expected to delay by queueDelay.
+//
+// Without that delay, prompts that waited behind others timed out at an engine that would
+// have finished them, and were prefilled a second time elsewhere.
+func (r *request) prefillTimeout(c route.Candidate, queueDelay time.Duration) time.Duration {
+	tokenTime := c.UnitTime
 	if tokenTime == 0 {
 		tokenTime = defaultPromptTokenTime
 	}
+	own := max(minPrefillTimeout, prefillTimeoutFactor*tokenTime*time.Duration(r.info.PromptTokens+c.QueuedTokens))
+	return min(queueDelay+own, r.targetLatency())
+}
+
+func (s *Server) attemptPrefill(ctx context.Context, r *request, p placement, permitted permit) (*prefillResult, *failure) {
+	u := p.upstream
+	candidate := u.Stats.Candidate(time.Now())
 	a := &attempt{
 		upstream: u, permit: permitted, cost: roster.Cost{MemoryTokens: r.info.PromptTokens, PromptTokens: r.info.PromptTokens},
-		headerTimeout: min(max(minPrefillTimeout, prefillTimeoutFactor*tokenTime*time.Duration(r.info.PromptTokens+candidate.QueuedTokens)), r.targetLatency()),
+		headerTimeout: r.prefillTimeout(candidate, p.expectedWait),
 	}
 	a.info.Stage = StagePrefill
 	reply, f := s.sendAttempt(ctx, r, a)
--- a/direct/prefill_test.go
+++ b/direct/prefill_test.go
@@ -9,6 +9,7 @@
 	"jacinthworks/domain"
 	"jacinthworks/paths"
 	"jacinthworks/roles"
+	"jacinthworks/route"
 )
 
 // Guards against a fixed estimate of the read time. A burst fills the prefill engines and
@@ -33,3 +34,14 @@
 	require.Greater(t, maxWait(measured(60*time.Microsecond), 5200), 10*time.Second, "the other answers there would pause for too long")
 	require.Greater(t, maxWait(&Server{}, 5200), 10*time.Second, "no speed was measured yet")
 }
+
+// Guards against a prefill that times out while its prompt waits behind the prompts of other
+// entries, and is then prefilled again at another engine.
+func TestPrefillTimeoutIncludesTheQueueDelay(t *testing.T) {
+	r := &request{route: &paths.Route{Target: 900 * time.Millisecond}}
+	r.info.PromptTokens = 3000
+	c := route.Candidate{UnitTime: 20 * time.Microsecond}
+	require.Equal(t, minPrefillTimeout, r.prefillTimeout(c, 0))
+	require.Equal(t, 400*time.Millisecond+minPrefillTimeout, r.prefillTimeout(c, 400*time.Millisecond))
+	require.Equal(t, 900*time.Millisecond, r.prefillTimeout(c, 800*time.Millisecond), "the decode engine would have read the prompt by then")
+}
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -111,6 +111,9 @@
 	// ones included.
 	LoadReported bool
 	InFlight     int
+	// HostLoad is how long work takes on the upstream's host at the moment, relative to its
+	// usual time; zero if not stated.
+	HostLoad float64
 	// RateLimitReported means that RateLimit is known: the rate limit that the upstream
 	// stated, or that it stated none.
 	RateLimitReported bool
