quota: small requests pass during the debt of an account's large ones

Cause: a large request leaves a debt of up to its own cost, and all requests of the account are denied until it is refilled. Change: with shares on (accounts in the configuration), a request that costs up to a hundredth of the burst is granted during a debt of up to a quarter of the burst, at the first owner. Denied later: streams, since the account gets the same in total.

--- a/direct/hardload.go
+++ b/direct/hardload.go
@@ -9,9 +9,6 @@
 
 // hostLoads holds the services of which an upstream has stated the load of its host. The
 // zero value is ready to use; it must not be copied.
-//
-// Such upstreams share their hosts with other work, so that what one entry knows of them
-// from its own calls is out of date before it is used.
 type hostLoads struct {
 	mu     sync.RWMutex // leaf lock: no other lock is acquired while it is held
 	stated map[domain.Service]bool
@@ -35,36 +32,34 @@
 	return h.stated[v]
 }
 
-// enabled reports whether a feature is used for a service. In mode Auto it is used where
-// upstreams state the load of their hosts, provided that required holds too.
-func (s *Server) enabled(m conf.Mode, v domain.Service, required bool) bool {
+// enabled reports whether a feature is used; in mode Auto, it is used if required.
+func enabled(m conf.Mode, required bool) bool {
 	switch m {
 	case conf.On:
 		return true
 	case conf.Off:
 		return false
 	}
-	return required && s.hostLoads.has(v)
+	return required
 }
 
-// speedsOn reports whether placement follows the measured speeds of the service's upstreams.
+// speedsOn reports whether placement follows the measured speeds of the service's
+// upstreams. In mode Auto it does if they state the load of their hosts, and so may differ
+// in speed.
 func (s *Server) speedsOn(v domain.Service) bool {
-	return s.enabled(s.liveSettings.Load().HardLoad.Speeds, v, true)
+	return enabled(s.liveSettings.Load().HardLoad.Speeds, s.hostLoads.has(v))
 }
 
-// sharesOn reports whether the entries share what accounts and priorities received of the
-// service.
-func (s *Server) sharesOn(v domain.Service) bool {
+// sharesOn reports whether the entries share what accounts and priorities received of each
+// service. In mode Auto they do if the configuration has accounts.
+func (s *Server) sharesOn() bool {
 	c := s.config.Current()
-	return s.enabled(s.liveSettings.Load().HardLoad.Shares, v, c != nil && len(c.Accounts) > 0)
+	return enabled(s.liveSettings.Load().HardLoad.Shares, c != nil && len(c.Accounts) > 0)
 }
 
-// maxSlotsPerEntry is the number of slots of a service for each entry above which each entry
-// places calls by itself: with more slots, entries that do not know of each other rarely
-// send calls to the same full upstream.
-const maxSlotsPerEntry = 2
-
-// slotsOn reports whether one entry assigns the slots of the service for all entries.
-func (s *Server) slotsOn(v domain.Service, slots, entries int) bool {
-	return s.enabled(s.liveSettings.Load().HardLoad.Slots, v, slots > 0 && slots <= maxSlotsPerEntry*entries)
+// slotsOn reports whether one entry assigns the slots of a service for all entries. In mode
+// Auto it does if the service has no more slots than there are entries: with more, entries
+// that do not know of each other rarely send calls to the same full upstream.
+func (s *Server) slotsOn(slots, entries int) bool {
+	return enabled(s.liveSettings.Load().HardLoad.Slots, slots > 0 && slots <= entries)
 }
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -42,8 +42,16 @@
 	isolated quota.Counter
 
 	mu sync.Mutex // leaf lock: no other lock is acquired while it is held
-	// exhaustedUntil is when an account that was denied may be granted requests again.
-	exhaustedUntil map[domain.Account]time.Time
+	// exhaustedUntil is when an account that was denied may be granted requests of the same
+	// size again.
+	exhaustedUntil map[denialKey]time.Time
+}
+
+// denialKey tells the denials of an account's small requests from those of its others,
+// which are denied more often.
+type denialKey struct {
+	account domain.Account
+	small   bool
 }
 
 // quotaRequest asks the owner of an account's quota to charge a cost, or to refund it.
@@ -63,10 +71,11 @@
 	}
 	cost := r.client.Quota.Cost(r.info.PromptTokens + r.info.MaxOutputTokens)
 	now := time.Now()
-	decision, decidedBy := quota.Decision{Wait: s.quotas.remainingWait(now, r.account)}, "known"
+	key := denialKey{account: r.account, small: s.sharesOn() && quotaLimit(r.client).IsSmall(cost)}
+	decision, decidedBy := quota.Decision{Wait: s.quotas.remainingWait(now, key)}, "known"
 	if decision.Wait <= 0 {
 		decision, decidedBy = s.callQuotaOwner(ctx, r.client, quotaRequest{Account: r.account, Cost: cost})
-		s.quotas.recordDenial(now, r.account, decision)
+		s.quotas.recordDenial(now, key, decision)
 	}
 	if decision.Granted {
 		r.cost, r.overQuota = cost, decision.OverQuota
@@ -123,6 +132,9 @@
 // owners would otherwise both do.
 func (s *Server) applyQuota(now time.Time, a *paths.Account, call quotaRequest, first bool) quota.Decision {
 	allowance := quota.Allowance{Quota: quotaLimit(a)}
+	if first && s.sharesOn() {
+		allowance.SmallDebt = allowance.Quota.SmallDebtLimit()
+	}
 	if first {
 		allowance.Excess = s.liveSettings.Load().QuotaTolerance.ExcessLimit(allowance.Quota, overQuotaPart)
 	} else {
@@ -157,27 +169,26 @@
 	return s.applyQuota(time.Now(), a, call, s.isFirstOwner(quotaKey(a.Name))), true
 }
 
-// remainingWait is how long all requests of the account are still denied after a denial.
+// remainingWait is how long requests like a denied one are still denied.
 //
 // An account may send many times its quota, and each denial costs the owner as much as a
-// grant. After one denial, an entry denies all requests of the account by itself until the
-// quota has accrued again, whatever their cost: calling again for cheaper requests would
-// only give them all of what accrues.
-func (q *quotas) remainingWait(now time.Time, a domain.Account) time.Duration {
+// grant. After one denial, an entry denies all such requests of the account by itself until
+// the quota has accrued again.
+func (q *quotas) remainingWait(now time.Time, k denialKey) time.Duration {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	return max(0, q.exhaustedUntil[a].Sub(now))
+	return max(0, q.exhaustedUntil[k].Sub(now))
 }
 
 // recordDenial records until when an account is denied, unless the decision is a grant.
-func (q *quotas) recordDenial(now time.Time, a domain.Account, v quota.Decision) {
+func (q *quotas) recordDenial(now time.Time, k denialKey, v quota.Decision) {
 	if v.Granted {
 		return
 	}
 	q.mu.Lock()
 	defer q.mu.Unlock()
 	if q.exhaustedUntil == nil {
-		q.exhaustedUntil = make(map[domain.Account]time.Time)
+		q.exhaustedUntil = make(map[denialKey]time.Time)
 	}
-	q.exhaustedUntil[a] = now.Add(v.Wait)
+	q.exhaustedUntil[k] = now.Add(v.Wait)
 }
--- a/quota/quota.go
+++ b/quota/quota.go
@@ -18,6 +18,9 @@
 //     below its rate. Therefore the excess over the quota that operators allow is granted as
 //     well, and served with capacity that no other request needs: an account that sends
 //     many times its quota receives its rate, and takes nothing more from others.
+//   - An account over its quota sends large requests and small ones. Each large request
+//     leaves a debt, and the small ones, which use hardly any of the quota, would be refused
+//     nearly always. Allowance.SmallDebt lets them pass during such a debt.
 //
 // # Usage
 //
@@ -51,6 +54,32 @@
 // operators allow.
 type Allowance struct {
 	Quota, Excess Limit
+	// SmallDebt is the debt up to which small requests are granted; zero grants them like
+	// all others.
+	SmallDebt float64
+}
+
+const (
+	// smallCostPart is the cost of the largest small request, as a fraction of the burst. A
+	// hundred of them use what a burst allows, whereas a model request takes a twentieth.
+	smallCostPart = 0.01
+	// smallDebtPart is the debt up to which small requests are granted, as a fraction of the
+	// burst: more than the largest request usually takes.
+	smallDebtPart = 0.25
+)
+
+// IsSmall reports whether the cost is that of a small request under the limit.
+func (l Limit) IsSmall(cost float64) bool { return cost <= smallCostPart*l.Burst }
+
+// SmallDebtLimit returns the Allowance.SmallDebt for a quota.
+func (l Limit) SmallDebtLimit() float64 { return smallDebtPart * l.Burst }
+
+// maxDebt returns the debt up to which a request of the given cost is granted.
+func (a Allowance) maxDebt(cost float64) float64 {
+	if a.Quota.IsSmall(cost) {
+		return a.SmallDebt
+	}
+	return 0
 }
 
 // total returns the sum of the quota and the excess.
@@ -104,9 +133,14 @@
 // consume each refill, and a request of five times the size would never be granted. With a
 // debt, the next request waits until the debt is refilled, whatever its size.
 func (b *Bucket) Take(now time.Time, l Limit, cost float64) Decision {
+	return b.takeWithDebt(now, l, cost, 0)
+}
+
+// takeWithDebt is Take for a request that is granted while the debt is less than maxDebt.
+func (b *Bucket) takeWithDebt(now time.Time, l Limit, cost, maxDebt float64) Decision {
 	b.refill(now, l)
-	if b.level <= 0 {
-		wait := time.Duration((1 - b.level) / l.Rate * float64(time.Second))
+	if b.level <= -maxDebt {
+		wait := time.Duration((1 - b.level - maxDebt) / l.Rate * float64(time.Second))
 		return Decision{Wait: wait, BucketLevel: b.level}
 	}
 	b.level -= cost
@@ -149,7 +183,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	b := c.bucketsOf(account)
-	d := b.total.Take(now, a.total(), cost)
+	d := b.total.takeWithDebt(now, a.total(), cost, a.maxDebt(cost))
 	if d.Granted {
 		d.OverQuota = !b.quota.Take(now, a.Quota, cost).Granted
 	}
