--- a/direct/plain.go
+++ b/direct/plain.go
@@ -40,7 +40,7 @@
 			continue
 		}
 		s.logPlacement(r, "", p, permitted.logFields()...)
-		a := &attempt{upstream: p.upstream, headerTimeout: r.attemptTimeout(), permit: permitted}
+		a := &attempt{upstream: p.upstream, headerTimeout: s.attemptTimeout(r), permit: permitted}
 		f := s.attemptPlain(ctx, r, a)
 		if f == nil {
 			return nil
@@ -99,13 +99,21 @@
 
 // attemptTimeout bounds the wait for the header of an attempt's response if another attempt
 // can follow, since an upstream that hangs would use up the whole time; zero is no bound.
-func (r *request) attemptTimeout() time.Duration {
-	if !r.attempts.CanRepeat() {
+func (s *Server) attemptTimeout(r *request) time.Duration {
+	if !s.canFollow(r) {
 		return 0
 	}
 	return max(time.Duration(firstAttemptPart*float64(r.targetLatency())), minAttemptTime)
 }
 
+// canFollow reports whether another attempt can follow one that is about to be sent: the
+// request can be repeated, and the retry budget has a retry left. Without the budget, an
+// attempt that is abandoned early would end the request, although its upstream may still
+// answer in time.
+func (s *Server) canFollow(r *request) bool {
+	return r.attempts.CanRepeat() && s.retryBudgets.window(r.service.Name).Available(time.Now(), s.retryTerms())
+}
+
 // attemptPlain makes one attempt and passes its response on.
 func (s *Server) attemptPlain(ctx context.Context, r *request, a *attempt) *failure {
 	reply, f := s.sendAttempt(ctx, r, a)
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -61,7 +61,7 @@
 		s.freeHandle(r, prefilled)
 		return f
 	}
-	a := &attempt{upstream: allocated.upstream, cost: allocated.cost, loadCounted: true, headerTimeout: r.streamHeaderTimeout(), permit: allocated.permit}
+	a := &attempt{upstream: allocated.upstream, cost: allocated.cost, loadCounted: true, headerTimeout: s.streamHeaderTimeout(r), permit: allocated.permit}
 	a.info.LastEvent, a.info.Reservation = e.LastEventID, allocated.reservation
 	if prefilled != nil {
 		a.info.Stage, a.info.Source = StageDecode, prefilled.handle
@@ -99,8 +99,8 @@
 
 // streamHeaderTimeout bounds the wait for the header of a stream if another attempt can
 // follow; zero is no bound.
-func (r *request) streamHeaderTimeout() time.Duration {
-	if !r.attempts.CanRepeat() {
+func (s *Server) streamHeaderTimeout(r *request) time.Duration {
+	if !s.canFollow(r) {
 		return 0
 	}
 	return time.Duration(headerTimeoutPart * float64(r.targetLatency()))
