direct: streams that come back late wait for free memory

Change: it waits up to 2 s in a queue of its own, which never delays a request that can still meet its target; switched by hard_load.returns.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -38,6 +38,7 @@
 //	slots = "auto"
 //	shares = "auto"
 //	speeds = "auto"
+//	returns = "auto"
 type Direct struct {
 	Name domain.Host
 	Zone domain.Zone
@@ -114,6 +115,9 @@
 	// Speeds lets placement and roles follow the measured speed of each upstream; default
 	// Auto.
 	Speeds Mode
+	// Returns lets requests that were refused, and come back too late for their targets, wait
+	// for free capacity; default Auto.
+	Returns Mode
 }
 
 // ParseDirect reads the settings of `direct`; file is the file name for findings. The
@@ -174,7 +178,7 @@
 
 func (r *reader) hardLoad() HardLoad {
 	r.table("hard_load")
-	return HardLoad{Slots: r.mode("hard_load.slots"), Shares: r.mode("hard_load.shares"), Speeds: r.mode("hard_load.speeds")}
+	return HardLoad{Slots: r.mode("hard_load.slots"), Shares: r.mode("hard_load.shares"), Speeds: r.mode("hard_load.speeds"), Returns: r.mode("hard_load.returns")}
 }
 
 func (r *reader) mode(path string) Mode {
--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -15,6 +15,9 @@
 	// reserveRetryInterval is how often the request at the head of the queue looks for
 	// memory that requests of other entries have freed.
 	reserveRetryInterval = 40 * time.Millisecond
+	// lateRetryInterval is the same interval for late requests, which are in no hurry: each
+	// attempt costs calls of the engines.
+	lateRetryInterval = 200 * time.Millisecond
 	// reserveTimeout bounds the call that reserves memory, which takes a round trip.
 	reserveTimeout = 150 * time.Millisecond
 	// reservedOutputPart is the part of the expected answer that memory is reserved for.
@@ -61,8 +64,13 @@
 	if r.overQuota && !r.responseBegun {
 		return nil, s.refuseOverQuota(r)
 	}
+	interval := reserveRetryInterval
 	if late {
-		return nil, s.queueFailure(ctx, r, &queue.Refusal{Reason: domain.ReasonTooLate, Detail: queue.DetailExpired})
+		if !s.returnsOn(r.service.Name) {
+			return nil, s.queueFailure(ctx, r, &queue.Refusal{Reason: domain.ReasonTooLate, Detail: queue.DetailExpired})
+		}
+		l, interval = s.queues.Late(r.service.Name), lateRetryInterval
+		i, until = lateQueueItem(i, r)
 	}
 	if refusal := l.Acquire(ctx, i, until); refusal != nil {
 		return nil, s.queueFailure(ctx, r, refusal)
@@ -80,7 +88,7 @@
 		case !time.Now().Before(until):
 			return nil, s.queueFailure(ctx, r, l.RefuseExpired(i))
 		}
-		t := time.NewTimer(reserveRetryInterval)
+		t := time.NewTimer(interval)
 		select {
 		case <-l.FreedSignal():
 		case <-t.C:
--- a/direct/hardload.go
+++ b/direct/hardload.go
@@ -57,6 +57,12 @@
 	return enabled(s.liveSettings.Load().HardLoad.Shares, c != nil && len(c.Accounts) > 0)
 }
 
+// returnsOn reports whether requests of a service that come back too late for their targets
+// may wait for free capacity. In mode Auto they may where another part is on.
+func (s *Server) returnsOn(v domain.Service) bool {
+	return enabled(s.liveSettings.Load().HardLoad.Returns, s.sharesOn() || s.speedsOn(v))
+}
+
 // slotsOn reports whether one entry assigns the slots of a service for all entries. In mode
 // Auto it does if the service has no more slots than there are entries: with more, entries
 // that do not know of each other rarely send calls to the same full upstream.
--- a/direct/queue_item.go
+++ b/direct/queue_item.go
@@ -11,10 +11,30 @@
 // elsewhere: callers give up after some two seconds without an event.
 const resumeMaxWait = 1500 * time.Millisecond
 
+// lateMaxWait is how long a late request waits for memory that no other request takes.
+// Callers give up after some three seconds without an event, and the prefill takes a part
+// of them.
+const lateMaxWait = 2 * time.Second
+
+// lateQueueItem returns the item with which a late request waits for memory that no other
+// request takes, and the time until which it may wait.
+//
+// Most of these requests were refused before, and came back when they were told to. Refused
+// once more, they are lost: their callers do not come a third time.
+func lateQueueItem(i queue.Item, r *request) (queue.Item, time.Time) {
+	until := r.accepted.Add(lateMaxWait)
+	if last := r.deadline.Add(-i.TotalLatency); last.Before(until) {
+		until = last
+	}
+	i.FirstTokenDeadline, i.Deadline = time.Time{}, until.Add(i.TotalLatency)
+	return i, until
+}
+
 // queueItem describes a request to the queue, and returns the time until which it may wait.
 // late is true if that time has passed already: a request that would get its capacity after
 // its target is of little use to its caller. A late request gets only capacity that no
-// other request takes, or is refused with a time to retry.
+// other request takes, waits for it for a short time if waiting is enabled, or is refused
+// with a time to retry.
 //
 // Part of a burst is refused, and retried by the callers in the next second. In order of
 // arrival, these retries would take the places of new requests, which would then be late as
--- a/search/queue.go
+++ b/search/queue.go
@@ -60,24 +60,35 @@
 // Queues holds the queue of each service. The zero value is ready to use; it must not be
 // copied.
 type Queues struct {
-	mu        sync.Mutex // leaf lock: no other lock is acquired while it is held
-	byService map[domain.Service]*Queue
+	mu     sync.Mutex // leaf lock: no other lock is acquired while it is held
+	queues map[queueKey]*Queue
+}
+
+type queueKey struct {
+	service domain.Service
+	late    bool
 }
 
 // For returns the queue of a service.
-func (q *Queues) For(s domain.Service) *Queue {
+func (q *Queues) For(s domain.Service) *Queue { return q.get(queueKey{service: s}) }
+
+// Late returns the queue of a service's requests that can no longer meet their targets. It
+// is separate, so that none of them holds the turn while another request waits for it.
+func (q *Queues) Late(s domain.Service) *Queue { return q.get(queueKey{service: s, late: true}) }
+
+func (q *Queues) get(k queueKey) *Queue {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	if q.byService == nil {
-		q.byService = make(map[domain.Service]*Queue)
+	if q.queues == nil {
+		q.queues = make(map[queueKey]*Queue)
 	}
-	if q.byService[s] == nil {
-		q.byService[s] = &Queue{
+	if q.queues[k] == nil {
+		q.queues[k] = &Queue{
 			grants: make(map[domain.RequestID]chan *queue.Refusal), random: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
 			freed: make(chan struct{}, 1), timeToFirstEvent: defaultTimeToFirstEvent,
 		}
 	}
-	return q.byService[s]
+	return q.queues[k]
 }
 
 const (
