roster: the stated figure of a host is split into the usual value and its temporary load

Engines state 70 or 170 all the time, 175 or 425 while their hosts are loaded (seen in the entries' logs): taken as it is, a slow engine would look like a loaded host.

--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -111,8 +111,9 @@
 	// ones included.
 	LoadReported bool
 	InFlight     int
-	// HostLoad is how long work takes on the upstream's host at the moment, relative to its
-	// usual time; zero if not stated.
+	// HostLoad is how long work takes on the upstream's host at the moment, in a unit that is
+	// the same for all upstreams of a service; zero if not stated. It holds the upstream's own
+	// speed and the load of its host.
 	HostLoad float64
 	// RateLimitReported means that RateLimit is known: the rate limit that the upstream
 	// stated, or that it stated none.
--- a/roster/stats.go
+++ b/roster/stats.go
@@ -44,10 +44,7 @@
 	// report.
 	otherRequests float64
 	reportedAt    time.Time
-	// hostLoad is the time that work takes on the upstream's host relative to its usual time, as
-	// last stated, and zero if it was never stated.
-	hostLoad   float64
-	hostLoadAt time.Time
+	hostLoad hostLoad
 	// failures, refusals and successes are counts that decay.
 	failures, refusals, successes float64
 	decayedAt                     time.Time
@@ -221,20 +218,19 @@
 	s.reportedAt = now
 }
 
-// RecordHostLoad records the stated load of the upstream's host: the time that work takes there
-// relative to its usual time.
-func (s *Stats) RecordHostLoad(now time.Time, load float64) {
+// RecordHostLoad records the figure that the upstream stated about how long work takes on its host.
+func (s *Stats) RecordHostLoad(now time.Time, stated float64) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.hostLoad, s.hostLoadAt = load, now
+	s.hostLoad.record(now, stated)
 }
 
-// HostLoad returns the load of the upstream's host that was last stated and its age; false if none
-// was stated.
+// HostLoad returns the time that work takes on the upstream's host relative to its usual time there,
+// as last stated, and the age of that statement; false if there was none.
 func (s *Stats) HostLoad(now time.Time) (load float64, age time.Duration, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.hostLoad, now.Sub(s.hostLoadAt), s.hostLoad > 0
+	return s.hostLoad.current(), now.Sub(s.hostLoad.at), s.hostLoad.stated > 0
 }
 
 // ObserveRateLimit updates the rate limit by what a response stated, and returns the rates in force
