assign: a time per token for each engine

The tracker assumed one time per token for all engines, so that prompts queued at slow engines with few tokens left. Engines may now have their own, and the work goes to the one with the earliest expected completion. Finish returns what is needed to learn the time from.

Tried and left out: subtracting the part of the first prompt that should be done by now.

--- a/assign/assign.go
+++ b/assign/assign.go
@@ -13,6 +13,10 @@
 // an engine that has become slow keeps its backlog and receives less. A process that
 // crashes never reports the end of its work; its assignments expire.
 //
+// Engines may differ in speed. If the time per token of each engine is given, work goes to
+// the engine that is expected to finish it first. Without that, prompts queue at slow engines
+// that have few tokens left, and time out there.
+//
 // # Usage
 //
 //	var tr assign.Tracker
@@ -37,13 +41,22 @@
 	// ExtraLatency is the expected time in addition to the engine's backlog: the network
 	// latency to it, and the expected cost of a failed attempt.
 	ExtraLatency time.Duration
+	// PerToken is the time that this engine takes for one token; zero for Work.PerToken.
+	PerToken time.Duration
+}
+
+func (e Engine) perToken(w Work) time.Duration {
+	if e.PerToken > 0 {
+		return e.PerToken
+	}
+	return w.PerToken
 }
 
 // Work describes the work to assign.
 type Work struct {
 	// Tokens is the number of tokens that the engine has to process.
 	Tokens int
-	// PerToken is the time that an engine takes for one token.
+	// PerToken is the time that an engine takes for one token if its own time is unknown.
 	PerToken time.Duration
 	// TTL is the time after which the assignment expires if its end is not reported.
 	TTL time.Duration
@@ -58,6 +71,10 @@
 	Ticket Ticket `json:"ticket"`
 	// QueueDelay is the estimated time until the engine starts the work.
 	QueueDelay time.Duration `json:"ahead"`
+	// PerToken is the engine's time for one token if it was given, and AheadTokens the
+	// number of unfinished tokens that were assigned to it before.
+	PerToken    time.Duration `json:"per_token,omitempty"`
+	AheadTokens int           `json:"ahead_tokens,omitempty"`
 }
 
 // Found reports whether the work was assigned to an engine.
@@ -76,9 +93,17 @@
 }
 
 type assignment struct {
-	engine    string
-	tokens    int
-	expiresAt time.Time
+	engine        string
+	tokens, ahead int
+	expiresAt     time.Time
+}
+
+// Completion is what is known of an assignment that ended.
+type Completion struct {
+	Engine string
+	// Tokens is the number of tokens that were assigned, and Ahead the number of unfinished
+	// tokens that were assigned to the engine before.
+	Tokens, Ahead int
 }
 
 const (
@@ -101,7 +126,7 @@
 	tr.removeExpired(now)
 	best, lowest := -1, time.Duration(0)
 	for i, e := range engines {
-		score := e.ExtraLatency + time.Duration(tr.backlog[e.ID])*w.PerToken + time.Duration(random.Int64N(int64(scoreJitter)))
+		score := e.ExtraLatency + time.Duration(tr.backlog[e.ID]+w.Tokens)*e.perToken(w) + time.Duration(random.Int64N(int64(scoreJitter)))
 		if best < 0 || score < lowest {
 			best, lowest = i, score
 		}
@@ -109,13 +134,13 @@
 	if best < 0 {
 		return Assignment{}
 	}
-	id := engines[best].ID
-	queueDelay := time.Duration(tr.backlog[id]) * w.PerToken
+	e := engines[best]
+	ahead := tr.backlog[e.ID]
 	if tr.lastTicket == 0 {
 		tr.lastTicket = Ticket(random.Uint64() >> ticketSpareBits)
 	}
-	tr.addAssignment(now, id, w)
-	return Assignment{Engine: id, Ticket: tr.lastTicket, QueueDelay: queueDelay}
+	tr.addAssignment(now, e.ID, w)
+	return Assignment{Engine: e.ID, Ticket: tr.lastTicket, QueueDelay: time.Duration(ahead) * e.perToken(w), PerToken: e.PerToken, AheadTokens: ahead}
 }
 
 func (tr *Tracker) addAssignment(now time.Time, id string, w Work) {
@@ -123,16 +148,18 @@
 		tr.assignments, tr.backlog = make(map[Ticket]assignment), make(map[string]int)
 	}
 	tr.lastTicket++
-	tr.assignments[tr.lastTicket] = assignment{engine: id, tokens: w.Tokens, expiresAt: now.Add(w.TTL)}
+	tr.assignments[tr.lastTicket] = assignment{engine: id, tokens: w.Tokens, ahead: tr.backlog[id], expiresAt: now.Add(w.TTL)}
 	tr.backlog[id] += w.Tokens
 }
 
-// Finish removes an assignment from its engine's backlog. Repeated calls and unknown tickets
-// have no effect.
-func (tr *Tracker) Finish(t Ticket) {
+// Finish removes an assignment from its engine's backlog and returns what is known of it.
+// Repeated calls and unknown tickets have no effect and return false.
+func (tr *Tracker) Finish(t Ticket) (Completion, bool) {
 	tr.mu.Lock()
 	defer tr.mu.Unlock()
+	a, known := tr.assignments[t]
 	tr.removeAssignment(t)
+	return Completion{Engine: a.engine, Tokens: a.tokens, Ahead: a.ahead}, known
 }
 
 func (tr *Tracker) removeAssignment(t Ticket) {
