direct: placement by the measured speeds of upstreams

Prompts queued at slow engines and timed out, and answers held the memory of slow engines while fast ones were free, since no entry knew how fast an engine is.

Entries record the time for an event, a prompt token and a call of each upstream. The entry that tracks prompts learns from the ends that are reported to it, and assigns by the time per token of each engine at the stated load of its host, which it returns for the prefill timeout. Decode engines are chosen by the expected time of the answer. GET /v1/speeds returns an entry's own estimates; the holder of the roles lease merges those of the others every 5 s, and relativeTime answers from them. Placement changes only where speedsOn holds.

The read time of a prompt at a decode engine follows the engine's speed, so maxPrefillWait takes the engine; its test passes none, and settings, which the code now reads.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -134,6 +134,10 @@
 		MemoryPressureCost: fullEngineCost, FailureCost: r.failCost(), CrossZoneCost: crossZoneStageCost,
 	}
 	for n := 0; n < route.MaxEnginesPerSearch && ctx.Err() == nil; n++ {
+		load.AnswerUnits = 0
+		if n < route.FastEnginesPerSearch && s.speedsOn(r.service.Name) {
+			load.AnswerUnits = r.expectedEvents()
+		}
 		p := s.place(r, role, s.Settings.Zone, load)
 		if p.upstream == nil {
 			return nil, p.candidates > 0
--- a/direct/assign.go
+++ b/direct/assign.go
@@ -9,6 +9,7 @@
 	"jacinthworks/domain"
 	"jacinthworks/roster"
 	"jacinthworks/route"
+	"jacinthworks/speed"
 )
 
 const (
@@ -39,6 +40,12 @@
 type assignmentEnd struct {
 	Shard  assign.Shard  `json:"shard"`
 	Ticket assign.Ticket `json:"ticket"`
+	// OK means that the prompt was prefilled. Took is the time from its send to the
+	// response, and HostLoad the figure that the response stated about the engine's host;
+	// zero if it stated none.
+	OK       bool    `json:"ok,omitempty"`
+	Took     float64 `json:"took_ms,omitempty"`
+	HostLoad float64 `json:"host_load,omitempty"`
 }
 
 // assignment is a prefill engine that a tracking entry assigned, with what is needed to
@@ -47,6 +54,10 @@
 	owner  owner
 	shard  assign.Shard
 	ticket assign.Ticket
+	// aheadTokens is the estimated number of tokens that the engine had to process before,
+	// and tokenTime its time per token; zero if unknown.
+	aheadTokens int
+	tokenTime   time.Duration
 }
 
 // assignPrefill asks the entry that tracks the prefill load of all entries for an engine.
@@ -62,10 +73,10 @@
 	if !ok || !assigned.Found() {
 		return placement{}, assignment{}
 	}
-	a = assignment{owner: tracker, shard: call.Shard, ticket: assigned.Ticket}
+	a = assignment{owner: tracker, shard: call.Shard, ticket: assigned.Ticket, aheadTokens: assigned.AheadTokens, tokenTime: assigned.PerToken}
 	u := s.roster.Upstream(roster.ID(assigned.Engine))
 	if u == nil || !u.Eligibility(time.Now()).Eligible() {
-		s.endAssignment(a)
+		s.endAssignment(a, nil)
 		return placement{}, assignment{}
 	}
 	p = placement{upstream: u, candidate: u.Stats.Candidate(time.Now()), candidates: engines, chosenBy: tracker.name(), expectedWait: assigned.QueueDelay}
@@ -97,7 +108,7 @@
 	for _, id := range call.Exclude {
 		skip[id] = true
 	}
-	now := time.Now()
+	now, bySpeed := time.Now(), s.speedsOn(call.Shard.Service)
 	var engines []assign.Engine
 	for _, u := range s.roster.Upstreams(call.Shard.Service) {
 		m := u.Server()
@@ -109,6 +120,9 @@
 		if m.Zone != call.DecodeZone {
 			e.ExtraLatency += crossZoneStageCost
 		}
+		if bySpeed {
+			e.PerToken = slowedByHost(now, u, s.promptTokenTime(now, m))
+		}
 		engines = append(engines, e)
 	}
 	tokenTime := s.profiles.PromptTokenTime(call.Shard.Service)
@@ -133,23 +147,38 @@
 	return s.assignLocally(c), true
 }
 
-// handleAssignEnd records the end of assigned work. It returns false if the shard can't be
-// tracked.
+// handleAssignEnd records the end of assigned work, and learns from it how fast the engine is.
+// It returns false if the shard can't be tracked or the figures are impossible.
 func (s *Server) handleAssignEnd(e assignmentEnd) (struct{}, bool) {
-	if !s.canTrack(e.Shard) {
+	if !s.canTrack(e.Shard) || !validFigure(e.Took) || !(e.HostLoad >= 0 && e.HostLoad <= maxHostLoad) {
 		return struct{}{}, false
 	}
-	s.trackers.For(e.Shard).Finish(e.Ticket)
+	now := time.Now()
+	c, known := s.trackers.For(e.Shard).Finish(e.Ticket)
+	u := s.roster.Upstream(roster.ID(c.Engine))
+	if !known || u == nil || !e.OK {
+		return struct{}{}, true
+	}
+	o := speed.Observation{Units: c.Ahead + c.Tokens, Took: time.Duration(e.Took * float64(time.Millisecond))}
+	if e.HostLoad > 0 {
+		u.Stats.RecordHostLoad(now, e.HostLoad)
+		s.hostLoads.record(e.Shard.Service)
+		o.HostLoad, _, _ = u.Stats.HostLoad(now)
+	}
+	s.trackedSpeeds.pool(e.Shard.Service, domain.RolePrefill).Record(now, u.Server().Key(), o)
 	return struct{}{}, true
 }
 
-// endAssignment reports to the entry that assigned the engine that the prompt was prefilled
-// or will not be.
-func (s *Server) endAssignment(a assignment) {
+// endAssignment reports to the entry that assigned the engine that the prompt was prefilled,
+// or, without a result, that it will not be.
+func (s *Server) endAssignment(a assignment, result *prefillResult) {
 	if a.ticket == 0 {
 		return
 	}
 	end := assignmentEnd{Shard: a.shard, Ticket: a.ticket}
+	if result != nil {
+		end.OK, end.Took, end.HostLoad = true, float64(result.took)/float64(time.Millisecond), result.hostLoad
+	}
 	if a.owner.peer == nil {
 		s.handleAssignEnd(end)
 		return
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -31,6 +31,8 @@
 	loadCounted bool
 	// permit is the attempt's permit by the upstream's rate limit.
 	permit permit
+	// hostLoad is the figure that the response stated about the upstream's host; zero if none.
+	hostLoad float64
 }
 
 // sendAttempt sends the request to an upstream and waits for the response header. The
@@ -67,7 +69,7 @@
 	if info.LoadReported {
 		a.upstream.Stats.RecordLoad(time.Now(), info.InFlight)
 	}
-	if info.HostLoad > 0 {
+	if a.hostLoad = info.HostLoad; info.HostLoad > 0 {
 		a.upstream.Stats.RecordHostLoad(time.Now(), info.HostLoad)
 		s.hostLoads.record(r.service.Name)
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -98,8 +98,14 @@
 	unresponsive     relay.Unresponsive
 	trackers         assign.Trackers
 	hostLoads        hostLoads
-	ownRecord        ownRecord
-	draining         atomic.Bool
+	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
+	// prompts of all entries that this one tracks.
+	speeds, trackedSpeeds speeds
+	// speedsMergedAt is when the estimates of other entries were last asked for; it belongs
+	// to the goroutine that plans roles.
+	speedsMergedAt time.Time
+	ownRecord      ownRecord
+	draining       atomic.Bool
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
 	// of roles was released.
 	drainStarted    chan struct{}
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -10,6 +10,8 @@
 	"jacinthworks/domain"
 	"jacinthworks/relay"
 	"jacinthworks/roles"
+	"jacinthworks/roster"
+	"jacinthworks/speed"
 )
 
 // prefillRatio is the number of busy prefill engines for each busy decode engine.
@@ -62,6 +64,7 @@
 			answers <- all
 		}()
 	}
+	s.refreshFleetSpeeds(ctx)
 	sum = s.profiles.Samples(time.Now())
 	for range others {
 		all := <-answers
@@ -107,8 +110,15 @@
 	events    int
 }
 
+// otherRequests returns the estimated number of requests at the upstream beside one of this
+// entry.
+func otherRequests(now time.Time, u *roster.Upstream) float64 {
+	c := u.Stats.Candidate(now)
+	return max(0, float64(c.OwnRequests-1)+c.OtherRequests)
+}
+
 // add counts the events in the bytes that were read of the answer.
-func (p *eventPace) add(s *Server, r *request, b []byte) {
+func (p *eventPace) add(s *Server, r *request, a *attempt, b []byte) {
 	now := time.Now()
 	if p.startedAt.IsZero() {
 		p.startedAt = now
@@ -120,5 +130,7 @@
 	}
 	tokens, took := p.events*max(r.engine().TokensPerEvent, 1), now.Sub(p.startedAt)
 	s.profiles.Update(r.service.Name, func(x *roles.Profile) { x.RecordAnswer(now, tokens, took) })
+	m := a.upstream.Server()
+	s.recordSpeed(m.Service, m.Role, a.start, speed.Observation{Units: p.events, Took: took, Load: otherRequests(now, a.upstream), HostLoad: recentHostLoad(now, a.upstream)})
 	p.startedAt, p.events = now, 0
 }
--- a/direct/owner.go
+++ b/direct/owner.go
@@ -109,32 +109,40 @@
 // callPeer makes one call at another entry. A nil call sends no body; with a nil answer the
 // response is not decoded.
 func callPeer(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, call, answer any) error {
+	body, err := callPeerRaw(ctx, p, method, path, within, maxShortResponse, call)
+	if err != nil || answer == nil {
+		return err
+	}
+	return errors.Wrap(json.Unmarshal(body, answer), "direct: decoding the response of "+string(p.Name))
+}
+
+// callPeerRaw makes one call at another entry and returns the body of the response, which may
+// have at most the given number of bytes.
+func callPeerRaw(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, maxResponse int64, call any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
 	request := send.Request{Method: method, Target: path, ReadTimeout: within}
 	if call != nil {
 		body, err := json.Marshal(call)
 		if err != nil {
-			return errors.Wrap(err, "direct: encoding a call to another entry")
+			return nil, errors.Wrap(err, "direct: encoding a call to another entry")
 		}
 		request.Header, request.Body = http.Header{"Content-Type": {"application/json"}}, body
 	}
 	reply, err := p.Do(ctx, request)
 	if err != nil {
-		return err
+		return nil, err
 	}
-	body, err := reply.ReadAll(maxShortResponse)
+	body, err := reply.ReadAll(maxResponse)
 	switch {
 	case err != nil:
-		return err
+		return nil, err
 	case reply.Status == http.StatusServiceUnavailable:
-		return errPeerUnavailable
+		return nil, errPeerUnavailable
 	case reply.Status != http.StatusOK:
-		return errors.Errorf("direct: calling another entry: status %d", reply.Status)
-	case answer == nil:
-		return nil
+		return nil, errors.Errorf("direct: calling another entry: status %d", reply.Status)
 	}
-	return errors.Wrap(json.Unmarshal(body, answer), "direct: decoding the response of "+string(p.Name))
+	return body, nil
 }
 
 // ownerHandler serves the calls of other entries. answer returns false if the call can't be
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -58,6 +58,7 @@
 	m.Handle("GET "+relay.URLPrefix+feedNotices, relay.Handler(&s.peers.notices))
 	m.HandleFunc("GET "+entryRecordsPath, s.serveEntryRecords)
 	m.HandleFunc("GET "+mixPath, s.serveMix)
+	m.HandleFunc("GET "+speedsPath, s.serveSpeeds)
 	m.HandleFunc("GET "+configPath, s.serveConfig)
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("POST "+quotaPath, ownerHandler(s, s.handleQuota))
--- a/direct/place.go
+++ b/direct/place.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"math"
 	"time"
 
@@ -63,10 +64,11 @@
 // returns no upstream if none is left, or, if l skips upstreams that were recently full, if
 // only such upstreams are left.
 func (s *Server) place(r *request, role domain.Role, preferredZone domain.Zone, l route.Request) placement {
-	now := time.Now()
-	var candidates []route.Candidate
-	var members []*roster.Upstream
-	for _, u := range s.roster.Upstreams(r.service.Name) {
+	now, bySpeed := time.Now(), s.speedsOn(r.service.Name)
+	pool := s.speeds.pool(r.service.Name, role)
+	upstreams := s.roster.Upstreams(r.service.Name)
+	candidates, members := make([]route.Candidate, 0, len(upstreams)), make([]*roster.Upstream, 0, len(upstreams))
+	for _, u := range upstreams {
 		m := u.Server()
 		if m.Role != role || r.excluded[m.Key()] || !u.Eligibility(now).Eligible() {
 			continue
@@ -76,6 +78,16 @@
 		if e := r.service.Engine; e != nil {
 			c.MemoryTokens = e.KVTokens
 		}
+		if bySpeed {
+			if role == domain.RolePrefill {
+				c.UnitTime = cmp.Or(s.promptTokenTime(now, m), c.UnitTime)
+			}
+			if l.AnswerUnits > 0 {
+				c.AnswerUnitTime = pool.ExpectedUnitTime(now, m.Key())
+			} else {
+				c.UnitTime = slowedByHost(now, u, c.UnitTime)
+			}
+		}
 		candidates = append(candidates, c)
 		members = append(members, u)
 	}
@@ -117,6 +129,11 @@
 	return r.info.PromptTokens + min(max(likely, minOutputTokens), max(r.info.MaxOutputTokens, minOutputTokens))
 }
 
+// expectedEvents is the number of events that the answer is likely to have.
+func (r *request) expectedEvents() int {
+	return max(1, (r.expectedTokens()-r.info.PromptTokens)/max(r.engine().TokensPerEvent, 1))
+}
+
 const (
 	// outputDivisor divides the limit on the answer's length; the quotient is the expected
 	// length if the caller states none.
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -12,6 +12,7 @@
 	"jacinthworks/roster"
 	"jacinthworks/route"
 	"jacinthworks/send"
+	"jacinthworks/speed"
 )
 
 const (
@@ -131,7 +132,11 @@
 			return f
 		}
 	}
-	s.finishAnswered(r, a, time.Since(a.startedAt), 1, succeeded)
+	took, now := time.Since(a.startedAt), time.Now()
+	if succeeded {
+		s.recordSpeed(r.service.Name, "", a.start, speed.Observation{Units: 1, Took: took, Load: otherRequests(now, a.upstream), HostLoad: recentHostLoad(now, a.upstream)})
+	}
+	s.finishAnswered(r, a, took, 1, succeeded)
 	if err := s.passResponse(r, reply, head, complete); err != nil {
 		if errors.Is(err, errCallerWrite) {
 			s.finish(r, "caller_gone", "upstream", a.start.ID, "err", err)
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"time"
@@ -9,6 +10,7 @@
 	"jacinthworks/group"
 	"jacinthworks/roster"
 	"jacinthworks/route"
+	"jacinthworks/speed"
 )
 
 const (
@@ -49,6 +51,10 @@
 type prefillResult struct {
 	upstream *roster.Upstream
 	handle   KVHandle
+	// took is the time to the response, and hostLoad the figure that it stated about the
+	// engine's host; zero if none.
+	took     time.Duration
+	hostLoad float64
 }
 
 // prefill has the prompt read by a prefill engine near the decode engine of the answer,
@@ -79,20 +85,20 @@
 			s.Log.Info("prefill skipped", "request", r.id, "why", "no engine", "only_sure", load.OnlyResponsive)
 			return nil
 		}
-		if p.expectedWait > s.maxPrefillWait(r) {
+		if p.expectedWait > s.maxPrefillWait(r, decode.upstream) {
 			s.Log.Info("prefill skipped", "request", r.id, "upstream", p.candidate.Name, "wait", p.expectedWait)
-			s.endAssignment(assigned)
+			s.endAssignment(assigned, nil)
 			return nil
 		}
 		permitted, _, ok := s.acquirePermit(ctx, r, p.upstream, 0)
 		if !ok {
-			s.endAssignment(assigned)
+			s.endAssignment(assigned, nil)
 			continue // the engine is excluded now
 		}
 		r.prefills++
 		charged = false
-		result, f := s.attemptPrefill(ctx, r, p, permitted)
-		s.endAssignment(assigned)
+		result, f := s.attemptPrefill(ctx, r, p, assigned, permitted)
+		s.endAssignment(assigned, result)
 		if result != nil {
 			return result
 		}
@@ -123,21 +129,27 @@
 // a dozen answers there, and a long prompt, or two together, pauses them for longer than
 // the routes allow. The same prompts would have had a prefill engine to themselves shortly
 // before, within their targets.
-func (s *Server) maxPrefillWait(r *request) time.Duration {
-	decodeTime := s.decodeReadTime(r)
+func (s *Server) maxPrefillWait(r *request, decode *roster.Upstream) time.Duration {
+	decodeTime := s.decodeReadTime(r, decode)
 	if decodeTime > r.maxPromptPause() {
 		return r.timeLeft()
 	}
 	return max(decodeTime, time.Until(r.firstSent.Add(r.targetLatency()))-decodeTime)
 }
 
-// decodeReadTime is the time that a decode engine takes to read the prompt.
-func (s *Server) decodeReadTime(r *request) time.Duration {
+// decodeReadTime is the time that the decode engine takes to read the prompt. An engine that
+// generates answers slowly reads prompts as slowly.
+func (s *Server) decodeReadTime(r *request, decode *roster.Upstream) time.Duration {
 	tokenTime := s.profiles.PromptTokenTime(r.service.Name)
 	if tokenTime <= 0 {
 		tokenTime = defaultPromptTokenTime
 	}
-	return time.Duration(decodeSlowdown * float64(r.info.PromptTokens) * float64(tokenTime))
+	factor := 1.0
+	if s.speedsOn(r.service.Name) {
+		m := decode.Server()
+		factor, _ = s.relativeTime(m.Service, m.Role, m.Start)
+	}
+	return time.Duration(decodeSlowdown * factor * float64(r.info.PromptTokens) * float64(tokenTime))
 }
 
 // maxPromptPause is how long the answers of a decode engine may pause while it reads a
@@ -152,7 +164,7 @@
 
 // waitDecodeTurn waits until the decode engine has read the other prompts of this entry.
 func (s *Server) waitDecodeTurn(ctx context.Context, r *request, decode *allocation) {
-	if wait := decode.upstream.Stats.QueuePrefill(time.Now(), s.decodeReadTime(r)+decodePromptGap, maxDecodePromptWait); wait > 0 {
+	if wait := decode.upstream.Stats.QueuePrefill(time.Now(), s.decodeReadTime(r, decode.upstream)+decodePromptGap, maxDecodePromptWait); wait > 0 {
 		s.Log.Info("waiting for another prompt at the decode engine", "request", r.id, "upstream", decode.upstream.Server().ID, "wait", wait)
 		group.Sleep(ctx, wait)
 	}
@@ -172,9 +184,18 @@
 	return min(queueDelay+own, r.targetLatency())
 }
 
-func (s *Server) attemptPrefill(ctx context.Context, r *request, p placement, permitted permit) (*prefillResult, *failure) {
+func (s *Server) attemptPrefill(ctx context.Context, r *request, p placement, assigned assignment, permitted permit) (*prefillResult, *failure) {
 	u := p.upstream
 	candidate := u.Stats.Candidate(time.Now())
+	ahead := candidate.QueuedTokens
+	if assigned.ticket != 0 {
+		ahead = assigned.aheadTokens
+	}
+	if assigned.tokenTime > 0 {
+		candidate.UnitTime = assigned.tokenTime
+	} else if s.speedsOn(r.service.Name) {
+		candidate.UnitTime = cmp.Or(s.promptTokenTime(time.Now(), u.Server()), candidate.UnitTime)
+	}
 	a := &attempt{
 		upstream: u, permit: permitted, cost: roster.Cost{MemoryTokens: r.info.PromptTokens, PromptTokens: r.info.PromptTokens},
 		headerTimeout: r.prefillTimeout(candidate, p.expectedWait),
@@ -199,8 +220,9 @@
 		s.recordPrefill(r, took)
 	}
 	handle.Addr = u.Server().Addr
+	s.recordSpeed(r.service.Name, domain.RolePrefill, a.start, speed.Observation{Units: ahead + r.info.PromptTokens, Took: took, HostLoad: recentHostLoad(time.Now(), u)})
 	s.Log.Info("prefilled", "request", r.id, "upstream", a.start.ID, "tokens", handle.Tokens, "took", took)
-	return &prefillResult{upstream: u, handle: handle}, nil
+	return &prefillResult{upstream: u, handle: handle, took: took, hostLoad: a.hostLoad}, nil
 }
 
 // freeHandle frees, in the background, the KV cache of a prompt that no engine will fetch.
--- a/direct/prefill_test.go
+++ b/direct/prefill_test.go
@@ -6,6 +6,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthworks/conf"
 	"jacinthworks/domain"
 	"jacinthworks/paths"
 	"jacinthworks/roles"
@@ -23,16 +24,19 @@
 		r := &request{firstSent: now, deadline: now.Add(14 * time.Second), service: &paths.Service{Name: "model"}}
 		r.route = &paths.Route{Target: 900 * time.Millisecond, TargetGap: 300 * time.Millisecond}
 		r.info.PromptTokens = tokens
-		return s.maxPrefillWait(r)
+		return s.maxPrefillWait(r, nil)
 	}
 	measured := func(tokenTime time.Duration) *Server {
 		s := &Server{}
+		s.liveSettings.Store(&conf.Direct{})
 		s.profiles.Update(domain.Service("model"), func(x *roles.Profile) { x.RecordPrefill(now, 1000, 1000*tokenTime) })
 		return s
 	}
 	require.Less(t, maxWait(measured(23*time.Microsecond), 5200), time.Second)
 	require.Greater(t, maxWait(measured(60*time.Microsecond), 5200), 10*time.Second, "the other answers there would pause for too long")
-	require.Greater(t, maxWait(&Server{}, 5200), 10*time.Second, "no speed was measured yet")
+	unmeasured := &Server{}
+	unmeasured.liveSettings.Store(&conf.Direct{})
+	require.Greater(t, maxWait(unmeasured, 5200), 10*time.Second, "no speed was measured yet")
 }
 
 // Guards against a prefill that times out while its prompt waits behind the prompts of other
--- /dev/null
+++ b/direct/speeds.go
@@ -0,0 +1,319 @@
+package direct
+
+import (
+	"context"
+	"encoding/json"
+	"math"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/pkg/errors"
+
+	"jacinthworks/domain"
+	"jacinthworks/meter"
+	"jacinthworks/paths"
+	"jacinthworks/relay"
+	"jacinthworks/roster"
+	"jacinthworks/speed"
+)
+
+const (
+	// speedsPath is the peer endpoint that returns how fast this entry observed each
+	// upstream to be.
+	speedsPath = "/v1/speeds"
+	// maxSpeedsPerPool bounds the estimates of a pool that the endpoint returns, and
+	// maxPeerListLength the length of a list that is accepted from another entry.
+	maxSpeedsPerPool  = 256
+	maxPeerListLength = 4096
+	// maxPeerFigure is above every figure of a valid message of another entry.
+	maxPeerFigure = 1e12
+	// maxSpeedsResponse bounds a response with estimates, in bytes: some 40 pools.
+	maxSpeedsResponse = 1 << 20
+	// speedsInterval is how often the holder of the roles lease asks other entries for
+	// their estimates. An upstream's own speed lasts as long as its process.
+	speedsInterval = 5 * time.Second
+	// maxHostLoadAge is the age up to which the stated load of a host is used. The load
+	// lasts for some 600 ms.
+	maxHostLoadAge = 300 * time.Millisecond
+	// maxHostLoad bounds the figure about a host that another entry reports.
+	maxHostLoad = 20
+)
+
+// speedPool identifies the upstreams of a service that do the same work.
+type speedPool struct {
+	service domain.Service
+	role    domain.Role
+}
+
+// speeds holds the estimates of how fast upstreams are: of plain servers the time for a call,
+// of prefill engines for a prompt token, and of the other engines for an event of an answer.
+// The key is an instance, so that a restart under the same id voids the estimate. The zero
+// value is ready to use; it must not be copied.
+type speeds struct {
+	mu     sync.RWMutex // leaf lock: no other lock is acquired while it is held
+	byPool map[speedPool]*speed.Pool[roster.InstanceKey]
+}
+
+// pool returns the estimates of a pool; empty if there are none yet.
+func (p *speeds) pool(service domain.Service, role domain.Role) *speed.Pool[roster.InstanceKey] {
+	k := speedPool{service, role}
+	p.mu.RLock()
+	found := p.byPool[k]
+	p.mu.RUnlock()
+	if found != nil {
+		return found
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.byPool == nil {
+		p.byPool = make(map[speedPool]*speed.Pool[roster.InstanceKey])
+	}
+	if p.byPool[k] == nil {
+		p.byPool[k] = &speed.Pool[roster.InstanceKey]{}
+	}
+	return p.byPool[k]
+}
+
+// pools returns all pools.
+func (p *speeds) pools() map[speedPool]*speed.Pool[roster.InstanceKey] {
+	p.mu.RLock()
+	defer p.mu.RUnlock()
+	all := make(map[speedPool]*speed.Pool[roster.InstanceKey], len(p.byPool))
+	for k, pool := range p.byPool {
+		all[k] = pool
+	}
+	return all
+}
+
+// recordSpeed records work that an upstream did for this entry.
+func (s *Server) recordSpeed(service domain.Service, role domain.Role, start roster.Start, o speed.Observation) {
+	pool := s.speeds.pool(service, role)
+	if !pool.Record(time.Now(), start.Key(), o) {
+		return
+	}
+	s.Log.Info("speed learned", "upstream", start.ID, "service", service, "role", role,
+		"factor", math.Round(100*pool.Factor(start.Key()))/100, "observations", pool.Observations(start.Key()))
+	s.Meter.Gauge("jacinthworks_speed_factor", meter.Labels{"service", string(service), "upstream", string(start.ID)}, func() float64 {
+		u := s.roster.Upstream(start.ID)
+		if u == nil {
+			return 1
+		}
+		m := u.Server()
+		return s.speeds.pool(m.Service, m.Role).Factor(m.Key())
+	})
+}
+
+// recentHostLoad returns the temporary load of the upstream's host if a response of the last
+// maxHostLoadAge shows it; zero if not.
+func recentHostLoad(now time.Time, u *roster.Upstream) float64 {
+	load, age, ok := u.Stats.HostLoad(now)
+	if !ok || age >= maxHostLoadAge {
+		return 0
+	}
+	return load
+}
+
+// slowedByHost returns the time for a unit of work at the current load of the host.
+func slowedByHost(now time.Time, u *roster.Upstream, unitTime time.Duration) time.Duration {
+	if load := recentHostLoad(now, u); load > 0 {
+		return time.Duration(load * float64(unitTime))
+	}
+	return unitTime
+}
+
+// promptTokenTime returns the prefill time per token of an engine: by all prompts that this
+// entry tracks, else by its own ones or those of other entries, else that of the median
+// engine; zero if nothing is known.
+func (s *Server) promptTokenTime(now time.Time, m roster.Server) time.Duration {
+	tracked, own := s.trackedSpeeds.pool(m.Service, domain.RolePrefill), s.speeds.pool(m.Service, domain.RolePrefill)
+	if t, ok := tracked.UnitTime(now, m.Key()); ok {
+		return t
+	}
+	if t, ok := own.UnitTime(now, m.Key()); ok {
+		return t
+	}
+	if t := tracked.ExpectedUnitTime(now, m.Key()); t > 0 {
+		return t
+	}
+	return own.ExpectedUnitTime(now, m.Key())
+}
+
+// relativeTime returns how long an upstream takes for a unit of work relative to the median of
+// the upstreams of its service in the same role, 1 if unknown, and from how many observations
+// of all entries whose estimates this one has that is known.
+func (s *Server) relativeTime(service domain.Service, role domain.Role, start roster.Start) (factor float64, observations int) {
+	pool := s.speeds.pool(service, role)
+	return pool.Factor(start.Key()), pool.Observations(start.Key())
+}
+
+// speedEstimate is an estimate of one upstream as entries exchange it.
+type speedEstimate struct {
+	ID   roster.ID `json:"id"`
+	Born time.Time `json:"born,omitzero"`
+	// UnitMicros is the time for a unit of work, in microseconds.
+	UnitMicros float64 `json:"unit_us"`
+	// Count is the number of observations, and AgeMillis the time since the last one.
+	Count     float64 `json:"count"`
+	AgeMillis float64 `json:"age_ms"`
+}
+
+// peerSpeeds are the estimates of one entry.
+type peerSpeeds map[domain.Service]map[domain.Role][]speedEstimate
+
+// ownSpeeds returns what this entry observed, at most maxSpeedsPerPool estimates of a pool.
+func (s *Server) ownSpeeds(now time.Time) peerSpeeds {
+	all := make(peerSpeeds)
+	for k, pool := range s.speeds.pools() {
+		estimates := pool.Estimates(now)
+		if len(estimates) == 0 {
+			continue
+		}
+		if all[k.service] == nil {
+			all[k.service] = make(map[domain.Role][]speedEstimate)
+		}
+		for _, e := range estimates[:min(len(estimates), maxSpeedsPerPool)] {
+			one := speedEstimate{ID: e.Key.ID, UnitMicros: float64(e.UnitTime) / float64(time.Microsecond), Count: float64(e.Count), AgeMillis: float64(e.Age.Milliseconds())}
+			if e.Key.StartedAtMillis != 0 {
+				one.Born = time.UnixMilli(e.Key.StartedAtMillis).UTC()
+			}
+			all[k.service][k.role] = append(all[k.service][k.role], one)
+		}
+	}
+	return all
+}
+
+// serveSpeeds returns to another entry what this one observed.
+func (s *Server) serveSpeeds(w http.ResponseWriter, _ *http.Request) {
+	w.Header().Set("Content-Type", "application/json")
+	if err := json.NewEncoder(w).Encode(s.ownSpeeds(time.Now())); err != nil {
+		s.Log.Debug("response with the speeds of upstreams not written", "err", err)
+	}
+}
+
+// errBadSpeeds is the error of estimates that another entry can't have.
+var errBadSpeeds = errors.New("direct: the estimates of another entry are malformed")
+
+// valid reports whether the estimates can be those of another entry.
+func (p peerSpeeds) valid(c *paths.Config) bool {
+	for service, byRole := range p {
+		if c == nil || c.Service(service) == nil {
+			return false
+		}
+		for role, estimates := range byRole {
+			if role != "" && role != domain.RolePrefill && role != domain.RoleDecode || len(estimates) > maxPeerListLength {
+				return false
+			}
+			for _, e := range estimates {
+				if e.ID == "" || !validFigure(e.UnitMicros) || !validFigure(e.Count) || !validFigure(e.AgeMillis) {
+					return false
+				}
+			}
+		}
+	}
+	return true
+}
+
+// validFigure reports whether a figure in a message of another entry is possible.
+func validFigure(x float64) bool { return x >= 0 && x <= maxPeerFigure } // false for NaN
+
+// decodeSpeeds decodes and checks the estimates of another entry.
+func (s *Server) decodeSpeeds(body []byte) (p peerSpeeds, err error) {
+	if err := json.Unmarshal(body, &p); err != nil {
+		return nil, errors.Wrap(errBadSpeeds, err.Error())
+	}
+	if !p.valid(s.config.Current()) {
+		return nil, errBadSpeeds
+	}
+	return p, nil
+}
+
+// fetchSpeeds asks another entry for its estimates. Malformed ones are counted.
+func (s *Server) fetchSpeeds(ctx context.Context, p *relay.Peer) (peerSpeeds, error) {
+	body, err := callPeerRaw(ctx, p, http.MethodGet, speedsPath, mixTimeout, maxSpeedsResponse, nil)
+	if err != nil {
+		return nil, err
+	}
+	found, err := s.decodeSpeeds(body)
+	if err != nil {
+		s.Meter.Inc("jacinthworks_peer_messages_rejected_total", meter.Labels{"path", speedsPath})
+	}
+	return found, err
+}
+
+// fetchAllSpeeds asks the given entries at once, and returns the estimates of those that
+// answered.
+func (s *Server) fetchAllSpeeds(ctx context.Context, from []*relay.Peer) (all []peerSpeeds) {
+	answers := make(chan peerSpeeds, len(from))
+	for _, p := range from {
+		go func() { // ends with a value in answers, all of which are read below
+			found, err := s.fetchSpeeds(ctx, p)
+			if err != nil {
+				s.Log.Debug("no speeds of upstreams received from entry", "entry", p.Name, "err", err)
+			}
+			answers <- found
+		}()
+	}
+	for range from {
+		if found := <-answers; found != nil {
+			all = append(all, found)
+		}
+	}
+	return all
+}
+
+// mergeSpeeds merges the estimates of other entries. Those of an upstream that is unknown
+// here, of another instance of it, or of a role that it no longer has are left out. It returns
+// the number of estimates that were merged.
+func (s *Server) mergeSpeeds(now time.Time, all []peerSpeeds) (count int) {
+	merged := make(map[speedPool][]speed.Estimate[roster.InstanceKey])
+	for _, p := range all {
+		for service, byRole := range p {
+			for role, estimates := range byRole {
+				k := speedPool{service, role}
+				for _, e := range estimates {
+					key := roster.Start{ID: e.ID, Born: e.Born}.Key()
+					if s.isCurrent(k, key) {
+						merged[k] = append(merged[k], speed.Estimate[roster.InstanceKey]{
+							Key: key, UnitTime: time.Duration(e.UnitMicros * float64(time.Microsecond)),
+							Count: int(e.Count), Age: time.Duration(e.AgeMillis * float64(time.Millisecond)),
+						})
+					}
+				}
+			}
+		}
+	}
+	for k, estimates := range merged {
+		s.speeds.pool(k.service, k.role).Merge(now, estimates)
+		count += len(estimates)
+	}
+	return count
+}
+
+// isCurrent reports whether the instance is a member of the pool.
+func (s *Server) isCurrent(k speedPool, key roster.InstanceKey) bool {
+	u := s.roster.Upstream(key.ID)
+	if u == nil {
+		return false
+	}
+	m := u.Server()
+	return m.Key() == key && m.Service == k.service && m.Role == k.role
+}
+
+// refreshFleetSpeeds merges the estimates of the entries that are asked for their
+// measurements of requests, for the holder of the roles lease. Estimates of upstreams that
+// have changed their role are removed, since they would distort the median of the role.
+func (s *Server) refreshFleetSpeeds(ctx context.Context) {
+	now := time.Now()
+	if now.Sub(s.speedsMergedAt) < speedsInterval {
+		return
+	}
+	s.speedsMergedAt = now
+	ctx, cancel := context.WithTimeout(ctx, mixTimeout)
+	defer cancel()
+	all := s.fetchAllSpeeds(ctx, s.peers.fleet.OtherPeers(maxMixPeers))
+	for k, pool := range s.speeds.pools() {
+		pool.Retain(func(key roster.InstanceKey) bool { return s.isCurrent(k, key) })
+	}
+	s.mergeSpeeds(time.Now(), all)
+}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -209,7 +209,7 @@
 			s.queues.For(r.service.Name).RecordFirstEvent(time.Since(allocatedAt))
 		}
 		if n > 0 {
-			pace.add(s, r, buffer[:n])
+			pace.add(s, r, a, buffer[:n])
 		}
 		unsent := buffer[:n]
 		if r.route.Resumable {
