direct: an entry that starts asks two others for their speeds

An entry that starts in a burst would place its first requests as if all engines were equal. It asks two entries once, as soon as it knows the fleet, the configuration and the registry.

A test of the entry covers a peer of an earlier version, an engine that is unknown here, and an engine that restarted under its id.

--- a/direct/speeds.go
+++ b/direct/speeds.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"math"
+	"math/rand/v2"
 	"net/http"
 	"sync"
 	"time"
@@ -11,6 +12,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/domain"
+	"jacinthworks/group"
 	"jacinthworks/meter"
 	"jacinthworks/paths"
 	"jacinthworks/relay"
@@ -317,3 +319,37 @@
 	}
 	s.mergeSpeeds(time.Now(), all)
 }
+
+const (
+	// speedPeersAtStart is how many entries one that starts asks for their estimates.
+	speedPeersAtStart = 2
+	// speedPeersMaxWait is how long it waits until it knows other entries: as long as the
+	// first complete read of their records may take.
+	speedPeersMaxWait = 10 * time.Second
+	speedPeersPoll    = 50 * time.Millisecond
+)
+
+// learnSpeedsAtStart asks two other entries once for their estimates. Without them, an entry
+// that starts in a burst places its first requests as if all engines were equal.
+func (s *Server) learnSpeedsAtStart(ctx context.Context) error {
+	if !s.Settings.PeerListen.IsValid() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, speedPeersMaxWait)
+	defer cancel()
+	for ; ctx.Err() == nil; group.Sleep(ctx, speedPeersPoll) {
+		others := s.peers.fleet.OtherPeers(maxMixPeers)
+		if len(others) == 0 || s.config.Current() == nil || !s.roster.Loaded() {
+			continue
+		}
+		var asked []*relay.Peer
+		for _, n := range rand.Perm(len(others))[:min(len(others), speedPeersAtStart)] {
+			asked = append(asked, others[n])
+		}
+		found := s.fetchAllSpeeds(ctx, asked)
+		merged := s.mergeSpeeds(time.Now(), found)
+		s.Log.Info("speeds received at the start", "entries", len(found), "asked", len(asked), "estimates", merged)
+		break
+	}
+	return nil
+}
--- a/direct/speeds_test.go
+++ b/direct/speeds_test.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"net/netip"
 	"strings"
 	"testing"
@@ -17,6 +19,7 @@
 	"jacinthworks/feed"
 	"jacinthworks/meter"
 	"jacinthworks/paths"
+	"jacinthworks/relay"
 	"jacinthworks/roster"
 	"jacinthworks/route"
 	"jacinthworks/speed"
@@ -62,6 +65,40 @@
 	}
 }
 
+// Guards against an entry that starts without knowing which engines are slow although others
+// know, and against an estimate that outlives the process that it is about.
+func TestStartingEntryLearnsFromPeersUntilAnEngineRestarts(t *testing.T) {
+	peer := newSpeedServer(domain.RoleDecode, 9)
+	recordSpeeds(peer, domain.RoleDecode, 9, time.Now())
+	server := httptest.NewServer(http.HandlerFunc(peer.serveSpeeds))
+	defer server.Close()
+	earlier := httptest.NewServer(http.NotFoundHandler())
+	defer earlier.Close()
+	s := newSpeedServer(domain.RoleDecode, 8)
+	s.Settings.PeerListen = netip.MustParseAddrPort("127.0.0.1:1")
+	var members []relay.Member
+	for n, h := range []*httptest.Server{server, earlier} {
+		members = append(members, relay.Member{Name: domain.Host(fmt.Sprint("entry-", n)), Addr: netip.MustParseAddrPort(h.Listener.Addr().String()), Cores: 1})
+	}
+	s.peers.fleet.SetMembers(members, true)
+	require.NoError(t, s.learnSpeedsAtStart(t.Context()))
+	factor, observations := s.relativeTime("model", domain.RoleDecode, engineStart(0))
+	require.InDelta(t, 2.3, factor, 0.01)
+	require.Equal(t, 3, observations)
+	factor, observations = s.relativeTime("model", domain.RoleDecode, engineStart(8))
+	require.Equal(t, 1.0, factor, "unknown to this entry's registry")
+	require.Zero(t, observations)
+	require.Empty(t, s.ownSpeeds(time.Now())["model"][domain.RoleDecode], "merged estimates are not passed on")
+
+	restarted := engineStart(0)
+	restarted.Born = restarted.Born.Add(time.Minute)
+	s.roster.Apply(time.Now(), []feed.Change[roster.Server]{{Item: engineItem(domain.RoleDecode, restarted)}})
+	s.mergeSpeeds(time.Now(), s.fetchAllSpeeds(t.Context(), s.peers.fleet.OtherPeers(2)))
+	factor, observations = s.relativeTime("model", domain.RoleDecode, restarted)
+	require.Equal(t, 1.0, factor)
+	require.Zero(t, observations)
+}
+
 // Guards against streams at slow engines while fast ones are free, and against a placement by
 // speed where it is switched off.
 func TestAnswersArePlacedAtFastEnginesOnlyIfSpeedsAreOn(t *testing.T) {
