roles: engines have speeds, and a fast prefill engine exchanges its role with a slow decode engine

Cause: an engine counted as one whatever its speed, and the prefill time of the fast engines was assumed for all. With a third of 50 engines at 2.4 times the time, ten of 18 prefill engines were moved to decode, and prompts waited 0.2 to 0.8 s at the others in bursts.

Change: pressure is demand divided by the sum of speeds. Of two engines that may move, the slower one moves to prefill, the faster one to decode. Engine times are kept by engine, so that a sample can have the times of the median engine. Exchanges are off unless Timing.ExchangeRatio is set: one pair at a time, after a load of five cool-downs, both pools under LowWatermark without the pair for two cool-downs by present demand and recent peak, no engine exchanged back for 100 cool-downs, and only if the pressure of prefill stays under that of decode by 8 in 100.

Ruled out: exchanges without the last condition.

Each condition of the exchange was seen failing a test when removed, except the one on the last engine of a role, which the capacity condition covers too.

--- a/roles/balance.go
+++ b/roles/balance.go
@@ -82,23 +82,22 @@
 	if from.pool.Role == domain.RoleDecode {
 		margin *= decodeMarginFactor
 	}
-	higherPressure := func(count int) float64 { return max(to.pressure(count), from.pressure(-count)) }
-	bestCount := 0
+	higherPressure := func(moved float64) float64 { return max(to.pressure(moved), from.pressure(-moved)) }
 	limit := min(max(1, int(BalanceStep*float64(len(from.engines)))), len(from.engines)-MinReplicas)
-	for n := 1; n <= limit; n++ {
-		if higherPressure(n) < higherPressure(bestCount) {
-			bestCount = n
-		}
-	}
-	if higherPressure(0)-higherPressure(bestCount) < margin*higherPressure(0) {
-		return nil
-	}
 	remaining := slices.Clone(from.engines)
 	var picked []Engine
-	for len(picked) < bestCount {
-		i := mostCrowded(remaining, append(slices.Clone(to.engines), picked...))
+	moved, best, bestCount := 0.0, higherPressure(0), 0
+	for len(picked) < limit {
+		i := pickNext(remaining, append(slices.Clone(to.engines), picked...), to.pool.Role)
+		moved += remaining[i].speed()
 		picked = append(picked, remaining[i])
 		remaining = slices.Delete(remaining, i, i+1)
+		if pressure := higherPressure(moved); pressure < best {
+			best, bestCount = pressure, len(picked)
+		}
+	}
+	if higherPressure(0)-best < margin*higherPressure(0) {
+		return nil
 	}
-	return picked
+	return picked[:bestCount]
 }
--- a/roles/profile.go
+++ b/roles/profile.go
@@ -26,6 +26,7 @@
 	// waiting at the engine.
 	promptTokenSeconds float64
 	prefills           int
+	engines            engineTimes
 }
 
 // tokenTime is a number of answer tokens and the time in seconds in which they were received.
--- a/roles/profiles.go
+++ b/roles/profiles.go
@@ -39,12 +39,17 @@
 	return m.byService[s].PromptTokenTime()
 }
 
-// Samples returns what this process measured of the requests of each service.
-func (m *Profiles) Samples(now time.Time) map[domain.Service]Sample {
+// Samples returns what this process measured of the requests of each service. For a service
+// with relative times of its engines, the times are those of the median engine.
+func (m *Profiles) Samples(now time.Time, relative map[domain.Service]RelativeTimes) map[domain.Service]Sample {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	samples := make(map[domain.Service]Sample, len(m.byService))
 	for s, profile := range m.byService {
+		if times := relative[s]; times != nil {
+			samples[s] = profile.SampleBySpeed(now, times)
+			continue
+		}
 		samples[s] = profile.Sample(now)
 	}
 	return samples
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -21,6 +21,13 @@
 // changes that take seconds, the planner serves less than one that follows the load at once.
 // docs/faults.md has the figures of both.
 //
+// Engines may differ in speed: a third of them takes 2.4 times as long, and both roles are short
+// of capacity in bursts. Pressure is then demand divided by the sum of speeds; a move takes the
+// engine that loses least by it; and where prefill has more capacity than it needs, one of its
+// fast engines and a slow decode engine exchange roles. Without speeds (zero, as for all engines
+// of equal speed) the planner takes slow engines for full ones: it moved ten of 18 prefill engines
+// to decode, and prompts waited for most of their target at the others in each burst.
+//
 // # Usage
 //
 //	var p roles.Planner                       // in the process that holds the planning lease
@@ -101,19 +108,43 @@
 	Changing      bool
 	Loading       bool
 	ChangingSince time.Time
+	// Speed is the work that the engine does per second relative to the median engine; zero
+	// if unknown, which counts as 1. Observations is the number of observations in its
+	// present role that Speed rests on.
+	Speed        float64
+	Observations int
+}
+
+func (e Engine) speed() float64 {
+	if e.Speed > 0 {
+		return e.Speed
+	}
+	return 1
 }
 
 // View is the input of a plan.
 type View struct {
 	Engines []Engine
-	// Demand is the work offered to each pool, as the number of engines that it would keep
-	// busy; it may be fractional. Refused work counts.
+	// Demand is the work offered to each pool, as the number of engines of speed 1 that it
+	// would keep busy; it may be fractional. Refused work counts.
 	Demand map[Pool]float64
 	// BytesPerSecond is the weight store's rate, and Sizes the models' weights in bytes.
 	BytesPerSecond int64
 	Sizes          map[domain.Service]int64
 }
 
+// Capacity returns the sum of the speeds of the pool's engines, also of those that are changing to
+// it.
+func (v View) Capacity(p Pool) float64 {
+	sum := 0.0
+	for _, e := range v.Engines {
+		if e.Pool == p {
+			sum += e.speed()
+		}
+	}
+	return sum
+}
+
 // Order moves one engine to another pool.
 type Order struct {
 	Host domain.Host `json:"host"`
@@ -126,6 +157,9 @@
 	// LoadTime the duration of the load at that rate. Both are zero for a change of role.
 	BytesPerSecond int64         `json:"bytes_per_second,omitempty"`
 	LoadTime       time.Duration `json:"takes_ns,omitempty"`
+	// Exchange means that this is one of the two orders of an exchange. The second one may be
+	// given only after the engine has accepted the first, and while the lease is held.
+	Exchange bool `json:"exchange,omitempty"`
 	// Reason explains the order in one line.
 	Reason string `json:"grounds"`
 }
@@ -144,6 +178,7 @@
 	aboveHighSince  map[Pool]time.Time // since when above HighWatermark
 	lastChange      map[Pool]change    // last change in which the pool gained or gave engines
 	imbalancedSince map[Pool]time.Time // since when the receiver of a balancing move
+	exchanges       map[domain.Service]*exchangeState
 }
 
 // change is a move of engines to or from a pool.
@@ -155,7 +190,7 @@
 
 // Plan returns the orders to send now, each with a fencing token from issue, which is
 // fence.Guard.Issue: without the lease it fails and there are no orders. All orders of one
-// call move engines from one pool to one other.
+// call move engines from one pool to one other, or they are the two orders of an exchange.
 func (p *Planner) Plan(now time.Time, v View, issue func(time.Time) (fence.Token, error)) []Order {
 	p.smoothDemand(now, v.Demand)
 	states := p.poolStates(now, v)
@@ -171,7 +206,7 @@
 	if to, from, found = p.balance(now, states); found {
 		return p.issueOrders(now, v, to, from, pickBalancingEngines(p.Timing.BalanceMargin, to, from), issue)
 	}
-	return nil
+	return p.exchange(now, v, states, issue)
 }
 
 // issueOrders returns the orders that move the engines, and records the change of both pools.
@@ -184,7 +219,7 @@
 			break
 		}
 		o := Order{Host: e.Host, From: from.pool, To: to.pool, Fence: token}
-		o.Reason = fmt.Sprintf("%s at %.2f, %s would be at %.2f", to.pool, to.pressure(0), from.pool, from.pressureWithout(1))
+		o.Reason = fmt.Sprintf("%s at %.2f, %s would be at %.2f", to.pool, to.pressure(0), from.pool, from.pressureWithout(from.meanSpeed()))
 		if from.pool.Model != to.pool.Model && v.BytesPerSecond > 0 {
 			o.BytesPerSecond = v.BytesPerSecond / MaxWeightLoads
 			seconds := float64(v.Sizes[to.pool.Model]) / float64(max(1, o.BytesPerSecond))
@@ -232,7 +267,7 @@
 	found := false
 	for _, s := range states {
 		canDonate := s.pool != receiver.pool && s.pool.Role != domain.RoleApp && s.changing == 0 &&
-			len(s.engines) > MinReplicas && s.pressureWithout(1) < LowWatermark && p.cooledDown(now, s.pool)
+			len(s.engines) > MinReplicas && s.pressureWithout(s.meanSpeed()) < LowWatermark && p.cooledDown(now, s.pool)
 		if !canDonate || s.pool.Model != receiver.pool.Model && countLoading(v) >= MaxWeightLoads {
 			continue
 		}
@@ -247,11 +282,14 @@
 	if (a.pool.Model == receiver.pool.Model) != (b.pool.Model == receiver.pool.Model) {
 		return a.pool.Model == receiver.pool.Model
 	}
-	return a.pressureWithout(1) < b.pressureWithout(1)
+	return a.pressureWithout(a.meanSpeed()) < b.pressureWithout(b.meanSpeed())
 }
 
 func (p *Planner) cooledDown(now time.Time, pool Pool) bool {
 	last, known := p.lastChange[pool]
+	if x := p.exchanges[pool.Model]; x != nil && now.Sub(x.at) < p.Timing.withDefaults().Cooldown {
+		return false
+	}
 	return !known || now.Sub(last.at) >= last.cooldown
 }
 
@@ -267,8 +305,7 @@
 
 // pickEngines returns the engines to move: as many as bring the receiver under
 // HighWatermark, within MaxStepFraction, while the donor stays under LowWatermark and the weight
-// store has free shares. They come from the zone in which the donor has most engines, so that
-// both pools stay spread over the zones.
+// store has free shares. See pickNext for their order.
 func (p *Planner) pickEngines(v View, to, from poolState) []Engine {
 	limit := max(1, int(MaxStepFraction*float64(len(from.engines))))
 	if from.pool.Model != to.pool.Model {
@@ -276,15 +313,51 @@
 	}
 	remaining := slices.Clone(from.engines)
 	var picked []Engine
-	for len(picked) < limit && len(remaining) > MinReplicas && to.pressure(len(picked)) > HighWatermark &&
-		from.pressureWithout(len(picked)+1) < LowWatermark {
-		i := mostCrowded(remaining, append(slices.Clone(to.engines), picked...))
+	moved := 0.0
+	for len(picked) < limit && len(remaining) > MinReplicas && to.pressure(moved) > HighWatermark {
+		i := pickNext(remaining, append(slices.Clone(to.engines), picked...), to.pool.Role)
+		if from.pressureWithout(moved+remaining[i].speed()) >= LowWatermark {
+			break
+		}
+		moved += remaining[i].speed()
 		picked = append(picked, remaining[i])
 		remaining = slices.Delete(remaining, i, i+1)
 	}
 	return picked
 }
 
+// similarSpeed is the ratio of speeds up to which engines count as equally fast when engines
+// to move are picked.
+const similarSpeed = 1.2
+
+// pickNext returns the index of the engine that loses least by a move to the role: a slow one
+// for prefill, a fast one for decode, and any for other roles. Among engines of similar speed
+// it comes from the zone in which most engines are, so that both pools stay spread over the
+// zones.
+func pickNext(engines, others []Engine, to domain.Role) int {
+	slowest, fastest := engines[0].speed(), engines[0].speed()
+	for _, e := range engines {
+		slowest, fastest = min(slowest, e.speed()), max(fastest, e.speed())
+	}
+	eligible := func(e Engine) bool {
+		switch to {
+		case domain.RolePrefill:
+			return e.speed() <= slowest*similarSpeed
+		case domain.RoleDecode:
+			return e.speed() >= fastest/similarSpeed
+		}
+		return true
+	}
+	var candidates []Engine
+	for _, e := range engines {
+		if eligible(e) {
+			candidates = append(candidates, e)
+		}
+	}
+	picked := candidates[mostCrowded(candidates, others)]
+	return slices.IndexFunc(engines, func(e Engine) bool { return e.Host == picked.Host })
+}
+
 // mostCrowded returns the index of an engine in the zone with the most of the given engines;
 // among those, in the zone with the fewest of the others.
 func mostCrowded(engines, others []Engine) int {
--- a/roles/state.go
+++ b/roles/state.go
@@ -14,26 +14,51 @@
 	changing   int
 	demand     float64
 	recentPeak float64
+	// changingSpeed is the sum of the speeds of the engines that are changing to this pool.
+	changingSpeed float64
 }
 
-// pressure returns the fraction of the pool's engines that its demand keeps busy, with the given
-// number of engines added; it is above 1 if they are too few. Engines that are changing to this
-// pool count.
-func (s poolState) pressure(more int) float64 { return s.demandPerEngine(s.demand, more) }
+// pressure returns the fraction of the pool's capacity that its demand keeps busy, with the given
+// speed added; it is above 1 if the engines are too few or too slow. Engines that are changing
+// to this pool count.
+func (s poolState) pressure(more float64) float64 { return s.demandPerSpeed(s.demand, more) }
 
-// pressureWithout returns the recent peak demand per engine, with the given number of engines
-// removed.
-func (s poolState) pressureWithout(fewer int) float64 { return s.demandPerEngine(s.recentPeak, -fewer) }
+// pressureWithout returns the recent peak demand divided by the pool's capacity, with the given
+// speed removed.
+func (s poolState) pressureWithout(less float64) float64 {
+	return s.demandPerSpeed(s.recentPeak, -less)
+}
 
-func (s poolState) demandPerEngine(demand float64, more int) float64 {
-	n := len(s.engines) + s.changing + more
+func (s poolState) demandPerSpeed(demand, more float64) float64 {
+	capacity := s.capacity() + s.changingSpeed + more
 	switch {
 	case demand <= 0:
 		return 0
-	case n <= 0:
+	case capacity <= minCapacity:
 		return math.Inf(1)
 	}
-	return demand / float64(n)
+	return demand / capacity
+}
+
+// minCapacity is the sum of speeds that is taken for none: what rounding leaves when the speeds
+// of all engines are subtracted from their sum.
+const minCapacity = 1e-9
+
+// capacity returns the sum of the speeds of the engines in service.
+func (s poolState) capacity() float64 {
+	sum := 0.0
+	for _, e := range s.engines {
+		sum += e.speed()
+	}
+	return sum
+}
+
+// meanSpeed returns the mean speed of the engines in service; 1 without any.
+func (s poolState) meanSpeed() float64 {
+	if len(s.engines) == 0 {
+		return 1
+	}
+	return s.capacity() / float64(len(s.engines))
 }
 
 func (p *Planner) smoothDemand(now time.Time, demand map[Pool]float64) {
@@ -90,6 +115,7 @@
 			s.engines = append(s.engines, e)
 		case now.Sub(e.ChangingSince) < ChangeTimeout:
 			s.changing++
+			s.changingSpeed += e.speed()
 		}
 	}
 	var states []poolState
--- a/roles/timing.go
+++ b/roles/timing.go
@@ -13,6 +13,9 @@
 	// without any: for another one they would be in service only after the burst that raised
 	// its pressure.
 	BalanceMargin float64
+	// ExchangeRatio, if not zero, exchanges the roles of a prefill engine and a decode engine
+	// of one model that takes at least this many times as long; see Planner.exchange.
+	ExchangeRatio float64
 }
 
 // TimingFor returns the timing for role changes that take the given time and load no weights,
