--- a/direct/engines.go
+++ b/direct/engines.go
@@ -121,20 +121,26 @@
 
 // demandView turns the engines' states into the input of the planner. The demand for decode
 // engines is the memory in use, in engines; that for prefill engines follows from it by the
-// ratio of the two in the current mix of requests.
-func demandView(v *paths.Service, states []engineState, mix prefillRatio) roles.View {
+// ratio of the two in the current mix of requests. With speeds (nil if they are not used), the
+// demands are in engines of speed 1: a slow engine holds its memory for longer for the same work.
+func demandView(v *paths.Service, states []engineState, mix prefillRatio, speeds *engineSpeeds) roles.View {
 	prefillPool, decodePool := roles.Pool{Model: v.Name, Role: domain.RolePrefill}, roles.Pool{Model: v.Name, Role: domain.RoleDecode}
 	result := roles.View{Demand: map[roles.Pool]float64{prefillPool: 0, decodePool: 0}}
 	engines := make(map[roles.Pool]int)
-	memoryUsed := 0.0
+	decodeWork := 0.0
 	for _, e := range states {
 		pool := roles.Pool{Model: v.Name, Role: e.state.Role}
+		speed, observations := speeds.of(e.server.Start)
 		result.Engines = append(result.Engines, roles.Engine{
 			Host: domain.Host(e.server.ID), Zone: e.server.Zone, Pool: pool, Changing: e.state.RoleChanging, ChangingSince: time.Now(),
+			Speed: speed, Observations: observations,
 		})
+		if speed == 0 {
+			speed = 1
+		}
 		engines[pool]++
 		if pool == decodePool && e.state.KVCapacity > 0 {
-			memoryUsed += float64(e.state.KVUsed) / float64(e.state.KVCapacity)
+			decodeWork += float64(e.state.KVUsed) / float64(e.state.KVCapacity) * speed
 		}
 	}
 	switch {
@@ -143,8 +149,8 @@
 		// would seem to be no demand, while all requests are refused.
 		result.Demand[decodePool] = 1
 	case mix.known:
-		result.Demand[decodePool], result.Demand[prefillPool] = memoryUsed, prefillWeight*mix.ratio*memoryUsed
-		if balanced := memoryUsed * float64(engines[prefillPool]) / float64(engines[decodePool]); !mix.sufficient {
+		result.Demand[decodePool], result.Demand[prefillPool] = decodeWork, speeds.prefillWeight()*mix.ratio*decodeWork
+		if balanced := decodeWork * result.Capacity(prefillPool) / result.Capacity(decodePool); !mix.sufficient {
 			result.Demand[prefillPool] = min(result.Demand[prefillPool], balanced) // takes no engine from decode
 		}
 	}
--- a/direct/engines_test.go
+++ b/direct/engines_test.go
@@ -81,7 +81,7 @@
 	}
 	prefillPool, decodePool := roles.Pool{Model: "m", Role: domain.RolePrefill}, roles.Pool{Model: "m", Role: domain.RoleDecode}
 	prefillOnly := []engineState{state("a", domain.RolePrefill, 0), state("b", domain.RolePrefill, 0), state("c", domain.RolePrefill, 0)}
-	demand := demandView(v, prefillOnly, prefillRatio{})
+	demand := demandView(v, prefillOnly, prefillRatio{}, nil)
 	require.Positive(t, demand.Demand[decodePool])
 	p := roles.Planner{Timing: roles.TimingFor(6 * time.Second)}
 	orders := p.Plan(time.Now(), demand, func(time.Time) (fence.Token, error) { return 1, nil })
@@ -89,8 +89,8 @@
 	require.Equal(t, decodePool, orders[0].To)
 
 	both := append(prefillOnly, state("d", domain.RoleDecode, 50))
-	require.Zero(t, demandView(v, both, prefillRatio{}).Demand[decodePool], "the ratio is not known yet")
-	demand = demandView(v, both, prefillRatio{ratio: 0.4, known: true, sufficient: true})
+	require.Zero(t, demandView(v, both, prefillRatio{}, nil).Demand[decodePool], "the ratio is not known yet")
+	demand = demandView(v, both, prefillRatio{ratio: 0.4, known: true, sufficient: true}, nil)
 	require.InDelta(t, 0.5, demand.Demand[decodePool], 1e-9)
 	require.InDelta(t, prefillWeight*0.4*0.5, demand.Demand[prefillPool], 1e-9)
 }
@@ -117,7 +117,7 @@
 	}
 	plan := func(sufficient bool) []roles.Order {
 		p := roles.Planner{Timing: roles.TimingFor(6 * time.Second)}
-		demand := demandView(&paths.Service{Name: "m"}, states, prefillRatio{ratio: ratio, known: true, sufficient: sufficient})
+		demand := demandView(&paths.Service{Name: "m"}, states, prefillRatio{ratio: ratio, known: true, sufficient: sufficient}, nil)
 		issue := func(time.Time) (fence.Token, error) { return 1, nil }
 		return append(p.Plan(now, demand, issue), p.Plan(now.Add(time.Second), demand, issue)...)
 	}
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -10,6 +10,7 @@
 	"jacinthworks/domain"
 	"jacinthworks/relay"
 	"jacinthworks/roles"
+	"jacinthworks/roster"
 )
 
 // prefillRatio is the number of busy prefill engines for each busy decode engine.
@@ -41,11 +42,25 @@
 // requests.
 func (s *Server) serveMix(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Content-Type", "application/json")
-	if err := json.NewEncoder(w).Encode(s.profiles.Samples(time.Now())); err != nil {
+	if err := json.NewEncoder(w).Encode(s.mixSamples()); err != nil {
 		s.Log.Debug("response with the measurements of requests not written", "err", err)
 	}
 }
 
+// mixSamples returns what this entry measured of its requests, for services with known speeds
+// of their engines in times of the median engine of each role.
+func (s *Server) mixSamples() map[domain.Service]roles.Sample {
+	relative := make(map[domain.Service]roles.RelativeTimes)
+	if c := s.config.Current(); c != nil {
+		for i := range c.Services {
+			if v := &c.Services[i]; v.Engine != nil && s.speedsOn(v.Name) {
+				relative[v.Name] = s.relativeTimes(v.Name)
+			}
+		}
+	}
+	return s.profiles.Samples(time.Now(), relative)
+}
+
 // fleetMix adds up what this and other entries measured of their requests to each service,
 // and returns how many other entries answered. An entry that does not answer is left out.
 func (s *Server) fleetMix(ctx context.Context) (sum map[domain.Service]roles.Sample, answered int) {
@@ -62,7 +77,7 @@
 			answers <- all
 		}()
 	}
-	sum = s.profiles.Samples(time.Now())
+	sum = s.mixSamples()
 	for range others {
 		all := <-answers
 		if all != nil {
@@ -93,8 +108,10 @@
 	s.profiles.Update(r.service.Name, func(x *roles.Profile) { x.RecordRequest(time.Now(), r.info.PromptTokens, answer, memory) })
 }
 
-func (s *Server) recordPrefill(r *request, took time.Duration) {
-	s.profiles.Update(r.service.Name, func(x *roles.Profile) { x.RecordPrefill(time.Now(), r.info.PromptTokens, took) })
+func (s *Server) recordPrefill(r *request, engine roster.ID, took time.Duration) {
+	s.profiles.Update(r.service.Name, func(x *roles.Profile) {
+		x.RecordPrefillAt(time.Now(), domain.Host(engine), r.info.PromptTokens, took)
+	})
 }
 
 // paceSampleEvents is how many events of an answer make one measurement of its pace.
@@ -103,6 +120,7 @@
 // eventPace measures how fast the events of an answer come. The first event starts the
 // measurement.
 type eventPace struct {
+	engine    roster.ID
 	startedAt time.Time
 	events    int
 }
@@ -119,6 +137,6 @@
 		return
 	}
 	tokens, took := p.events*max(r.engine().TokensPerEvent, 1), now.Sub(p.startedAt)
-	s.profiles.Update(r.service.Name, func(x *roles.Profile) { x.RecordAnswer(now, tokens, took) })
+	s.profiles.Update(r.service.Name, func(x *roles.Profile) { x.RecordAnswerAt(now, domain.Host(p.engine), tokens, took) })
 	p.startedAt, p.events = now, 0
 }
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -196,7 +196,7 @@
 	}
 	s.finishAnswered(r, a, took, r.info.PromptTokens, true)
 	if candidate.QueuedTokens == 0 && r.prefills == 1 {
-		s.recordPrefill(r, took)
+		s.recordPrefill(r, a.start.ID, took)
 	}
 	handle.Addr = u.Server().Addr
 	s.Log.Info("prefilled", "request", r.id, "upstream", a.start.ID, "tokens", handle.Tokens, "took", took)
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -43,6 +43,7 @@
 		Guard: fence.Guard{Holder: s.Settings.Name, Incarnation: domain.NewIncarnation(), FreshStore: s.Settings.FirstStart},
 	}
 	planners, last := make(map[domain.Service]*roles.Planner), make(map[domain.Service]lastStates)
+	speeds := make(map[domain.Service]*engineSpeeds)
 	holding := false
 	began, lastRead := time.Now(), time.Time{}
 	stepping := false // the lease has another step to take at once
@@ -71,7 +72,7 @@
 			clear(planners)
 		}
 		if holding {
-			s.planOnce(ctx, k, planners, last)
+			s.planOnce(ctx, k, planners, last, speeds)
 			wait = min(wait, planDelay(time.Now(), planners))
 		} else {
 			wait = min(wait, leaseReadInterval)
@@ -118,7 +119,10 @@
 }
 
 // planOnce polls the engines of each service and gives the orders that are due.
-func (s *Server) planOnce(ctx context.Context, k *lease.Keeper, planners map[domain.Service]*roles.Planner, last map[domain.Service]lastStates) {
+func (s *Server) planOnce(
+	ctx context.Context, k *lease.Keeper,
+	planners map[domain.Service]*roles.Planner, last map[domain.Service]lastStates, speeds map[domain.Service]*engineSpeeds,
+) {
 	c := s.config.Current()
 	if c == nil {
 		return
@@ -135,11 +139,17 @@
 		}
 		states := s.pollEngines(ctx, sample(pool, s.Settings.Name), last[v.Name])
 		mix := prefillRatioOf(samples[v.Name])
-		demand := demandView(v, states, mix)
+		if !s.speedsOn(v.Name) {
+			delete(speeds, v.Name)
+		} else if speeds[v.Name] == nil {
+			speeds[v.Name] = &engineSpeeds{}
+		}
+		speeds[v.Name].update(states, func(r domain.Role, e roster.Start) (float64, int) { return s.relativeTime(v.Name, r, e) })
+		demand := demandView(v, states, mix, speeds[v.Name])
+		prefill, decode := roles.Pool{Model: v.Name, Role: domain.RolePrefill}, roles.Pool{Model: v.Name, Role: domain.RoleDecode}
 		s.Log.Info("engines", "service", v.Name, "of", len(pool), "answered", len(states), "ratio", mix.ratio, "sure", mix.sufficient,
-			"entries", entries, "requests", math.Round(samples[v.Name].Requests),
-			"prefill", demand.Demand[roles.Pool{Model: v.Name, Role: domain.RolePrefill}],
-			"decode", demand.Demand[roles.Pool{Model: v.Name, Role: domain.RoleDecode}])
+			"entries", entries, "requests", math.Round(samples[v.Name].Requests), "prefill", demand.Demand[prefill], "decode", demand.Demand[decode],
+			"prefill_speed", demand.Capacity(prefill), "decode_speed", demand.Capacity(decode))
 		p := planners[v.Name]
 		if p == nil {
 			if noDemand(demand) {
@@ -148,23 +158,42 @@
 			p = &roles.Planner{Timing: roles.TimingFor(v.Engine.SwitchTime)}
 			planners[v.Name] = p
 		}
-		var changes []RoleChange
-		for _, o := range p.Plan(time.Now(), demand, k.Issue) {
-			change := RoleChange{Start: startOf(states, o.Host), Fence: o.Fence}
-			switch s.sendRoleOrder(ctx, k, states, o) {
-			case OrderAccepted:
-				change.To = o.To.Role
-				changes = append(changes, change)
-			case orderUnknown:
-				changes = append(changes, change)
-			}
-		}
+		p.Timing.ExchangeRatio = speeds[v.Name].exchangeRatio()
+		orders := p.Plan(time.Now(), demand, k.Issue)
+		changes := s.giveOrders(orders, states, k.Holds, func(o roles.Order) OrderOutcome { return s.sendRoleOrder(ctx, k, states, o) })
 		if len(changes) > 0 {
 			s.announceChanges(ctx, changes)
 		}
 	}
 }
 
+// giveOrders gives the orders in turn and returns the changes that may follow from them. The
+// second order of an exchange is given only if the first was accepted and the lease is still
+// held: otherwise a pool would lose an engine and gain none, or the next holder would plan with
+// engines that an order of this one still moves.
+func (s *Server) giveOrders(orders []roles.Order, states []engineState, holds func() bool, send func(roles.Order) OrderOutcome) (changes []RoleChange) {
+	outcome := OrderAccepted
+	for i, o := range orders {
+		if o.Exchange && i > 0 && (outcome != OrderAccepted || !holds()) {
+			s.Log.Info("exchange of roles not completed", "upstream", o.Host, "from", o.From, "to", o.To, "first", outcome, "held", holds())
+			return changes
+		}
+		outcome = send(o)
+		change := RoleChange{Start: startOf(states, o.Host), Fence: o.Fence}
+		switch outcome {
+		case OrderAccepted:
+			change.To = o.To.Role
+			changes = append(changes, change)
+		case orderUnknown:
+			changes = append(changes, change)
+		}
+		if o.Exchange && i > 0 {
+			s.Log.Info("roles exchanged", "service", o.To.Model, "to_decode", o.Host, "to_prefill", orders[0].Host, "grounds", o.Reason, "outcome", outcome)
+		}
+	}
+	return changes
+}
+
 // minPlanInterval is the least time between two polls of the engines: their reported states
 // are no newer.
 const minPlanInterval = 200 * time.Millisecond
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -193,7 +193,7 @@
 	flush := http.NewResponseController(r.w)
 	buffer := make([]byte, streamReadSize)
 	var firstAfter, longestGap time.Duration
-	var pace eventPace
+	pace := eventPace{engine: a.start.ID}
 	lastRead := time.Now()
 	for {
 		n, err := reply.Read(buffer)
