--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -217,7 +217,7 @@
 	}
 	s.finishAnswered(r, a, took, r.info.PromptTokens, true)
 	if candidate.QueuedTokens == 0 && r.prefills == 1 {
-		s.recordPrefill(r, took)
+		s.recordPrefill(r, a.start.ID, took)
 	}
 	handle.Addr = u.Server().Addr
 	s.recordSpeed(r.service.Name, domain.RolePrefill, a.start, speed.Observation{Units: ahead + r.info.PromptTokens, Took: took, HostLoad: recentHostLoad(time.Now(), u)})
