slots: refused callers get a time to retry for which capacity is booked

Cause: the time to retry does not depend on the capacity that will be free. Change: a calendar of 50 ms steps holds what the servers can serve beside new calls and those that wait. A refusal names the first step with capacity left within a third of the caller's time, and books it; a caller that returns then goes before new ones of its rank. Up to 300 ms ahead the servers are expected to serve as much as at present, after that the mean of the last 2 s, since the load of a host lasts 600 ms. A call that was past its target when it asked books nothing: most callers retry once. While new calls alone exceed the capacity nothing is booked.

--- a/direct/slots.go
+++ b/direct/slots.go
@@ -139,8 +139,9 @@
 	usedAt time.Time
 }
 
-// use returns the pool of a service, and whether this entry was not its owner before.
-func (p *slotPools) use(now time.Time, v domain.Service) (pool *slotPool, became bool) {
+// use returns the pool of a service, and whether this entry was not its owner before. A new pool
+// reports the outcomes of bookings to onBooking.
+func (p *slotPools) use(now time.Time, v domain.Service, onBooking func(slots.BookingOutcome)) (pool *slotPool, became bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.byService == nil {
@@ -148,7 +149,7 @@
 	}
 	pool = p.byService[v]
 	if pool == nil {
-		pool = &slotPool{}
+		pool = &slotPool{Pool: slots.Pool{OnBooking: onBooking}}
 		pool.FirstTicket = slots.Ticket(rand.Uint64N(maxPeerNumber / 2))
 		p.byService[v] = pool
 	}
@@ -424,7 +425,9 @@
 // an answer.
 func (s *Server) awaitSlot(ctx context.Context, call slotRequest, beat func() error) (slots.Answer, error) {
 	now := time.Now()
-	pool, became := s.slotPools.use(now, call.Service)
+	pool, became := s.slotPools.use(now, call.Service, func(o slots.BookingOutcome) {
+		s.Meter.Inc("jacinthworks_bookings_total", meter.Labels{"service", string(call.Service), "outcome", string(o)})
+	})
 	if became {
 		s.Log.Info("slots owner", "service", call.Service, "change", "became", "by", "self")
 	}
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -68,9 +68,13 @@
 	// hosts take 2.5 times as long in 15 of 100 intervals.
 	slowdown float64
 	uneven   bool
+	// dips makes all hosts take 2.5 times as long in every fourth interval.
+	dips bool
 	// retries makes refused callers retry once.
 	retries bool
 	length  time.Duration
+	// timeout is how long callers wait, simTimeout if zero.
+	timeout time.Duration
 
 	now     time.Duration
 	events  events
@@ -93,6 +97,9 @@
 	if s.length == 0 {
 		s.length = simLength
 	}
+	if s.timeout == 0 {
+		s.timeout = simTimeout
+	}
 	var listed []slots.Server
 	for n := range simServers {
 		s.servers = append(s.servers, &simServer{id: fmt.Sprintf("i-%d", n), load: 1})
@@ -103,9 +110,7 @@
 	}
 	s.pool.SetServers(s.clock(), listed)
 	s.arrive()
-	if s.uneven {
-		s.changeLoads()
-	}
+	s.changeLoads()
 	s.tick()
 	for len(s.events) > 0 {
 		e := heap.Pop(&s.events).(event)
@@ -124,9 +129,10 @@
 }
 
 func (s *simulation) changeLoads() {
+	dip := s.dips && s.now/simHostPeriod%4 == 3
 	for _, v := range s.servers {
 		v.load = 1
-		if s.random.Float64() < 0.15 {
+		if dip || s.uneven && s.random.Float64() < 0.15 {
 			v.load = 2.5
 		}
 	}
@@ -137,7 +143,7 @@
 
 func (s *simulation) tick() {
 	s.pool.Advance(s.clock())
-	if s.now <= s.length+simTimeout {
+	if s.now <= s.length+s.timeout {
 		s.after(2*time.Millisecond, s.tick)
 	}
 }
@@ -164,7 +170,7 @@
 	s.after(simLatency, func() {
 		s.pool.Ask(s.clock(), slots.Call{
 			Request: id, Identity: retry.Identity(c.work), Spread: s.random.Float64(),
-			Target: s.clock().Add(c.sentAt + simTarget - s.now), Deadline: s.clock().Add(c.sentAt + simTimeout - s.now),
+			Target: s.clock().Add(c.sentAt + simTarget - s.now), Deadline: s.clock().Add(c.sentAt + s.timeout - s.now),
 			Answer: func(a slots.Answer) {
 				if a.Waited > 0 && !a.Granted {
 					s.heldAndRefused++
@@ -269,7 +275,7 @@
 }
 
 func (s *simulation) refuse(c *simCall, retryAfter time.Duration, booked bool) {
-	if !s.retries || c.retried || s.now+retryAfter > c.sentAt+simTimeout {
+	if !s.retries || c.retried || s.now+retryAfter > c.sentAt+s.timeout {
 		s.refused++
 		return
 	}
@@ -313,3 +319,15 @@
 	t.Log(s.String())
 	require.Greater(t, s.goodput(), 0.9*5/6)
 }
+
+// Guards against callers that return at the time they were told and are refused again. In every
+// fourth interval all hosts take 2.5 times as long, and part of the calls is refused.
+func TestBookedCallersAreServed(t *testing.T) {
+	for _, load := range []float64{0.6, 0.8} {
+		s := simulation{load: load, coordinated: true, dips: true, retries: true, timeout: 4 * time.Second}
+		s.run(1)
+		t.Log(s.String(), "booked", s.booked, "served", s.bookedServed)
+		require.Greater(t, s.booked, 20)
+		require.Greater(t, float64(s.bookedServed), 0.95*float64(s.booked))
+	}
+}
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -15,7 +15,9 @@
 //     call wants, so that retries do not make the calls late that are sent for the first time.
 //
 // A call that can't be answered within its target is refused at once and not held, so that its
-// caller learns it while there is time left.
+// caller learns it while there is time left. It is told when to try again: at a time for which
+// capacity was booked for it, if new calls leave any. Otherwise all callers that are refused
+// return in one wave, and are refused again.
 //
 // # Usage
 //
@@ -118,6 +120,8 @@
 	// OverShare, if set, reports whether an account has received more than its fair share. It is
 	// called with the pool's lock held.
 	OverShare func(domain.Account) bool
+	// OnBooking, if set, is called with each outcome of a booking, with the pool's lock held.
+	OnBooking func(BookingOutcome)
 
 	mu      sync.Mutex // taken before the locks of OverShare and of Call.Answer
 	servers map[string]*server
@@ -131,6 +135,8 @@
 	overhead time.Duration
 	// window is the average time that calls have until their targets.
 	window time.Duration
+	// calendar holds the capacity that is booked for callers that were refused.
+	calendar calendar
 }
 
 // grant is a slot that was granted and has not ended.
@@ -147,17 +153,20 @@
 	Call
 	since     time.Time
 	overShare bool
+	// booked means that capacity was booked for the call. repeated means that its target had
+	// passed when it asked: it is most likely the last try of its caller.
+	booked, repeated bool
 }
 
-// compare orders waiting calls: by rank, then accounts within their fair share first, then by
-// target.
+// compare orders waiting calls: by rank, then those with a booking first, then accounts within
+// their fair share, then by target.
 func (w *waiter) compare(o *waiter) int {
 	return cmp.Or(w.compareClass(o), w.Target.Compare(o.Target))
 }
 
 // compareClass compares only what precedes the target in the order.
 func (w *waiter) compareClass(o *waiter) int {
-	return cmp.Or(cmp.Compare(w.Rank, o.Rank), cmp.Compare(intOf(w.overShare), intOf(o.overShare)))
+	return cmp.Or(cmp.Compare(w.Rank, o.Rank), cmp.Compare(intOf(o.booked), intOf(w.booked)), cmp.Compare(intOf(w.overShare), intOf(o.overShare)))
 }
 
 func intOf(b bool) int {
@@ -229,11 +238,24 @@
 		p.refuse(now, w, NoServer)
 		return
 	}
+	if p.calendar.use(now, c.Identity) {
+		p.countBooking(Used)
+		// The target of a call that was refused has passed, or is near: it is served as soon as a
+		// new one would be.
+		w.booked = true
+		if soon := now.Add(p.window); w.Target.Before(soon) {
+			w.Target = soon
+		}
+	}
 	if p.isLate(now, w) {
+		w.repeated = true
 		p.askLate(now, w)
 		return
 	}
-	p.window = average(p.window, c.Target.Sub(now))
+	if !w.booked {
+		p.window = average(p.window, c.Target.Sub(now))
+		p.calendar.newCall(now)
+	}
 	// The calls that still wait after advance can't use the servers that are free.
 	if s := p.bestServer(now, w, true); s != nil {
 		p.grant(now, w, s)
@@ -288,6 +310,9 @@
 // its target.
 func (p *Pool) feasible(now time.Time, w *waiter, ahead int, rate, margin float64) bool {
 	wait := float64(ahead+1) / rate
+	if margin > 1 && !w.booked {
+		wait += float64(p.calendar.due(now.Add(time.Duration(wait*float64(time.Second))))) / rate
+	}
 	needed := margin * (wait + p.meanDuration(now).Seconds())
 	return !now.Add(time.Duration(needed * float64(time.Second))).After(w.Target)
 }
@@ -377,7 +402,29 @@
 
 // refuse answers a call that gets no slot.
 func (p *Pool) refuse(now time.Time, w *waiter, why Reason) {
-	w.Answer(Answer{Reason: why, Waited: now.Sub(w.since), RetryAfter: retryLimit(now, w)})
+	limit := max(0, w.Deadline.Sub(now)) / retryLimitDivisor
+	a := Answer{Reason: why, Waited: now.Sub(w.since)}
+	switch {
+	case w.booked:
+		p.countBooking(RefusedAgain)
+	case !w.repeated && why != NoServer:
+		a.RetryAfter, a.Booked = p.calendar.book(now, w.Identity, p.rate(now), float64(len(p.waiting)), limit, w.Spread)
+		if a.Booked {
+			p.countBooking(Booked)
+		} else {
+			p.countBooking(NoCapacity)
+		}
+	}
+	if !a.Booked {
+		a.RetryAfter = limit - time.Duration(retrySpread*w.Spread*float64(limit))
+	}
+	w.Answer(a)
+}
+
+func (p *Pool) countBooking(o BookingOutcome) {
+	if p.OnBooking != nil {
+		p.OnBooking(o)
+	}
 }
 
 const (
@@ -385,16 +432,10 @@
 	// to retry, so that time is left for the work.
 	retryLimitDivisor = 3
 	// retrySpread is the part of that time over which the retries of callers without a
-	// reservation are spread: those that are refused together would else return together.
+	// booking are spread: those that are refused together would else return together.
 	retrySpread = 0.25
 )
 
-// retryLimit returns the latest time after which the caller can retry, less a random part.
-func retryLimit(now time.Time, w *waiter) time.Duration {
-	limit := max(0, w.Deadline.Sub(now)) / retryLimitDivisor
-	return limit - time.Duration(retrySpread*w.Spread*float64(limit))
-}
-
 // End ends a granted slot. It returns false if the pool has no such ticket: it has expired, or
 // another process granted it.
 func (p *Pool) End(now time.Time, t Ticket, r Result) bool {
@@ -444,6 +485,10 @@
 			g.server.running--
 		}
 	}
+	p.calendar.recordRate(now, p.rate(now))
+	for range p.calendar.expire(now) {
+		p.countBooking(Expired)
+	}
 	p.waiting = slices.DeleteFunc(p.waiting, func(w *waiter) bool {
 		if s := p.bestServer(now, w, true); s != nil {
 			p.grant(now, w, s)
