slots: a failing server gets probes, and calls that no other server could serve

Cause: each entry observes a few calls of a failing server in a second, and a retry after its failure fails again. Change: the owner counts calls and failures of each server by route, and compares them with those of the other servers on the same routes, since routes fail at different rates whatever the server. A server whose failures exceed the expected ones by three standard deviations and 15 in 100 of its calls gets a probe a second, a repeatable call if there is one, and 100 ms after a probe that was answered the next. After four answers in a row it is used again. While the others have no slot in time, it gets calls, retries included, unless it fails more than half of them. Among servers with free slots a fuller one counts as up to a quarter slower: the averages have errors of that size, and at low load nearly all calls went to the server whose average was the lowest. A call whose deadline passes while it waits gets no slot; the property test found one that did.

--- a/direct/slots.go
+++ b/direct/slots.go
@@ -54,7 +54,9 @@
 	Account  domain.Account   `json:"account"`
 	Route    string           `json:"route"`
 	Zone     domain.Zone      `json:"zone"`
-	Rank     int              `json:"rank"`
+	// Repeatable means that the request may be sent again if it fails.
+	Repeatable bool `json:"repeatable"`
+	Rank       int  `json:"rank"`
 	// TargetMS is the time left until the answer is wanted, negative once it has passed, and
 	// DeadlineMS the time left to the request.
 	TargetMS   float64     `json:"target_ms"`
@@ -139,9 +141,9 @@
 	usedAt time.Time
 }
 
-// use returns the pool of a service, and whether this entry was not its owner before. A new pool
-// reports the outcomes of bookings to onBooking.
-func (p *slotPools) use(now time.Time, v domain.Service, onBooking func(slots.BookingOutcome)) (pool *slotPool, became bool) {
+// use returns the pool of a service, and whether this entry was not its owner before. It calls
+// observe with a new pool.
+func (p *slotPools) use(now time.Time, v domain.Service, observe func(*slots.Pool)) (pool *slotPool, became bool) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.byService == nil {
@@ -149,7 +151,8 @@
 	}
 	pool = p.byService[v]
 	if pool == nil {
-		pool = &slotPool{Pool: slots.Pool{OnBooking: onBooking}}
+		pool = &slotPool{}
+		observe(&pool.Pool)
 		pool.FirstTicket = slots.Ticket(rand.Uint64N(maxPeerNumber / 2))
 		p.byService[v] = pool
 	}
@@ -158,6 +161,16 @@
 	return pool, became
 }
 
+// observeSlots makes a pool report what operators see of it.
+func (s *Server) observeSlots(v domain.Service, p *slots.Pool) {
+	p.OnBooking = func(o slots.BookingOutcome) {
+		s.Meter.Inc("jacinthworks_bookings_total", meter.Labels{"service", string(v), "outcome", string(o)})
+	}
+	p.OnFailing = func(id string, failing bool, rate float64) {
+		s.Log.Info("upstream fails more than others", "service", v, "upstream", id, "failing", failing, "fails", math.Round(100*rate)/100)
+	}
+}
+
 // find returns the pool of a service, nil if this entry never owned it.
 func (p *slotPools) find(v domain.Service) *slotPool {
 	p.mu.Lock()
@@ -246,7 +259,7 @@
 // newSlotRequest describes the request's next attempt to the owner.
 func (s *Server) newSlotRequest(r *request, now time.Time) slotRequest {
 	call := slotRequest{
-		Service: r.service.Name, Request: r.id, Identity: r.identity, Account: r.account, Route: r.route.Name, Zone: s.Settings.Zone, Rank: max(r.priority(), 0),
+		Service: r.service.Name, Request: r.id, Identity: r.identity, Account: r.account, Route: r.route.Name, Zone: s.Settings.Zone, Repeatable: r.attempts.CanRepeat(), Rank: max(r.priority(), 0),
 		TargetMS: milliseconds(r.firstSent.Add(r.targetLatency()).Sub(now)), DeadlineMS: max(milliseconds(r.deadline.Sub(now)), 0),
 		HostLoads: make(map[roster.ID][2]float64),
 	}
@@ -425,9 +438,7 @@
 // an answer.
 func (s *Server) awaitSlot(ctx context.Context, call slotRequest, beat func() error) (slots.Answer, error) {
 	now := time.Now()
-	pool, became := s.slotPools.use(now, call.Service, func(o slots.BookingOutcome) {
-		s.Meter.Inc("jacinthworks_bookings_total", meter.Labels{"service", string(call.Service), "outcome", string(o)})
-	})
+	pool, became := s.slotPools.use(now, call.Service, func(p *slots.Pool) { s.observeSlots(call.Service, p) })
 	if became {
 		s.Log.Info("slots owner", "service", call.Service, "change", "became", "by", "self")
 	}
@@ -437,7 +448,7 @@
 	}
 	answers := make(chan slots.Answer, 1)
 	q := slots.Call{
-		Request: call.Request, Identity: call.Identity, Account: call.Account, Route: call.Route, Rank: call.Rank, Zone: call.Zone,
+		Request: call.Request, Identity: call.Identity, Account: call.Account, Route: call.Route, Repeatable: call.Repeatable, Rank: call.Rank, Zone: call.Zone,
 		Target: now.Add(time.Duration(call.TargetMS * float64(time.Millisecond))), Deadline: now.Add(time.Duration(call.DeadlineMS * float64(time.Millisecond))),
 		Skip: make(map[string]bool), Spread: rand.Float64(), Answer: func(a slots.Answer) { answers <- a },
 	}
--- a/slots/load_test.go
+++ b/slots/load_test.go
@@ -56,6 +56,10 @@
 	running int
 	queue   []func()
 	load    float64
+	// failureRate is the part of its calls that fail, in addition to that of their route.
+	failureRate float64
+	// calls and failures are counted by second.
+	calls, failures [20]int
 }
 
 // simulation plays calls against servers in virtual time.
@@ -148,6 +152,9 @@
 	}
 }
 
+// simRoutes are the routes and the part of their calls that fails at any server.
+var simRoutes = map[string]float64{"stable": 0.004, "unstable": 0.14}
+
 // simCall is a call from its first send on.
 type simCall struct {
 	entry   int
@@ -155,12 +162,17 @@
 	retried bool
 	booked  bool
 	work    string
+	route   string
 }
 
 func (s *simulation) send(c *simCall) {
 	s.lastID++
 	if c.work == "" {
 		c.work = fmt.Sprint("work-", s.lastID)
+		c.route = "stable"
+		if s.lastID%3 == 0 {
+			c.route = "unstable"
+		}
 	}
 	if !s.coordinated {
 		s.place(c, nil)
@@ -169,7 +181,7 @@
 	id := domain.RequestID(fmt.Sprint(s.lastID))
 	s.after(simLatency, func() {
 		s.pool.Ask(s.clock(), slots.Call{
-			Request: id, Identity: retry.Identity(c.work), Spread: s.random.Float64(),
+			Request: id, Identity: retry.Identity(c.work), Spread: s.random.Float64(), Route: c.route, Repeatable: s.random.IntN(4) == 0,
 			Target: s.clock().Add(c.sentAt + simTarget - s.now), Deadline: s.clock().Add(c.sentAt + s.timeout - s.now),
 			Answer: func(a slots.Answer) {
 				if a.Waited > 0 && !a.Granted {
@@ -191,8 +203,13 @@
 			started := s.now
 			s.call(v, func(ok bool) {
 				r := slots.Result{Outcome: slots.OK, Took: s.now - started, HostLoad: v.load, InFlight: v.running + len(v.queue) + 1}
+				second := int(started / time.Second)
+				v.calls[second]++
 				if !ok {
 					r.Outcome = slots.Full
+				} else if s.random.Float64() < v.failureRate+simRoutes[c.route] {
+					r.Outcome = slots.Failed
+					v.failures[second]++
 				}
 				s.after(simLatency, func() { s.pool.End(s.clock(), a.Ticket, r) })
 				s.ended(c, ok)
@@ -331,3 +348,30 @@
 		require.Greater(t, float64(s.bookedServed), 0.95*float64(s.booked))
 	}
 }
+
+// Guards against a failing server that gets as many calls as the others, and against servers taken
+// for failing because a route fails more often. One of three servers fails six in ten calls from
+// the third second to the sixth.
+func TestFailingServerGetsFewCalls(t *testing.T) {
+	for seed := range uint64(5) {
+		s := simulation{load: 0.4, coordinated: true}
+		for at, rate := range map[time.Duration]float64{3 * time.Second: 0.6, 6 * time.Second: 0} {
+			s.after(at, func() { s.servers[0].failureRate = rate })
+		}
+		s.run(seed)
+		v := s.servers[0]
+		t.Log("calls by second:", v.calls[:10], "failures:", v.failures[:10], "of the others:", s.servers[1].calls[:10])
+		require.Greater(t, v.calls[2], 10)
+		require.Less(t, v.calls[3], v.calls[2], "less than a second is needed to learn it")
+		for second := 4; second < 6; second++ {
+			require.GreaterOrEqual(t, v.calls[second], 1, "probes")
+			require.LessOrEqual(t, v.calls[second], 10)
+		}
+		require.Greater(t, v.calls[8], 10, "it is used again soon after it recovers")
+		for _, healthy := range s.servers[1:] {
+			for second := range 9 {
+				require.Greater(t, healthy.calls[second], 10, "more than probes")
+			}
+		}
+	}
+}
--- a/slots/server.go
+++ b/slots/server.go
@@ -104,6 +104,15 @@
 	// unsentInRow counts the consecutive calls for which it accepted no connection.
 	unsentInRow  int
 	coolingUntil time.Time
+	// faults counts calls and failures by route, and failureRate is the part that failed lately.
+	// failing means that more calls fail than at other servers; okInRow counts the consecutive
+	// answers since.
+	faults      map[string]*faultCount
+	failureRate float64
+	failing     bool
+	okInRow     int
+	// grantedAt is when it got its last call.
+	grantedAt time.Time
 	// overheadPart is the part of the time of a slot during which its call is on the way.
 	overheadPart float64
 }
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -11,6 +11,9 @@
 //   - Servers slow down when all of their slots are in use, and when their hosts have other
 //     work. A server gets as many calls as it completes fastest, which it learns from their
 //     durations.
+//   - A server fails more calls than the others do on the same routes. Without the package each
+//     process sees a few of its failures in a second, and sends retries to it. Here it gets few
+//     calls until probes are answered.
 //   - Callers that are refused try again. A call past its target gets only a slot that no other
 //     call wants, so that retries do not make the calls late that are sent for the first time.
 //
@@ -53,6 +56,10 @@
 	defaultOverhead = 3 * time.Millisecond
 	// maxOverhead bounds one measurement of that time, since an end may be reported late.
 	maxOverhead = 50 * time.Millisecond
+	// occupancyWeight is the part by which the expected duration counts as longer at a full server.
+	// The average durations have errors of this size, and without it nearly all calls would go to
+	// the server whose average happens to be the lowest.
+	occupancyWeight = 0.25
 	// smoothing is the weight of a new measurement in the averages over all servers.
 	smoothing = 0.05
 )
@@ -83,6 +90,8 @@
 	Identity retry.Identity
 	Account  domain.Account
 	Route    string
+	// Repeatable means that the call may be sent again if it fails.
+	Repeatable bool
 	// Rank is the priority, 0 being the highest.
 	Rank int
 	// Zone is the availability zone of the process that sends the call.
@@ -122,6 +131,9 @@
 	OverShare func(domain.Account) bool
 	// OnBooking, if set, is called with each outcome of a booking, with the pool's lock held.
 	OnBooking func(BookingOutcome)
+	// OnFailing, if set, is called when a server begins or ends to fail more calls than the
+	// others, with the part of its calls that failed lately and the pool's lock held.
+	OnFailing func(id string, failing bool, rate float64)
 
 	mu      sync.Mutex // taken before the locks of OverShare and of Call.Answer
 	servers map[string]*server
@@ -137,6 +149,8 @@
 	window time.Duration
 	// calendar holds the capacity that is booked for callers that were refused.
 	calendar calendar
+	// routes counts the calls and failures of each route.
+	routes map[string]*faultCount
 }
 
 // grant is a slot that was granted and has not ended.
@@ -243,7 +257,7 @@
 		// The target of a call that was refused has passed, or is near: it is served as soon as a
 		// new one would be.
 		w.booked = true
-		if soon := now.Add(p.window); w.Target.Before(soon) {
+		if soon := now.Add(min(p.window, w.Deadline.Sub(now))); w.Target.Before(soon) {
 			w.Target = soon
 		}
 	}
@@ -270,7 +284,7 @@
 		p.grant(now, w, s)
 		return
 	}
-	p.refuse(now, w, Late)
+	p.useFailing(now, w, Late)
 }
 
 // enqueue adds a call to the waiting ones, or refuses it if it can't meet its target, or would
@@ -285,7 +299,7 @@
 		return -1 // after the calls that are equal
 	})
 	if rate <= 0 || !p.feasible(now, w, position, rate, admissionMargin) {
-		p.refuse(now, w, NoSlot)
+		p.useFailing(now, w, NoSlot)
 		return
 	}
 	displaced := make(map[*waiter]bool)
@@ -294,7 +308,7 @@
 			continue
 		}
 		if w.compareClass(behind) == 0 {
-			p.refuse(now, w, NoSlot)
+			p.useFailing(now, w, NoSlot)
 			return
 		}
 		displaced[behind] = true
@@ -306,6 +320,18 @@
 	p.waiting = slices.Insert(p.waiting, position, w)
 }
 
+// useFailing answers a call that no other server can complete in time: it gets a slot at a failing
+// server that serves more calls than it fails, or is refused.
+func (p *Pool) useFailing(now time.Time, w *waiter, why Reason) {
+	for _, s := range p.sorted {
+		if s.failing && s.failureRate <= maxFailureRate && s.usable(now) && !w.Skip[s.ID] && s.free(now) > 0 && !now.Add(s.duration(now, s.running+1)).After(w.Target) {
+			p.grant(now, w, s)
+			return
+		}
+	}
+	p.refuse(now, w, why)
+}
+
 // feasible reports whether a call that waits behind the given number of others is expected to meet
 // its target.
 func (p *Pool) feasible(now time.Time, w *waiter, ahead int, rate, margin float64) bool {
@@ -321,7 +347,7 @@
 func (p *Pool) rate(now time.Time) float64 {
 	rate := 0.0
 	for _, s := range p.sorted {
-		if s.usable(now) {
+		if s.usable(now) && !s.failing {
 			held := s.duration(now, s.limit) + p.slotOverhead()
 			rate += float64(max(0, s.limit-s.otherCalls(now))) / held.Seconds()
 		}
@@ -333,7 +359,7 @@
 func (p *Pool) meanDuration(now time.Time) time.Duration {
 	rate, slots := 0.0, 0.0
 	for _, s := range p.sorted {
-		if s.usable(now) {
+		if s.usable(now) && !s.failing {
 			rate += float64(s.limit) / s.duration(now, s.limit).Seconds()
 			slots += float64(s.limit)
 		}
@@ -356,10 +382,10 @@
 	return slices.ContainsFunc(p.sorted, func(s *server) bool { return s.usable(now) && !w.Skip[s.ID] })
 }
 
-// isLate reports whether no server can complete the call by its target.
+// isLate reports whether no server that is not failing can complete the call by its target.
 func (p *Pool) isLate(now time.Time, w *waiter) bool {
 	for _, s := range p.sorted {
-		if s.usable(now) && !w.Skip[s.ID] && !now.Add(s.duration(now, 1)).After(w.Target) {
+		if s.usable(now) && !s.failing && !w.Skip[s.ID] && !now.Add(s.duration(now, 1)).After(w.Target) {
 			return false
 		}
 	}
@@ -367,7 +393,8 @@
 }
 
 // bestServer returns the server with a free slot that is expected to complete the call first; nil
-// if there is none. With inTime, only servers that are expected to meet the call's target count.
+// if there is none. With inTime, only servers that are expected to meet the call's target count. A
+// failing server is returned only for a probe.
 func (p *Pool) bestServer(now time.Time, w *waiter, inTime bool) *server {
 	var best *server
 	var bestCost time.Duration
@@ -375,6 +402,12 @@
 		if !s.usable(now) || w.Skip[s.ID] || s.free(now) <= 0 {
 			continue
 		}
+		if s.failing {
+			if s.probeDue(now, w) {
+				return s
+			}
+			continue
+		}
 		cost := s.duration(now, s.running+s.otherCalls(now)+1)
 		if inTime && now.Add(cost).After(w.Target) {
 			continue
@@ -382,6 +415,7 @@
 		if s.Zone != w.Zone {
 			cost += crossZoneCost
 		}
+		cost += time.Duration(occupancyWeight * float64(cost) * float64(s.limit-s.free(now)) / float64(s.limit))
 		if best == nil || cost < bestCost || cost == bestCost && s.free(now) > best.free(now) {
 			best, bestCost = s, cost
 		}
@@ -396,6 +430,7 @@
 	}
 	p.lastTicket = max(p.lastTicket, p.FirstTicket) + 1
 	s.running++
+	s.grantedAt = now
 	p.tickets[p.lastTicket] = &grant{server: s, call: w.Call, grantedAt: now, concurrency: s.running + s.otherCalls(now)}
 	w.Answer(Answer{Granted: true, Server: s.ID, Ticket: p.lastTicket, Waited: now.Sub(w.since)})
 }
@@ -451,6 +486,9 @@
 		p.overhead = average(p.overhead, min(held-r.Took, maxOverhead))
 	}
 	g.server.ended(now, g, r, p.window)
+	if r.Outcome == OK || r.Outcome == Failed {
+		p.recordOutcome(now, g.server, g.call.Route, r.Outcome == Failed)
+	}
 	p.advance(now)
 	return true
 }
@@ -495,7 +533,7 @@
 			return true
 		}
 		if p.isLate(now, w) {
-			p.refuse(now, w, Overdue)
+			p.useFailing(now, w, Overdue)
 			return true
 		}
 		return false
