slots: a lower limit needs a goodput that is higher by a tenth

Cause: address look-up does not state the load of its hosts, so that averages of a server's durations at two concurrencies, measured at different times, differ by the load of its host. Change: the limit is the highest concurrency with nine tenths of the highest goodput (0.97 before).

--- a/slots/server.go
+++ b/slots/server.go
@@ -66,7 +66,7 @@
 	durationLifetime = 5 * time.Second
 	// limitTolerance is the part of the highest goodput that a higher concurrency must reach to
 	// be preferred, so that the error of the averages does not lower the limit.
-	limitTolerance = 0.97
+	limitTolerance = 0.9
 	// minOverheadSlots is the number of slots that must be idle on average because of the way
 	// of messages, before one more call than the server has slots is granted.
 	minOverheadSlots = 0.5
