slots: the owner splits the stated figure of a host

Cause: the fourth figure holds the speed of the upstream and the load of its host together, and an entry sees few statements of an upstream, so that it may take a loaded host for the usual state. Change: /v1/slot_end carries the stated figure and the upstream, and the owner, which sees the statements to all entries, splits it. /v1/slot does not carry loads of hosts: each of them reaches the owner by an end as well.

--- a/direct/slots.go
+++ b/direct/slots.go
@@ -62,21 +62,13 @@
 	TargetMS   float64     `json:"target_ms"`
 	DeadlineMS float64     `json:"deadline_ms"`
 	Skip       []roster.ID `json:"skip,omitempty"`
-	// HostLoads holds the load of upstreams' hosts that this entry knows, in percent, and the
-	// age of each in milliseconds.
-	HostLoads map[roster.ID][2]float64 `json:"host_loads,omitempty"`
 }
 
 // valid reports whether all numbers and lists are within their bounds.
 func (q *slotRequest) valid() bool {
-	if q.Request == "" || q.Rank < 0 || q.Rank > maxPeerList || len(q.Skip) > maxPeerList || len(q.HostLoads) > maxPeerList {
+	if q.Request == "" || q.Rank < 0 || q.Rank > maxPeerList || len(q.Skip) > maxPeerList {
 		return false
 	}
-	for _, l := range q.HostLoads {
-		if !validNumber(l[0]) || !validNumber(l[1]) {
-			return false
-		}
-	}
 	return validNumber(math.Abs(q.TargetMS)) && validNumber(q.DeadlineMS)
 }
 
@@ -100,10 +92,13 @@
 	Service  domain.Service   `json:"service"`
 	Ticket   slots.Ticket     `json:"ticket,omitempty"`
 	Request  domain.RequestID `json:"request,omitempty"`
+	Upstream roster.ID        `json:"upstream,omitempty"`
 	Outcome  slots.Outcome    `json:"outcome"`
 	TookMS   float64          `json:"took_ms"`
-	HostLoad float64          `json:"host_load,omitempty"`
-	InFlight *int             `json:"in_flight,omitempty"`
+	// HostLoad and InFlight are what the upstream stated. The owner gets what upstreams state to
+	// all entries, and so knows best which figure is usual.
+	HostLoad float64 `json:"host_load,omitempty"`
+	InFlight *int    `json:"in_flight,omitempty"`
 }
 
 func (e *slotEnd) valid() bool {
@@ -261,16 +256,12 @@
 	call := slotRequest{
 		Service: r.service.Name, Request: r.id, Identity: r.identity, Account: r.account, Route: r.route.Name, Zone: s.Settings.Zone, Repeatable: r.attempts.CanRepeat(), Rank: max(r.priority(), 0),
 		TargetMS: milliseconds(r.firstSent.Add(r.targetLatency()).Sub(now)), DeadlineMS: max(milliseconds(r.deadline.Sub(now)), 0),
-		HostLoads: make(map[roster.ID][2]float64),
 	}
 	for _, u := range s.roster.Upstreams(r.service.Name) {
 		m := u.Server()
 		if r.excluded[m.Key()] || !u.Eligibility(now).Eligible() || u.Stats.Candidate(now).CoolingDown {
 			call.Skip = append(call.Skip, m.ID)
 		}
-		if load, age, ok := u.Stats.HostLoad(now); ok && age < slots.HostLoadLifetime {
-			call.HostLoads[m.ID] = [2]float64{100 * load, milliseconds(age)}
-		}
 	}
 	return call
 }
@@ -329,7 +320,7 @@
 	if !a.slot.held() {
 		return
 	}
-	e := slotEnd{Outcome: outcome, TookMS: milliseconds(max(took, 0)), HostLoad: a.stated.HostLoad}
+	e := slotEnd{Upstream: a.start.ID, Outcome: outcome, TookMS: milliseconds(max(took, 0)), HostLoad: a.stated.HostLoad}
 	if a.stated.LoadReported {
 		e.InFlight = &a.stated.InFlight
 	}
@@ -359,7 +350,11 @@
 		pool.Cancel(now, e.Request)
 		return
 	}
-	result := slots.Result{Outcome: e.Outcome, Took: time.Duration(e.TookMS * float64(time.Millisecond)), HostLoad: e.HostLoad, InFlight: -1}
+	result := slots.Result{Outcome: e.Outcome, Took: time.Duration(e.TookMS * float64(time.Millisecond)), InFlight: -1}
+	if u := s.roster.Upstream(e.Upstream); u != nil && e.HostLoad > 0 {
+		u.Stats.RecordHostLoad(now, e.HostLoad)
+		result.HostLoad, _, _ = u.Stats.HostLoad(now)
+	}
 	if e.InFlight != nil {
 		result.InFlight = *e.InFlight
 	}
@@ -443,9 +438,6 @@
 		s.Log.Info("slots owner", "service", call.Service, "change", "became", "by", "self")
 	}
 	pool.SetServers(now, s.slotServers(call.Service))
-	for id, l := range call.HostLoads {
-		pool.RecordHostLoad(now.Add(-time.Duration(l[1]*float64(time.Millisecond))), string(id), l[0]/100)
-	}
 	answers := make(chan slots.Answer, 1)
 	q := slots.Call{
 		Request: call.Request, Identity: call.Identity, Account: call.Account, Route: call.Route, Repeatable: call.Repeatable, Rank: call.Rank, Zone: call.Zone,
--- a/direct/slots_test.go
+++ b/direct/slots_test.go
@@ -39,15 +39,15 @@
 
 // Guards against malformed messages that change an owner's state or make it stop.
 func FuzzSlotMessages(f *testing.F) {
-	f.Add(`{"service":"cards","request":"r","target_ms":100,"deadline_ms":100}`, `{"service":"cards","ticket":1,"outcome":"ok","took_ms":60,"in_flight":3}`)
+	f.Add(`{"service":"cards","request":"r","target_ms":100,"deadline_ms":100}`, `{"service":"cards","ticket":1,"outcome":"ok","took_ms":60,"in_flight":3,"upstream":"i-1","host_load":1.7}`)
 	f.Add(`{"service":"cards","request":"r","target_ms":-1e13,"deadline_ms":100}`, `{"service":"cards","ticket":1,"outcome":"ok","took_ms":-1}`)
 	f.Add(`{"service":"cards","request":"r","target_ms":1,"deadline_ms":-1}`, `{"service":"cards","ticket":1,"outcome":"done"}`)
 	f.Add(`{"service":"other","request":"r","target_ms":1,"deadline_ms":1}`, `{"service":"cards","ticket":1,"outcome":"ok","in_flight":-3}`)
 	f.Add(`{"service":"model","request":"r","target_ms":1,"deadline_ms":1}`, `{"service":"cards","outcome":"gone"}`)
 	f.Add(`{"service":"cards","request":"r","rank":-1,"target_ms":1,"deadline_ms":1}`, `{"service":"cards","ticket":1,"outcome":"ok","host_load":1e13}`)
-	f.Add(`{"service":"cards","request":"r","target_ms":1,"deadline_ms":1,"host_loads":{"i-1":[-100,3]}}`, `{"service":"cards","ticket":-1,"outcome":"ok"}`)
+	f.Add(`{"service":"cards","request":"r","target_ms":1,"deadline_ms":1,"zone":3}`, `{"service":"cards","ticket":-1,"outcome":"ok"}`)
 	f.Add(`{"service":"cards","target_ms":1,"deadline_ms":1}`, `{`)
-	f.Add(`{"service":"cards","request":"r","target_ms":1e12,"deadline_ms":1e12,"host_loads":{"i-1":[1e12,1e12]}}`, `{"service":"cards","ticket":1,"outcome":"full","took_ms":1e12}`)
+	f.Add(`{"service":"cards","request":"r","target_ms":1e12,"deadline_ms":1e12,"skip":["i-1"]}`, `{"service":"cards","ticket":1,"outcome":"full","took_ms":1e12}`)
 	f.Fuzz(func(t *testing.T, ask, end string) {
 		s := newSlotOwner()
 		status, _ := askForSlot(s, ask)
--- a/slots/server.go
+++ b/slots/server.go
@@ -43,8 +43,8 @@
 	Outcome Outcome
 	// Took is the time from the send to the answer.
 	Took time.Duration
-	// HostLoad is the stated load of the server's host relative to its usual load; zero if not
-	// stated.
+	// HostLoad is the time that work takes on the server's host relative to its usual time there;
+	// zero if not stated.
 	HostLoad float64
 	// InFlight is the stated number of calls at the server; negative if not stated.
 	InFlight int
@@ -72,8 +72,8 @@
 	minOverheadSlots = 0.5
 	// fullMemory is how long after a refusal a server gets no call beyond its slots.
 	fullMemory = 10 * time.Second
-	// HostLoadLifetime is how long a stated load of a host is used; hosts change it every 600 ms.
-	HostLoadLifetime = 700 * time.Millisecond
+	// hostLoadLifetime is how long a stated load of a host is used; hosts change it every 600 ms.
+	hostLoadLifetime = 700 * time.Millisecond
 	// othersHalfLife is the half-life of the number of calls of processes that did not ask for a
 	// slot: plain calls end within some 100 ms.
 	othersHalfLife = 200 * time.Millisecond
@@ -148,18 +148,12 @@
 
 // hostLoad is the load of the server's host, 1 if it is not known.
 func (s *server) hostLoad(now time.Time) float64 {
-	if s.load <= 0 || now.Sub(s.loadAt) > HostLoadLifetime {
+	if s.load <= 0 || now.Sub(s.loadAt) > hostLoadLifetime {
 		return 1
 	}
 	return s.load
 }
 
-func (s *server) recordLoad(at time.Time, load float64) {
-	if load > 0 && at.After(s.loadAt) {
-		s.load, s.loadAt = load, at
-	}
-}
-
 // duration is the expected duration of a call while so many calls run at the server, at the
 // present load of its host.
 func (s *server) duration(now time.Time, concurrency int) time.Duration {
@@ -221,7 +215,9 @@
 
 // ended records the end of a granted call.
 func (s *server) ended(now time.Time, g *grant, r Result, window time.Duration) {
-	s.recordLoad(now, r.HostLoad)
+	if r.HostLoad > 0 {
+		s.load, s.loadAt = r.HostLoad, now
+	}
 	if r.InFlight >= 0 {
 		own := s.running
 		if r.Outcome == Full {
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -228,15 +228,6 @@
 	}
 }
 
-// RecordHostLoad records the load of a server's host as stated at the given time.
-func (p *Pool) RecordHostLoad(at time.Time, id string, load float64) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if s := p.servers[id]; s != nil {
-		s.recordLoad(at, load)
-	}
-}
-
 // Ask asks for a slot. The call is answered at once, or as soon as it gets a slot or can no longer
 // get one in time.
 func (p *Pool) Ask(now time.Time, c Call) {
