--- a/roster/stats.go
+++ b/roster/stats.go
@@ -44,7 +44,7 @@
 	// report.
 	otherRequests float64
 	reportedAt    time.Time
-	hostLoad hostLoad
+	hostLoad      hostLoad
 	// failures, refusals and successes are counts that decay.
 	failures, refusals, successes float64
 	decayedAt                     time.Time
