slots: late calls wait beside new ones, and failing servers take the overflow of repeatable calls

Change: a late call waits up to 600 ms if the slots serve more than the new calls that come; a call that can be repeated goes to a server that fails up to nine tenths rather than being refused; one call beyond the slots is granted from a fifth of a slot lost to messages on.

--- a/slots/faults.go
+++ b/slots/faults.go
@@ -21,6 +21,8 @@
 	minExcessRate   = 0.15
 	// maxFailureRate is the failure rate above which a failing server gets only probes.
 	maxFailureRate = 0.5
+	// maxRepeatableFailureRate is the same for calls that can be repeated.
+	maxRepeatableFailureRate = 0.9
 	// A failing server gets a probe every probeInterval, and shortProbeInterval after one that
 	// was answered. After probesToRecover consecutive answers it is not failing any more. Calls
 	// that can't be repeated are used as probes only after lostProbeInterval without another.
--- a/slots/server.go
+++ b/slots/server.go
@@ -69,7 +69,7 @@
 	limitTolerance = 0.9
 	// minOverheadSlots is the number of slots that must be idle on average because of the way
 	// of messages, before one more call than the server has slots is granted.
-	minOverheadSlots = 0.5
+	minOverheadSlots = 0.2
 	// fullMemory is how long after a refusal a server gets no call beyond its slots.
 	fullMemory = 10 * time.Second
 	// hostLoadLifetime is how long a stated load of a host is used; hosts change it every 600 ms.
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -60,6 +60,11 @@
 	// The average durations have errors of this size, and without it nearly all calls would go to
 	// the server whose average happens to be the lowest.
 	occupancyWeight = 0.25
+	// A late call waits for a slot that no other call wants, for at most lateMaxWait and the
+	// remaining time divided by lateWaitDivisor: a burst has gaps of some hundred milliseconds,
+	// and its caller does not come a third time.
+	lateMaxWait     = 600 * time.Millisecond
+	lateWaitDivisor = 2
 	// smoothing is the weight of a new measurement in the averages over all servers.
 	smoothing = 0.05
 )
@@ -76,7 +81,8 @@
 	NoServer Reason = "no_server"
 	// NoSlot means that no slot becomes free early enough to meet the call's target.
 	NoSlot Reason = "no_slot"
-	// Late means that the target can't be met in any case, and that no slot is idle.
+	// Late means that the target had passed when the call asked, and that no slot becomes idle
+	// soon.
 	Late Reason = "late"
 	// Displaced means that a call of a higher rank took the place of a waiting call.
 	Displaced Reason = "displaced"
@@ -167,20 +173,20 @@
 	Call
 	since     time.Time
 	overShare bool
-	// booked means that capacity was booked for the call. repeated means that its target had
-	// passed when it asked: it is most likely the last try of its caller.
-	booked, repeated bool
+	// booked means that capacity was booked for the call. late means that its target had passed
+	// when it asked: it is most likely the last try of its caller.
+	booked, late bool
 }
 
-// compare orders waiting calls: by rank, then those with a booking first, then accounts within
-// their fair share, then by target.
+// compare orders waiting calls: late ones last, then by rank, then those with a booking first,
+// then accounts within their fair share, then by target.
 func (w *waiter) compare(o *waiter) int {
 	return cmp.Or(w.compareClass(o), w.Target.Compare(o.Target))
 }
 
 // compareClass compares only what precedes the target in the order.
 func (w *waiter) compareClass(o *waiter) int {
-	return cmp.Or(cmp.Compare(w.Rank, o.Rank), cmp.Compare(intOf(o.booked), intOf(w.booked)), cmp.Compare(intOf(w.overShare), intOf(o.overShare)))
+	return cmp.Or(cmp.Compare(intOf(w.late), intOf(o.late)), cmp.Compare(w.Rank, o.Rank), cmp.Compare(intOf(o.booked), intOf(w.booked)), cmp.Compare(intOf(w.overShare), intOf(o.overShare)))
 }
 
 func intOf(b bool) int {
@@ -253,8 +259,13 @@
 		}
 	}
 	if p.isLate(now, w) {
-		w.repeated = true
-		p.askLate(now, w)
+		w.late = true
+		w.Target = now.Add(min(lateMaxWait, w.Deadline.Sub(now)/lateWaitDivisor))
+		if s := p.bestServer(now, w, false); s != nil {
+			p.grant(now, w, s)
+			return
+		}
+		p.enqueue(now, w)
 		return
 	}
 	if !w.booked {
@@ -269,33 +280,29 @@
 	p.enqueue(now, w)
 }
 
-// askLate answers a call that can't meet its target: it gets a slot that no waiting call can use.
-func (p *Pool) askLate(now time.Time, w *waiter) {
-	if s := p.bestServer(now, w, false); s != nil {
-		p.grant(now, w, s)
-		return
-	}
-	p.useFailing(now, w, Late)
-}
-
 // enqueue adds a call to the waiting ones, or refuses it if it can't meet its target, or would
 // make a waiting call of its own class miss its target. Calls of lower classes that can no longer
 // meet their targets are refused.
 func (p *Pool) enqueue(now time.Time, w *waiter) {
 	rate := p.rate(now)
+	total := rate
 	position, _ := slices.BinarySearchFunc(p.waiting, w, func(a, b *waiter) int {
 		if c := a.compare(b); c != 0 {
 			return c
 		}
 		return -1 // after the calls that are equal
 	})
+	if w.late {
+		// New calls go first, also those that have yet to come.
+		rate -= p.calendar.newRate(now)
+	}
 	if rate <= 0 || !p.feasible(now, w, position, rate, admissionMargin) {
 		p.useFailing(now, w, NoSlot)
 		return
 	}
 	displaced := make(map[*waiter]bool)
 	for n, behind := range p.waiting[position:] {
-		if p.feasible(now, behind, position+n+1-len(displaced), rate, 1) {
+		if p.feasible(now, behind, position+n+1-len(displaced), total, 1) {
 			continue
 		}
 		if w.compareClass(behind) == 0 {
@@ -311,11 +318,20 @@
 	p.waiting = slices.Insert(p.waiting, position, w)
 }
 
+// maxFailureRate is the part of its calls that a server may fail for the call to be sent there
+// rather than refused. A call that can't be repeated is lost if it fails.
+func (w *waiter) maxFailureRate() float64 {
+	if w.Repeatable {
+		return maxRepeatableFailureRate
+	}
+	return maxFailureRate
+}
+
 // useFailing answers a call that no other server can complete in time: it gets a slot at a failing
-// server that serves more calls than it fails, or is refused.
+// server, unless that fails too many calls, or is refused.
 func (p *Pool) useFailing(now time.Time, w *waiter, why Reason) {
 	for _, s := range p.sorted {
-		if s.failing && s.failureRate <= maxFailureRate && s.usable(now) && !w.Skip[s.ID] && s.free(now) > 0 && !now.Add(s.duration(now, s.running+1)).After(w.Target) {
+		if s.failing && s.failureRate <= w.maxFailureRate() && s.usable(now) && !w.Skip[s.ID] && s.free(now) > 0 && !now.Add(s.duration(now, s.running+1)).After(w.Target) {
 			p.grant(now, w, s)
 			return
 		}
@@ -429,11 +445,14 @@
 // refuse answers a call that gets no slot.
 func (p *Pool) refuse(now time.Time, w *waiter, why Reason) {
 	limit := max(0, w.Deadline.Sub(now)) / retryLimitDivisor
+	if w.late && why == NoSlot {
+		why = Late
+	}
 	a := Answer{Reason: why, Waited: now.Sub(w.since)}
 	switch {
 	case w.booked:
 		p.countBooking(RefusedAgain)
-	case !w.repeated && why != NoServer:
+	case !w.late && why != NoServer:
 		a.RetryAfter, a.Booked = p.calendar.book(now, w.Identity, p.rate(now), float64(len(p.waiting)), limit, w.Spread)
 		if a.Booked {
 			p.countBooking(Booked)
