--- a/direct/direct.go
+++ b/direct/direct.go
@@ -98,6 +98,7 @@
 	unresponsive     relay.Unresponsive
 	trackers         assign.Trackers
 	hostLoads        hostLoads
+	slotPools        slotPools
 	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
 	// prompts of all entries that this one tracks.
 	speeds, trackedSpeeds speeds
--- a/direct/owner.go
+++ b/direct/owner.go
@@ -52,14 +52,22 @@
 	return string(k.peer.Name)
 }
 
-// callOwner makes a call at the entry that owns a key. It tries the first maxOwners owners
+// callOwner makes a call at the entry that owns a key; see reachOwner.
+func callOwner[A any](ctx context.Context, s *Server, key, path string, maxOwners int, call any, local func(first bool) A) (answer A, by owner, ok bool) {
+	remote := func(p *relay.Peer) (a A, err error) {
+		return a, callPeer(ctx, p, http.MethodPost, path, ownerTimeout, call, &a)
+	}
+	return reachOwner(ctx, s, key, maxOwners, remote, local)
+}
+
+// reachOwner calls remote with the entry that owns a key. It tries the first maxOwners owners
 // in order of precedence. If one of them is this entry, it calls local instead, with first
 // true if no other entry precedes this one. It returns false if no owner can be reached.
 //
 // When an entry drains, the others go to the next owner of its keys. What the draining
 // entry still granted to its own callers by its own count would be granted twice, so a
 // draining entry calls the other owners first.
-func callOwner[A any](ctx context.Context, s *Server, key, path string, maxOwners int, call any, local func(first bool) A) (answer A, by owner, ok bool) {
+func reachOwner[A any](ctx context.Context, s *Server, key string, maxOwners int, remote func(*relay.Peer) (A, error), local func(first bool) A) (answer A, by owner, ok bool) {
 	tried, ownRank := 0, -1
 	for n, o := range s.peers.fleet.Owners(time.Now(), key, maxOwners) {
 		if o.Peer == nil && s.draining.Load() {
@@ -79,13 +87,16 @@
 		if tried++; tried > maxOwnerTries {
 			break
 		}
-		err := callPeer(ctx, o.Peer, http.MethodPost, path, ownerTimeout, call, &answer)
+		a, err := remote(o.Peer)
 		if err == nil {
-			return answer, owner{o.Peer}, true
+			return a, owner{o.Peer}, true
 		}
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, errUnknownPath) {
+			continue // an entry of an earlier version, which answers other calls
+		}
 		s.unresponsive.MarkDown(time.Now(), o.Peer)
 		s.Log.Info("owner not reachable", "key", key, "entry", o.Peer.Name, "err", err)
 	}
@@ -106,6 +117,9 @@
 // draining or has no configuration or registry yet.
 var errPeerUnavailable = errors.New("direct: calling another entry: it is draining or not ready")
 
+// errUnknownPath is the error of a call that an entry of an earlier version does not serve.
+var errUnknownPath = errors.New("direct: calling another entry: it does not serve the path")
+
 // callPeer makes one call at another entry. A nil call sends no body; with a nil answer the
 // response is not decoded.
 func callPeer(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, call, answer any) error {
@@ -113,6 +127,10 @@
 	if err != nil || answer == nil {
 		return err
 	}
+	return decodePeerAnswer(p, body, answer)
+}
+
+func decodePeerAnswer(p *relay.Peer, body []byte, answer any) error {
 	return errors.Wrap(json.Unmarshal(body, answer), "direct: decoding the response of "+string(p.Name))
 }
 
@@ -121,6 +139,16 @@
 func callPeerRaw(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, maxResponse int64, call any) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
+	reply, err := beginPeerCall(ctx, p, method, path, within, call)
+	if err != nil {
+		return nil, err
+	}
+	return readPeerBody(reply, maxResponse)
+}
+
+// beginPeerCall sends a call to another entry and waits for the header of its response. The
+// caller closes the response.
+func beginPeerCall(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, call any) (*send.Response, error) {
 	request := send.Request{Method: method, Target: path, ReadTimeout: within}
 	if call != nil {
 		body, err := json.Marshal(call)
@@ -129,16 +157,19 @@
 		}
 		request.Header, request.Body = http.Header{"Content-Type": {"application/json"}}, body
 	}
-	reply, err := p.Do(ctx, request)
-	if err != nil {
-		return nil, err
-	}
+	return p.Do(ctx, request)
+}
+
+// readPeerBody reads the response to a call to another entry, and closes it.
+func readPeerBody(reply *send.Response, maxResponse int64) ([]byte, error) {
 	body, err := reply.ReadAll(maxResponse)
 	switch {
 	case err != nil:
 		return nil, err
 	case reply.Status == http.StatusServiceUnavailable:
 		return nil, errPeerUnavailable
+	case reply.Status == http.StatusNotFound:
+		return nil, errUnknownPath
 	case reply.Status != http.StatusOK:
 		return nil, errors.Errorf("direct: calling another entry: status %d", reply.Status)
 	}
@@ -151,6 +182,7 @@
 	return func(w http.ResponseWriter, h *http.Request) {
 		var call C
 		if err := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxOwnerRequest)).Decode(&call); err != nil {
+			s.rejectMessage(h.URL.Path)
 			http.Error(w, err.Error(), http.StatusBadRequest)
 			return
 		}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -222,7 +222,7 @@
 	handle.Addr = u.Server().Addr
 	s.recordSpeed(r.service.Name, domain.RolePrefill, a.start, speed.Observation{Units: ahead + r.info.PromptTokens, Took: took, HostLoad: recentHostLoad(time.Now(), u)})
 	s.Log.Info("prefilled", "request", r.id, "upstream", a.start.ID, "tokens", handle.Tokens, "took", took)
-	return &prefillResult{upstream: u, handle: handle, took: took, hostLoad: a.hostLoad}, nil
+	return &prefillResult{upstream: u, handle: handle, took: took, hostLoad: a.stated.HostLoad}, nil
 }
 
 // freeHandle frees, in the background, the KV cache of a prompt that no engine will fetch.
