direct: shares of accounts over the fleet

Cause: each entry divides capacity equally among its own callers. An account that is heavy at all entries gets capacity that a light one needs at another entry, and an entry sees only a few requests of each account.

Change: package shares. Entries report each 250 ms (each 5 ms x entries, if that is longer) what their accounts received, wait for and were refused of each service; the owner of shares/SERVICE computes weighted max-min shares over the last 5 s and answers with the accounts that are over theirs. While an account within its share was refused or waited in the last second, streams of accounts over their shares must find a fifth of an engine's memory free beside their own need, and are otherwise refused with 429 caller_over_share. A view that is not renewed fades from 1 s to 5 s. An engine without so much memory is not taken for full by the requests of others. A call that an owner rejects with 400 or 404 does not mark that owner as not reachable for other calls.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -56,9 +56,10 @@
 	l := s.queues.For(r.service.Name)
 	i, until, late := queueItem(l, r)
 	late = late || r.overQuota && !r.responseBegun
-	if found, anyEngine := s.tryEngines(ctx, r, role, late); found != nil {
+	m := s.margin(r, late)
+	if found, anyEngine := s.tryEngines(ctx, r, role, m); found != nil {
 		return found, nil
-	} else if !anyEngine {
+	} else if !anyEngine && (m.refuse == nil || r.enginesAsked == 0) {
 		return nil, s.noUpstreamFailure(r, role)
 	}
 	if r.overQuota && !r.responseBegun {
@@ -72,17 +73,23 @@
 		l, interval = s.queues.Late(r.service.Name), lateRetryInterval
 		i, until = lateQueueItem(i, r)
 	}
+	if m.refuse != nil {
+		return nil, m.refuse(r)
+	}
 	if refusal := l.Acquire(ctx, i, until); refusal != nil {
 		return nil, s.queueFailure(ctx, r, refusal)
 	}
 	defer l.Release()
 	for {
-		found, anyEngine := s.tryEngines(ctx, r, role, late)
+		m := s.margin(r, late)
+		found, anyEngine := s.tryEngines(ctx, r, role, m)
 		switch {
 		case found != nil:
 			return found, nil
 		case ctx.Err() != nil:
 			return nil, s.queueFailure(ctx, r, &queue.Refusal{Reason: domain.ReasonOf(ctx)})
+		case m.refuse != nil:
+			return nil, m.refuse(r)
 		case !anyEngine:
 			return nil, s.noUpstreamFailure(r, role)
 		case !time.Now().Before(until):
@@ -98,6 +105,38 @@
 	}
 }
 
+// margin is the memory that a request must find free at an engine in addition to its own, and
+// what follows if it finds none.
+type margin struct {
+	// part is the memory as a part of the engine's.
+	part float64
+	// late means that the request is late or over its account's quota.
+	late bool
+	// refuse, if set, refuses a request that the view of the fleet limits and that found no
+	// engine. An engine without so much memory is not full for the requests of others.
+	refuse func(*request) *failure
+}
+
+// margin returns the margin of a request. late means that the request is late, or over its
+// account's quota.
+func (s *Server) margin(r *request, late bool) margin {
+	switch {
+	case late:
+		return margin{part: lateReservePart, late: true}
+	case r.responseBegun:
+		return margin{}
+	}
+	effect := s.overShareEffect(time.Now(), r.service.Name, r.account)
+	if effect == 0 {
+		return margin{}
+	}
+	m := margin{part: effect * lateReservePart}
+	if effect >= fullEffect {
+		m.refuse = s.refuseOverShare
+	}
+	return m
+}
+
 // revalidate returns the allocation, or another one if its engine accepts no new requests
 // any more.
 //
@@ -128,7 +167,7 @@
 
 // tryEngines asks the engines that may have memory for the request to reserve it, the best
 // engine first. anyEngine reports whether there is an engine left to ask.
-func (s *Server) tryEngines(ctx context.Context, r *request, role domain.Role, late bool) (found *allocation, anyEngine bool) {
+func (s *Server) tryEngines(ctx context.Context, r *request, role domain.Role, m margin) (found *allocation, anyEngine bool) {
 	load := route.Request{
 		SkipExcluded: true, Units: 1, Tokens: r.expectedTokens(), Typical: route.RequestSize{Tokens: r.expectedTokens()},
 		MemoryPressureCost: fullEngineCost, FailureCost: r.failCost(), CrossZoneCost: crossZoneStageCost,
@@ -139,8 +178,8 @@
 			return nil, p.candidates > 0
 		}
 		r.enginesAsked++
-		if found := s.allocateAt(ctx, r, p.upstream, late); found != nil {
-			fields := append(found.permit.logFields(), "held", found.reservation != "", "asked", r.enginesAsked, "late", late, "waited", time.Since(r.accepted))
+		if found := s.allocateAt(ctx, r, p.upstream, m); found != nil {
+			fields := append(found.permit.logFields(), "held", found.reservation != "", "asked", r.enginesAsked, "late", m.late, "margin", m.part, "waited", time.Since(r.accepted))
 			s.logPlacement(r, role, p, fields...)
 			return found, true
 		}
@@ -149,20 +188,20 @@
 }
 
 // allocateAt allocates memory at the engine: by a call if engines take reservations,
-// otherwise only in the load that this process tracks. A late request must first get more
-// memory than it needs.
+// otherwise only in the load that this process tracks. A request with a margin must first get
+// more memory than it needs.
 //
 // In a burst with retries from an earlier one, late requests would take all memory that is
 // freed while no new request happens to wait in this process, and the new requests of all
 // entries would find none. Reserving more leaves the last memory of each engine to the new
 // requests.
-func (s *Server) allocateAt(ctx context.Context, r *request, u *roster.Upstream, late bool) *allocation {
+func (s *Server) allocateAt(ctx context.Context, r *request, u *roster.Upstream, m margin) *allocation {
 	granted, _, ok := s.acquirePermit(ctx, r, u, 0)
 	if !ok {
 		return nil
 	}
 	p := &allocation{upstream: u, cost: roster.Cost{MemoryTokens: r.expectedTokens()}, allocatedAt: time.Now(), permit: granted}
-	if r.engine().HoldLife > 0 && !s.reserveMemory(ctx, r, p, late) {
+	if r.engine().HoldLife > 0 && !s.reserveMemory(ctx, r, p, m) {
 		s.releasePermit(granted)
 		return nil
 	}
@@ -172,18 +211,15 @@
 
 // reserveMemory reserves the request's memory at the engine, and reports whether the engine
 // granted it.
-func (s *Server) reserveMemory(ctx context.Context, r *request, p *allocation, late bool) bool {
+func (s *Server) reserveMemory(ctx context.Context, r *request, p *allocation, m margin) bool {
 	u := p.upstream
 	tokens := r.info.PromptTokens + max(int(reservedOutputPart*float64(r.expectedTokens()-r.info.PromptTokens)), minOutputTokens)
-	margin := 0
+	headroom, required := 0, int(m.part*float64(r.engine().KVTokens))
 	if !r.responseBegun {
-		margin = s.queues.For(r.service.Name).Headroom(time.Now(), tokens)
+		headroom = s.queues.For(r.service.Name).Headroom(time.Now(), tokens)
 	}
-	if late {
-		margin = max(margin, int(lateReservePart*float64(r.engine().KVTokens)))
-	}
-	if margin > 0 {
-		larger := s.requestReservation(ctx, r, u, tokens+margin)
+	if additional := max(headroom, required); additional > 0 {
+		larger := s.requestReservation(ctx, r, u, tokens+additional, m.refuse != nil && required > headroom)
 		if larger == "" {
 			return false
 		}
@@ -191,13 +227,14 @@
 		// twice.
 		s.releaseReservationNow(ctx, r, u, larger)
 	}
-	p.reservation = s.requestReservation(ctx, r, u, tokens)
+	p.reservation = s.requestReservation(ctx, r, u, tokens, false)
 	return p.reservation != ""
 }
 
 // requestReservation asks an engine for a reservation. It returns an empty one if the
-// engine has no memory or does not answer.
-func (s *Server) requestReservation(ctx context.Context, r *request, u *roster.Upstream, tokens int) Reservation {
+// engine has no memory or does not answer. With excludeOnly, an engine without memory is kept from this
+// request only.
+func (s *Server) requestReservation(ctx context.Context, r *request, u *roster.Upstream, tokens int, excludeOnly bool) Reservation {
 	started := time.Now()
 	reservation, err := s.callReserve(ctx, u, tokens, r.engine().HoldLife)
 	switch {
@@ -208,6 +245,8 @@
 		r.exclude(u)
 		s.Log.Info("reservation failed", "request", r.id, "upstream", u.Server().ID, "err", err, "took", time.Since(started))
 		return ""
+	case reservation == "" && excludeOnly:
+		r.exclude(u)
 	case reservation == "":
 		u.Stats.ExcludeUntil(time.Now().Add(s.fullBackoff()))
 		s.queues.For(r.service.Name).RecordFull(time.Now())
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -7,6 +7,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/meter"
+	"jacinthworks/paths"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/send"
@@ -50,6 +51,9 @@
 	if a.info.Stage != StagePrefill {
 		r.attempts.Sent()
 	}
+	if r.route.Kind != paths.Stream {
+		s.countStarted(r)
+	}
 	if !a.loadCounted {
 		a.upstream.Stats.RequestStarted(a.cost)
 	}
@@ -86,6 +90,9 @@
 		return nil, s.finishFailed(r, a, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
 	case info.NotExecuted:
 		s.readShortResponse(reply)
+		if a.info.Stage != StagePrefill {
+			s.countReturned(r)
+		}
 		if a.info.Reservation != "" || a.info.Stage == StagePrefill {
 			a.upstream.Stats.RecordRefusal(time.Now())
 		} else {
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -98,6 +98,7 @@
 	unresponsive     relay.Unresponsive
 	trackers         assign.Trackers
 	hostLoads        hostLoads
+	shares           fleetShares
 	ownRecord        ownRecord
 	draining         atomic.Bool
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
@@ -153,6 +154,7 @@
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
 	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
 	loops.Go(serving, "entry probes", s.watchPeers)
+	loops.Go(serving, "shares", s.reportShares)
 	if peerServer != nil {
 		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
 	}
--- a/direct/owner.go
+++ b/direct/owner.go
@@ -23,7 +23,9 @@
 	// known not to answer.
 	maxOwnerTries = 2
 	// maxOwnerRequest bounds the body of a call at an owner, in bytes.
-	maxOwnerRequest = 16 << 10
+	maxOwnerRequest = 64 << 10
+	// maxPeerResponse bounds the response of another entry, in bytes.
+	maxPeerResponse = 64 << 10
 	// alivePath is the peer endpoint that answers 200 while the process accepts calls.
 	alivePath = "/v1/alive"
 )
@@ -86,6 +88,10 @@
 		if ctx.Err() != nil {
 			break
 		}
+		if errors.Is(err, errMessageRejected) {
+			s.Log.Debug("call rejected by an owner", "key", key, "entry", o.Peer.Name)
+			continue
+		}
 		s.unresponsive.MarkDown(time.Now(), o.Peer)
 		s.Log.Info("owner not reachable", "key", key, "entry", o.Peer.Name, "err", err)
 	}
@@ -106,6 +112,11 @@
 // draining or has no configuration or registry yet.
 var errPeerUnavailable = errors.New("direct: calling another entry: it is draining or not ready")
 
+// errMessageRejected is the error of a call that another entry rejected because it does not
+// know the endpoint, as one of an earlier version, or what the message names. Its other
+// endpoints may be called.
+var errMessageRejected = errors.New("direct: calling another entry: it rejected the message")
+
 // callPeer makes one call at another entry. A nil call sends no body; with a nil answer the
 // response is not decoded.
 func callPeer(ctx context.Context, p *relay.Peer, method, path string, within time.Duration, call, answer any) error {
@@ -123,12 +134,14 @@
 	if err != nil {
 		return err
 	}
-	body, err := reply.ReadAll(maxShortResponse)
+	body, err := reply.ReadAll(maxPeerResponse)
 	switch {
 	case err != nil:
 		return err
 	case reply.Status == http.StatusServiceUnavailable:
 		return errPeerUnavailable
+	case reply.Status == http.StatusBadRequest || reply.Status == http.StatusNotFound:
+		return errMessageRejected
 	case reply.Status != http.StatusOK:
 		return errors.Errorf("direct: calling another entry: status %d", reply.Status)
 	case answer == nil:
@@ -140,10 +153,20 @@
 // ownerHandler serves the calls of other entries. answer returns false if the call can't be
 // answered, for example before the configuration is known; the status is then 503.
 func ownerHandler[C, A any](s *Server, answer func(C) (A, bool)) http.HandlerFunc {
+	return checkedHandler(s, func(C) error { return nil }, answer)
+}
+
+// checkedHandler is an ownerHandler that rejects, with status 400, calls for which check
+// returns an error.
+func checkedHandler[C, A any](s *Server, check func(C) error, answer func(C) (A, bool)) http.HandlerFunc {
 	return func(w http.ResponseWriter, h *http.Request) {
 		var call C
-		if err := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxOwnerRequest)).Decode(&call); err != nil {
-			http.Error(w, err.Error(), http.StatusBadRequest)
+		err := json.NewDecoder(http.MaxBytesReader(w, h.Body, maxOwnerRequest)).Decode(&call)
+		if err == nil {
+			err = check(call)
+		}
+		if err != nil {
+			s.rejectPeerMessage(w, h.URL.Path, err)
 			return
 		}
 		a, ok := answer(call)
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -66,6 +66,7 @@
 	m.HandleFunc("POST "+reachPath, ownerHandler(s, s.handleReach))
 	m.HandleFunc("POST "+assignPath, ownerHandler(s, s.handleAssign))
 	m.HandleFunc("POST "+assignEndPath, ownerHandler(s, s.handleAssignEnd))
+	m.HandleFunc("POST "+sharesPath, checkedHandler(s, s.checkShares, s.handleShares))
 	return &http.Server{
 		Handler:           s.refuseWhileDraining(m),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
--- a/direct/request.go
+++ b/direct/request.go
@@ -15,6 +15,7 @@
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/send"
+	"jacinthworks/shares"
 )
 
 // request is one accepted request until its end.
@@ -63,6 +64,8 @@
 	excluded map[roster.InstanceKey]bool
 	// limitWait is the time until the rate limit of an upstream may allow the request.
 	limitWait time.Duration
+	// share counts the request in the shares of its service; nil if they are off.
+	share *shares.Item
 	// finished means that the end of the request was logged and counted.
 	finished bool
 }
@@ -103,7 +106,9 @@
 	}
 	ctx, cancel := context.WithDeadline(h.Context(), r.deadline)
 	defer cancel()
+	s.countArrived(r)
 	var f *failure
+	defer func() { s.countEnded(r, f) }()
 	if r.route.Kind == paths.Stream {
 		f = s.serveStream(ctx, r)
 	} else {
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -50,6 +50,7 @@
 		return f
 	}
 	s.recordAllocated(r)
+	s.countStarted(r)
 	var prefilled *prefillResult
 	if role == domain.RoleDecode && r.info.PromptTokens >= minPrefillPrompt {
 		prefilled = s.prefill(ctx, r, allocated)
--- a/imports_test.go
+++ b/imports_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 	}
-	for _, path := range []string{"admit", "queue", "route", "limit", "eject", "retry", "fence", "roles", "claim", "table", "assign", "quota", "delay", "events", "pacer", "search"} {
+	for _, path := range []string{"admit", "queue", "route", "limit", "eject", "retry", "fence", "roles", "claim", "table", "assign", "quota", "delay", "events", "pacer", "search", "shares"} {
 		visit(path)
 	}
 	require.Contains(t, seen, "domain")
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -381,6 +381,14 @@
 	return len(f.others) + 1
 }
 
+// HasMember reports whether the fleet has a process of the name: this one, or another one that
+// has an address.
+func (f *Fleet) HasMember(name domain.Host) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return name == f.Self || slices.ContainsFunc(f.others, func(p *Peer) bool { return p.Name == name })
+}
+
 // Rank returns the position of this process among all, the largest hosts first, from zero. The
 // bool reports whether the position is known.
 func (f *Fleet) Rank() (int, bool) {
