direct: lower priorities leave room while a higher one lacks capacity

Cause: an entry's admission control considers only its own queue, so that the highest priority is refused at some entries as often as bulk work is served at others.

While a higher priority was refused in the last second or waits longer than a quarter of its target, streams of the next lower one must find a fifth of an engine's memory free beside their own need, each further one another fifth, and are otherwise refused at once as not run. A priority that gets less than a tenth of what is served is not limited. Late requests wait with that margin, as those that come back do. An account that wants more than its share causes limits on others only while it got less than 0.6 of its share: with all accounts above the capacity, each is a little over or below its share, and the highest priority lost requests to that.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -27,6 +27,9 @@
 	// lateReservePart is the part of an engine's memory that late requests leave free for
 	// requests which can still meet their target: enough for two or three.
 	lateReservePart = 0.20
+	// maxReservePart bounds the part of an engine's memory that requests of low priority leave
+	// free: with more, even an idle engine could not take the largest of them.
+	maxReservePart = 0.60
 	// releaseReservationTimeout bounds the call that frees a reservation, which expires anyway.
 	releaseReservationTimeout = time.Second
 	// fullEngineCost is how much longer a request takes to its first event at a full engine
@@ -118,21 +121,29 @@
 }
 
 // margin returns the margin of a request. late means that the request is late, or over its
-// account's quota.
+// account's quota. A late request that is also limited by the view of the fleet waits like
+// other late ones: most were refused before, and their callers do not come a third time.
 func (s *Server) margin(r *request, late bool) margin {
-	switch {
-	case late:
-		return margin{part: lateReservePart, late: true}
-	case r.responseBegun:
-		return margin{}
+	m := margin{late: late}
+	if late {
+		m.part = lateReservePart
 	}
-	effect := s.overShareEffect(time.Now(), r.service.Name, r.account)
-	if effect == 0 {
-		return margin{}
+	if r.responseBegun {
+		return m
 	}
-	m := margin{part: effect * lateReservePart}
-	if effect >= fullEffect {
-		m.refuse = s.refuseOverShare
+	now := time.Now()
+	p := s.pressure(now, r)
+	if p.Steps > 0 {
+		m.part = max(m.part, p.Effect*min(float64(p.Steps)*lateReservePart, maxReservePart))
+		if p.Effect >= fullEffect && !late {
+			m.refuse = s.refuseOutranked
+		}
+	}
+	if effect := s.overShareEffect(now, r.service.Name, r.account); effect > 0 {
+		m.part = min(m.part+effect*lateReservePart, maxReservePart)
+		if effect >= fullEffect && !late {
+			m.refuse = s.refuseOverShare
+		}
 	}
 	return m
 }
--- a/direct/shares.go
+++ b/direct/shares.go
@@ -5,6 +5,7 @@
 	"math"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -15,6 +16,7 @@
 	"jacinthworks/group"
 	"jacinthworks/meter"
 	"jacinthworks/paths"
+	"jacinthworks/queue"
 	"jacinthworks/shares"
 )
 
@@ -127,14 +129,16 @@
 	if r.share == nil {
 		return
 	}
-	refused := false
+	outcome := shares.Other
 	if f != nil && !r.overQuota {
 		switch f.reason {
-		case domain.ReasonNoRoom, domain.ReasonTooLate, domain.ReasonDeadline, domain.ReasonCallerShare, domain.ReasonCallerGone:
-			refused = true
+		case domain.ReasonNoRoom, domain.ReasonTooLate, domain.ReasonDeadline, domain.ReasonCallerGone:
+			outcome = shares.Refused
+		case domain.ReasonCallerShare:
+			outcome = shares.Limited
 		}
 	}
-	s.sharesOf(r.service.Name).meter.Ended(r.share, refused)
+	s.sharesOf(r.service.Name).meter.Ended(r.share, outcome)
 }
 
 // overShare reports whether the account received more than its share of the service over the
@@ -164,6 +168,38 @@
 	return &failure{ran: domain.NotRun, reason: domain.ReasonCallerShare, detail: "the account is over its share and no engine has room to spare", retryAfter: wait, final: true}
 }
 
+// pressure returns the pressure on the request's priority over the fleet.
+func (s *Server) pressure(now time.Time, r *request) shares.Pressure {
+	if !s.sharesOn() {
+		return shares.Pressure{}
+	}
+	target := func(rank int) time.Duration { return streamTarget(s.config.Current(), r.service.Name, rank) }
+	return s.sharesOf(r.service.Name).fleet.Pressure(now, min(max(r.priority(), 0), shares.MaxRank), target)
+}
+
+// streamTarget is the shortest target of a service's streams of a priority.
+func streamTarget(c *paths.Config, v domain.Service, priority int) time.Duration {
+	shortest := time.Duration(0)
+	for _, route := range c.Routes {
+		serves := slices.ContainsFunc(route.Shares, func(w paths.WeightedService) bool { return w.Service == v })
+		if serves && route.Kind == paths.Stream && route.Priority == priority && route.Target > 0 && (shortest == 0 || route.Target < shortest) {
+			shortest = route.Target
+		}
+	}
+	if shortest == 0 {
+		return defaultTargetLatency
+	}
+	return shortest
+}
+
+// detailOutranked is the detail of a refusal for the sake of higher priorities.
+const detailOutranked queue.Detail = "no engine has the room that is left to higher priorities, which are refused or wait"
+
+// refuseOutranked refuses a request for which higher priorities leave no capacity.
+func (s *Server) refuseOutranked(r *request) *failure {
+	return s.queueFailure(context.Background(), r, &queue.Refusal{Reason: domain.ReasonNoRoom, Detail: detailOutranked})
+}
+
 // reportInterval is the time between two reports of an entry.
 func (s *Server) reportInterval() time.Duration {
 	return max(sharesInterval, time.Duration(s.members.count(time.Now()))*sharesIntervalPerEntry)
@@ -173,10 +209,11 @@
 // measured, and takes the view of the fleet from the answer.
 func (s *Server) reportShares(ctx context.Context) error {
 	for group.Sleep(ctx, s.reportInterval()); ctx.Err() == nil; group.Sleep(ctx, s.reportInterval()) {
+		if !s.sharesOn() {
+			continue
+		}
 		for _, v := range s.shares.services() {
-			if s.sharesOn() {
-				s.reportServiceShares(v)
-			}
+			s.reportServiceShares(v)
 		}
 	}
 	return nil
--- a/shares/fleet.go
+++ b/shares/fleet.go
@@ -85,3 +85,42 @@
 	part, ok = f.parts[a]
 	return part, now.Sub(f.computedAt), ok
 }
+
+const (
+	// waitPart is the part of a priority's target above which its wait counts as a lack of
+	// capacity.
+	waitPart = 0.25
+	// minRankPart is the part of the capacity that stays for each priority.
+	minRankPart = 0.1
+)
+
+// Pressure is what the priorities of a service lack, as seen from one rank.
+type Pressure struct {
+	// Steps is by how many priorities the rank is below the highest one that was refused in
+	// the last second, or waits longer than a quarter of its target. It is 0 if there is none,
+	// or if the rank got less than a tenth of what was served.
+	Steps int
+	// Effect is how far the view has effect, as for Over.
+	Effect float64
+}
+
+// Pressure returns the pressure on a rank; target is the target latency of a rank.
+func (f *Fleet) Pressure(now time.Time, rank int, target func(rank int) time.Duration) Pressure {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	p := Pressure{Effect: f.effect(now)}
+	own, total := 0.0, 0.0
+	for _, u := range f.ranks {
+		total += u.served()
+		if u.Rank == rank {
+			own = u.served()
+		}
+		if u.Rank < rank && (p.Steps > 0 || u.Refused > 0 || u.Waiting > 0 && u.Oldest() > time.Duration(waitPart*float64(target(u.Rank)))) {
+			p.Steps++
+		}
+	}
+	if own < minRankPart*total {
+		p.Steps = 0
+	}
+	return p
+}
--- a/shares/meter.go
+++ b/shares/meter.go
@@ -43,7 +43,6 @@
 		m.waiting = make(map[*Item]bool)
 	}
 	m.waiting[i] = true
-	m.rank(i.rank).Asked += cost
 	return i
 }
 
@@ -58,6 +57,7 @@
 	delete(m.waiting, i)
 	i.started = true
 	m.account(i.account).Served += i.cost
+	m.rank(i.rank).Asked += i.cost
 }
 
 // Returned undoes Started: the upstream refused the request without running it.
@@ -69,21 +69,40 @@
 	defer m.mu.Unlock()
 	m.waiting[i] = true
 	i.started = false
-	u := m.account(i.account)
-	u.Served = max(0, u.Served-i.cost)
+	u, n := m.account(i.account), m.rank(i.rank)
+	u.Served, n.Asked = max(0, u.Served-i.cost), max(0, n.Asked-i.cost)
 }
 
-// Ended counts the end of a request. refused means that it ended for want of capacity.
-func (m *Meter) Ended(i *Item, refused bool) {
+// Outcome is how a request ended that got no capacity.
+type Outcome int
+
+// The outcomes of a request.
+const (
+	// Other is the outcome of a request that was served, or that ended for another reason
+	// than a lack of capacity.
+	Other Outcome = iota
+	// Refused is the outcome of a request for which there was no capacity.
+	Refused
+	// Limited is the outcome of a request that was refused because its account is over its
+	// share. It says nothing of the capacity for its priority.
+	Limited
+)
+
+// Ended counts the end of a request.
+func (m *Meter) Ended(i *Item, o Outcome) {
 	if i == nil {
 		return
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	delete(m.waiting, i)
-	if refused && !i.started {
-		m.account(i.account).Refused += i.cost
-		m.rank(i.rank).Refused += i.cost
+	if o == Other || i.started {
+		return
+	}
+	m.account(i.account).Refused += i.cost
+	if o == Refused {
+		n := m.rank(i.rank)
+		n.Asked, n.Refused = n.Asked+i.cost, n.Refused+i.cost
 	}
 }
 
--- a/shares/pool.go
+++ b/shares/pool.go
@@ -24,6 +24,11 @@
 	// viewInterval is how long a view is used for the answers to several entries: computing
 	// it takes a sort of all accounts.
 	viewInterval = 50 * time.Millisecond
+	// minServedPart is the part of its share above which an account that asks for more than
+	// its share does not cause others to be limited. While all accounts ask for more, each is
+	// a little above or below its share at any time, and requests of the highest priority
+	// would be refused for the sake of bulk work of another account.
+	minServedPart = 0.6
 	// maxTracked bounds the accounts of which an owner keeps sums.
 	maxTracked = 4096
 	// minTracked is the cost below which an account is no longer tracked.
@@ -54,7 +59,12 @@
 	unmetAt time.Time
 }
 
-type rankSums struct{ asked, refused decaying }
+// rankSums is what the entries reported of one rank; refusedAt is when a report last had
+// refused work.
+type rankSums struct {
+	asked, refused decaying
+	refusedAt      time.Time
+}
 
 // senderState is the last report of one entry: its waiting work.
 type senderState struct {
@@ -106,6 +116,9 @@
 		}
 		p.ranks[u.Rank].asked.add(now, u.Asked, contentionWindow)
 		p.ranks[u.Rank].refused.add(now, u.Refused, contentionWindow)
+		if u.Refused > 0 {
+			p.ranks[u.Rank].refusedAt = now
+		}
 		if u.Waiting > 0 {
 			w.ranks = append(w.ranks, u)
 		}
@@ -188,7 +201,8 @@
 	for n := range all {
 		t := &all[n]
 		t.Over = t.served > t.Weight*level*(1+rounding)
-		contended = contended || !t.Over && t.unmet
+		entitled := t.Demand <= t.Weight*level || t.served < minServedPart*t.Weight*level
+		contended = contended || !t.Over && t.unmet && entitled
 		if capacity > 0 {
 			t.Part.Part = t.Share(level) / capacity
 		}
@@ -219,6 +233,9 @@
 			delete(p.ranks, rank)
 			continue
 		}
+		if now.Sub(n.refusedAt) > contentionWindow {
+			u.Refused = 0
+		}
 		all = append(all, u)
 	}
 	slices.SortFunc(all, func(a, b RankUsage) int { return cmp.Compare(a.Rank, b.Rank) })
--- a/shares/shares.go
+++ b/shares/shares.go
@@ -10,6 +10,9 @@
 //     gets capacity that a light one needs at another entry.
 //   - An account's refused callers retry at other entries. Without the sums, each retry looks
 //     like the only request of its account.
+//   - The highest priority is refused at some entries while others serve bulk work: an entry's
+//     queue orders only its own requests. While a higher priority lacks capacity anywhere, lower
+//     ones leave more room, down to a tenth of the capacity for each.
 //   - There is capacity for all. An account is limited only while an account within its share
 //     was refused or waited in the last second, so that nothing changes otherwise.
 //   - The owner is not reachable. A view of the fleet loses its effect within FadeEnd, and each
@@ -23,7 +26,7 @@
 //	var m shares.Meter                          // at each entry, for each service
 //	i := m.Arrived(now, account, rank, tokens)
 //	m.Started(i)                                // when it got its capacity
-//	m.Ended(i, refused)
+//	m.Ended(i, shares.Refused)                  // or shares.Other
 //	report, ok := m.Take(now)                   // periodically; sent to the owner
 //
 //	var p shares.Pool                           // at the owner
@@ -34,6 +37,7 @@
 //	var f shares.Fleet                          // at each entry
 //	f.Update(now, view)
 //	limit := f.Over(now, account)               // 0: not over its share
+//	p := f.Pressure(now, rank, target)          // what higher priorities lack
 //
 // The package reads no clock. Times must come from a monotonic clock.
 package shares
@@ -69,8 +73,8 @@
 // RankUsage is what was asked for and refused at one priority; rank 0 is the highest.
 type RankUsage struct {
 	Rank int `json:"rank"`
-	// Asked and Refused are sums since the last report, and in a view those of the last
-	// second; Waiting is what waits now.
+	// Asked is what was served or refused, and Refused what was refused, since the last
+	// report, and in a view over the last second; Waiting is what waits now.
 	Asked   float64 `json:"asked"`
 	Refused float64 `json:"refused"`
 	Waiting float64 `json:"waiting"`
@@ -78,6 +82,9 @@
 	OldestMS float64 `json:"oldest_ms"`
 }
 
+// served is what was served.
+func (r RankUsage) served() float64 { return max(0, r.Asked-r.Refused) }
+
 // Oldest is how long the oldest request has waited.
 func (r RankUsage) Oldest() time.Duration { return milliseconds(r.OldestMS) }
 
