--- a/direct/assign.go
+++ b/direct/assign.go
@@ -150,7 +150,7 @@
 // handleAssignEnd records the end of assigned work, and learns from it how fast the engine is.
 // It returns false if the shard can't be tracked or the figures are impossible.
 func (s *Server) handleAssignEnd(e assignmentEnd) (struct{}, bool) {
-	if !s.canTrack(e.Shard) || !validFigure(e.Took) || !(e.HostLoad >= 0 && e.HostLoad <= maxHostLoad) {
+	if !s.canTrack(e.Shard) || !validNumber(e.Took) || !(e.HostLoad >= 0 && e.HostLoad <= maxHostLoad) {
 		return struct{}{}, false
 	}
 	now := time.Now()
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -69,6 +69,7 @@
 	m.HandleFunc("POST "+assignEndPath, ownerHandler(s, s.handleAssignEnd))
 	m.HandleFunc("POST "+slotPath, s.serveSlot)
 	m.HandleFunc("POST "+slotEndPath, ownerHandler(s, s.handleSlotEnd))
+	m.HandleFunc("POST "+sharesPath, checkedHandler(s, s.checkShares, s.handleShares))
 	return &http.Server{
 		Handler:           s.refuseWhileDraining(m),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
--- a/direct/slots.go
+++ b/direct/slots.go
@@ -40,10 +40,6 @@
 	// slotsOwnerIdle is how long an entry counts as the owner of a service's slots after the
 	// last call.
 	slotsOwnerIdle = 10 * time.Second
-	// maxPeerNumber and maxPeerList bound the numbers and the lists in messages of other
-	// entries.
-	maxPeerNumber = 1e12
-	maxPeerList   = 4096
 )
 
 // slotRequest asks the owner of a service's slots for one.
@@ -72,9 +68,6 @@
 	return validNumber(math.Abs(q.TargetMS)) && validNumber(q.DeadlineMS)
 }
 
-// validNumber reports whether a number of a message is not negative and within maxPeerNumber.
-func validNumber(f float64) bool { return f >= 0 && f <= maxPeerNumber }
-
 // slotResponse is the owner's answer.
 type slotResponse struct {
 	Granted      bool         `json:"granted"`
@@ -158,6 +151,7 @@
 
 // observeSlots makes a pool report what operators see of it.
 func (s *Server) observeSlots(v domain.Service, p *slots.Pool) {
+	p.OverShare = func(a domain.Account) bool { return s.overShare(v, a) }
 	p.OnBooking = func(o slots.BookingOutcome) {
 		s.Meter.Inc("jacinthworks_bookings_total", meter.Labels{"service", string(v), "outcome", string(o)})
 	}
@@ -285,11 +279,11 @@
 	if err == nil {
 		reply.SetReadTimeout(slotSilence)
 		var body []byte
-		if body, err = readPeerBody(reply, maxShortResponse); err == nil {
+		if body, err = readPeerBody(reply, maxPeerResponse); err == nil {
 			err = decodePeerAnswer(p, body, &a)
 		}
 	}
-	if err != nil && !errors.Is(err, errPeerUnavailable) && !errors.Is(err, errUnknownPath) {
+	if err != nil && !errors.Is(err, errPeerUnavailable) && !errors.Is(err, errMessageRejected) {
 		// The owner may have granted a slot all the same.
 		s.endSlot(slotGrant{owner: owner{p}, service: call.Service, request: call.Request}, slotEnd{Outcome: slots.Gone})
 	}
@@ -310,7 +304,7 @@
 	s.background("end slot", slotEndTries*ownerTimeout, func(ctx context.Context) (err error) {
 		for range slotEndTries {
 			err = callPeer(ctx, g.owner.peer, http.MethodPost, slotEndPath, ownerTimeout, e, nil)
-			if err == nil || errors.Is(err, errPeerUnavailable) || errors.Is(err, errUnknownPath) {
+			if err == nil || errors.Is(err, errPeerUnavailable) || errors.Is(err, errMessageRejected) {
 				return err
 			}
 		}
@@ -364,11 +358,6 @@
 	pool.End(now, e.Ticket, result)
 }
 
-// rejectMessage counts a malformed message of another entry.
-func (s *Server) rejectMessage(path string) {
-	s.Meter.Inc("jacinthworks_peer_messages_rejected_total", meter.Labels{"path", path})
-}
-
 // serveSlot serves slotPath. If the call has to wait, the header is sent at once, and a space
 // every slotHeartbeat until the answer.
 func (s *Server) serveSlot(w http.ResponseWriter, h *http.Request) {
--- a/direct/slots_test.go
+++ b/direct/slots_test.go
@@ -86,7 +86,8 @@
 	status, a := askForSlot(s, `{"service":"cards","request":"r-3","target_ms":-5,"deadline_ms":900}`)
 	require.Equal(t, http.StatusOK, status)
 	require.False(t, a.Granted, "a late call gets no slot of a full pool")
-	require.InDelta(t, 262, a.RetryAfterMS, 39)
+	require.InDelta(t, 450, a.WaitedMS, 60, "it waits for half of the time that is left")
+	require.InDelta(t, 131, a.RetryAfterMS, 30, "a third of the rest, less the spread")
 
 	_, ok := s.handleSlotEnd(slotEnd{Service: "cards", Ticket: first.Ticket, Outcome: "ok", TookMS: 10})
 	require.True(t, ok)
--- a/direct/speeds.go
+++ b/direct/speeds.go
@@ -24,12 +24,8 @@
 	// speedsPath is the peer endpoint that returns how fast this entry observed each
 	// upstream to be.
 	speedsPath = "/v1/speeds"
-	// maxSpeedsPerPool bounds the estimates of a pool that the endpoint returns, and
-	// maxPeerListLength the length of a list that is accepted from another entry.
-	maxSpeedsPerPool  = 256
-	maxPeerListLength = 4096
-	// maxPeerFigure is above every figure of a valid message of another entry.
-	maxPeerFigure = 1e12
+	// maxSpeedsPerPool bounds the estimates of a pool that the endpoint returns.
+	maxSpeedsPerPool = 256
 	// maxSpeedsResponse bounds a response with estimates, in bytes: some 40 pools.
 	maxSpeedsResponse = 1 << 20
 	// speedsInterval is how often the holder of the roles lease asks other entries for
@@ -203,11 +199,11 @@
 			return false
 		}
 		for role, estimates := range byRole {
-			if role != "" && role != domain.RolePrefill && role != domain.RoleDecode || len(estimates) > maxPeerListLength {
+			if role != "" && role != domain.RolePrefill && role != domain.RoleDecode || len(estimates) > maxPeerList {
 				return false
 			}
 			for _, e := range estimates {
-				if e.ID == "" || !validFigure(e.UnitMicros) || !validFigure(e.Count) || !validFigure(e.AgeMillis) {
+				if e.ID == "" || !validNumber(e.UnitMicros) || !validNumber(e.Count) || !validNumber(e.AgeMillis) {
 					return false
 				}
 			}
@@ -216,9 +212,6 @@
 	return true
 }
 
-// validFigure reports whether a figure in a message of another entry is possible.
-func validFigure(x float64) bool { return x >= 0 && x <= maxPeerFigure } // false for NaN
-
 // decodeSpeeds decodes and checks the estimates of another entry.
 func (s *Server) decodeSpeeds(body []byte) (p peerSpeeds, err error) {
 	if err := json.Unmarshal(body, &p); err != nil {
@@ -238,7 +231,7 @@
 	}
 	found, err := s.decodeSpeeds(body)
 	if err != nil {
-		s.Meter.Inc("jacinthworks_peer_messages_rejected_total", meter.Labels{"path", speedsPath})
+		s.rejectMessage(speedsPath)
 	}
 	return found, err
 }
--- a/direct/speeds_test.go
+++ b/direct/speeds_test.go
@@ -165,7 +165,7 @@
 			f.Add(body)
 		}
 	}
-	long := `{"model":{"decode":[` + strings.Repeat(`{"id":"a"},`, maxPeerListLength) + `{"id":"a"}]}}`
+	long := `{"model":{"decode":[` + strings.Repeat(`{"id":"a"},`, maxPeerList) + `{"id":"a"}]}}`
 	for _, body := range []string{`[]`, `{"other":{"decode":[]}}`, `{"model":{"cook":[]}}`, `{"model":{"decode":[{"id":""}]}}`, long} {
 		_, err := peer.decodeSpeeds([]byte(body))
 		require.Error(f, err, body)
