--- a/conf/direct.go
+++ b/conf/direct.go
@@ -39,6 +39,7 @@
 //	shares = "auto"
 //	speeds = "auto"
 //	returns = "auto"
+//	priorities = "off"
 type Direct struct {
 	Name domain.Host
 	Zone domain.Zone
@@ -118,6 +119,9 @@
 	// Returns lets requests that were refused, and come back too late for their targets, wait
 	// for free capacity; default Auto.
 	Returns Mode
+	// Priorities lets streams of lower priorities leave memory free while higher ones lack
+	// it, provided that Shares is on; Auto, the default, is Off.
+	Priorities Mode
 }
 
 // ParseDirect reads the settings of `direct`; file is the file name for findings. The
@@ -178,7 +182,10 @@
 
 func (r *reader) hardLoad() HardLoad {
 	r.table("hard_load")
-	return HardLoad{Slots: r.mode("hard_load.slots"), Shares: r.mode("hard_load.shares"), Speeds: r.mode("hard_load.speeds"), Returns: r.mode("hard_load.returns")}
+	return HardLoad{
+		Slots: r.mode("hard_load.slots"), Shares: r.mode("hard_load.shares"), Speeds: r.mode("hard_load.speeds"), Returns: r.mode("hard_load.returns"),
+		Priorities: r.mode("hard_load.priorities"),
+	}
 }
 
 func (r *reader) mode(path string) Mode {
--- a/direct/hardload.go
+++ b/direct/hardload.go
@@ -57,6 +57,12 @@
 	return enabled(s.liveSettings.Load().HardLoad.Shares, c != nil && len(c.Accounts) > 0)
 }
 
+// prioritiesOn reports whether streams of lower priorities leave memory free while higher
+// ones lack it. In mode Auto they do not: the memory that they leave stays partly idle.
+func (s *Server) prioritiesOn() bool {
+	return s.sharesOn() && s.liveSettings.Load().HardLoad.Priorities == conf.On
+}
+
 // returnsOn reports whether requests of a service that come back too late for their targets
 // may wait for free capacity. In mode Auto they may where another part is on.
 func (s *Server) returnsOn(v domain.Service) bool {
--- a/direct/shares.go
+++ b/direct/shares.go
@@ -169,7 +169,7 @@
 
 // pressure returns the pressure on the request's priority over the fleet.
 func (s *Server) pressure(now time.Time, r *request) shares.Pressure {
-	if !s.sharesOn() {
+	if !s.prioritiesOn() {
 		return shares.Pressure{}
 	}
 	target := func(rank int) time.Duration { return streamTarget(s.config.Current(), r.service.Name, rank) }
