direct: a prefill reserves its retry before the send

Cause: a first prefill checked that a retry was left before it was sent and recorded the retry after the refusal. The second suspect, a run that is longer than the span, is real too but does not show before the tenth second. Besides, with the budget spent one success made an engine responsive, also in a pool that refuses every other prompt. Change: retry.Window has Reserve and Return. A first prefill reserves its retry and returns it unless the prefill failed. Without a retry left, a prompt goes to an engine that answered lately only while the pool has at most one refusal for two successes.

--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -7,6 +7,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/group"
+	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/route"
 )
@@ -19,6 +20,10 @@
 	// maxPrefillTries bounds the prefills of one attempt; after them the decode engine
 	// reads the prompt.
 	maxPrefillTries = 2
+	// maxPrefillRefusals is the number of refusals for each success of all prefill engines up
+	// to which an engine that answered lately gets prompts without a retry left: at most every
+	// third prompt is refused. Engines that refuse every other prompt are above it.
+	maxPrefillRefusals = 0.5
 	// prefillTimeoutFactor is how many times the expected time a prefill may take, and
 	// minPrefillTimeout the least that it may take: the work that other entries have queued
 	// is not known here. It never gets more than the target: by then the decode engine
@@ -56,36 +61,39 @@
 // then reads the prompt itself.
 func (s *Server) prefill(ctx context.Context, r *request, decode *allocation) *prefillResult {
 	zone := decode.upstream.Server().Zone
+	budget := s.retryBudgets.window(r.service.Name)
 	charged := false // whether this prefill was charged to the retry budget already
 	for n := 0; n < maxPrefillTries && ctx.Err() == nil; {
-		if r.prefills > 0 && !charged && !s.retryBudgets.window(r.service.Name).Take(time.Now(), s.retryTerms()) {
+		if r.prefills > 0 && !charged && !budget.Take(time.Now(), s.retryTerms()) {
 			return nil
 		}
 		charged = true
 		load := route.Request{
 			Units: r.info.PromptTokens, Tokens: r.info.PromptTokens, Typical: route.RequestSize{Units: r.info.PromptTokens, Tokens: r.info.PromptTokens},
 			FailureCost: r.targetLatency(), CrossZoneCost: crossZoneStageCost, SkipExcluded: true,
-			// A failed prefill in effect costs a retry: without a retry left, the prompt
-			// goes only to an engine that answered lately.
-			OnlyResponsive: !s.retryBudgets.window(r.service.Name).Available(time.Now(), s.retryTerms()),
 		}
-		p, assigned := s.assignPrefill(ctx, r, zone, load)
-		if p.upstream == nil {
-			p = s.place(r, domain.RolePrefill, zone, load)
-			p.expectedWait = p.candidate.EstimateWait(load)
+		// A failed first prefill in effect costs a retry, which is reserved before the send:
+		// without a retry left, the prompt goes only to an engine that answered lately, in a
+		// pool that does not refuse prompts.
+		var reserved retry.Reservation
+		if r.prefills == 0 {
+			reserved = budget.Reserve(time.Now(), s.retryTerms())
+			load.OnlyResponsive = !reserved.Held()
+			if load.OnlyResponsive && s.prefillsRefused(r.service.Name) {
+				s.Log.Info("prefill skipped", "request", r.id, "why", "prefills are refused")
+				return nil
+			}
+		} else {
+			load.OnlyResponsive = !budget.Available(time.Now(), s.retryTerms())
 		}
-		s.logPlacement(r, domain.RolePrefill, p, "only_sure", load.OnlyResponsive)
-		if p.upstream == nil {
-			s.Log.Info("prefill skipped", "request", r.id, "why", "no engine", "only_sure", load.OnlyResponsive)
-			return nil
-		}
-		if p.expectedWait > s.maxPrefillWait(r) {
-			s.Log.Info("prefill skipped", "request", r.id, "upstream", p.candidate.Name, "wait", p.expectedWait)
-			s.endAssignment(assigned)
+		p, assigned, ok := s.placePrefill(ctx, r, zone, load)
+		if !ok {
+			budget.Return(reserved)
 			return nil
 		}
 		permitted, _, ok := s.acquirePermit(ctx, r, p.upstream, 0)
 		if !ok {
+			budget.Return(reserved)
 			s.endAssignment(assigned)
 			continue // the engine is excluded now
 		}
@@ -94,9 +102,11 @@
 		result, f := s.attemptPrefill(ctx, r, p, permitted)
 		s.endAssignment(assigned)
 		if result != nil {
+			budget.Return(reserved)
 			return result
 		}
 		if f.retryGranted {
+			budget.Return(reserved)
 			r.prefills--
 			charged = true
 			continue // nothing was sent
@@ -106,16 +116,55 @@
 			// to the retry budget all the same: otherwise prompts would go on to
 			// unreachable engines, whereas with the budget spent they go only to engines
 			// that answered lately.
+			budget.Return(reserved)
 			continue
 		}
 		n++
-		if r.prefills == 1 {
-			s.retryBudgets.window(r.service.Name).RecordRetry(time.Now(), s.retryTerms())
+		if r.prefills == 1 && !reserved.Held() {
+			budget.RecordRetry(time.Now(), s.retryTerms())
 		}
 	}
 	return nil
 }
 
+// prefillsRefused reports whether the prefill engines of a service have lately refused so many
+// prompts that one success of an engine does not show that it accepts the next prompt.
+//
+// Where engines refuse every other prompt, each of them answers one before it refuses one, and
+// each such refusal was a retry beyond the budget.
+func (s *Server) prefillsRefused(service domain.Service) bool {
+	now := time.Now()
+	refusals, successes := 0.0, 0.0
+	for _, u := range s.roster.Upstreams(service) {
+		if u.Server().Role == domain.RolePrefill {
+			no, yes := u.Stats.Refusals(now)
+			refusals, successes = refusals+no, successes+yes
+		}
+	}
+	return refusals > maxPrefillRefusals*successes
+}
+
+// placePrefill chooses a prefill engine near the decode engine. It returns false if none is
+// left, or if the wait for it is longer than the prompt should wait.
+func (s *Server) placePrefill(ctx context.Context, r *request, zone domain.Zone, load route.Request) (placement, assignment, bool) {
+	p, assigned := s.assignPrefill(ctx, r, zone, load)
+	if p.upstream == nil {
+		p = s.place(r, domain.RolePrefill, zone, load)
+		p.expectedWait = p.candidate.EstimateWait(load)
+	}
+	s.logPlacement(r, domain.RolePrefill, p, "only_sure", load.OnlyResponsive)
+	if p.upstream == nil {
+		s.Log.Info("prefill skipped", "request", r.id, "why", "no engine", "only_sure", load.OnlyResponsive)
+		return placement{}, assignment{}, false
+	}
+	if p.expectedWait > s.maxPrefillWait(r) {
+		s.Log.Info("prefill skipped", "request", r.id, "upstream", p.candidate.Name, "wait", p.expectedWait)
+		s.endAssignment(assigned)
+		return placement{}, assignment{}, false
+	}
+	return p, assigned, true
+}
+
 // maxPrefillWait is the longest wait for a prefill engine that is better than having the
 // decode engine read the prompt.
 //
--- a/retry/window.go
+++ b/retry/window.go
@@ -60,6 +60,13 @@
 	s.counts[s.newest%(slotsPerSpan+1)]++
 }
 
+// remove undoes one add at a slot, unless the slot has left the ring.
+func (s *slotCounts) remove(slot int64) {
+	if s.newest-slot <= slotsPerSpan {
+		s.counts[slot%(slotsPerSpan+1)]--
+	}
+}
+
 func (s *slotCounts) sum(slot int64) int {
 	s.advance(slot)
 	total := 0
@@ -105,12 +112,40 @@
 
 // Take takes one retry, and reports whether there was one left.
 func (w *Window) Take(now time.Time, config WindowConfig) bool {
+	return w.Reserve(now, config).Held()
+}
+
+// Reservation is one retry that Reserve took. The zero value holds none.
+type Reservation struct {
+	slot int64
+	held bool
+}
+
+// Held reports whether the reservation holds a retry.
+func (r Reservation) Held() bool { return r.held }
+
+// Reserve takes one retry, if one is left, for a request that costs a retry only if it fails. If
+// it does not fail, the caller passes the reservation to Return.
+//
+// If requests that are sent at the same time were only checked with Available, and recorded when
+// they failed, each of them would use the same last retry.
+func (w *Window) Reserve(now time.Time, config WindowConfig) Reservation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	slot := config.slot(now)
 	if !w.available(slot, config) {
-		return false
+		return Reservation{}
 	}
 	w.retries.add(slot)
-	return true
+	return Reservation{slot: w.retries.newest, held: true}
+}
+
+// Return gives back the retry of a reservation. It must be called at most once for a reservation.
+func (w *Window) Return(r Reservation) {
+	if !r.held {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries.remove(r.slot)
 }
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -51,6 +52,87 @@
 	})
 }
 
+// Guards against requests in flight at the same time that use the same retry, and against a
+// returned reservation that frees more than it took.
+func TestWindowBoundsReservedRetriesForAnyInterleaving(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var w retry.Window
+		start := time.Now()
+		type reserved struct {
+			at time.Duration
+			r  retry.Reservation
+		}
+		var requests []time.Duration
+		var inFlight, retries []reserved // retries holds those in flight and those that became retries
+		at := time.Duration(0)
+		for range rapid.IntRange(1, 300).Draw(t, "steps") {
+			at += time.Duration(rapid.IntRange(0, 800).Draw(t, "ms")) * time.Millisecond
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				w.RequestAccepted(start.Add(at), config)
+				requests = append(requests, at)
+			case 1:
+				if r := w.Reserve(start.Add(at), config); r.Held() {
+					inFlight = append(inFlight, reserved{at, r})
+					retries = append(retries, reserved{at, r})
+				}
+			default:
+				if len(inFlight) == 0 {
+					continue
+				}
+				n := rapid.IntRange(0, len(inFlight)-1).Draw(t, "which")
+				ended := inFlight[n]
+				inFlight = slices.Delete(inFlight, n, n+1)
+				if rapid.Bool().Draw(t, "returned") {
+					w.Return(ended.r)
+					retries = slices.Delete(retries, slices.Index(retries, ended), slices.Index(retries, ended)+1)
+				}
+			}
+			recent, allowed := 0, config.FixedRetries
+			for _, r := range retries {
+				if r.at > at-config.Span {
+					recent++
+				}
+			}
+			for _, q := range requests {
+				if q > at-config.Span*11/10 {
+					allowed += config.RetryRatio
+				}
+			}
+			if len(retries) > 0 && retries[len(retries)-1].at == at && float64(recent) > allowed+1e-9 {
+				t.Fatalf("%d retries, %v allowed", recent, allowed)
+			}
+		}
+	})
+}
+
+// Guards against a retry that stays taken after a send that cost none, and against one that is
+// given back in another slot than it was taken in.
+func TestReturnedReservationIsAvailableAgain(t *testing.T) {
+	var w retry.Window
+	now := time.Now()
+	var all []retry.Reservation
+	for range 3 {
+		all = append(all, w.Reserve(now, config))
+		require.True(t, all[len(all)-1].Held())
+	}
+	require.False(t, w.Reserve(now, config).Held())
+	w.Return(retry.Reservation{})
+	require.False(t, w.Available(now, config), "the zero value holds nothing")
+	w.Return(all[0])
+	require.True(t, w.Take(now, config))
+	require.False(t, w.Available(now, config))
+	later := now.Add(config.Span / 2)
+	require.False(t, w.Take(later, config))
+	w.Return(all[1])
+	require.True(t, w.Take(later, config))
+	expired := now.Add(config.Span * 12 / 10)
+	require.True(t, w.Take(expired, config))
+	require.True(t, w.Take(expired, config))
+	w.Return(all[2])
+	require.False(t, w.Take(expired, config), "an expired reservation has nothing to give back")
+}
+
 func TestRecordedRetriesReduceWindow(t *testing.T) {
 	var w retry.Window
 	now := time.Now()
--- a/roster/stats.go
+++ b/roster/stats.go
@@ -117,6 +117,14 @@
 	s.failures++
 }
 
+// Refusals returns the decayed numbers of refusals and of successes.
+func (s *Stats) Refusals(now time.Time) (refusals, successes float64) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.decay(now)
+	return s.refusals, s.successes
+}
+
 // ExcludeUntil records that the upstream has no capacity left, and excludes it until the given time.
 func (s *Stats) ExcludeUntil(until time.Time) {
 	s.mu.Lock()
