make test: a check that the tests left no process behind

Cause: eleven tests once failed beside 59 left-over processes, whose source was not known. Three ways to leave one were found by reading: a router or stand-in that did not print its addresses within 20 s was not registered before the wait, so that nothing killed it; the same in the fleet soak; and a fleet entry that was being restarted while the soak was closed. A test program that go test ends at its time limit also leaves all of them. Change: package test/started records id, start time and name of each process as it is started. `make test` and the end of package test fail with the names of those that still run; the start time tells a process from a later one with the same id. The three ways are closed.

--- a/Makefile
+++ b/Makefile
@@ -24,8 +24,11 @@
 
 unit:
 	@[ ! -f KNOWN-RED.txt ] || { echo "known red, passed over:"; cat KNOWN-RED.txt; }
-	go test -race $(SKIP) $$(go list ./... | grep -v /test$$)
-	go test -count=1 $(SKIP) ./test # builds the programs itself, so a cached verdict says nothing
+	@# Package test builds the programs itself, so a cached verdict of it says nothing. The check for
+	@# processes left behind also follows a test that failed or ran out of time.
+	@file=$$(mktemp); export TEST_PROCESSES=$$file; set -x; \
+	go test -race $(SKIP) $$(go list ./... | grep -v /test$$) && go test -count=1 $(SKIP) ./test; \
+	code=$$?; go run ./test/leftover $$file || code=1; rm -f $$file; exit $$code
 
 .PHONY: demo
 demo: build ## the whole path on loopback: four requests and the story of each
--- a/test/bad_input.go
+++ b/test/bad_input.go
@@ -13,6 +13,8 @@
 	"strings"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/test/started"
 )
 
 // outputArgs holds the arguments of send and router: the options, and the texts that the
@@ -112,7 +114,10 @@
 	command.Dir = w.dir
 	var out, stderr bytes.Buffer
 	command.Stdout, command.Stderr = &out, &stderr
-	err := command.Run()
+	err := started.Start("router "+rest[0], command)
+	if err == nil {
+		err = command.Wait()
+	}
 	if ctx.Err() != nil {
 		return errors.Errorf("process still runs after %s: %s", WaitTimeout, &stderr)
 	}
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -18,6 +18,7 @@
 
 	"jacinthworks/group"
 	"jacinthworks/platform/fake"
+	"jacinthworks/test/started"
 )
 
 // fleet is a set of entries without sides, each in a process of its own, with fakes of the
@@ -224,7 +225,7 @@
 	if err != nil {
 		return err
 	}
-	if err := l.command.Start(); err != nil {
+	if err := started.Start(h.name, l.command); err != nil {
 		return err
 	}
 	go func() { // ends when the process exits; closes l.done
@@ -241,6 +242,8 @@
 	case <-l.done:
 		return errors.Errorf("start %s: the process exited before it listened", h.name)
 	case <-time.After(WaitTimeout):
+		_ = l.command.Process.Kill() // close would not find it
+		<-l.done
 		return errors.Errorf("start %s: the process did not listen in time", h.name)
 	}
 	h.mu.Lock()
@@ -351,6 +354,16 @@
 
 // close kills the processes that the fleet started, by PID.
 func (f *fleet) close() {
+	f.killEntries()
+	f.w.close()
+	f.killEntries() // one that was being restarted, which w.close waited for
+	for _, s := range f.allServers {
+		s.Close()
+	}
+	f.store.Close()
+}
+
+func (f *fleet) killEntries() {
 	for _, h := range f.entries {
 		h.mu.Lock()
 		incarnations := h.incarnations
@@ -361,9 +374,4 @@
 			<-l.done
 		}
 	}
-	f.w.close()
-	for _, s := range f.allServers {
-		s.Close()
-	}
-	f.store.Close()
 }
--- a/test/scenario_test.go
+++ b/test/scenario_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"flag"
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -9,6 +10,8 @@
 
 	"github.com/rogpeppe/go-internal/testscript"
 	"github.com/stretchr/testify/require"
+
+	"jacinthworks/test/started"
 )
 
 var built Binaries
@@ -31,7 +34,20 @@
 		panic(err)
 	}
 	flag.Parse()
+	if os.Getenv(started.File) == "" { // `make test` sets it, and checks again
+		if err := os.Setenv(started.File, filepath.Join(dir, "processes")); err != nil {
+			panic(err)
+		}
+	}
 	code := m.Run()
+	left, err := started.Running(os.Getenv(started.File))
+	if err != nil {
+		panic(err)
+	}
+	if len(left) > 0 {
+		fmt.Fprintln(os.Stderr, "processes that the tests left behind: "+strings.Join(left, ", "))
+		code = 1
+	}
 	if *promisesFile != "" {
 		if err := writeResults(*promisesFile); err != nil {
 			panic(err)
--- a/test/world.go
+++ b/test/world.go
@@ -32,6 +32,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/group"
+	"jacinthworks/test/started"
 )
 
 // Binaries are the paths of the programs under test.
@@ -122,7 +123,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if err := p.command.Start(); err != nil {
+	if err := started.Start(name, p.command); err != nil {
 		return nil, err
 	}
 	lines := bufio.NewScanner(out)
@@ -135,6 +136,13 @@
 		_ = p.command.Wait()
 		close(p.done)
 	}()
+	listening := false
+	defer func() {
+		if !listening { // close would not find it
+			_ = p.command.Process.Kill()
+			<-p.done
+		}
+	}()
 	select {
 	case line := <-first:
 		fields := strings.Fields(line)
@@ -150,10 +158,14 @@
 	case <-time.After(WaitTimeout):
 		return nil, errors.Errorf("start %s: the process did not listen in time", name)
 	}
+	if err != nil {
+		return nil, err
+	}
+	listening = true
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.processes[name] = p
-	return p, err
+	return p, nil
 }
 
 // proxyFor returns the proxy with this name and starts it at first use. client is the
