test of concurrent calls: the heartbeat timeout is not what it tests

Cause: both ends run in the test's process; on a busy machine no message was received within the 800 ms of the heartbeat timeout, the link closed, and a call ended with 'connection is closed: wire: no reply to the call'. Change: the timeout of this test's link is a minute. A message that the codec misreads still closes the link and fails the test.

--- a/wire/codec_test.go
+++ b/wire/codec_test.go
@@ -14,6 +14,7 @@
 	"strconv"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/sourcegraph/jsonrpc2"
 	"github.com/stretchr/testify/require"
@@ -74,15 +75,19 @@
 	require.Less(t, c.text.Cap(), 4096)
 }
 
-// connect returns a link to a server in this process that answers calls with handle.
+// connect returns a link to a server in this process that answers calls with handle. Both ends
+// share their processors with all callers, so a heartbeat can be late on a busy machine; the tests
+// that use it are about the messages of calls, and a closed connection would end them.
 func connect(t testing.TB, handle func(context.Context, *Peer, string, json.RawMessage) (any, error)) *Link {
 	ctx, cancel := context.WithCancel(context.Background())
 	var g group.Group
 	t.Cleanup(func() { cancel(); g.Wait() })
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
-	g.Go(ctx, "serve", func(ctx context.Context) error { return Serve(ctx, ln, &Handlers{Handle: handle}) })
-	l := &Link{Target: netip.MustParseAddrPort(ln.Addr().String()), Local: &Handlers{}}
+	g.Go(ctx, "serve", func(ctx context.Context) error {
+		return Serve(ctx, ln, &Handlers{Handle: handle, HeartbeatTimeout: time.Minute})
+	})
+	l := &Link{Target: netip.MustParseAddrPort(ln.Addr().String()), Local: &Handlers{HeartbeatTimeout: time.Minute}}
 	g.Go(ctx, "link", l.Run)
 	for l.Peer() == nil {
 		runtime.Gosched()
