direct: a slow reservation at the last engine does not end the request

Cause: an engine that does not answer a reservation within 150 ms is left by the request for good. With no other engine, the request then ended: a new one with 503, and a stream whose engine had crashed with half an answer, although the engine had room. Seen as TestBrokenStreamWaitsForDecodeRoom failing once in make unit (load 32), and in TestLeavingOrBackedOffEnginesGetNoStreams as it was (157 ms). A stand-in that answers the first reservation after 300 ms shows it: unexpected EOF in 3 of 3. Change: such an engine stays a candidate if no other of its role is left, after the pause of a full one; the wait stays bounded as for full engines. An engine that accepts no connection, or breaks it, is left as before.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -9,6 +9,7 @@
 	"jacinthworks/queue"
 	"jacinthworks/roster"
 	"jacinthworks/route"
+	"jacinthworks/send"
 )
 
 const (
@@ -205,7 +206,13 @@
 		return ""
 	case err != nil:
 		u.Stats.RecordFailure(time.Now())
-		r.exclude(u)
+		if m := u.Server(); send.StageOf(err) == send.Canceled && !s.hasOther(r, m.Role, m.Start) {
+			// The last engine is slow and not gone: excluded, it would end the request, and a
+			// stream that has begun would break, although the next call may find memory.
+			u.Stats.ExcludeUntil(time.Now().Add(s.fullBackoff()))
+		} else {
+			r.exclude(u)
+		}
 		s.Log.Info("reservation failed", "request", r.id, "upstream", u.Server().ID, "err", err, "took", time.Since(started))
 		return ""
 	case reservation == "":
