direct: answers go to engines that complete them in time, and entries exchange speeds

Change: an engine that would not complete a long answer in the time left is left out; each entry asks two others every 2 s for what they measured.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -184,11 +184,11 @@
 		SkipExcluded: true, Units: 1, Tokens: r.expectedTokens(), Typical: route.RequestSize{Tokens: r.expectedTokens()},
 		MemoryPressureCost: fullEngineCost, FailureCost: r.failCost(), CrossZoneCost: crossZoneStageCost,
 	}
+	if s.speedsOn(r.service.Name) {
+		load.AnswerUnits, load.MaxAnswerUnits, load.AnswerTimeLimit = r.expectedEvents(), r.maxEvents(), r.timeLeft()
+	}
 	for n := 0; n < route.MaxEnginesPerSearch && ctx.Err() == nil; n++ {
-		load.AnswerUnits = 0
-		if n < route.FastEnginesPerSearch && s.speedsOn(r.service.Name) {
-			load.AnswerUnits = r.expectedEvents()
-		}
+		load.IgnoreAnswerTime = n >= route.FastEnginesPerSearch
 		p := s.place(r, role, s.Settings.Zone, load)
 		if p.upstream == nil {
 			return nil, p.candidates > 0
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -158,7 +158,7 @@
 	loops.Go(serving, "idle connections", idle.Run)
 	loops.Go(serving, "settings", s.reload)
 	loops.Go(serving, "roles", s.planRoles)
-	loops.Go(serving, "speeds of upstreams", s.learnSpeedsAtStart)
+	loops.Go(serving, "speeds of upstreams", s.exchangeSpeeds)
 	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
 	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
 	loops.Go(serving, "entry probes", s.watchPeers)
--- a/direct/place.go
+++ b/direct/place.go
@@ -134,6 +134,19 @@
 	return max(1, (r.expectedTokens()-r.info.PromptTokens)/max(r.engine().TokensPerEvent, 1))
 }
 
+// longAnswerFactor is the length of a long answer relative to the expected one: callers'
+// estimates are right in the median, and some answers are twice as long.
+const longAnswerFactor = 2
+
+// maxEvents is the number of events of a long answer, at most what the caller allows.
+func (r *request) maxEvents() int {
+	long := longAnswerFactor * r.expectedEvents()
+	if limit := r.info.MaxOutputTokens / max(r.engine().TokensPerEvent, 1); limit > 0 {
+		long = min(long, limit)
+	}
+	return long
+}
+
 const (
 	// outputDivisor divides the limit on the answer's length; the quotient is the expected
 	// length if the caller states none.
--- a/direct/slots_test.go
+++ b/direct/slots_test.go
@@ -87,7 +87,7 @@
 	require.Equal(t, http.StatusOK, status)
 	require.False(t, a.Granted, "a late call gets no slot of a full pool")
 	require.InDelta(t, 450, a.WaitedMS, 60, "it waits for half of the time that is left")
-	require.InDelta(t, 131, a.RetryAfterMS, 30, "a third of the rest, less the spread")
+	require.InDelta(t, 141, a.RetryAfterMS, 30, "a third of the rest, less a spread of up to a quarter")
 
 	_, ok := s.handleSlotEnd(slotEnd{Service: "cards", Ticket: first.Ticket, Outcome: "ok", TookMS: 10})
 	require.True(t, ok)
--- a/direct/speeds.go
+++ b/direct/speeds.go
@@ -6,6 +6,7 @@
 	"math"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -314,35 +315,57 @@
 }
 
 const (
-	// speedPeersAtStart is how many entries one that starts asks for their estimates.
-	speedPeersAtStart = 2
-	// speedPeersMaxWait is how long it waits until it knows other entries: as long as the
-	// first complete read of their records may take.
+	// speedPeersAsked is how many entries one asks for their estimates, at its start and then
+	// every speedsRefresh: an upstream's own speed lasts as long as its process, and one answer
+	// has some kilobytes.
+	speedPeersAsked = 2
+	speedsRefresh   = 2 * time.Second
+	// speedPeersMaxWait is how long an entry that starts waits until it knows others: as long as
+	// the first complete read of their records may take.
 	speedPeersMaxWait = 10 * time.Second
 	speedPeersPoll    = 50 * time.Millisecond
 )
 
-// learnSpeedsAtStart asks two other entries once for their estimates. Without them, an entry
-// that starts in a burst places its first requests as if all engines were equal.
-func (s *Server) learnSpeedsAtStart(ctx context.Context) error {
+// exchangeSpeeds asks two other entries for their estimates at the start, and some others
+// periodically where placement follows speeds. An entry among dozens sends an engine a request
+// every ten seconds or so; by its own requests alone it would place answers as if all engines
+// were equal for minutes.
+func (s *Server) exchangeSpeeds(ctx context.Context) error {
 	if !s.Settings.PeerListen.IsValid() {
 		return nil
 	}
+	s.learnSpeedsAtStart(ctx)
+	for group.Sleep(ctx, speedsRefresh); ctx.Err() == nil; group.Sleep(ctx, speedsRefresh) {
+		c := s.config.Current()
+		if c != nil && slices.ContainsFunc(c.Services, func(v paths.Service) bool { return s.speedsOn(v.Name) }) {
+			s.askForSpeeds(ctx)
+		}
+	}
+	return nil
+}
+
+// learnSpeedsAtStart asks for estimates once other entries are known.
+func (s *Server) learnSpeedsAtStart(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, speedPeersMaxWait)
 	defer cancel()
 	for ; ctx.Err() == nil; group.Sleep(ctx, speedPeersPoll) {
-		others := s.peers.fleet.OtherPeers(maxMixPeers)
-		if len(others) == 0 || s.config.Current() == nil || !s.roster.Loaded() {
+		if s.config.Current() == nil || !s.roster.Loaded() {
 			continue
 		}
-		var asked []*relay.Peer
-		for _, n := range rand.Perm(len(others))[:min(len(others), speedPeersAtStart)] {
-			asked = append(asked, others[n])
+		if asked, answered, merged := s.askForSpeeds(ctx); asked > 0 {
+			s.Log.Info("speeds received at the start", "entries", answered, "asked", asked, "estimates", merged)
+			return
 		}
-		found := s.fetchAllSpeeds(ctx, asked)
-		merged := s.mergeSpeeds(time.Now(), found)
-		s.Log.Info("speeds received at the start", "entries", len(found), "asked", len(asked), "estimates", merged)
-		break
 	}
-	return nil
+}
+
+// askForSpeeds asks some other entries, drawn at random, for their estimates.
+func (s *Server) askForSpeeds(ctx context.Context) (asked, answered, merged int) {
+	others := s.peers.fleet.OtherPeers(maxMixPeers)
+	var from []*relay.Peer
+	for _, n := range rand.Perm(len(others))[:min(len(others), speedPeersAsked)] {
+		from = append(from, others[n])
+	}
+	found := s.fetchAllSpeeds(ctx, from)
+	return len(from), len(found), s.mergeSpeeds(time.Now(), found)
 }
--- a/direct/speeds_test.go
+++ b/direct/speeds_test.go
@@ -81,7 +81,7 @@
 		members = append(members, relay.Member{Name: domain.Host(fmt.Sprint("entry-", n)), Addr: netip.MustParseAddrPort(h.Listener.Addr().String()), Cores: 1})
 	}
 	s.peers.fleet.SetMembers(members, true)
-	require.NoError(t, s.learnSpeedsAtStart(t.Context()))
+	s.learnSpeedsAtStart(t.Context())
 	factor, observations := s.relativeTime("model", domain.RoleDecode, engineStart(0))
 	require.InDelta(t, 2.3, factor, 0.01)
 	require.Equal(t, 3, observations)
--- a/route/candidate.go
+++ b/route/candidate.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"time"
 )
 
@@ -47,6 +48,13 @@
 	// AnswerUnits is the expected number of events of the answer, in the units of
 	// Candidate.AnswerUnitTime; zero if the time that the answer takes does not matter.
 	AnswerUnits int
+	// IgnoreAnswerTime lets the candidates' times for the answer not count in the score.
+	IgnoreAnswerTime bool
+	// MaxAnswerUnits is the number of events of a long answer, and AnswerTimeLimit the time
+	// left for it. A candidate that is not expected to complete it in time is left out, unless
+	// this is so for all; zero is no limit.
+	MaxAnswerUnits  int
+	AnswerTimeLimit time.Duration
 	// Tokens is the engine memory that the request needs, in tokens.
 	Tokens int
 	// Typical is the assumed size of a request of another process.
@@ -144,9 +152,19 @@
 	return time.Duration(score)
 }
 
+// isTooSlow reports whether a long answer of the candidate is not expected to be complete
+// within the request's time limit. Its caller would get nothing, after the answer has held
+// the upstream's memory until the deadline.
+func (c *Candidate) isTooSlow(r *Request) bool {
+	return r.AnswerTimeLimit > 0 && time.Duration(r.MaxAnswerUnits)*c.AnswerUnitTime > r.AnswerTimeLimit
+}
+
 // excessAnswerTime returns how much longer the answer takes than at the fastest
 // candidate, whose time per event is given.
 func (c Candidate) excessAnswerTime(r Request, fastest time.Duration) time.Duration {
+	if r.IgnoreAnswerTime {
+		return 0
+	}
 	excess := c.AnswerUnitTime - time.Duration(equalAnswerTime*float64(fastest))
 	return max(0, excess) * time.Duration(r.AnswerUnits)
 }
@@ -154,7 +172,7 @@
 // fastestAnswer returns the least time per event of the candidates that the request does
 // not leave out; zero if none is known or the request does not ask for it.
 func fastestAnswer(candidates []Candidate, r Request) (fastest time.Duration) {
-	if r.AnswerUnits <= 0 {
+	if r.AnswerUnits <= 0 || r.IgnoreAnswerTime {
 		return 0
 	}
 	for i := range candidates {
@@ -188,8 +206,9 @@
 	best, full = -1, true
 	var lowest float64
 	fastest := fastestAnswer(candidates, r)
+	anyInTime := slices.ContainsFunc(candidates, func(c Candidate) bool { return !c.isTooSlow(&r) })
 	for i, c := range candidates {
-		if r.leavesOut(&c) {
+		if r.leavesOut(&c) || anyInTime && c.isTooSlow(&r) {
 			continue
 		}
 		hasRoom := r.SkipExcluded || c.hasCapacity(r)
