upstreams, shares: commands that show what an entry of direct knows

Cause: speeds, slots and shares are decided by figures that no operator could see but in log lines. Change: two views as JSON at the metrics address, and two commands that print them; read only.

--- a/commands.go
+++ b/commands.go
@@ -31,6 +31,8 @@
 		cmdTable,
 		cmdStory,
 		cmdStatus,
+		cmdUpstreams,
+		cmdShares,
 		cmdDrain,
 		cmdOrder,
 		cmdCheck,
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -167,7 +167,7 @@
 		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
 	}
 	if s.Settings.MetricsListen.IsValid() {
-		loops.Go(serving, "metrics", func(ctx context.Context) error { return s.Meter.Serve(ctx, s.Settings.MetricsListen) })
+		loops.Go(serving, "metrics", func(ctx context.Context) error { return s.Meter.Serve(ctx, s.Settings.MetricsListen, s.views()) })
 	}
 	s.Log.Info("started", "listen", callers.Addr().String(), "ready", ready.Addr().String(), "zone", s.Settings.Zone)
 	if s.OnListen != nil {
--- a/shares/fleet.go
+++ b/shares/fleet.go
@@ -67,6 +67,16 @@
 	return f.effect(now)
 }
 
+// OverAccounts returns the accounts that are over their shares, as long as the view has effect.
+func (f *Fleet) OverAccounts(now time.Time) []domain.Account {
+	f.mu.RLock()
+	defer f.mu.RUnlock()
+	if f.effect(now) == 0 {
+		return nil
+	}
+	return slices.Clone(f.over)
+}
+
 // OverCount returns the number of accounts that are over their shares.
 func (f *Fleet) OverCount(now time.Time) int {
 	f.mu.RLock()
