--- a/direct/engine_speeds.go
+++ b/direct/engine_speeds.go
@@ -42,9 +42,7 @@
 
 // speedPrefillWeight takes the place of prefillWeight where speeds are used. In a burst the
 // memory of decode engines takes what they cannot serve at once, while prefill has only the time
-// until the first event, and it is a sixth of the work. In the bursts of TestRolesBySpeedLoad,
-// six seeds, 0.944 of the streams were served with a weight of 0.75, 0.977 with 1, 0.984 with
-// 1.25 and 0.974 with 1.5.
+// until the first event, and it is a sixth of the work.
 const speedPrefillWeight = 1.25
 
 // prefillWeight returns the factor of the demand for prefill. The ratio of the mix is that of
--- a/roles/exchange.go
+++ b/roles/exchange.go
@@ -51,8 +51,9 @@
 //
 // Decode memory is held for as long as an answer takes, so that a fast engine serves more
 // answers with the same memory, while a prompt's time is short compared with its target on
-// either engine. It is done where prefill has more capacity than it needs. Each exchange costs the work of two engines for the time of the change, so that
-// there is one pair at a time, after the load has lasted for some time, and only outside bursts.
+// either engine. It is done where prefill has more capacity than it needs. Each exchange costs
+// the work of two engines for the time of the change, so that there is one pair at a time,
+// after the load has lasted for some time, and only outside bursts.
 // The order for the decode engine comes first: if the other one is not given, the pools have
 // lost less than if the fast engine alone had left prefill.
 func (p *Planner) exchange(now time.Time, v View, states []poolState, issue func(time.Time) (fence.Token, error)) []Order {
@@ -147,8 +148,8 @@
 // prefillCanSpare reports whether prefill has the lower pressure also after the exchange, which
 // takes capacity from it, by exchangeMargin.
 //
-// In a simulation of 50 engines whose numbers in each role were balanced by speed, exchanges
-// without this condition lowered the streams served at saturation from 72 to 46 a second.
+// In pools that are balanced by speed, an exchange without this condition takes capacity from
+// prefill that decode cannot use.
 func prefillCanSpare(prefill, decode poolState, fast, slow Engine) bool {
 	gained := fast.speed() - slow.speed()
 	return prefill.pressure(-gained) < (1-exchangeMargin)*decode.pressure(gained)
--- a/route/backoff.go
+++ b/route/backoff.go
@@ -37,8 +37,7 @@
 	// FastEnginesPerSearch is the number of these that are chosen by their speed. A fast
 	// engine frees its memory in less than half of the time of a slow one. If all were
 	// chosen by speed, processes would ask the same full engines while slow ones have
-	// capacity: near two thirds of the load that all can take, 1.6 times as many calls for 1.1 times as
-	// much free memory.
+	// capacity.
 	FastEnginesPerSearch = 4
 )
 
