direct: log lines and a metric for the evidence of crashes

Lines: request ran when upstreams crashed, upstream alive after a broken connection, crash evidence cleared; upstream died names the work. Metric: jacinthworks_crash_evidence_total by event. No decision changes.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -203,7 +203,7 @@
 	if succeeded {
 		s.endAttemptSlot(a, slots.OK, took)
 		a.upstream.Stats.RecordSuccess(now, took, units)
-		s.crashes.Ledger.RecordSurvival(now, r.identity)
+		s.recordSurvival(now, r, a)
 	} else {
 		s.endAttemptSlot(a, slots.Failed, took)
 		a.upstream.Stats.RecordFailure(now)
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -13,6 +13,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/group"
+	"jacinthworks/meter"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 )
@@ -47,6 +48,7 @@
 		return
 	}
 	s.crashes.Ledger.Merge(now, n.Evidence)
+	s.countEvidence("notice")
 	s.Log.Info("crash notice received", "by", n.By, "deaths", len(n.Evidence.Deaths), "newest", n.Evidence.Deaths[0].Upstream)
 }
 
@@ -62,16 +64,39 @@
 	s.background("probe upstream", 2*probeTimeout, func(ctx context.Context) error {
 		err := dialUpstream(ctx, addr)
 		if err == nil && !a.upstream.Restarted() {
+			s.Log.Info("upstream alive after a broken connection", "upstream", a.start.ID, "request", r.id, "stage", a.info.Stage)
+			s.countEvidence("alive")
 			return nil
 		}
+		s.countEvidence("died")
 		if s.crashes.RecordDeath(retry.Death{Upstream: domain.Host(a.start.ID), Incarnation: incarnationOf(a.start), Time: time.Now(), Running: ids}) {
 			s.announceCrashes()
 		}
-		s.Log.Info("upstream died", "upstream", a.start.ID, "born", a.start.Born, "request", r.id, "running", len(ids), "err", err)
+		s.Log.Info("upstream died", "upstream", a.start.ID, "born", a.start.Born, "request", r.id, "work", r.identity.LogName(), "running", len(ids), "err", err)
 		return nil
 	})
 }
 
+// logSuspicion logs what is known of an accepted request that ran when upstreams crashed.
+func (s *Server) logSuspicion(r *request, found retry.Suspicion) {
+	if deaths := s.crashes.Ledger.DeathsWith(r.identity); deaths > 0 {
+		s.Log.Info("request ran when upstreams crashed", "request", r.id, "work", r.identity.LogName(), "suspicion", found, "deaths", deaths)
+	}
+}
+
+// recordSurvival records that an upstream ran a request to its end.
+func (s *Server) recordSurvival(now time.Time, r *request, a *attempt) {
+	if s.crashes.Ledger.RecordSurvival(now, r.identity) {
+		s.Log.Info("crash evidence cleared", "request", r.id, "work", r.identity.LogName(), "upstream", a.start.ID, "stage", a.info.Stage)
+		s.countEvidence("cleared")
+	}
+}
+
+// countEvidence counts an event in the evidence of requests that crash upstreams.
+func (s *Server) countEvidence(event string) {
+	s.Meter.Inc("jacinthworks_crash_evidence_total", meter.Labels{"event", event})
+}
+
 // dialUpstream dials an upstream, and returns nil if the connection was accepted.
 func dialUpstream(ctx context.Context, addr netip.AddrPort) error {
 	d := net.Dialer{Timeout: probeTimeout}
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -137,15 +137,16 @@
 // RecordDeath adds the evidence of the death of an upstream.
 func (l *Ledger) RecordDeath(d Death) { l.Merge(d.Time, Record{Deaths: []Death{d}}) }
 
-// RecordSurvival records that a request ran to its end. For a request without a death against it
-// nothing is stored.
-func (l *Ledger) RecordSurvival(now time.Time, id Identity) {
+// RecordSurvival records that a request ran to its end, and reports whether there was evidence
+// against it. For a request without a death against it nothing is stored.
+func (l *Ledger) RecordSurvival(now time.Time, id Identity) (cleared bool) {
 	l.mu.Lock()
 	_, known := l.suspicions[id]
 	l.mu.Unlock()
 	if known {
 		l.Merge(now, Record{Survivals: []Survival{{id, now}}})
 	}
+	return known
 }
 
 // Merge adds evidence from another process.
@@ -175,6 +176,20 @@
 	return Clear
 }
 
+// DeathsWith returns the number of upstreams known to have died while running a request, whether or
+// not their deaths count against it.
+func (l *Ledger) DeathsWith(id Identity) int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := 0
+	for _, d := range l.record.Deaths {
+		if slices.Contains(d.Running, id) {
+			n++
+		}
+	}
+	return n
+}
+
 // MayRunWith reports whether an upstream that runs the given requests may run this one as well.
 // Only the side knows exactly what its upstream runs, so it asks before it accepts a request, and
 // answers not_run if the request may not run now. Without this rule an innocent request that ran
--- a/retry/record.go
+++ b/retry/record.go
@@ -48,6 +48,12 @@
 	return Identity(hex.EncodeToString(hash.Sum(nil)[:16]))
 }
 
+// logPrefixLen is the number of characters by which log lines name an identity.
+const logPrefixLen = 8
+
+// LogName returns a prefix of the identity that is long enough to find its log lines.
+func (i Identity) LogName() string { return string(i[:min(len(i), logPrefixLen)]) }
+
 // Death is the evidence of an upstream that died: the requests that it was running. A planned stop
 // or a cancelled request is no evidence.
 type Death struct {
