direct: a completed prefill does not clear the evidence of crashes

Cause: finishAnswered recorded each successful attempt as a survival of the request, a prefill as well. A survival outweighs all earlier deaths, so the entry that served the caller forgot a death with the next prefill of the same prompt, just before the decode engine that would crash. Other entries, which are told of deaths only, blocked it; a caller that kept to one entry was never stopped. Class: the outcome of a step is recorded as that of the whole.

Evidence: TestRequestThatCrashesUpstreamsIsBlockedOnEachWay/prefilled_same_entry failed on the commit before (third send 502 instead of 422), with the line 'crash evidence cleared' stage=prefill before each further death. It passes now, with the other five ways. Ruled out: notices (the other entries had the deaths), the dial (each death was recorded).

Only a stage that runs the request counts (Stage.RunsRequest).

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -54,7 +54,7 @@
 	if a.headerTimeout <= 0 {
 		a.headerTimeout = r.timeLeft() + readTimeoutMargin
 	}
-	if a.info.Stage != StagePrefill {
+	if a.info.Stage.RunsRequest() {
 		r.attempts.Sent()
 	}
 	if r.route.Kind != paths.Stream {
@@ -97,10 +97,10 @@
 		return nil, s.finishFailed(r, a, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
 	case info.NotExecuted:
 		s.readShortResponse(reply)
-		if a.info.Stage != StagePrefill {
+		if a.info.Stage.RunsRequest() {
 			s.countReturned(r)
 		}
-		if a.info.Reservation != "" || a.info.Stage == StagePrefill {
+		if a.info.Reservation != "" || !a.info.Stage.RunsRequest() {
 			a.upstream.Stats.RecordRefusal(time.Now())
 		} else if !a.slot.held() {
 			a.upstream.Stats.ExcludeUntil(time.Now().Add(s.fullBackoff()))
@@ -146,7 +146,7 @@
 	case send.TimedOut:
 		f.reason = domain.ReasonUpstream
 	case send.Broken:
-		if a.info.Stage != StagePrefill && ctx.Err() == nil {
+		if a.info.Stage.RunsRequest() && ctx.Err() == nil {
 			s.checkCrash(r, a)
 		}
 	}
@@ -163,7 +163,7 @@
 func (s *Server) finishFailed(r *request, a *attempt, f *failure) *failure {
 	s.releaseLoad(r, a)
 	s.endAttemptSlot(a, failedOutcome(f), 0)
-	if a.info.Stage != StagePrefill {
+	if a.info.Stage.RunsRequest() {
 		r.attempts.Ended(f.ran)
 	}
 	r.exclude(a.upstream)
@@ -203,7 +203,9 @@
 	if succeeded {
 		s.endAttemptSlot(a, slots.OK, took)
 		a.upstream.Stats.RecordSuccess(now, took, units)
-		s.recordSurvival(now, r, a)
+		if a.info.Stage.RunsRequest() {
+			s.recordSurvival(now, r, a)
+		}
 	} else {
 		s.endAttemptSlot(a, slots.Failed, took)
 		a.upstream.Stats.RecordFailure(now)
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -77,6 +77,10 @@
 	StageDecode Stage = "decode"
 )
 
+// RunsRequest reports whether an upstream that does this stage runs the request: a prefill alone
+// shows nothing of whether the request can be run.
+func (s Stage) RunsRequest() bool { return s != StagePrefill }
+
 // AttemptInfo describes an attempt to an upstream.
 type AttemptInfo struct {
 	// Upstream is the start of the upstream that the attempt is meant for; any other
