--- a/side/death_test.go
+++ b/side/death_test.go
@@ -63,3 +63,20 @@
 	require.WithinDuration(t, time.Now(), d.Time, time.Minute)
 	require.Equal(t, []retry.Identity{"identity-1"}, d.Running)
 }
+
+// Prefill completes every prefill.
+func (l *incarnationModel) Prefill(context.Context, engine.PrefillRequest) (engine.KV, error) {
+	return engine.KV{}, l.err
+}
+
+// Guards against a request that crashes one engine after the other because the prefill before
+// each crash clears the evidence of the earlier ones.
+func TestPrefillDoesNotClearCrashEvidence(t *testing.T) {
+	s := &Side{Model: &incarnationModel{}}
+	s.init()
+	s.crashEvidence.RecordDeath(retry.Death{Upstream: "decode-1", Time: time.Now(), Running: []retry.Identity{"identity-1"}})
+	o, refused := s.orderTable.begin(orderOf(1, wire.StagePrefill), "entry-1", func() {})
+	require.Nil(t, refused)
+	s.execute(t.Context(), o)
+	require.Equal(t, retry.Suspect, s.crashEvidence.Suspicion(time.Now(), "identity-1"))
+}
--- a/side/run.go
+++ b/side/run.go
@@ -64,7 +64,7 @@
 	s.orderTable.end(o, outcome, time.Now())
 	s.FaultHook.Reach(inject.SideEnded)
 	s.releaseCapacity(r.AttemptRef)
-	if outcome.Reason == "" {
+	if outcome.Reason == "" && r.Stage != wire.StagePrefill {
 		s.crashEvidence.RecordSurvival(time.Now(), r.Identity)
 	}
 	if s.orderTable.endedDetached(o) {
