direct: a request that is blocked after its acceptance is not sent

Each copy of the prompt was accepted before the evidence came, waited for memory or its prefill, and was sent although it was blocked by then.

Cause: the evidence was looked at when a request is accepted only. It is looked at before each send now, prefills and further attempts as well (refuseCrashing); the memory, handle, permit and slot of the request are given back.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -43,8 +43,13 @@
 // sendAttempt sends the request to an upstream and waits for the response header. The
 // caller closes the returned reply and calls finishAnswered.
 func (s *Server) sendAttempt(ctx context.Context, r *request, a *attempt) (*send.Response, *failure) {
+	if f := s.refuseCrashing(r); f != nil {
+		s.releaseUnsent(r, a)
+		return nil, f
+	}
 	if !s.acceptsNew(r.id, a.upstream) || a.slot.expired(time.Now()) {
-		return nil, s.failNotSent(r, a)
+		s.releaseUnsent(r, a)
+		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: errNotAccepting.Error(), unsent: true, retryGranted: true}
 	}
 	server := a.upstream.Server()
 	a.start, a.startedAt = server.Start, time.Now()
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -78,12 +78,24 @@
 }
 
 // logSuspicion logs what is known of an accepted request that ran when upstreams crashed.
-func (s *Server) logSuspicion(r *request, found retry.Suspicion) {
+func (s *Server) logSuspicion(r *request) {
 	if deaths := s.crashes.Ledger.DeathsWith(r.identity); deaths > 0 {
-		s.Log.Info("request ran when upstreams crashed", "request", r.id, "work", r.identity.LogName(), "suspicion", found, "deaths", deaths)
+		s.Log.Info("request ran when upstreams crashed", "request", r.id, "work", r.identity.LogName(),
+			"suspicion", s.crashes.Ledger.Suspicion(r.accepted, r.identity), "deaths", deaths)
 	}
 }
 
+// refuseCrashing returns the failure of a request that is blocked, nil for any other. It is called
+// when a request is accepted, and again before each send: while the request waits, or is attempted
+// elsewhere, evidence against it may arrive.
+func (s *Server) refuseCrashing(r *request) *failure {
+	if s.crashes.Ledger.Suspicion(time.Now(), r.identity) != retry.Blocked {
+		return nil
+	}
+	s.countEvidence("blocked")
+	return &failure{ran: domain.NotRun, reason: domain.ReasonCrashes, detail: "upstreams died running it", final: true}
+}
+
 // recordSurvival records that an upstream ran a request to its end.
 func (s *Server) recordSurvival(now time.Time, r *request, a *attempt) {
 	if s.crashes.Ledger.RecordSurvival(now, r.identity) {
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -45,9 +45,9 @@
 	return false
 }
 
-// failNotSent ends an attempt that was not sent, and releases its load, its reservation, its
+// releaseUnsent ends an attempt that was not sent: it releases its load, its reservation, its
 // permit and its slot.
-func (s *Server) failNotSent(r *request, a *attempt) *failure {
+func (s *Server) releaseUnsent(r *request, a *attempt) {
 	if a.loadCounted {
 		a.upstream.Stats.RequestEnded(a.cost)
 		s.queues.For(r.service.Name).SignalFree()
@@ -57,5 +57,4 @@
 	}
 	s.releasePermit(a.permit)
 	s.endAttemptSlot(a, slots.Gone, 0)
-	return &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: errNotAccepting.Error(), unsent: true, retryGranted: true}
 }
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -63,14 +63,14 @@
 }
 
 // prefill has the prompt read by a prefill engine near the decode engine of the answer,
-// whose memory stays reserved meanwhile. It returns nil if that failed; the decode engine
-// then reads the prompt itself.
-func (s *Server) prefill(ctx context.Context, r *request, decode *allocation) *prefillResult {
+// whose memory stays reserved meanwhile. It returns no result if that failed; the decode
+// engine then reads the prompt itself, unless a failure says that no attempt may follow.
+func (s *Server) prefill(ctx context.Context, r *request, decode *allocation) (*prefillResult, *failure) {
 	budget := s.retryBudgets.window(r.service.Name)
 	charged := false // whether this prefill was charged to the retry budget already
 	for n := 0; n < maxPrefillTries && ctx.Err() == nil; {
 		if r.prefills > 0 && !charged && !budget.Take(time.Now(), s.retryTerms()) {
-			return nil
+			return nil, nil
 		}
 		charged = true
 		load := route.Request{
@@ -86,7 +86,7 @@
 			load.OnlyResponsive = !reserved.Held()
 			if load.OnlyResponsive && s.prefillsRefused(r.service.Name) {
 				s.Log.Info("prefill skipped", "request", r.id, "why", "prefills are refused")
-				return nil
+				return nil, nil
 			}
 		} else {
 			load.OnlyResponsive = !budget.Available(time.Now(), s.retryTerms())
@@ -94,7 +94,7 @@
 		p, assigned, ok := s.placePrefill(ctx, r, decode.upstream, load)
 		if !ok {
 			budget.Return(reserved)
-			return nil
+			return nil, nil
 		}
 		permitted, _, ok := s.acquirePermit(ctx, r, p.upstream, 0)
 		if !ok {
@@ -108,7 +108,11 @@
 		s.endAssignment(assigned, result)
 		if result != nil {
 			budget.Return(reserved)
-			return result
+			return result, nil
+		}
+		if f.final {
+			budget.Return(reserved)
+			return nil, f
 		}
 		if f.retryGranted {
 			budget.Return(reserved)
@@ -129,7 +133,7 @@
 			budget.RecordRetry(time.Now(), s.retryTerms())
 		}
 	}
-	return nil
+	return nil, nil
 }
 
 // prefillsRefused reports whether the prefill engines of a service have lately refused so many
--- a/direct/request.go
+++ b/direct/request.go
@@ -152,11 +152,9 @@
 	r.firstSent = r.accepted.Add(-s.ages.Estimate(route.Name, r.info.Timeout))
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
 	r.setDeadline()
-	suspicion := s.crashes.Ledger.Suspicion(r.accepted, r.identity)
-	s.logSuspicion(r, suspicion)
-	if suspicion == retry.Blocked {
-		s.countEvidence("blocked")
-		return &failure{ran: domain.NotRun, reason: domain.ReasonCrashes, detail: "upstreams died running it"}
+	s.logSuspicion(r)
+	if f := s.refuseCrashing(r); f != nil {
+		return f
 	}
 	if f := s.charge(h.Context(), r); f != nil {
 		return f
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -53,7 +53,11 @@
 	s.countStarted(r)
 	var prefilled *prefillResult
 	if role == domain.RoleDecode && r.info.PromptTokens >= minPrefillPrompt {
-		prefilled = s.prefill(ctx, r, allocated)
+		prefilled, f = s.prefill(ctx, r, allocated)
+		if f != nil {
+			s.release(r, allocated)
+			return f
+		}
 		if prefilled == nil {
 			s.waitDecodeTurn(ctx, r, allocated)
 		}
