direct: an upstream that has restarted at once is recognised as crashed

What callers would see: a request crashes one upstream after the other, or one that restarts again and again, and is never blocked.

Cause: after a broken connection the entry dialed the address, and an accepted connection meant that the upstream lives. One that is back, under another ID or its own, was taken for alive. Class: presence at an address stands for identity.

The check asks for the state of the very start that failed; another one refuses the call (421) or states another time of start. A start under the same ID that states nothing is known by its next registration, for which the check waits 5 s in the background. One check at a time serves all requests of an upstream, and a request under suspicion is not sent again before it has ended. What a planned stop cuts counts against nobody. callUpstream now reports a call that another start refused, and the roster drops the start that was replaced.

Cost: one state call in place of a dial.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -234,6 +234,7 @@
 		decision = retry.OverBudget
 	}
 	if decision == retry.Allowed {
+		s.awaitCrashCheck(ctx, r)
 		return true
 	}
 	s.Log.Info("not retried", "request", r.id, "why", decision, "sends", r.attempts.Sends(), "runs", r.attempts.PossibleRuns(), "left", r.timeLeft())
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/binary"
 	"net"
+	"net/http"
 	"net/netip"
 	"strconv"
 	"time"
@@ -16,6 +17,7 @@
 	"jacinthworks/meter"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
+	"jacinthworks/send"
 )
 
 // probeTimeout bounds the dial that tells a crashed upstream from a broken connection: a
@@ -52,31 +54,100 @@
 	s.Log.Info("crash notice received", "by", n.By, "deaths", len(n.Evidence.Deaths), "newest", n.Evidence.Deaths[0].Upstream)
 }
 
-// checkCrash dials, in the background, an upstream that broke a connection, and records the
-// requests that it ran if it has crashed.
+// checkCrash checks, in the background, whether the upstream of a failed attempt has crashed, and
+// records the requests that it ran if so. A planned stop is no evidence against them.
 //
-// A request that crashes each upstream that runs it, and that its caller sends again, takes
-// down one upstream after the other. A broken connection alone is weak evidence, since
-// responses also get lost; an upstream that refuses new connections as well has crashed.
+// A request that crashes each upstream that runs it, and that its caller sends again, takes down one
+// upstream after the other. A failed connection alone is weak evidence, since responses also get
+// lost; that nothing accepts new connections is strong evidence, and so is another start at the
+// address, since an upstream may have restarted by the time of the check.
 func (s *Server) checkCrash(r *request, a *attempt) {
-	ids := s.crashes.RunningOn(a.start.Key(), r, r.identity)
-	addr := a.upstream.Server().Addr
-	s.background("probe upstream", 2*probeTimeout, func(ctx context.Context) error {
-		err := dialUpstream(ctx, addr)
-		if err == nil && !a.upstream.Restarted() {
+	if a.upstream.IsLeaving() {
+		return
+	}
+	first, done := s.crashes.BeginCheck(a.start.Key(), r, r.identity)
+	r.crashCheck = done
+	if !first {
+		return
+	}
+	s.background("check for a crash", 2*probeTimeout, func(ctx context.Context) error {
+		err := s.probeInstance(ctx, a.upstream, a.start)
+		s.crashes.EndCheck(a.start.Key(), func(ids []retry.Identity) {
+			if err != nil {
+				s.recordDeath(time.Now(), r, a, ids, err)
+				return
+			}
 			s.Log.Info("upstream alive after a broken connection", "upstream", a.start.ID, "request", r.id, "stage", a.info.Stage)
 			s.countEvidence("alive")
-			return nil
-		}
-		s.countEvidence("died")
-		if s.crashes.RecordDeath(retry.Death{Upstream: domain.Host(a.start.ID), Incarnation: incarnationOf(a.start), Time: time.Now(), Running: ids}) {
-			s.announceCrashes()
+			s.awaitRestart(r, a, ids)
+		})
+		return nil
+	})
+}
+
+// restartNoticeTime is how long an upstream that restarted under its ID may take to register.
+const restartNoticeTime = 5 * time.Second
+
+// errRestarted is the error of a probe after whose upstream a later start was found.
+var errRestarted = errors.New("direct: probing an upstream: a later start has replaced it")
+
+// awaitRestart records, in the background, a crash that the check did not show: an upstream that
+// keeps its ID when it restarts is known by its next registration, and any other by the next
+// response of its successor.
+func (s *Server) awaitRestart(r *request, a *attempt, ids []retry.Identity) {
+	failedAt := time.Now()
+	s.background("await restart", restartNoticeTime, func(ctx context.Context) error {
+		select {
+		case <-a.upstream.Restarted():
+			s.recordDeath(failedAt, r, a, ids, errRestarted)
+		case <-ctx.Done():
 		}
-		s.Log.Info("upstream died", "upstream", a.start.ID, "born", a.start.Born, "request", r.id, "work", r.identity.LogName(), "running", len(ids), "err", err)
 		return nil
 	})
 }
 
+// recordDeath records that an upstream has crashed while it ran some requests, and notifies the
+// other entries.
+func (s *Server) recordDeath(at time.Time, r *request, a *attempt, ids []retry.Identity, cause error) {
+	s.Log.Info("upstream died", "upstream", a.start.ID, "born", a.start.Born, "request", r.id, "work", r.identity.LogName(), "running", len(ids), "err", cause)
+	s.countEvidence("died")
+	if s.crashes.RecordDeath(retry.Death{Upstream: domain.Host(a.start.ID), Incarnation: incarnationOf(a.start), Time: at, Running: ids}) {
+		s.announceCrashes()
+	}
+}
+
+// probeInstance returns an error if the start of an upstream has ended: if nothing accepts
+// connections at its address, or another start does.
+func (s *Server) probeInstance(ctx context.Context, u *roster.Upstream, start roster.Start) error {
+	q := s.Protocol.StateRequest()
+	q.NewConn = true
+	body, status, err := s.callUpstream(ctx, u, q, probeTimeout)
+	switch {
+	case errors.Is(err, errNotAccepting):
+		return dialUpstream(ctx, u.Server().Addr)
+	case errors.Is(err, errMisdirected), send.StageOf(err) == send.NotSent:
+		return err
+	case err != nil || status != http.StatusOK:
+		return nil // it accepts connections, and does not state its start
+	}
+	if state, err := s.Protocol.ParseState(body); err == nil && !state.StartedAt.IsZero() && !start.Born.IsZero() && !state.StartedAt.Equal(start.Born) {
+		return errRestarted
+	}
+	return nil
+}
+
+// awaitCrashCheck waits until the check of whether the request's last upstream has crashed is over,
+// if the request is under suspicion: with one more crash it may not be sent again.
+func (s *Server) awaitCrashCheck(ctx context.Context, r *request) {
+	if r.crashCheck == nil || s.crashes.Ledger.Suspicion(time.Now(), r.identity) == retry.Clear {
+		return
+	}
+	select {
+	case <-r.crashCheck:
+	case <-ctx.Done():
+	}
+}
+
 // logSuspicion logs what is known of an accepted request that ran when upstreams crashed.
 func (s *Server) logSuspicion(r *request) {
 	if deaths := s.crashes.Ledger.DeathsWith(r.identity); deaths > 0 {
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -40,7 +40,7 @@
 	ParseReservation(status int, body []byte) (Reservation, error)
 	ReleaseRequest(h Reservation) send.Request
 	// StateRequest returns the call for an engine's state, and ParseState parses its
-	// response.
+	// response. An upstream that is no engine refuses the call, and runs nothing.
 	StateRequest() send.Request
 	ParseState(body []byte) (EngineState, error)
 	// RoleChangeRequest returns the call that orders an engine to change its role, provided
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -242,14 +242,24 @@
 	if !s.acceptsNew("", u) {
 		return nil, 0, errNotAccepting
 	}
-	reply, _, err := s.exchange(ctx, "", u, r)
+	reply, info, err := s.exchange(ctx, "", u, r)
 	if err != nil {
 		return nil, 0, err
 	}
 	body, err = reply.ReadAll(maxShortResponse)
+	if info.Misdirected {
+		if info.Instance != "" && info.Instance != u.Server().ID {
+			s.roster.InstanceReplaced(u)
+		}
+		return nil, reply.Status, errMisdirected
+	}
 	return body, reply.Status, err
 }
 
+// errMisdirected is the error of a call that was refused because it was meant for another start
+// of the upstream, or for another role.
+var errMisdirected = errors.New("direct: calling an upstream: another start, or one of another role, answers at the address")
+
 // sendRoleOrder sends one order to the engine that it moves. The order states how many
 // orders the engine had accepted before, so that an order which arrives after a later one
 // is not carried out.
@@ -266,7 +276,7 @@
 		_, status, err := s.callUpstream(ctx, e.upstream, r, orderTimeout)
 		outcome := orderUnknown
 		switch {
-		case errors.Is(err, errNotAccepting):
+		case errors.Is(err, errNotAccepting), errors.Is(err, errMisdirected):
 			outcome = OrderRefused
 		case err == nil:
 			outcome = s.Protocol.ParseOrderOutcome(status)
--- a/retry/crashes.go
+++ b/retry/crashes.go
@@ -1,6 +1,9 @@
 package retry
 
-import "sync"
+import (
+	"slices"
+	"sync"
+)
 
 // Crashes attributes the deaths of upstreams to requests. U identifies a start of an upstream, and R
 // a request. The zero value is ready to use; it must not be copied. It is safe for concurrent use.
@@ -11,12 +14,20 @@
 	mu sync.Mutex // leaf lock: no other lock is acquired while it is held
 	// running holds, for each upstream, this process's requests there and their identities.
 	running map[U]map[R]Identity
+	// checks holds the checks in progress of whether an upstream has died.
+	checks map[U]*deathCheck
 	// local is the evidence of the deaths that this process observed itself; noticePending means
 	// that it has to be sent to the other processes.
 	local         Record
 	noticePending bool
 }
 
+// deathCheck is a check of whether an upstream has died, with the requests that failed there.
+type deathCheck struct {
+	identities []Identity
+	done       chan struct{}
+}
+
 // maxDeathsInNotice bounds the deaths in a notice to the newest. A few are enough, since the callers
 // of a request that crashes upstreams send it again within seconds.
 const maxDeathsInNotice = 8
@@ -73,16 +84,40 @@
 	}
 }
 
-// RunningOn returns the identities of this process's requests at an upstream, the given request
-// first.
-func (c *Crashes[U, R]) RunningOn(id U, r R, identity Identity) []Identity {
+// BeginCheck adds a request that failed at an upstream, and the others that run there, to the check
+// of whether the upstream has died. first means that the caller has to check, and to call EndCheck;
+// otherwise a check is in progress. done is closed when it has ended.
+//
+// The requests of an upstream that died fail one after the other, and one check serves all.
+func (c *Crashes[U, R]) BeginCheck(id U, r R, identity Identity) (first bool, done <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	identities := []Identity{identity}
+	check := c.checks[id]
+	if first = check == nil; first {
+		check = &deathCheck{done: make(chan struct{})}
+		if c.checks == nil {
+			c.checks = make(map[U]*deathCheck)
+		}
+		c.checks[id] = check
+	}
+	check.identities = append(check.identities, identity)
 	for other, otherIdentity := range c.running[id] {
 		if other != r {
-			identities = append(identities, otherIdentity)
+			check.identities = append(check.identities, otherIdentity)
 		}
 	}
-	return identities
+	return first, check.done
+}
+
+// EndCheck ends the check of an upstream. It passes the identities of the requests that failed or
+// ran there during the check to record before those that wait for the check go on.
+func (c *Crashes[U, R]) EndCheck(id U, record func([]Identity)) {
+	c.mu.Lock()
+	check := c.checks[id]
+	delete(c.checks, id)
+	slices.Sort(check.identities)
+	check.identities = slices.Compact(check.identities)
+	c.mu.Unlock()
+	record(check.identities)
+	close(check.done)
 }
--- a/roster/access.go
+++ b/roster/access.go
@@ -44,6 +44,15 @@
 	return u.Stats.eligibility(now)
 }
 
+// IsLeaving reports whether the registry marks the upstream as draining, or the upstream announced its
+// shutdown itself.
+func (u *Upstream) IsLeaving() bool {
+	u.mu.Lock()
+	draining := u.server.Draining
+	u.mu.Unlock()
+	return draining || !u.Stats.Announcement().LeavingSince.IsZero()
+}
+
 // eligibility returns whether an upstream that made this announcement may be sent new requests.
 func (a *Announcement) eligibility(now time.Time) Eligibility {
 	if !a.LeavingSince.IsZero() {
--- a/roster/restore.go
+++ b/roster/restore.go
@@ -91,7 +91,7 @@
 	u := d.upstream
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	u.removed, u.restarted = false, false
+	u.removed, u.restarted = false, nil
 	return u
 }
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -76,8 +76,8 @@
 	// should be complete; pendingRole is empty if there is no change.
 	pendingRole   domain.Role
 	pendingRoleAt time.Time
-	// restarted is set once a later instance of the upstream has replaced this one.
-	restarted bool
+	// restarted is closed once a later instance of the upstream has replaced this one.
+	restarted chan struct{}
 }
 
 // Server returns the upstream's last registry entry. If a role change recorded by ExpectRole is
@@ -118,11 +118,30 @@
 	return u.removed
 }
 
-// Restarted reports whether the instance was replaced by a later one, which is an Upstream of its
-// own.
-func (u *Upstream) Restarted() bool {
+// Restarted returns a channel that is closed once the instance was replaced by a later one, which is
+// an Upstream of its own.
+func (u *Upstream) Restarted() <-chan struct{} {
 	u.mu.Lock()
 	defer u.mu.Unlock()
+	return u.restartedChan()
+}
+
+// markRestarted closes the channel of Restarted.
+func (u *Upstream) markRestarted() {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	select {
+	case <-u.restartedChan():
+	default:
+		close(u.restarted)
+	}
+}
+
+// restartedChan creates the channel on first use. u.mu must be held.
+func (u *Upstream) restartedChan() chan struct{} {
+	if u.restarted == nil {
+		u.restarted = make(chan struct{})
+	}
 	return u.restarted
 }
 
@@ -296,9 +315,7 @@
 // of the earlier instance would wrongly exclude or favour the new one. So the connections of the
 // earlier instance are closed, and the new instance starts with empty statistics.
 func (r *Directory) replaceInstance(u *Upstream) {
-	u.mu.Lock()
-	u.restarted = true
-	u.mu.Unlock()
+	u.markRestarted()
 	r.remove(u.Server().ID, "restarted")
 	u.Client.CloseAll()
 }
@@ -340,6 +357,7 @@
 func (r *Directory) InstanceReplaced(u *Upstream) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
+	u.markRestarted()
 	id := u.Server().ID
 	if r.members[id] == u {
 		r.remove(id, "another instance answers at its address")
--- a/roster/start_test.go
+++ b/roster/start_test.go
@@ -36,7 +36,11 @@
 	second := r.Upstream("a")
 	require.NotSame(t, first, second)
 	require.True(t, first.Removed())
-	require.True(t, first.Restarted())
+	select {
+	case <-first.Restarted():
+	default:
+		require.Fail(t, "the first instance is not marked as restarted")
+	}
 	require.False(t, second.Stats.Candidate(now).CoolingDown)
 	require.Zero(t, second.Stats.Candidate(now).FailureRate)
 	require.Nil(t, r.UpstreamByInstance(Start{ID: "a", Born: time.UnixMilli(1000)}), "the earlier instance is not a member")
