direct: crashes behind silent connections are recognised

A host that restarts breaks no connection: the entry waited until the deadline and did not check the upstream, so that a request could crash one after the other. An attempt that ends in silence is now checked as well. Since an upstream that is slow or cut off is silent too, only another start or a refused dial counts then.

TestRequestThatCrashesUpstreamsSilentlyIsBlocked (plain, streamed, prefilled) failed before: third send 504 instead of 422. Crash tests of ./platform and ./direct: ok.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -150,9 +150,14 @@
 		}
 	case send.TimedOut:
 		f.reason = domain.ReasonUpstream
+		s.checkCrash(r, a, silent)
 	case send.Broken:
-		if a.info.Stage.RunsRequest() && ctx.Err() == nil {
-			s.checkCrash(r, a)
+		if ctx.Err() == nil {
+			s.checkCrash(r, a, broken)
+		}
+	case send.Canceled:
+		if domain.ReasonOf(ctx) == domain.ReasonDeadline {
+			s.checkCrash(r, a, silent)
 		}
 	}
 	if ctx.Err() != nil {
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -61,8 +61,11 @@
 // upstream after the other. A failed connection alone is weak evidence, since responses also get
 // lost; that nothing accepts new connections is strong evidence, and so is another start at the
 // address, since an upstream may have restarted by the time of the check.
-func (s *Server) checkCrash(r *request, a *attempt) {
-	if a.upstream.IsLeaving() {
+//
+// An upstream whose host is lost may also fall silent. The same holds for one that is only slow or
+// cut off, so that after silence an unanswered dial is no evidence.
+func (s *Server) checkCrash(r *request, a *attempt, how attemptEnd) {
+	if a.upstream.IsLeaving() || !a.info.Stage.RunsRequest() {
 		return
 	}
 	first, done := s.crashes.BeginCheck(a.start.Key(), r, r.identity)
@@ -73,18 +76,35 @@
 	s.background("check for a crash", 2*probeTimeout, func(ctx context.Context) error {
 		err := s.probeInstance(ctx, a.upstream, a.start)
 		s.crashes.EndCheck(a.start.Key(), func(ids []retry.Identity) {
-			if err != nil {
+			if err != nil && (how == broken || !isTimeout(err)) {
 				s.recordDeath(time.Now(), r, a, ids, err)
 				return
 			}
-			s.Log.Info("upstream alive after a broken connection", "upstream", a.start.ID, "request", r.id, "stage", a.info.Stage)
-			s.countEvidence("alive")
+			s.Log.Info("no crash found", "upstream", a.start.ID, "request", r.id, "after", how, "err", err)
+			s.countEvidence("not_found")
 			s.awaitRestart(r, a, ids)
 		})
 		return nil
 	})
 }
 
+// attemptEnd is how an attempt ended without a response.
+type attemptEnd string
+
+// The ends of attempts after which a crash is checked for.
+const (
+	// broken: the connection failed.
+	broken attemptEnd = "broken_connection"
+	// silent: nothing came within the time of the attempt.
+	silent attemptEnd = "silence"
+)
+
+// isTimeout reports whether a dial was neither accepted nor refused in time.
+func isTimeout(err error) bool {
+	var n net.Error
+	return errors.Is(err, context.DeadlineExceeded) || errors.As(err, &n) && n.Timeout()
+}
+
 // restartNoticeTime is how long an upstream that restarted under its ID may take to register.
 const restartNoticeTime = 5 * time.Second
 
