direct: a restarted entry keeps what its earlier start saw of crashes

What callers would see: a request that was blocked crashes two more upstreams after the entry that saw the first crashes has restarted.

Cause: a process skips notices in its own name as its own echo. After a restart under the same name that notice is what is left of its memory; the next notice overwrote it for all others that start later as well.

Notices in its own name are merged, and kept for the notices to come. TestRequestThatCrashesUpstreamsIsBlockedByRestartedEntry failed before (502 instead of 422).

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -46,9 +46,12 @@
 
 // mergeCrashes merges the crashes that another entry saw into the evidence of this entry.
 func (s *Server) mergeCrashes(now time.Time, n Notice) {
-	if len(n.Evidence.Deaths) == 0 || n.By == s.Settings.Name {
+	if len(n.Evidence.Deaths) == 0 {
 		return
 	}
+	if n.By == s.Settings.Name { // of an earlier start
+		s.crashes.Restore(n.Evidence)
+	}
 	s.crashes.Ledger.Merge(now, n.Evidence)
 	s.countEvidence("notice")
 	s.Log.Info("crash notice received", "by", n.By, "deaths", len(n.Evidence.Deaths), "newest", n.Evidence.Deaths[0].Upstream)
--- a/retry/crashes.go
+++ b/retry/crashes.go
@@ -38,8 +38,7 @@
 	c.Ledger.RecordDeath(d)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.local = c.local.Merge(Record{Deaths: []Death{d}})
-	c.local.Deaths = c.local.Deaths[:min(len(c.local.Deaths), maxDeathsInNotice)]
+	c.observe(Record{Deaths: []Death{d}})
 	first := !c.noticePending
 	c.noticePending = true
 	return first
@@ -54,6 +53,19 @@
 	return c.local
 }
 
+// Restore adds what an earlier run of this process observed, so that later notices contain it.
+func (c *Crashes[U, R]) Restore(evidence Record) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.observe(evidence)
+}
+
+// observe adds deaths to those that this process observed. c.mu must be held.
+func (c *Crashes[U, R]) observe(evidence Record) {
+	c.local = c.local.Merge(Record{Deaths: evidence.Deaths})
+	c.local.Deaths = c.local.Deaths[:min(len(c.local.Deaths), maxDeathsInNotice)]
+}
+
 // HasDeaths reports whether this process observed any deaths of upstreams.
 func (c *Crashes[U, R]) HasDeaths() bool {
 	c.mu.Lock()
