direct: evidence of crashes reaches all entries without the store

What callers would see: a request crashes two upstreams through each entry in turn while the store is down or slow, and again through an entry that starts after the outage.

Cause: evidence went to the other entries by a notice in the store only, which was written once and dropped if that failed. Class: a promise of all entries together rests on one way to tell them.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -28,33 +28,48 @@
 // crashed upstream fail one after the other.
 const crashBatchDelay = 300 * time.Millisecond
 
-// announceCrashes notifies the other entries of the upstreams that crashed while they ran
-// requests of this one.
+// noticeRetryInterval is the pause before a notice is written again that could not be written, and
+// maxNoticeDelay how long that is tried: other entries can be asked for the evidence meanwhile.
+const (
+	noticeRetryInterval = 2 * time.Second
+	maxNoticeDelay      = 2 * time.Minute
+)
+
+// announceCrashes passes on to the other entries which upstreams crashed while they ran requests of
+// this one, and writes it to the store.
 //
 // A request that crashes each upstream may be sent again by its caller to a different entry
 // each time. Each entry would see only one crash, and no entry would block the request.
 func (s *Server) announceCrashes() {
-	if s.Notices == nil || s.Records == nil {
-		return
-	}
-	s.background("announce crashes", crashBatchDelay+2*storeTimeout, func(ctx context.Context) error {
+	s.background("announce crashes", maxNoticeDelay, func(ctx context.Context) error {
 		group.Sleep(ctx, crashBatchDelay)
-		s.writeNotice(ctx, crashNoticePrefix+string(s.Settings.Name), Notice{By: s.Settings.Name, Evidence: s.crashes.TakeNotice()})
+		evidence := s.crashes.TakeNotice()
+		s.spreadEvidence(ctx, evidenceMessage{By: s.Settings.Name, Evidence: evidence}, s.otherPeers())
+		if s.Notices == nil || s.Records == nil {
+			return nil
+		}
+		name := crashNoticePrefix + string(s.Settings.Name)
+		for !s.writeNotice(ctx, name, Notice{By: s.Settings.Name, Evidence: evidence}) && ctx.Err() == nil {
+			group.Sleep(ctx, noticeRetryInterval)
+			evidence = s.crashes.TakeNotice()
+		}
 		return nil
 	})
 }
 
-// mergeCrashes merges the crashes that another entry saw into the evidence of this entry.
-func (s *Server) mergeCrashes(now time.Time, n Notice) {
-	if len(n.Evidence.Deaths) == 0 {
+// mergeCrashes merges the evidence of another entry into that of this one. Evidence in the name of
+// this entry is what an earlier start of it saw.
+func (s *Server) mergeCrashes(now time.Time, by domain.Host, evidence retry.Record) {
+	if len(evidence.Deaths) == 0 {
 		return
 	}
-	if n.By == s.Settings.Name { // of an earlier start
-		s.crashes.Restore(n.Evidence)
+	if by == s.Settings.Name {
+		s.crashes.Restore(evidence)
+	}
+	if s.crashes.Ledger.Merge(now, evidence) {
+		s.Log.Info("crash notice received", "by", by, "deaths", len(evidence.Deaths), "newest", evidence.Deaths[0].Upstream)
+		s.countEvidence("notice")
 	}
-	s.crashes.Ledger.Merge(now, n.Evidence)
-	s.countEvidence("notice")
-	s.Log.Info("crash notice received", "by", n.By, "deaths", len(n.Evidence.Deaths), "newest", n.Evidence.Deaths[0].Upstream)
 }
 
 // checkCrash checks, in the background, whether the upstream of a failed attempt has crashed, and
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -163,6 +163,7 @@
 	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
 	loops.Go(serving, "entry probes", s.watchPeers)
 	loops.Go(serving, "shares", s.reportShares)
+	loops.Go(serving, "crash evidence", s.exchangeEvidence)
 	if peerServer != nil {
 		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
 	}
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -40,7 +40,7 @@
 		OnList: func(now time.Time, all []feed.Item[Notice]) {
 			for _, n := range feed.Values(all) {
 				s.recordOrders(n)
-				s.mergeCrashes(now, n)
+				s.mergeCrashes(now, n.By, n.Evidence)
 			}
 		},
 		OnChange: func(now time.Time, changes []feed.Change[Notice]) {
@@ -50,15 +50,16 @@
 					if c.Value.Released {
 						s.onLeaseReleased(c.Value.By)
 					}
-					s.mergeCrashes(now, c.Value)
+					s.mergeCrashes(now, c.Value.By, c.Value.Evidence)
 				}
 			}
 		},
 	}
 }
 
-// writeNotice overwrites a notice in the store. A failure is only logged.
-func (s *Server) writeNotice(ctx context.Context, name string, n Notice) {
+// writeNotice overwrites a notice in the store, and reports whether it was written. A failure is
+// logged.
+func (s *Server) writeNotice(ctx context.Context, name string, n Notice) bool {
 	value, err := json.Marshal(n)
 	if err == nil {
 		err = s.overwriteRecord(ctx, name, value)
@@ -66,6 +67,7 @@
 	if err != nil {
 		s.Log.Info("notice not written", "notice", name, "err", err)
 	}
+	return err == nil
 }
 
 // overwriteRecord writes a record whatever its current version.
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -60,6 +60,8 @@
 	m.HandleFunc("GET "+mixPath, s.serveMix)
 	m.HandleFunc("GET "+speedsPath, s.serveSpeeds)
 	m.HandleFunc("GET "+configPath, s.serveConfig)
+	m.HandleFunc("GET "+evidencePath, s.serveEvidence)
+	m.HandleFunc("POST "+evidencePath, s.acceptEvidence)
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("POST "+quotaPath, ownerHandler(s, s.handleQuota))
 	m.HandleFunc("POST "+limitPath, ownerHandler(s, s.handleLimit))
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"reflect"
 	"slices"
 	"sync"
 	"time"
@@ -149,12 +150,14 @@
 	return known
 }
 
-// Merge adds evidence from another process.
-func (l *Ledger) Merge(now time.Time, r Record) {
+// Merge adds evidence from another process, and reports whether any of it was new.
+func (l *Ledger) Merge(now time.Time, r Record) (changed bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	before := l.record
 	l.record = l.record.Merge(r)
 	l.evaluate(now)
+	return !reflect.DeepEqual(before, l.record)
 }
 
 // Record returns a copy of the evidence, to be sent to other processes.
