retry: requests that always crash upstreams together are blocked

Two requests that ran during the same deaths were each ambiguous, which nothing but a side enforces: with callers that always send them together no death ever distinguished them, and they crashed one upstream after the other.

At three deaths that no other request explains all of them are blocked. The reference of the property test follows the same rule.

--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -22,8 +22,9 @@
 	// Ambiguous is a request that ran during two deaths together with another one that ran during
 	// both as well. It may run only alone. If it survives, it is cleared and the other is blocked.
 	Ambiguous Suspicion = "ambiguous"
-	// Blocked is a request that ran during two deaths that no other request explains. It is
-	// refused with domain.ReasonCrashes, also when its caller sends it again.
+	// Blocked is a request that ran during two deaths that no other request explains, or during
+	// AmbiguousCrashLimit. It is refused with domain.ReasonCrashes, also when its caller sends it
+	// again.
 	Blocked Suspicion = "stopped"
 )
 
@@ -31,6 +32,11 @@
 // One death does not distinguish the request from the requests that ran beside it.
 const CrashLimit = 2
 
+// AmbiguousCrashLimit is the number of upstreams that may die while running requests that no death
+// distinguishes: then all of them are blocked. Without it, requests that are always sent together
+// would crash one upstream after the other.
+const AmbiguousCrashLimit = 3
+
 // deathSet is a set of indexes of a record's deaths, of which there are at most 64.
 type deathSet uint64
 
@@ -47,12 +53,19 @@
 // crashed forever. Requests that reach CrashLimit are blocked, the highest score first, and explain
 // the deaths during which they ran: those no longer count against the other requests that ran beside
 // them. A request that ran only during deaths during which another one ran as well cannot be
-// distinguished from that one, and is not blocked for them.
+// distinguished from that one, and is blocked only at AmbiguousCrashLimit.
 func Attribute(r Record, now time.Time) map[Identity]Suspicion {
 	r = r.Since(wireTime(now.Add(-EvidenceTTL)))
 	against := deathsByRequest(r)
 	suspicions := make(map[Identity]Suspicion)
-	for culprits := findCulprits(against); len(culprits) > 0; culprits = findCulprits(against) {
+	for {
+		culprits := findCulprits(against)
+		if len(culprits) == 0 {
+			culprits = findIndistinguishable(against)
+		}
+		if len(culprits) == 0 {
+			break
+		}
 		var explained deathSet
 		for _, id := range culprits {
 			suspicions[id] = Blocked
@@ -113,6 +126,16 @@
 	return culprits
 }
 
+// findIndistinguishable returns the requests that ran during AmbiguousCrashLimit deaths or more.
+func findIndistinguishable(against map[Identity]deathSet) (found []Identity) {
+	for id, deaths := range against {
+		if deaths.size() >= AmbiguousCrashLimit {
+			found = append(found, id)
+		}
+	}
+	return found
+}
+
 // explainsAlone reports whether only one request ran during all of these deaths. requestCounts holds
 // the number of requests by the deaths that count against them.
 func explainsAlone(deaths deathSet, requestCounts map[deathSet]int) bool {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -136,6 +136,20 @@
 	require.Equal(t, Blocked, l.Suspicion(now, "bad"))
 }
 
+// Guards against two requests that crash each upstream which runs them together, and are never
+// distinguished because their callers always send them together.
+func TestRequestsThatCrashUpstreamsTogetherAreBlocked(t *testing.T) {
+	var l Ledger
+	for n := range AmbiguousCrashLimit {
+		require.NotEqual(t, Blocked, l.Suspicion(start.Add(time.Duration(n)*time.Second), "bad-1"))
+		l.RecordDeath(death(fmt.Sprint("side-", n), n, "bad-1", "bad-2", Identity(fmt.Sprint("near-", n))))
+	}
+	now := start.Add(time.Minute)
+	require.Equal(t, Blocked, l.Suspicion(now, "bad-1"))
+	require.Equal(t, Blocked, l.Suspicion(now, "bad-2"))
+	require.Equal(t, Clear, l.Suspicion(now, "near-1"))
+}
+
 func drawRecord(t *rapid.T, name string) Record {
 	ids := rapid.SampledFrom([]Identity{"a", "b", "c", "d", "e"})
 	var r Record
@@ -190,7 +204,8 @@
 
 // culpritsByLists is the reference for findCulprits, on lists in place of sets: a culprit ran
 // during at least two deaths, all of which no other request shares. Those with the most deaths come
-// first, then the rule is applied again without their deaths.
+// first, then the rule is applied again without their deaths. Where no request is distinguished, all
+// that ran during AmbiguousCrashLimit deaths are culprits.
 func culpritsByLists(deaths [][]Identity) []Identity {
 	in := func(id Identity) (list []int) {
 		for i, d := range deaths {
@@ -202,6 +217,11 @@
 	}
 	ids := slices.Compact(slices.Sorted(slices.Values(slices.Concat(deaths...))))
 	var found []Identity
+	without := func(found []Identity) [][]Identity {
+		return slices.DeleteFunc(slices.Clone(deaths), func(d []Identity) bool {
+			return slices.ContainsFunc(d, func(id Identity) bool { return slices.Contains(found, id) })
+		})
+	}
 	for score := len(deaths); score >= CrashLimit; score-- {
 		for _, id := range ids {
 			mine, alone := in(id), true
@@ -215,13 +235,18 @@
 			}
 		}
 		if len(found) > 0 {
-			rest := slices.DeleteFunc(slices.Clone(deaths), func(d []Identity) bool {
-				return slices.ContainsFunc(d, func(id Identity) bool { return slices.Contains(found, id) })
-			})
-			return append(found, culpritsByLists(rest)...)
+			return append(found, culpritsByLists(without(found))...)
+		}
+	}
+	for _, id := range ids {
+		if len(in(id)) >= AmbiguousCrashLimit {
+			found = append(found, id)
 		}
 	}
-	return nil
+	if len(found) == 0 {
+		return nil
+	}
+	return append(found, culpritsByLists(without(found))...)
 }
 
 func TestAttributeAgreesWithCulpritsByLists(t *testing.T) {
