entry: a failing test of a request that is refused because of its own claim

Found by reading: the runner refuses the attempt since it is draining, the shard is handed over with the claim as granted before the report of the refusal arrives, and the new owner refuses the next claim of the same request as in progress. The entry then asks the runner, whose connection is closed by now, and takes the failed call for a final answer.

--- a/entry/keys_test.go
+++ b/entry/keys_test.go
@@ -54,3 +54,17 @@
 	mayHaveRun.Claim.AttemptNotRun = false
 	require.False(t, (&request{}).awaitsOwner(failureOf(mayHaveRun), now))
 }
+
+// Guards against a request that is refused as in progress because of its own earlier claim, which the
+// new owner of the shard lists and whose runner is just being stopped.
+func TestOwnEarlierClaimIsClaimedAgainWhileItsRunnerDoesNotAnswer(t *testing.T) {
+	e := &Entry{Log: hclog.NewNullLogger()}
+	r := &request{id: "entry-1.7.1", acceptedAt: time.Now(), key: "k", claimTries: 1}
+	refusal := &claim.Refusal{
+		Code: claim.CodeInProgress, KeyRan: domain.Unknown, AttemptNotRun: true,
+		Attempt: claim.AttemptID{Request: r.id, Attempt: 1}, Runner: claim.Process{Host: "app-2", Incarnation: 1},
+	}
+	f, retryClaim := e.handleClaimRefusal(t.Context(), r, refusal)
+	require.Equal(t, domain.ReasonInProgress, f.reason)
+	require.True(t, retryClaim)
+}
