entry: a request is not refused because of its own earlier claim

A claim of the request itself never runs beside its next one, so it is claimed again until claimTimeout: by then the runner has answered, or the owner has the report that the attempt did not run.

--- a/entry/keys.go
+++ b/entry/keys.go
@@ -110,7 +110,13 @@
 		// have the newer version; the runner is then selected again.
 		return &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: refusal.Error()}, false
 	case claim.CodeInProgress:
-		if refusal.Attempt.Request != r.id && e.isOpen(ctx, refusal.Attempt.Request) {
+		if refusal.Attempt.Request == r.id {
+			// Nothing runs under the request's own earlier claim: the owner has not heard yet how it
+			// ended, for example since it has just taken the shard over.
+			e.settleEarlier(ctx, r, refusal)
+			return f, true
+		}
+		if e.isOpen(ctx, refusal.Attempt.Request) {
 			return f, false
 		}
 		return f, e.settleEarlier(ctx, r, refusal)
