side: a planned stop outlasts a slow round of the owners that need this side

What callers would see: 409 key_may_have_run for seconds after a planned stop.

Cause, found by reading: a side stops once no claim call has come for three rounds (300 ms), since an owner repeats its calls each round. A round takes up to claimTimeout (400 ms) while another member does not answer, as in a rolling stop. The side could stop between two calls, and its list of keys with it. The wait also ended with the time of the handover before it.

The quiet time covers a slow round, and the wait has a time limit of its own. TestStoppingSideAwaitsOwnerWhoseRoundIsSlow failed before. A planned stop of a side takes 0.4 s longer.

--- a/side/handover.go
+++ b/side/handover.go
@@ -21,15 +21,19 @@
 	return now.Sub(c.lastCall)
 }
 
-// awaitFenceCalls waits until no claim call has been received for three claim
-// rounds, or until ctx ends. If a runner stopped after its shards were handed
-// over but before their new owner had fenced it, the runner's keys would stay
-// unrestored although every process stopped in a planned way. An owner repeats
-// its call in every round until it has a reply, so that three rounds without a
-// call show that no owner is waiting for this side.
+// fenceQuietTime is the time without a claim call after which no owner is
+// waiting for a call to this side: an owner repeats its call in every claim
+// round, and a round takes up to claimTimeout while another member does not
+// answer.
+const fenceQuietTime = claimTimeout + 3*claimInterval
+
+// awaitFenceCalls waits until no claim call has been received for
+// fenceQuietTime, or until ctx ends. If a runner stopped after its shards were
+// handed over but before their new owner had fenced it, the runner's keys would
+// stay unrestored although every process stopped in a planned way.
 func (s *Side) awaitFenceCalls(ctx context.Context) {
 	s.claims.recordCall(time.Now())
-	for ctx.Err() == nil && s.claims.sinceLastCall(time.Now()) < 3*claimInterval {
+	for ctx.Err() == nil && s.claims.sinceLastCall(time.Now()) < fenceQuietTime {
 		select {
 		case <-ctx.Done():
 		case <-time.After(claimInterval):
--- a/side/side.go
+++ b/side/side.go
@@ -301,8 +301,8 @@
 	}
 }
 
-// leaveTimeout bounds each of the two last steps of a planned stop: leaving the
-// membership record, and handing over shards.
+// leaveTimeout bounds each of the last steps of a planned stop: leaving the
+// membership record, handing over shards, and waiting for their new owners.
 const leaveTimeout = 2 * time.Second
 
 // leave removes this incarnation of the side from the membership record, so
@@ -327,5 +327,7 @@
 		s.applyRecord(handoverCtx, record.Claims)
 	}
 	s.handOverShards(handoverCtx)
-	s.awaitFenceCalls(handoverCtx)
+	quietCtx, cancelQuiet := context.WithTimeout(s.workCtx, leaveTimeout)
+	defer cancelQuiet()
+	s.awaitFenceCalls(quietCtx)
 }
