direct: an engine that crashes in a prefill is evidence too

A request that crashes each engine which reads its prompt took down a prefill engine and a decode engine with each send: a broken connection in a prefill was not checked. It is now; what times out in a prefill is still only tried elsewhere. The wait for the checks moves from the retry to the send, and also holds for a request with two failed attempts that nothing was known of.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -43,6 +43,7 @@
 // sendAttempt sends the request to an upstream and waits for the response header. The
 // caller closes the returned reply and calls finishAnswered.
 func (s *Server) sendAttempt(ctx context.Context, r *request, a *attempt) (*send.Response, *failure) {
+	s.awaitCrashChecks(ctx, r)
 	if f := s.refuseCrashing(r); f != nil {
 		s.releaseUnsent(r, a)
 		return nil, f
@@ -150,13 +151,15 @@
 		}
 	case send.TimedOut:
 		f.reason = domain.ReasonUpstream
-		s.checkCrash(r, a, silent)
+		if a.info.Stage.RunsRequest() { // a prefill times out early, and is tried elsewhere
+			s.checkCrash(r, a, silent)
+		}
 	case send.Broken:
 		if ctx.Err() == nil {
 			s.checkCrash(r, a, broken)
 		}
 	case send.Canceled:
-		if domain.ReasonOf(ctx) == domain.ReasonDeadline {
+		if a.info.Stage.RunsRequest() && domain.ReasonOf(ctx) == domain.ReasonDeadline {
 			s.checkCrash(r, a, silent)
 		}
 	}
@@ -239,7 +242,6 @@
 		decision = retry.OverBudget
 	}
 	if decision == retry.Allowed {
-		s.awaitCrashCheck(ctx, r)
 		return true
 	}
 	s.Log.Info("not retried", "request", r.id, "why", decision, "sends", r.attempts.Sends(), "runs", r.attempts.PossibleRuns(), "left", r.timeLeft())
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -83,11 +83,11 @@
 // An upstream whose host is lost may also fall silent. The same holds for one that is only slow or
 // cut off, so that after silence an unanswered dial is no evidence.
 func (s *Server) checkCrash(r *request, a *attempt, how attemptEnd) {
-	if a.upstream.IsLeaving() || !a.info.Stage.RunsRequest() {
+	if a.upstream.IsLeaving() {
 		return
 	}
 	first, done := s.crashes.BeginCheck(a.start.Key(), r, r.identity)
-	r.crashCheck = done
+	r.crashChecks = append(r.crashChecks, done)
 	if !first {
 		return
 	}
@@ -174,16 +174,21 @@
 	return nil
 }
 
-// awaitCrashCheck waits until the check of whether the request's last upstream has crashed is over,
-// if the request is under suspicion: with one more crash it may not be sent again.
-func (s *Server) awaitCrashCheck(ctx context.Context, r *request) {
-	if r.crashCheck == nil || s.crashes.Ledger.Suspicion(time.Now(), r.identity) == retry.Clear {
+// awaitCrashChecks waits until the checks of whether the request's failed attempts were crashes are
+// over, if their outcome may block the request.
+func (s *Server) awaitCrashChecks(ctx context.Context, r *request) {
+	suspected := s.crashes.Ledger.Suspicion(time.Now(), r.identity) != retry.Clear
+	if !suspected && len(r.crashChecks) < retry.CrashLimit {
 		return
 	}
-	select {
-	case <-r.crashCheck:
-	case <-ctx.Done():
+	for _, done := range r.crashChecks {
+		select {
+		case <-done:
+		case <-ctx.Done():
+			return
+		}
 	}
+	r.crashChecks = nil
 }
 
 // logSuspicion logs what is known of an accepted request that ran when upstreams crashed.
--- a/direct/request.go
+++ b/direct/request.go
@@ -64,9 +64,9 @@
 	excluded map[roster.InstanceKey]bool
 	// limitWait is the time until the rate limit of an upstream may allow the request.
 	limitWait time.Duration
-	// crashCheck is closed when the check of whether the upstream of the last failed attempt
-	// has crashed is over; nil if there was none.
-	crashCheck <-chan struct{}
+	// crashChecks are the checks of whether failed attempts were crashes; each is closed when it
+	// is over.
+	crashChecks []<-chan struct{}
 	// share counts the request in the shares of its service; nil if they are off.
 	share *shares.Item
 	// finished means that the end of the request was logged and counted.
