--- a/entry/keys.go
+++ b/entry/keys.go
@@ -59,6 +59,7 @@
 	last := &failure{
 		ran: domain.NotRun, reason: domain.ReasonNoClaim, detail: "no owner of the key's shard answers", final: true, retryAfter: time.Second,
 	}
+	var lastCode claim.Code
 	for ctx.Err() == nil {
 		got, err := e.sendClaim(ctx, r, runner)
 		switch {
@@ -71,6 +72,10 @@
 			return &claim.Dispatch{Token: got.Grant.Token, Attempt: got.Grant.Attempt, Body: claim.BodyHash(r.bodyHash), To: got.Grant.Runner}, nil
 		case got.Refusal != nil:
 			f, retryClaim := e.handleClaimRefusal(ctx, r, got.Refusal)
+			if code := got.Refusal.Code; code != lastCode || !retryClaim {
+				lastCode = code
+				e.Log.Info("claim refused", "request", r.id, "code", code, "epoch", got.Refusal.Epoch, "earlier", got.Refusal.Attempt.Request, "side", got.Refusal.Runner.Host, "retry", retryClaim)
+			}
 			if !retryClaim {
 				return nil, f
 			}
