direct: an upstream that was removed by the time of the check has crashed

A crashed upstream that the registry drops at once, without draining, was not asked for its state, and whatever used its address next counted as alive. TestRequestThatCrashesUpstreamsThatAreRemovedIsBlocked failed before: third send 502 instead of 422.

Beside it, with no change of behaviour: a check keeps what it needs of an attempt, not the request with its body, for the 5 s that it may wait; the number of deaths with a request is counted when evidence arrives, not at each request.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -91,21 +91,32 @@
 	if !first {
 		return
 	}
+	f := failedAttempt{upstream: a.upstream, start: a.start, request: r.id, work: r.identity.LogName(), how: how}
 	s.background("check for a crash", 2*probeTimeout, func(ctx context.Context) error {
-		err := s.probeInstance(ctx, a.upstream, a.start)
-		s.crashes.EndCheck(a.start.Key(), func(ids []retry.Identity) {
+		err := s.probeInstance(ctx, f.upstream, f.start)
+		s.crashes.EndCheck(f.start.Key(), func(ids []retry.Identity) {
 			if err != nil && (how == broken || !isTimeout(err)) {
-				s.recordDeath(time.Now(), r, a, ids, err)
+				s.recordDeath(time.Now(), f, ids, err)
 				return
 			}
-			s.Log.Info("no crash found", "upstream", a.start.ID, "request", r.id, "after", how, "err", err)
+			s.Log.Info("no crash found", "upstream", f.start.ID, "request", f.request, "after", how, "err", err)
 			s.countEvidence("not_found")
-			s.awaitRestart(r, a, ids)
+			s.awaitRestart(f, ids)
 		})
 		return nil
 	})
 }
 
+// failedAttempt is what a check for a crash needs of an attempt: the check may outlast the request,
+// and must not keep its body in memory.
+type failedAttempt struct {
+	upstream *roster.Upstream
+	start    roster.Start
+	request  domain.RequestID
+	work     string
+	how      attemptEnd
+}
+
 // attemptEnd is how an attempt ended without a response.
 type attemptEnd string
 
@@ -126,18 +137,22 @@
 // restartNoticeTime is how long an upstream that restarted under its ID may take to register.
 const restartNoticeTime = 5 * time.Second
 
-// errRestarted is the error of a probe after whose upstream a later start was found.
-var errRestarted = errors.New("direct: probing an upstream: a later start has replaced it")
+var (
+	// errRestarted is the error of a probe of an upstream of which a later start is known.
+	errRestarted = errors.New("direct: probing an upstream: a later start has replaced it")
+	// errRemoved is the error of a probe of an upstream that is in no registry any more.
+	errRemoved = errors.New("direct: probing an upstream: the registry has removed it")
+)
 
 // awaitRestart records, in the background, a crash that the check did not show: an upstream that
 // keeps its ID when it restarts is known by its next registration, and any other by the next
 // response of its successor.
-func (s *Server) awaitRestart(r *request, a *attempt, ids []retry.Identity) {
+func (s *Server) awaitRestart(f failedAttempt, ids []retry.Identity) {
 	failedAt := time.Now()
 	s.background("await restart", restartNoticeTime, func(ctx context.Context) error {
 		select {
-		case <-a.upstream.Restarted():
-			s.recordDeath(failedAt, r, a, ids, errRestarted)
+		case <-f.upstream.Restarted():
+			s.recordDeath(failedAt, f, ids, errRestarted)
 		case <-ctx.Done():
 		}
 		return nil
@@ -146,10 +161,10 @@
 
 // recordDeath records that an upstream has crashed while it ran some requests, and notifies the
 // other entries.
-func (s *Server) recordDeath(at time.Time, r *request, a *attempt, ids []retry.Identity, cause error) {
-	s.Log.Info("upstream died", "upstream", a.start.ID, "born", a.start.Born, "request", r.id, "work", r.identity.LogName(), "running", len(ids), "err", cause)
+func (s *Server) recordDeath(at time.Time, f failedAttempt, ids []retry.Identity, cause error) {
+	s.Log.Info("upstream died", "upstream", f.start.ID, "born", f.start.Born, "request", f.request, "work", f.work, "after", f.how, "running", len(ids), "err", cause)
 	s.countEvidence("died")
-	if s.crashes.RecordDeath(retry.Death{Upstream: domain.Host(a.start.ID), Incarnation: incarnationOf(a.start), Time: at, Running: ids}) {
+	if s.crashes.RecordDeath(retry.Death{Upstream: domain.Host(f.start.ID), Incarnation: incarnationOf(f.start), Time: at, Running: ids}) {
 		s.announceCrashes()
 	}
 }
@@ -161,6 +176,8 @@
 	q.NewConn = true
 	body, status, err := s.callUpstream(ctx, u, q, probeTimeout)
 	switch {
+	case errors.Is(err, errNotAccepting) && u.Removed():
+		return errRemoved
 	case errors.Is(err, errNotAccepting):
 		return dialUpstream(ctx, u.Server().Addr)
 	case errors.Is(err, errMisdirected), send.StageOf(err) == send.NotSent:
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -155,7 +155,8 @@
 	mu         sync.Mutex
 	record     Record
 	suspicions map[Identity]Suspicion
-	expiresAt  time.Time // when the oldest death in record reaches EvidenceTTL
+	deathsWith map[Identity]int // the number of deaths in record with each request
+	expiresAt  time.Time        // when the oldest death in record reaches EvidenceTTL
 }
 
 // RecordDeath adds the evidence of the death of an upstream.
@@ -207,13 +208,7 @@
 func (l *Ledger) DeathsWith(id Identity) int {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	n := 0
-	for _, d := range l.record.Deaths {
-		if slices.Contains(d.Running, id) {
-			n++
-		}
-	}
-	return n
+	return l.deathsWith[id]
 }
 
 // MayRunWith reports whether an upstream that runs the given requests may run this one as well.
@@ -248,6 +243,12 @@
 func (l *Ledger) evaluate(now time.Time) {
 	l.record = l.record.Since(wireTime(now.Add(-EvidenceTTL)))
 	l.suspicions = Attribute(l.record, now)
+	l.deathsWith = make(map[Identity]int)
+	for _, d := range l.record.Deaths {
+		for _, id := range d.Running {
+			l.deathsWith[id]++
+		}
+	}
 	if n := len(l.record.Deaths); n > 0 {
 		l.expiresAt = l.record.Deaths[n-1].Time.Add(EvidenceTTL + time.Microsecond)
 	}
