side: shards are announced when they are taken over, and their runners called at once

Class: a decision is told only after its consequences.

The shards are announced as soon as they are taken over, and all runners are called in one delivery, also where shards are returned and handed over.

--- a/claim/ledger.go
+++ b/claim/ledger.go
@@ -86,7 +86,7 @@
 		}
 		s.runner.Apply(record)
 		err = s.owner.Apply(record, l.Reachable, now)
-		out.appendMessages(s.owner.Pending(now))
+		out.Append(s.owner.Pending(now))
 		s.mu.Unlock()
 		if err != nil {
 			return out, err
@@ -168,7 +168,7 @@
 // them again.
 func (l *Ledger) Pending(now time.Time) Outbox {
 	var out Outbox
-	l.forEach(func(s *shard) { out.appendMessages(s.owner.Pending(now)) })
+	l.forEach(func(s *shard) { out.Append(s.owner.Pending(now)) })
 	return out
 }
 
@@ -222,8 +222,8 @@
 	}
 }
 
-// appendMessages appends the messages of another outbox.
-func (o *Outbox) appendMessages(other Outbox) {
+// Append appends the messages of another outbox.
+func (o *Outbox) Append(other Outbox) {
 	o.FenceRequests = append(o.FenceRequests, other.FenceRequests...)
 	o.RestoreRequests = append(o.RestoreRequests, other.RestoreRequests...)
 	o.Handovers = append(o.Handovers, other.Handovers...)
--- a/side/handover.go
+++ b/side/handover.go
@@ -56,11 +56,9 @@
 			if !found {
 				continue
 			}
-			outbox, err := ledger.Retire(o.Shard, next, time.Now())
-			if err != nil {
+			if _, err := ledger.Retire(o.Shard, next, time.Now()); err != nil {
 				s.Log.Warn("shard not handed over", "shard", o.Shard, "err", err)
 			}
-			s.deliver(ctx, outbox)
 		}
 		s.deliver(ctx, ledger.Pending(time.Now()))
 		select {
--- a/side/shards.go
+++ b/side/shards.go
@@ -79,6 +79,11 @@
 // takeOverShards takes over shards that have had no connected owner for longer
 // than this side's delay, which depends on its rank among the shard's possible
 // owners. A draining side takes over no shard.
+//
+// The shards are announced before their runners are called, and the runners are
+// called for all shards at once. Otherwise, when a service starts on busy hosts,
+// the others would take the shards over as well before they hear of it, and the
+// loss of one of them could leave keys with an unknown outcome.
 func (s *Side) takeOverShards(ctx context.Context, now time.Time) {
 	if s.draining.Load() {
 		return
@@ -88,6 +93,7 @@
 	for _, o := range s.claims.ledger.OwnedShards() {
 		owned[o.Shard] = true
 	}
+	var outbox claim.Outbox
 	for n := range claim.Shards {
 		shard := claim.Shard(n)
 		rank, member := record.Rank(shard, s.claims.ledger.Self)
@@ -104,10 +110,12 @@
 			continue
 		}
 		s.claims.clearUnowned(shard)
-		outbox, err := s.claims.ledger.TakeOver(shard, now)
+		messages, err := s.claims.ledger.TakeOver(shard, now)
 		s.Log.Info("takes shard over", "shard", shard, "version", record.Version, "rank", rank, "err", err)
-		s.deliver(ctx, outbox)
+		outbox.Append(messages)
 	}
+	s.announceOwned(s.claims.ledger.Pending(now))
+	s.deliver(ctx, outbox)
 }
 
 // returnInterval is how often the owned shards are checked for a shard whose
@@ -125,18 +133,20 @@
 	}
 	s.claims.lastReturnCheck = now
 	record := s.claims.ledger.Record()
+	var outbox claim.Outbox
 	for _, o := range s.claims.ledger.OwnedShards() {
 		first := record.Ranked(o.Shard)[0].Process()
 		link := s.claims.members.Find(first.Host)
 		if first == s.claims.ledger.Self || link == nil || link.Member.Process() != first || !link.Usable() {
 			continue
 		}
-		outbox, err := s.claims.ledger.Retire(o.Shard, first, now)
+		messages, err := s.claims.ledger.Retire(o.Shard, first, now)
 		if err != nil {
 			s.Log.Warn("shard not returned to its first-ranked member", "shard", o.Shard, "err", err)
 		}
-		s.deliver(ctx, outbox)
+		outbox.Append(messages)
 	}
+	s.deliver(ctx, outbox)
 }
 
 // ownerConnected reports whether a shard's newest observed owner is connected.
