retry: the loss of many upstreams does not push out evidence

Cause: a record kept the newest 64 deaths, whatever ran in them. Deaths with a request that also ran in another one are kept first now, in the record and in the notices. TestRequestStaysBlockedAfterManyOtherDeaths failed before (clear).

--- a/retry/crashes.go
+++ b/retry/crashes.go
@@ -28,7 +28,7 @@
 	done       chan struct{}
 }
 
-// maxDeathsInNotice bounds the deaths in a notice to the newest. A few are enough, since the callers
+// maxDeathsInNotice bounds the deaths in a notice; see boundDeaths. A few are enough, since the callers
 // of a request that crashes upstreams send it again within seconds.
 const maxDeathsInNotice = 8
 
@@ -63,7 +63,7 @@
 // observe adds deaths to those that this process observed. c.mu must be held.
 func (c *Crashes[U, R]) observe(evidence Record) {
 	c.local = c.local.Merge(Record{Deaths: evidence.Deaths})
-	c.local.Deaths = c.local.Deaths[:min(len(c.local.Deaths), maxDeathsInNotice)]
+	c.local.Deaths = boundDeaths(c.local.Deaths, maxDeathsInNotice)
 }
 
 // HasDeaths reports whether this process observed any deaths of upstreams.
--- a/retry/record.go
+++ b/retry/record.go
@@ -16,8 +16,7 @@
 	// Callers send a request again within minutes, and after ten minutes a body that crashed an
 	// engine may meet a repaired one.
 	EvidenceTTL = 10 * time.Minute
-	// MaxDeaths bounds the deaths in a record to the newest. A fleet that loses more upstreams
-	// in ten minutes has a worse fault than one request. Attribute relies on at most 64.
+	// MaxDeaths bounds the deaths in a record; see boundDeaths. Attribute relies on at most 64.
 	MaxDeaths = 64
 	// MaxRunning bounds the requests kept for one death. It is above the number of requests
 	// that any known engine runs at once.
@@ -131,10 +130,42 @@
 		d.Running = d.Running[:min(len(d.Running), MaxRunning)]
 		merged = append(merged, d)
 	}
-	slices.SortFunc(merged, func(a, b Death) int {
-		return cmp.Or(b.Time.Compare(a.Time), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
-	})
-	return merged[:min(len(merged), MaxDeaths)]
+	return boundDeaths(merged, MaxDeaths)
+}
+
+// boundDeaths sorts deaths, the newest first, and returns at most so many of them: first those with
+// a request that also ran during another one, then the newest. Otherwise the loss of an availability
+// zone would push out the evidence against a request that crashes upstreams.
+func boundDeaths(all []Death, limit int) []Death {
+	slices.SortFunc(all, compareDeaths)
+	if len(all) <= limit {
+		return all
+	}
+	deathsWith := make(map[Identity]int)
+	for _, d := range all {
+		for _, id := range d.Running {
+			deathsWith[id]++
+		}
+	}
+	isRepeated := func(d Death) bool {
+		return slices.ContainsFunc(d.Running, func(id Identity) bool { return deathsWith[id] >= CrashLimit })
+	}
+	var kept, others []Death
+	for _, d := range all {
+		if isRepeated(d) {
+			kept = append(kept, d)
+		} else {
+			others = append(others, d)
+		}
+	}
+	kept = append(kept, others...)[:limit]
+	slices.SortFunc(kept, compareDeaths)
+	return kept
+}
+
+// compareDeaths orders deaths, the newest first.
+func compareDeaths(a, b Death) int {
+	return cmp.Or(b.Time.Compare(a.Time), cmp.Compare(a.Upstream, b.Upstream), cmp.Compare(a.Incarnation, b.Incarnation))
 }
 
 func mergeSurvivals(all []Survival) []Survival {
--- a/retry/retry_test.go
+++ b/retry/retry_test.go
@@ -202,6 +202,21 @@
 	Attribute(merged, start)
 }
 
+// Guards against a request that is blocked no longer after the loss of many upstreams at once, such as
+// an availability zone, whose deaths push out the evidence against it.
+func TestRequestStaysBlockedAfterManyOtherDeaths(t *testing.T) {
+	var l Ledger
+	for n := range CrashLimit {
+		l.RecordDeath(death(fmt.Sprint("side-", n), n, "bad", Identity(fmt.Sprint("near-", n))))
+	}
+	for n := range 2 * MaxDeaths {
+		l.RecordDeath(death(fmt.Sprint("zone-", n), 10, Identity(fmt.Sprint("lost-", n))))
+	}
+	now := start.Add(time.Minute)
+	require.Equal(t, Blocked, l.Suspicion(now, "bad"))
+	require.Len(t, l.Record(now).Deaths, MaxDeaths)
+}
+
 // culpritsByLists is the reference for findCulprits, on lists in place of sets: a culprit ran
 // during at least two deaths, all of which no other request shares. Those with the most deaths come
 // first, then the rule is applied again without their deaths. Where no request is distinguished, all
