--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"slices"
 	"strconv"
 	"time"
 
@@ -130,7 +131,7 @@
 	wait := evidenceStartInterval
 	for ; ctx.Err() == nil; group.Sleep(ctx, wait) {
 		wait = min(2*wait, evidenceInterval)
-		from := randomSample(append(s.otherPeers(), s.peers.fleet.RelayPeers(lease.Boottime())...), 1)
+		from := randomSample(slices.Concat(s.otherPeers(), s.peers.fleet.RelayPeers(lease.Boottime())), 1)
 		if len(from) == 0 {
 			continue
 		}
