direct: the other entries are told of a crash at once

What callers would see: a request crashes a third upstream through another entry within 0.3 s, or after the entry that saw the crashes has been killed meanwhile.

Cause: what an entry saw was collected for 0.3 s before the others were told. They are told at once now, and again of what is added in that time; the store's notice still waits for it. TestRequestThatCrashesUpstreamsIsBlockedByAllEntriesAtOnce failed before (entry 2 of 4 still sent it). Crash tests of ./platform with the race detector, ./direct, ./retry: ok.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -24,8 +25,7 @@
 // live upstream accepts within milliseconds.
 const probeTimeout = 300 * time.Millisecond
 
-// crashBatchDelay is how long crashes are collected for one notice: the requests of a
-// crashed upstream fail one after the other.
+// crashBatchDelay is how long further crashes are collected for one notice.
 const crashBatchDelay = 300 * time.Millisecond
 
 // noticeRetryInterval is the pause before a notice is written again that could not be written, and
@@ -42,9 +42,13 @@
 // each time. Each entry would see only one crash, and no entry would block the request.
 func (s *Server) announceCrashes() {
 	s.background("announce crashes", maxNoticeDelay, func(ctx context.Context) error {
+		first := s.crashes.Observed()
+		s.spreadEvidence(ctx, first)
 		group.Sleep(ctx, crashBatchDelay)
 		evidence := s.crashes.TakeNotice()
-		s.spreadEvidence(ctx, evidenceMessage{By: s.Settings.Name, Evidence: evidence}, s.otherPeers())
+		if !reflect.DeepEqual(first, evidence) {
+			s.spreadEvidence(ctx, evidence)
+		}
 		if s.Notices == nil || s.Records == nil {
 			return nil
 		}
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -53,8 +53,13 @@
 	PassOn []domain.Host `json:"pass_on,omitempty"`
 }
 
-// spreadEvidence passes a message on to other entries.
-func (s *Server) spreadEvidence(ctx context.Context, m evidenceMessage, to []*relay.Peer) {
+// spreadEvidence passes what this entry saw on to all others.
+func (s *Server) spreadEvidence(ctx context.Context, evidence retry.Record) {
+	s.passOnEvidence(ctx, evidenceMessage{By: s.Settings.Name, Evidence: evidence}, s.otherPeers())
+}
+
+// passOnEvidence passes a message on to some other entries.
+func (s *Server) passOnEvidence(ctx context.Context, m evidenceMessage, to []*relay.Peer) {
 	failed := fanout.Send(ctx, to, fanout.Width, func(ctx context.Context, first *relay.Peer, rest []*relay.Peer) error {
 		m := m
 		m.PassOn = peerNames(rest)
@@ -75,7 +80,7 @@
 	s.mergeCrashes(time.Now(), m.By, m.Evidence)
 	if len(m.PassOn) > 0 {
 		s.background("pass on crash evidence", time.Duration(len(m.PassOn))*evidenceTimeout, func(ctx context.Context) error {
-			s.spreadEvidence(ctx, m, s.peersNamed(m.PassOn))
+			s.passOnEvidence(ctx, m, s.peersNamed(m.PassOn))
 			return nil
 		})
 	}
--- a/retry/crashes.go
+++ b/retry/crashes.go
@@ -44,6 +44,13 @@
 	return first
 }
 
+// Observed returns the newest deaths that this process observed.
+func (c *Crashes[U, R]) Observed() Record {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.local
+}
+
 // TakeNotice returns the evidence of deaths to send to the other processes now, and clears the
 // pending notice.
 func (c *Crashes[U, R]) TakeNotice() Record {
