--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -89,6 +89,15 @@
 		s.hostLoads.record(r.service.Name)
 	}
 	s.recordLimit(r, a, info, reply.Status)
+	if f := s.endRefused(r, a, reply, info); f != nil {
+		return nil, f
+	}
+	return reply, nil
+}
+
+// endRefused ends an attempt that the upstream did not run, and returns its failure; nil if the
+// upstream ran it.
+func (s *Server) endRefused(r *request, a *attempt, reply *send.Response, info ResponseInfo) *failure {
 	switch {
 	case info.Misdirected:
 		reply.Close()
@@ -100,7 +109,7 @@
 			// the engine refuses, one for each request.
 			a.upstream.Stats.RecordRefusal(time.Now())
 		}
-		return nil, s.finishFailed(r, a, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
+		return s.finishFailed(r, a, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "another start, or one of another role, answers at the address"})
 	case info.NotExecuted:
 		s.readShortResponse(reply)
 		if a.info.Stage.RunsRequest() {
@@ -112,9 +121,9 @@
 			a.upstream.Stats.ExcludeUntil(time.Now().Add(s.fullBackoff()))
 		}
 		s.endAttemptSlot(a, slots.Full, 0)
-		return nil, s.finishFailed(r, a, &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: "the upstream refused unrun"})
+		return s.finishFailed(r, a, &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: "the upstream refused unrun"})
 	}
-	return reply, nil
+	return nil
 }
 
 // answersRequest reports whether a response belongs to the request. A response without a
