--- a/direct/direct.go
+++ b/direct/direct.go
@@ -10,10 +10,11 @@
 // A request is accepted and matched to a route (request.go), placed at an upstream
 // (place.go), attempted (attempt.go), after a prefill if the service has prefill engines
 // (prefill.go), answered whole (plain.go) or event by event (stream.go), and ended once,
-// with an answer or a refusal (end.go). Entries notify each other of role changes and
-// crashes by notices (notice.go). One entry changes the roles of engines (roles.go), and
-// some relay the platform's store to the others (relays.go). Each entry keeps a record in
-// the store (register.go), which relays serve to the others (records.go).
+// with an answer or a refusal (end.go). Entries notify each other of role changes by notices
+// (notice.go), and tell each other of requests that crash upstreams (crash.go, evidence.go).
+// One entry changes the roles of engines (roles.go), and some relay the platform's store to
+// the others (relays.go). Each entry keeps a record in the store (register.go), which relays
+// serve to the others (records.go).
 package direct
 
 import (
