--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -38,6 +38,30 @@
 	slot slotGrant
 	// stated is what the response stated.
 	stated ResponseInfo
+	// reply is the response, once its header has arrived.
+	reply *send.Response
+}
+
+// answerEnd is how the body of an upstream's answer ended.
+type answerEnd string
+
+// The ends of a body. The framing of one that is within an event states that the body is complete.
+const (
+	endWhole       answerEnd = "whole"
+	endWithinEvent answerEnd = "within_event"
+	endBroken      answerEnd = "broken"
+)
+
+// recordEnd counts how the body of an answer ended, and returns the log fields that tell it.
+func (s *Server) recordEnd(r *request, a *attempt, end answerEnd) []any {
+	if a.reply == nil {
+		return nil
+	}
+	if end == endWhole && a.reply.WithinEvent() {
+		end = endWithinEvent
+	}
+	s.Meter.Inc("jacinthworks_upstream_answers_total", meter.Labels{"service", string(r.service.Name), "framing", string(a.reply.Framing), "end", string(end)})
+	return []any{"framing", a.reply.Framing, "end", end, "within_event", a.reply.WithinEvent()}
 }
 
 // sendAttempt sends the request to an upstream and waits for the response header. The
@@ -80,7 +104,7 @@
 	if err != nil {
 		return nil, s.failSend(ctx, r, a, err)
 	}
-	a.stated = info
+	a.stated, a.reply = info, reply
 	if info.LoadReported {
 		a.upstream.Stats.RecordLoad(time.Now(), info.InFlight)
 	}
@@ -178,19 +202,19 @@
 	if f.reason != domain.ReasonCallerGone {
 		a.upstream.Stats.RecordFailure(time.Now())
 	}
-	return s.finishFailed(r, a, f)
+	return s.finishFailed(r, a, f, s.recordEnd(r, a, endBroken)...)
 }
 
-// finishFailed records an attempt without a usable response.
-func (s *Server) finishFailed(r *request, a *attempt, f *failure) *failure {
+// finishFailed records an attempt without a usable response. fields are added to its log line.
+func (s *Server) finishFailed(r *request, a *attempt, f *failure, fields ...any) *failure {
 	s.releaseLoad(r, a)
 	s.endAttemptSlot(a, failedOutcome(f), 0)
 	if a.info.Stage.RunsRequest() {
 		r.attempts.Ended(f.ran)
 	}
 	r.exclude(a.upstream)
-	s.Log.Info("attempt failed", "request", r.id, "upstream", a.start.ID, "stage", a.info.Stage, "send", r.attempts.Sends(),
-		"ran", f.ran, "reason", f.reason, "detail", f.detail, "took", time.Since(a.startedAt))
+	s.Log.Info("attempt failed", append([]any{"request", r.id, "upstream", a.start.ID, "stage", a.info.Stage, "send", r.attempts.Sends(),
+		"ran", f.ran, "reason", f.reason, "detail", f.detail, "took", time.Since(a.startedAt)}, fields...)...)
 	s.Meter.Inc("jacinthworks_attempts_total", meter.Labels{"service", string(r.service.Name), "outcome", string(f.reason)})
 	return f
 }
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -161,7 +161,7 @@
 		}
 		return &failure{ran: domain.DidRun, reason: domain.ReasonLost, detail: err.Error()}
 	}
-	s.finish(r, "answered", "upstream", a.start.ID, "status", reply.Status)
+	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status}, s.recordEnd(r, a, endWhole)...)...)
 	return nil
 }
 
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -186,7 +186,7 @@
 	if err := s.passResponse(r, reply, head, complete); err != nil {
 		return &failure{ran: domain.DidRun, reason: domain.ReasonLost, detail: err.Error()}
 	}
-	s.finish(r, "answered", "upstream", a.start.ID, "status", reply.Status)
+	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status}, s.recordEnd(r, a, endWhole)...)...)
 	return nil
 }
 
@@ -223,7 +223,7 @@
 		if len(unsent) > 0 {
 			if !r.responseBegun {
 				s.writeHeader(r, reply)
-				s.Log.Info("first event", "request", r.id, "upstream", a.start.ID, "took", time.Since(r.accepted))
+				s.Log.Info("first event", "request", r.id, "upstream", a.start.ID, "took", time.Since(r.accepted), "framing", reply.Framing)
 			}
 			if _, writeErr := r.w.Write(unsent); writeErr == nil {
 				writeErr = flush.Flush()
@@ -249,7 +249,8 @@
 		s.writeHeader(r, reply) // a stream without events
 	}
 	s.finishAnswered(r, a, firstAfter, 1, true)
-	s.finish(r, "answered", "upstream", a.start.ID, "status", reply.Status, "first", firstAfter, "longest_gap", longestGap, "last_event", e.LastEventID)
+	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status, "first", firstAfter, "longest_gap", longestGap, "last_event", e.LastEventID},
+		s.recordEnd(r, a, endWhole)...)...)
 	return nil
 }
 
--- a/send/reply.go
+++ b/send/reply.go
@@ -3,16 +3,55 @@
 import (
 	"context"
 	"io"
+	"mime"
 	"net/http"
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/events"
+)
+
+// Framing is how a message states where its body ends (RFC 9112, section 6.3).
+type Framing string
+
+// The framings of a body.
+const (
+	// FramedByLength: the header states the length, or the message has no body.
+	FramedByLength Framing = "length"
+	// FramedByChunks: the body is sent in chunks, the last of which is empty.
+	FramedByChunks Framing = "chunks"
+	// FramedByClose: the body ends with the connection. An upstream that dies in order closes its
+	// connections too, so the end of the connection does not show that the body is complete.
+	FramedByClose Framing = "close"
 )
 
+// eventStreamType is the media type of a stream of server-sent events.
+const eventStreamType = "text/event-stream"
+
+func isEventStream(h http.Header) bool {
+	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+	return mediaType == eventStreamType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
+}
+
+func framingOf(r *http.Response) Framing {
+	switch {
+	case r.ContentLength >= 0:
+		return FramedByLength
+	case len(r.TransferEncoding) > 0:
+		return FramedByChunks
+	}
+	return FramedByClose
+}
+
 // Response is a response whose header has arrived; Read reads its body.
 type Response struct {
 	Status int
 	Header http.Header
+	// Framing is how the upstream frames the body.
+	Framing Framing
+	// EventStream reports whether the body is a stream of server-sent events.
+	EventStream bool
 	// NewConn reports whether the connection was dialed for this request.
 	NewConn bool
 
@@ -27,6 +66,8 @@
 	// writeDone receives the result of writing a body concurrently with reading the response; nil
 	// if the request was written before.
 	writeDone chan error
+	// boundary follows the events of an event stream.
+	boundary events.Boundary
 	// reusable reports whether the connection stays open after the end of the response.
 	reusable bool
 	done     bool // the exchange has ended
@@ -39,6 +80,9 @@
 	if n > 0 {
 		p.watchdog.reset(p.readTimeout)
 	}
+	if p.EventStream {
+		p.boundary.Advance(b[:n])
+	}
 	switch {
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
 		p.complete()
@@ -48,6 +92,9 @@
 	return n, err
 }
 
+// WithinEvent reports whether the part of an event stream that was read ends inside an event.
+func (p *Response) WithinEvent() bool { return p.boundary.WithinEvent() }
+
 // SetReadTimeout sets for how long the upstream may send no data before the response times out, and
 // restarts that time.
 func (p *Response) SetReadTimeout(d time.Duration) {
--- a/send/send.go
+++ b/send/send.go
@@ -136,7 +136,8 @@
 	}
 	watchdog.reset(readTimeout)
 	p.Status, p.Header, p.body = response.StatusCode, response.Header, response.Body
-	p.reusable = !response.Close && !(response.ContentLength < 0 && len(response.TransferEncoding) == 0)
+	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header)
+	p.reusable = !response.Close && p.Framing != FramedByClose
 	return p, nil
 }
 
