send: an event stream that ends inside an event has failed, whatever its framing

Cause: only streams of resumable routes were split into events, and only there was the end checked. An answer that ends with its connection, as any other framing that an upstream completes, counted as whole on every other way: streams that may not be resumed, prefilled elsewhere or not, event streams on plain routes, and calls through sides. Such an end had no failure stage either, so that the crash behind it cleared evidence against its request instead of adding to it.

The end of a body is judged in one place now, send.Response, which all ways read from. The length of an event stream is not passed on to the caller, who would else have got as much as was stated. A plain answer that is passed on while it is read counts as answered at its end, not after its first 256 KiB.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -98,8 +98,9 @@
 		Method: r.method, Target: r.target, Host: r.host, Header: header, Body: r.body, ReadTimeout: a.headerTimeout,
 		// A reused connection can break just as the request is written, which leaves open
 		// whether the request ran.
-		NewConn: !r.route.Retryable(),
-		Match:   func(h http.Header) bool { return s.answersRequest(r, h) },
+		NewConn:     !r.route.Retryable(),
+		EventStream: r.route.Kind == paths.Stream && a.info.Stage.RunsRequest(),
+		Match:       func(h http.Header) bool { return s.answersRequest(r, h) },
 	})
 	if err != nil {
 		return nil, s.failSend(ctx, r, a, err)
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -153,15 +153,36 @@
 	if succeeded {
 		s.recordSpeed(r.service.Name, "", a.start, speed.Observation{Units: 1, Took: took, Load: otherRequests(now, a.upstream), HostLoad: recentHostLoad(now, a.upstream)})
 	}
-	s.finishAnswered(r, a, took, 1, succeeded)
-	if err := s.passResponse(r, reply, head, complete); err != nil {
-		if errors.Is(err, errCallerWrite) {
-			s.finish(r, "caller_gone", "upstream", a.start.ID, "err", err)
-			panic(http.ErrAbortHandler)
+	return s.passBuffered(ctx, r, a, bufferedResponse{Response: reply, head: head, complete: complete}, took)
+}
+
+// bufferedResponse is a response of which the start of the body, or all of it, was read.
+type bufferedResponse struct {
+	*send.Response
+	head     []byte
+	complete bool // head is the whole body
+}
+
+// passBuffered passes a response on, and ends the request and its attempt.
+func (s *Server) passBuffered(ctx context.Context, r *request, a *attempt, b bufferedResponse, took time.Duration) *failure {
+	succeeded := b.Status < http.StatusInternalServerError
+	if b.complete {
+		s.finishAnswered(r, a, took, 1, succeeded)
+	}
+	err := s.passResponse(r, b)
+	switch {
+	case errors.Is(err, errCallerWrite):
+		if !b.complete {
+			s.failCallerGone(r, a, err)
 		}
-		return &failure{ran: domain.DidRun, reason: domain.ReasonLost, detail: err.Error()}
+		s.finish(r, "caller_gone", "upstream", a.start.ID, "err", err)
+		panic(http.ErrAbortHandler)
+	case err != nil:
+		return s.failSend(ctx, r, a, err)
+	case !b.complete:
+		s.finishAnswered(r, a, took, 1, succeeded)
 	}
-	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status}, s.recordEnd(r, a, endWhole)...)...)
+	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", b.Status}, s.recordEnd(r, a, endWhole)...)...)
 	return nil
 }
 
@@ -210,16 +231,16 @@
 var errCallerWrite = errors.New("direct: writing to the caller")
 
 // passResponse writes a response to the caller.
-func (s *Server) passResponse(r *request, reply *send.Response, head []byte, complete bool) error {
-	s.writeHeader(r, reply)
-	if _, err := r.w.Write(head); err != nil {
+func (s *Server) passResponse(r *request, b bufferedResponse) error {
+	s.writeHeader(r, b.Response)
+	if _, err := r.w.Write(b.head); err != nil {
 		return errors.Join(errCallerWrite, err)
 	}
-	if complete {
+	if b.complete {
 		return nil
 	}
 	to := &callerWriter{w: r.w}
-	if _, err := io.Copy(to, reply); err != nil {
+	if _, err := io.Copy(to, b.Response); err != nil {
 		if to.err != nil {
 			return errors.Join(errCallerWrite, to.err)
 		}
@@ -245,14 +266,15 @@
 }
 
 // writeHeader passes on the status and the header of a response unchanged. An absent Date
-// or Content-Type stays absent.
+// or Content-Type stays absent. The length of an event stream is not passed on: if the stream
+// ends inside an event, the caller would have received as much as was stated.
 func (s *Server) writeHeader(r *request, reply *send.Response) {
 	to := r.w.Header()
 	length := reply.Header.Get("Content-Length")
 	for name, values := range send.EndToEnd(reply.Header) {
 		to[name] = values
 	}
-	if length != "" {
+	if length != "" && !reply.EventStream {
 		to.Set("Content-Length", length)
 	}
 	for _, name := range []string{"Date", "Content-Type"} {
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -178,16 +178,13 @@
 	if err != nil {
 		return s.failSend(ctx, r, a, err)
 	}
-	s.finishAnswered(r, a, time.Since(a.startedAt), 1, reply.Status < http.StatusInternalServerError)
+	took := time.Since(a.startedAt)
 	if r.responseBegun {
+		s.finishAnswered(r, a, took, 1, reply.Status < http.StatusInternalServerError)
 		r.attempts.Ended(domain.DidRun)
 		return &failure{ran: domain.DidRun, reason: domain.ReasonUpstream, detail: "the upstream failed the rest of the stream"}
 	}
-	if err := s.passResponse(r, reply, head, complete); err != nil {
-		return &failure{ran: domain.DidRun, reason: domain.ReasonLost, detail: err.Error()}
-	}
-	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status}, s.recordEnd(r, a, endWhole)...)...)
-	return nil
+	return s.passBuffered(ctx, r, a, bufferedResponse{Response: reply, head: head, complete: complete}, took)
 }
 
 // passEvents passes the events of an answer on as they come.
--- a/engine/http_test.go
+++ b/engine/http_test.go
@@ -218,3 +218,14 @@
 	_, err = call("down", "hello")
 	require.ErrorIs(t, err, engine.ErrNotStarted, "the server refuses connections while it is down")
 }
+
+// Guards against an answer of an application that ends inside an event and counts as complete.
+func TestHTTPAppServerReportsAnswerEndingWithinEvent(t *testing.T) {
+	server := serveHTTP(t, http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "text/event-stream")
+		_, _ = io.WriteString(w, "data: a\n\ndata: b\n")
+	}))
+	app := &engine.HTTPAppServer{Addr: server.Addr()}
+	_, err := app.Do(t.Context(), engine.Call{Method: http.MethodGet, Path: "/"})
+	require.ErrorIs(t, err, engine.ErrCrashed)
+}
--- a/send/reply.go
+++ b/send/reply.go
@@ -29,8 +29,14 @@
 // eventStreamType is the media type of a stream of server-sent events.
 const eventStreamType = "text/event-stream"
 
-func isEventStream(h http.Header) bool {
-	mediaType, _, err := mime.ParseMediaType(h.Get("Content-Type"))
+// isEventStream reports whether a response is an event stream. expected is the result if it states no
+// media type.
+func isEventStream(h http.Header, expected bool) bool {
+	text := h.Get("Content-Type")
+	if text == "" {
+		return expected
+	}
+	mediaType, _, err := mime.ParseMediaType(text)
 	return mediaType == eventStreamType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
@@ -68,13 +74,16 @@
 	writeDone chan error
 	// boundary follows the events of an event stream.
 	boundary events.Boundary
+	// endErr is why the end of the body is not that of a complete one.
+	endErr error
 	// reusable reports whether the connection stays open after the end of the response.
 	reusable bool
 	done     bool // the exchange has ended
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body and a *Failure on any other
-// error, so that a truncated body is never taken for a complete one.
+// error, so that a truncated body is never taken for a complete one. An event stream that ends inside
+// an event is truncated, whatever its framing says.
 func (p *Response) Read(b []byte) (int, error) {
 	n, err := p.body.Read(b)
 	if n > 0 {
@@ -85,6 +94,9 @@
 	}
 	switch {
 	case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+		if err := p.verifyEnd(); err != nil {
+			return n, err
+		}
 		p.complete()
 	case err != nil:
 		return n, p.client.failure(p.ctx, err, true)
@@ -92,6 +104,18 @@
 	return n, err
 }
 
+// errEndsWithinEvent is the cause of the failure of a response that ends inside an event.
+var errEndsWithinEvent = errors.New("send: the event stream ends inside an event")
+
+// verifyEnd returns the failure of a body that has ended and is not complete.
+func (p *Response) verifyEnd() error {
+	if !p.done && p.WithinEvent() {
+		p.endErr = p.client.failure(p.ctx, errEndsWithinEvent, true)
+		p.discard()
+	}
+	return p.endErr
+}
+
 // WithinEvent reports whether the part of an event stream that was read ends inside an event.
 func (p *Response) WithinEvent() bool { return p.boundary.WithinEvent() }
 
--- a/send/send.go
+++ b/send/send.go
@@ -102,6 +102,8 @@
 	ReadTimeout time.Duration
 	// NewConn sends the request on a new connection.
 	NewConn bool
+	// EventStream means that a response without a Content-Type is an event stream.
+	EventStream bool
 	// Match, if set, reports whether a response belongs to this request. Other responses are read
 	// and discarded.
 	Match func(http.Header) bool
@@ -136,7 +138,7 @@
 	}
 	watchdog.reset(readTimeout)
 	p.Status, p.Header, p.body = response.StatusCode, response.Header, response.Body
-	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header)
+	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header, r.EventStream)
 	p.reusable = !response.Close && p.Framing != FramedByClose
 	return p, nil
 }
