send: the end of an answer that is framed by its connection is confirmed

An upstream that crashes between two events, or within a plain answer without length and chunks, has its connections closed in order by its host. Such an end holds now only if the upstream accepts a connection, and is the same start, after it: one dial for each answer framed so, none for others. A stream that may be resumed goes on elsewhere, an idempotent call is repeated, all else ends as broken off. Ruled out: counting tokens, since an answer may end before its limit. What is lost: a whole answer whose upstream ends within the round trip after it, or is cut off just then, counts as broken off.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -100,6 +100,7 @@
 		// whether the request ran.
 		NewConn:     !r.route.Retryable(),
 		EventStream: r.route.Kind == paths.Stream && a.info.Stage.RunsRequest(),
+		ConfirmEnd:  func(ctx context.Context) error { return s.confirmEnd(ctx, r, a) },
 		Match:       func(h http.Header) bool { return s.answersRequest(r, h) },
 	})
 	if err != nil {
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -195,6 +195,21 @@
 	return nil
 }
 
+// confirmEnd returns an error if the upstream of a response that was framed by its connection has
+// ended with it. One that leaves as planned ends its responses before it stops accepting.
+func (s *Server) confirmEnd(ctx context.Context, r *request, a *attempt) error {
+	var err error
+	if a.upstream.IsLeaving() || a.upstream.Removed() {
+		err = dialUpstream(ctx, a.upstream.Server().Addr)
+	} else {
+		err = s.probeInstance(ctx, a.upstream, a.start)
+	}
+	if err != nil {
+		s.Log.Info("end of a response not confirmed", "request", r.id, "upstream", a.start.ID, "leaving", a.upstream.IsLeaving(), "err", err)
+	}
+	return err
+}
+
 // awaitCrashChecks waits until the checks of whether the request's failed attempts were crashes are
 // over, if their outcome may block the request.
 func (s *Server) awaitCrashChecks(ctx context.Context, r *request) {
--- a/send/reply.go
+++ b/send/reply.go
@@ -21,8 +21,8 @@
 	FramedByLength Framing = "length"
 	// FramedByChunks: the body is sent in chunks, the last of which is empty.
 	FramedByChunks Framing = "chunks"
-	// FramedByClose: the body ends with the connection. An upstream that dies in order closes its
-	// connections too, so the end of the connection does not show that the body is complete.
+	// FramedByClose: the body ends with the connection. The host of an upstream that crashes closes
+	// its connections too, so the end is confirmed; see Request.ConfirmEnd.
 	FramedByClose Framing = "close"
 )
 
@@ -42,7 +42,7 @@
 
 func framingOf(r *http.Response) Framing {
 	switch {
-	case r.ContentLength >= 0:
+	case r.ContentLength >= 0 || r.Body == http.NoBody:
 		return FramedByLength
 	case len(r.TransferEncoding) > 0:
 		return FramedByChunks
@@ -74,6 +74,8 @@
 	writeDone chan error
 	// boundary follows the events of an event stream.
 	boundary events.Boundary
+	// confirmEnd is called at the end of a body that is framed by its connection.
+	confirmEnd func(context.Context) error
 	// endErr is why the end of the body is not that of a complete one.
 	endErr error
 	// reusable reports whether the connection stays open after the end of the response.
@@ -109,8 +111,18 @@
 
 // verifyEnd returns the failure of a body that has ended and is not complete.
 func (p *Response) verifyEnd() error {
-	if !p.done && p.WithinEvent() {
-		p.endErr = p.client.failure(p.ctx, errEndsWithinEvent, true)
+	if p.done {
+		return p.endErr
+	}
+	var err error
+	switch {
+	case p.WithinEvent():
+		err = errEndsWithinEvent
+	case p.Framing == FramedByClose:
+		err = p.confirmEnd(p.ctx)
+	}
+	if err != nil {
+		p.endErr = p.client.failure(p.ctx, err, true)
 		p.discard()
 	}
 	return p.endErr
--- a/send/send.go
+++ b/send/send.go
@@ -104,6 +104,10 @@
 	NewConn bool
 	// EventStream means that a response without a Content-Type is an event stream.
 	EventStream bool
+	// ConfirmEnd is called when a body that is framed by its connection has ended. An error means
+	// that the upstream did not end it. If not set, the end holds if the client's address accepts a
+	// connection.
+	ConfirmEnd func(context.Context) error
 	// Match, if set, reports whether a response belongs to this request. Other responses are read
 	// and discarded.
 	Match func(http.Header) bool
@@ -138,6 +142,10 @@
 	}
 	watchdog.reset(readTimeout)
 	p.Status, p.Header, p.body = response.StatusCode, response.Header, response.Body
+	p.confirmEnd = r.ConfirmEnd
+	if p.confirmEnd == nil {
+		p.confirmEnd = c.confirmAlive
+	}
 	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header, r.EventStream)
 	p.reusable = !response.Close && p.Framing != FramedByClose
 	return p, nil
@@ -223,6 +231,15 @@
 	return dial(ctx, c.Addr, firstPositive(c.DialTimeout, DefaultDialTimeout), c.UserTimeout, c.KeepAliveInterval)
 }
 
+// confirmAlive returns an error if the client's address accepts no connection.
+func (c *Client) confirmAlive(ctx context.Context) error {
+	k, err := dial(ctx, c.Addr, firstPositive(c.DialTimeout, DefaultDialTimeout), 0, 0)
+	if err != nil {
+		return errors.Wrap(err, "send: confirming the end of a response")
+	}
+	return errors.Wrap(k.Close(), "send: confirming the end of a response")
+}
+
 func (c *Client) popIdle() *conn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
--- a/send/send_test.go
+++ b/send/send_test.go
@@ -243,3 +243,37 @@
 	require.Equal(t, send.Broken, send.StageOf(<-ended))
 	require.Equal(t, send.Broken, send.StageOf(<-ended))
 }
+
+// Guards against a body that is framed by its connection and counts as complete although the server
+// ended with it.
+func TestBodyFramedByConnectionIsCompleteOnlyIfServerStillAccepts(t *testing.T) {
+	for _, dies := range []bool{false, true} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		require.NoError(t, err)
+		go func() { // ends with the exchange
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\n\r\nbody")
+			}
+			if dies {
+				_ = l.Close()
+			}
+			_ = c.Close()
+		}()
+		c := send.Client{Addr: l.Addr().(*net.TCPAddr).AddrPort()}
+		reply, err := c.Do(t.Context(), send.Request{Method: http.MethodGet, Target: "/"})
+		require.NoError(t, err)
+		require.Equal(t, send.FramedByClose, reply.Framing)
+		body, err := reply.ReadAll(10)
+		if dies {
+			require.Equal(t, send.Broken, send.StageOf(err))
+		} else {
+			require.NoError(t, err)
+			require.Equal(t, "body", string(body))
+		}
+		_ = l.Close()
+	}
+}
