events: an event ends with any empty line, and only event streams are split

On resumable routes whole answers were taken for broken off, and their requests repeated or ended with an error: answers of other media types, whose bytes were held back as an event that never ends, and streams with more than one blank line, mixed line ends or a comment at their end. Cause: the end of an event was searched as one of two byte sequences, and the media type was not looked at. Splitter and the check of the end now follow lines by one rule (CR, LF or both; a comment is no event). Where several id lines stand in an event the last one holds. An answer that is no event stream can't go on with one that has begun.

--- a/direct/stream.go
+++ b/direct/stream.go
@@ -82,7 +82,7 @@
 		return f
 	}
 	defer reply.Close()
-	if reply.Status != http.StatusOK {
+	if reply.Status != http.StatusOK || r.responseBegun && !reply.EventStream {
 		return s.passNonStream(ctx, r, a, reply)
 	}
 	return s.passEvents(ctx, r, a, reply, e, allocated.allocatedAt)
@@ -172,7 +172,7 @@
 	}
 }
 
-// passNonStream passes on a response with a status other than 200, which is no stream.
+// passNonStream passes on a response that is no stream. It can't be the rest of one.
 func (s *Server) passNonStream(ctx context.Context, r *request, a *attempt, reply *send.Response) *failure {
 	head, complete, err := bufferResponse(reply)
 	if err != nil {
@@ -214,7 +214,7 @@
 			pace.add(s, r, a, buffer[:n])
 		}
 		unsent := buffer[:n]
-		if r.route.Resumable {
+		if r.route.Resumable && reply.EventStream {
 			unsent = e.Add(unsent)
 		}
 		if len(unsent) > 0 {
@@ -237,9 +237,6 @@
 		if !errors.Is(err, io.EOF) {
 			return s.failSend(ctx, r, a, err)
 		}
-		if len(e.Partial()) > 0 {
-			return s.failSend(ctx, r, a, errors.New("direct: the stream ends in the middle of an event"))
-		}
 		break
 	}
 	if !r.responseBegun {
--- a/events/boundary.go
+++ b/events/boundary.go
@@ -14,16 +14,24 @@
 // further, it has been broken off.
 func (b *Boundary) WithinEvent() bool { return b.inLine || b.inEvent }
 
-// Advance reads p and returns the length of the part of it after which the stream was last outside of
-// any event; zero if it was inside one all the time.
-func (b *Boundary) Advance(p []byte) (complete int) {
+// Advance reads all of p.
+func (b *Boundary) Advance(p []byte) {
+	for len(p) > 0 {
+		n, _ := b.next(p)
+		p = p[n:]
+	}
+}
+
+// next reads p up to the first place that is outside of any event, and returns the length read. It
+// returns false if p ends inside an event.
+func (b *Boundary) next(p []byte) (n int, complete bool) {
 	for i, c := range p {
 		b.step(c)
 		if !b.WithinEvent() {
-			complete = i + 1
+			return i + 1, true
 		}
 	}
-	return complete
+	return len(p), false
 }
 
 func (b *Boundary) step(c byte) {
--- a/events/events.go
+++ b/events/events.go
@@ -1,4 +1,5 @@
-// Package events splits a stream of server-sent events into complete events.
+// Package events splits a stream of server-sent events into complete events, and tells whether a
+// stream ends inside one.
 //
 // The stream of a failed upstream may stop in the middle of an event, which another upstream cannot
 // continue, and the upstream that resumes the stream may begin with events that were already passed
@@ -10,6 +11,10 @@
 //	complete := s.Add(read)    // to be passed on
 //	if len(s.Partial()) > 0 {} // the stream stopped in the middle of an event
 //	s.DiscardPartial()         // another upstream resumes after s.LastEventID
+//
+//	var b events.Boundary
+//	b.Advance(read)
+//	b.WithinEvent() // a stream that ends here has been broken off
 package events
 
 import (
@@ -23,7 +28,8 @@
 	// LastEventID is the ID of the last event returned by Add that has an ID; empty if there is none.
 	LastEventID string
 
-	partial []byte
+	partial  []byte
+	boundary Boundary // at the end of partial
 }
 
 // Partial returns the incomplete event at the end of the data added so far.
@@ -32,15 +38,16 @@
 // Add appends data read from the stream and returns the events that it completes, without events
 // that were returned before.
 func (s *Splitter) Add(b []byte) []byte {
-	s.partial = append(s.partial, b...)
 	var out []byte
-	for {
-		n := eventLength(s.partial)
-		if n == 0 {
-			return out
+	for len(b) > 0 {
+		n, complete := s.boundary.next(b)
+		s.partial = append(s.partial, b[:n]...)
+		b = b[n:]
+		if !complete {
+			break
 		}
-		event := s.partial[:n]
-		s.partial = s.partial[n:]
+		event := s.partial
+		s.partial = nil
 		id, ok := eventID(event)
 		if ok && !isNewer(id, s.LastEventID) {
 			continue
@@ -50,32 +57,21 @@
 		}
 		out = append(out, event...)
 	}
+	return out
 }
 
 // DiscardPartial discards the incomplete event at the end. The next upstream sends that event again
 // from its beginning.
-func (s *Splitter) DiscardPartial() { s.partial = nil }
-
-// eventLength returns the length of the first event, including the blank line that ends it; zero if
-// no event is complete.
-func eventLength(b []byte) int {
-	end := 0
-	for _, blankLine := range []string{"\n\n", "\r\n\r\n"} {
-		if n := bytes.Index(b, []byte(blankLine)); n >= 0 && (end == 0 || n+len(blankLine) < end) {
-			end = n + len(blankLine)
-		}
-	}
-	return end
-}
+func (s *Splitter) DiscardPartial() { s.partial, s.boundary = nil, Boundary{} }
 
-// eventID returns the ID of an event and reports whether it has one.
-func eventID(event []byte) (string, bool) {
-	for _, line := range bytes.Split(event, []byte("\n")) {
-		if value, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			return string(bytes.TrimSpace(value)), true
+// eventID returns the ID of an event, the last one that it states, and reports whether it has one.
+func eventID(event []byte) (id string, ok bool) {
+	for _, line := range bytes.FieldsFunc(event, func(c rune) bool { return c == '\n' || c == '\r' }) {
+		if value, found := bytes.CutPrefix(line, []byte("id:")); found {
+			id, ok = string(bytes.TrimSpace(value)), true
 		}
 	}
-	return "", false
+	return id, ok
 }
 
 // isNewer reports whether the event with the ID id comes after the event with the ID last. IDs are
