direct: a broken answer resets the connection of a caller of HTTP/1.0

Such a caller gets an answer without length as one that ends with its connection. net/http closes the connection of an aborted handler in order, which is the end of a whole answer.

--- a/direct/end.go
+++ b/direct/end.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"net"
 	"net/http"
 	"strconv"
 	"time"
@@ -29,7 +30,7 @@
 	}
 	s.finish(r, "refused", "reason", f.reason, "ran", f.ran, "detail", f.detail)
 	if r.responseBegun || f.reason == domain.ReasonCallerGone {
-		panic(http.ErrAbortHandler)
+		s.abort(r)
 	}
 	refusal := domain.Refusal{RequestID: r.id, Reason: f.reason, Ran: f.ran, Detail: f.detail}
 	status := statusOf(f)
@@ -54,6 +55,31 @@
 	}
 }
 
+// abort ends the caller's connection under an incomplete response. It does not return.
+//
+// A caller of HTTP/1.0 knows no chunks, and takes a connection that is closed in order for the end of
+// its response, so its connection is reset.
+func (s *Server) abort(r *request) {
+	if !r.knowsChunks {
+		if c, _, err := http.NewResponseController(r.w).Hijack(); err != nil {
+			s.Log.Warn("caller's connection not reset", "request", r.id, "err", err)
+		} else {
+			s.reset(r, c)
+		}
+	}
+	panic(http.ErrAbortHandler)
+}
+
+// reset closes a connection so that the other end sees an error.
+func (s *Server) reset(r *request, c net.Conn) {
+	if tcp, ok := c.(*net.TCPConn); ok {
+		if err := tcp.SetLinger(0); err != nil {
+			s.Log.Warn("caller's connection not reset", "request", r.id, "err", err)
+		}
+	}
+	_ = c.Close() // the connection is given up
+}
+
 // statusOf returns the HTTP status of a refusal. 503 and 429 promise that the request has
 // not run and will not, so a failure of a request that may have run gets 502 or 504.
 func statusOf(f *failure) int {
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -176,7 +176,7 @@
 			s.failCallerGone(r, a, err)
 		}
 		s.finish(r, "caller_gone", "upstream", a.start.ID, "err", err)
-		panic(http.ErrAbortHandler)
+		s.abort(r)
 	case err != nil:
 		return s.failSend(ctx, r, a, err)
 	case !b.complete:
--- a/direct/request.go
+++ b/direct/request.go
@@ -51,6 +51,8 @@
 	body   []byte
 
 	w http.ResponseWriter
+	// knowsChunks means that the caller's version of HTTP has chunks.
+	knowsChunks bool
 	// responseBegun means that part of a response was written to the caller.
 	responseBegun bool
 	// attempts counts the attempts, and decides what may follow each.
@@ -105,6 +107,7 @@
 	if from, err := netip.ParseAddrPort(h.RemoteAddr); err == nil {
 		r.account = domain.Account(from.Addr().String())
 	}
+	r.knowsChunks = h.ProtoAtLeast(1, 1)
 	r.id, r.method, r.target, r.host = r.info.ID, h.Method, h.RequestURI, h.Host
 	if f := s.accept(r, h); f != nil {
 		s.refuse(r, f)
