--- a/cmd_upstreams.go
+++ b/cmd_upstreams.go
@@ -76,10 +76,10 @@
 
 func writeUpstreams(out io.Writer, all []direct.UpstreamView) error {
 	w := tabwriter.NewWriter(out, 0, 0, 2, ' ', 0)
-	fmt.Fprintln(w, "SERVICE\tUPSTREAM\tZONE\tROLE\tSLOTS\tOWN\tOTHERS\tFAILS\tTIME\tOBSERVED\tHOST LOAD\tEXCLUDED")
+	fmt.Fprintln(w, "SERVICE\tUPSTREAM\tZONE\tROLE\tSOFTWARE\tSLOTS\tOWN\tOTHERS\tFAILS\tTIME\tOBSERVED\tHOST LOAD\tEXCLUDED")
 	for _, v := range all {
-		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%d\t%d\t%.1f\t%.2f\t%.2f\t%d\t%.2f\t%s\n",
-			v.Service, v.Upstream, v.Zone, orDash(string(v.Role)), v.Slots, v.Own, v.Others, v.Fails, v.Factor, v.Observations, v.HostLoad, orDash(v.Excluded))
+		fmt.Fprintf(w, "%s\t%s\t%s\t%s\t%s\t%d\t%d\t%.1f\t%.2f\t%.2f\t%d\t%.2f\t%s\n",
+			v.Service, v.Upstream, v.Zone, orDash(string(v.Role)), orDash(string(v.Software)), v.Slots, v.Own, v.Others, v.Fails, v.Factor, v.Observations, v.HostLoad, orDash(v.Excluded))
 	}
 	return w.Flush()
 }
--- a/direct/place.go
+++ b/direct/place.go
@@ -110,7 +110,7 @@
 		s.Meter.Inc("jacinthworks_limited_total", meter.Labels{"service", string(r.service.Name), "outcome", "placed"})
 	}
 	s.Log.Info("placed", append([]any{
-		"request", r.id, "service", r.service.Name, "role", role, "upstream", c.Name, "of", p.candidates, "full", p.full, "own", c.OwnRequests,
+		"request", r.id, "service", r.service.Name, "role", role, "upstream", c.Name, "software", p.upstream.Server().Software, "of", p.candidates, "full", p.full, "own", c.OwnRequests,
 		"others", math.Round(10*c.OtherRequests) / 10, "tokens", c.OwnTokens, "fails", math.Round(100*c.FailureRate) / 100, "speed", c.UnitTime,
 		"heard", p.upstream.EntryAge(time.Now()), "by", p.chosenBy, "ahead", p.expectedWait,
 	}, fields...)...)
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -62,6 +62,9 @@
 	ExpectedOutputTokens int
 	// LastEvent is the id of the last event of the stream that the caller has.
 	LastEvent string
+	// Resumes is the id of the request that brought the first event of a stream which the caller
+	// takes up again.
+	Resumes domain.RequestID
 }
 
 // Stage is the part of a model request that an upstream is to do.
--- a/direct/request.go
+++ b/direct/request.go
@@ -166,7 +166,8 @@
 		return f
 	}
 	s.retryBudgets.window(name).RequestAccepted(r.accepted, s.retryTerms())
-	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.info.PromptTokens, "tokens", r.expectedTokens(), "left", r.timeLeft())
+	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.info.PromptTokens, "tokens", r.expectedTokens(), "left", r.timeLeft(),
+		"resumes", r.info.Resumes, "last_event", r.info.LastEvent)
 	return nil
 }
 
--- a/direct/views.go
+++ b/direct/views.go
@@ -25,7 +25,9 @@
 	Upstream roster.ID      `json:"upstream"`
 	Zone     domain.Zone    `json:"zone"`
 	Role     domain.Role    `json:"role,omitempty"`
-	Slots    int            `json:"slots"`
+	// Software is the version of the upstream's software.
+	Software roster.Software `json:"software,omitempty"`
+	Slots    int             `json:"slots"`
 	// Own and Others are the requests in progress from this entry and, as estimated, from others.
 	Own    int     `json:"own"`
 	Others float64 `json:"others"`
@@ -51,7 +53,7 @@
 		for _, u := range s.roster.Upstreams(service.Name) {
 			m, k := u.Server(), u.Stats.Candidate(now)
 			v := UpstreamView{
-				Service: m.Service, Upstream: m.ID, Zone: m.Zone, Role: m.Role, Slots: m.Slots,
+				Service: m.Service, Upstream: m.ID, Zone: m.Zone, Role: m.Role, Software: m.Software, Slots: m.Slots,
 				Own: k.OwnRequests, Others: round(k.OtherRequests), Fails: round(k.FailureRate), Excluded: string(u.Eligibility(now).Reason),
 			}
 			if v.Excluded == "" && k.CoolingDown {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -59,8 +59,13 @@
 	Draining bool
 	// Role is the role of a model engine; empty for a plain server.
 	Role domain.Role
+	// Software is the version of the upstream's software.
+	Software Software
 }
 
+// Software is a version of the software of upstreams. Versions are not ordered.
+type Software string
+
 // Upstream is a member of the directory: one instance of an upstream.
 type Upstream struct {
 	// Client sends requests to the upstream.
@@ -291,7 +296,7 @@
 			u = &Upstream{Client: &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout}}
 		}
 		r.members[s.ID] = u
-		r.Log.Info("upstream added", "again", reinstated != nil, "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining, "born", s.Born)
+		r.Log.Info("upstream added", "again", reinstated != nil, "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining, "born", s.Born, "software", s.Software)
 	}
 	u.mu.Lock()
 	previous := u.server
