--- a/direct/views.go
+++ b/direct/views.go
@@ -26,7 +26,7 @@
 	Zone     domain.Zone    `json:"zone"`
 	Role     domain.Role    `json:"role,omitempty"`
 	// Software is the version of the upstream's software.
-	Software roster.Software `json:"software,omitempty"`
+	Software domain.Software `json:"software,omitempty"`
 	Slots    int             `json:"slots"`
 	// Own and Others are the requests in progress from this entry and, as estimated, from others.
 	Own    int     `json:"own"`
--- a/domain/domain.go
+++ b/domain/domain.go
@@ -26,6 +26,10 @@
 // Zone names an availability zone.
 type Zone string
 
+// Software is a version of the software of upstreams, not of a model's weights. Versions are not
+// ordered.
+type Software string
+
 // Service names a model or a plain service that callers request.
 type Service string
 
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -60,11 +60,9 @@
 	// Role is the role of a model engine; empty for a plain server.
 	Role domain.Role
 	// Software is the version of the upstream's software.
-	Software Software
+	Software domain.Software
 }
 
-// Software is a version of the software of upstreams. Versions are not ordered.
-type Software string
 
 // Upstream is a member of the directory: one instance of an upstream.
 type Upstream struct {
