direct: a stream goes on only at the software version that began it

Cause: nothing read the registry's version. Class: a stream is state that outlives the request, the connection and the entry that began it, and was treated as none.

With its first event a stream is bound to its version, in the same answer and for its caller: before the event is passed on, the entry and three others, drawn by the stream's id, record it, and two have to have it within 80 ms. An entry at which a caller takes the stream up asks the first eight in that order, without the store. Without a record, a version holds if it is the only one, as far back as the stream can reach (origin). All else is refused as not run. An entry that starts gets the newest records of three others; one that drains still answers.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -189,7 +189,7 @@
 	}
 	for n := 0; n < route.MaxEnginesPerSearch && ctx.Err() == nil; n++ {
 		load.IgnoreAnswerTime = n >= route.FastEnginesPerSearch
-		p := s.place(r, role, s.Settings.Zone, load)
+		p := s.place(r, pool{role: role, software: r.software, preferredZone: s.Settings.Zone}, load)
 		if p.upstream == nil {
 			return nil, p.candidates > 0
 		}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -22,6 +22,7 @@
 type attempt struct {
 	upstream *roster.Upstream
 	start    roster.Start
+	software domain.Software
 	info     AttemptInfo
 	cost     roster.Cost
 	// headerTimeout bounds the wait for the response header; zero means the time left to
@@ -77,7 +78,7 @@
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: errNotAccepting.Error(), unsent: true, retryGranted: true}
 	}
 	server := a.upstream.Server()
-	a.start, a.startedAt = server.Start, time.Now()
+	a.start, a.software, a.startedAt = server.Start, server.Software, time.Now()
 	a.info.Upstream, a.info.Account, a.info.Timeout, a.info.Priority = server.ID, r.accountName(), r.timeLeft(), r.priority()
 	header := r.header.Clone()
 	s.Protocol.SetAttemptHeader(header, a.info)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -11,7 +11,8 @@
 // (place.go), attempted (attempt.go), after a prefill if the service has prefill engines
 // (prefill.go), answered whole (plain.go) or event by event (stream.go), and ended once,
 // with an answer or a refusal (end.go). Entries notify each other of role changes by notices
-// (notice.go), and tell each other of requests that crash upstreams (crash.go, evidence.go).
+// (notice.go), and tell each other of requests that crash upstreams (crash.go, evidence.go) and of
+// the software versions that began streams (origins.go).
 // One entry changes the roles of engines (roles.go), and some relay the platform's store to
 // the others (relays.go). Each entry keeps a record in the store (register.go), which relays
 // serve to the others (records.go).
@@ -40,6 +41,7 @@
 	"jacinthworks/group"
 	"jacinthworks/lease"
 	"jacinthworks/meter"
+	"jacinthworks/origin"
 	"jacinthworks/pacer"
 	"jacinthworks/paths"
 	"jacinthworks/relay"
@@ -100,6 +102,7 @@
 	trackers         assign.Trackers
 	hostLoads        hostLoads
 	shares           fleetShares
+	origins          origin.Book
 	slotPools        slotPools
 	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
 	// prompts of all entries that this one tracks.
@@ -165,6 +168,7 @@
 	loops.Go(serving, "entry probes", s.watchPeers)
 	loops.Go(serving, "shares", s.reportShares)
 	loops.Go(serving, "crash evidence", s.exchangeEvidence)
+	loops.Go(serving, "origins of streams", s.fetchOrigins)
 	if peerServer != nil {
 		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
 	}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -62,6 +62,9 @@
 	m.HandleFunc("GET "+configPath, s.serveConfig)
 	m.HandleFunc("GET "+evidencePath, s.serveEvidence)
 	m.HandleFunc("POST "+evidencePath, s.acceptEvidence)
+	m.HandleFunc("POST "+originPath, checkedHandler(s, checkOrigin, s.handleOrigin))
+	m.HandleFunc("POST "+originFindPath, ownerHandler(s, s.handleOriginQuery))
+	m.HandleFunc("POST "+originsPath, ownerHandler(s, s.handleOrigins))
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("POST "+quotaPath, ownerHandler(s, s.handleQuota))
 	m.HandleFunc("POST "+limitPath, ownerHandler(s, s.handleLimit))
@@ -80,10 +83,11 @@
 }
 
 // refuseWhileDraining answers 503 while this process drains, so that the others go
-// elsewhere before it ends.
+// elsewhere before it ends. What it knows of streams it still tells.
 func (s *Server) refuseWhileDraining(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if s.draining.Load() {
+		asked := r.URL.Path == originFindPath || r.URL.Path == originsPath
+		if s.draining.Load() && !asked {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
--- a/direct/place.go
+++ b/direct/place.go
@@ -59,22 +59,31 @@
 	expectedWait time.Duration
 }
 
-// place chooses an upstream of a role for the request by the costs in l, which include that
-// of an upstream outside preferredZone; the empty role is that of a plain upstream. It
-// returns no upstream if none is left, or, if l skips upstreams that were recently full, if
-// only such upstreams are left.
-func (s *Server) place(r *request, role domain.Role, preferredZone domain.Zone, l route.Request) placement {
+// pool is the upstreams among which a request is placed.
+type pool struct {
+	// role is the role of the upstreams; empty for plain ones.
+	role domain.Role
+	// software is the version of their software; nil is any.
+	software *domain.Software
+	// preferredZone is the availability zone outside of which an upstream costs more.
+	preferredZone domain.Zone
+}
+
+// place chooses an upstream for the request by the costs in l. It returns no upstream if none is
+// left, or, if l skips upstreams that were recently full, if only such upstreams are left.
+func (s *Server) place(r *request, among pool, l route.Request) placement {
 	now, bySpeed := time.Now(), s.speedsOn(r.service.Name)
-	pool := s.speeds.pool(r.service.Name, role)
+	role := among.role
+	speeds := s.speeds.pool(r.service.Name, role)
 	upstreams := s.roster.Upstreams(r.service.Name)
 	candidates, members := make([]route.Candidate, 0, len(upstreams)), make([]*roster.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
 		m := u.Server()
-		if m.Role != role || r.excluded[m.Key()] || !u.Eligibility(now).Eligible() {
+		if m.Role != role || !r.mayUse(m, among.software) || !u.Eligibility(now).Eligible() {
 			continue
 		}
 		c := u.Stats.Candidate(now)
-		c.Name, c.SameZone, c.Slots = string(m.ID), m.Zone == preferredZone, m.Slots
+		c.Name, c.SameZone, c.Slots = string(m.ID), m.Zone == among.preferredZone, m.Slots
 		if e := r.service.Engine; e != nil {
 			c.MemoryTokens = e.KVTokens
 		}
@@ -83,7 +92,7 @@
 				c.UnitTime = cmp.Or(s.promptTokenTime(now, m), c.UnitTime)
 			}
 			if l.AnswerUnits > 0 {
-				c.AnswerUnitTime = pool.ExpectedUnitTime(now, m.Key())
+				c.AnswerUnitTime = speeds.ExpectedUnitTime(now, m.Key())
 			} else {
 				c.UnitTime = slowedByHost(now, u, c.UnitTime)
 			}
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -66,7 +66,7 @@
 			return p, slot, f
 		}
 	}
-	return s.place(r, "", s.Settings.Zone, route.Request{Units: 1, FailureCost: r.failCost(), CrossZoneCost: crossZoneCallCost}), slotGrant{}, nil
+	return s.place(r, pool{preferredZone: s.Settings.Zone}, route.Request{Units: 1, FailureCost: r.failCost(), CrossZoneCost: crossZoneCallCost}), slotGrant{}, nil
 }
 
 // noUpstreamFailure is the refusal if no upstream of a role is left to try.
@@ -82,7 +82,11 @@
 		f.retryAfter = s.queues.For(r.service.Name).Stagger.Delay(time.Now(), wait, interval)
 		return f
 	}
-	return &failure{ran: r.attempts.Ran(), reason: domain.ReasonNoUpstream, detail: "no upstream is left to try", final: true}
+	detail := "no upstream is left to try"
+	if r.software != nil {
+		detail = "no upstream of the software version that began the stream is left to try"
+	}
+	return &failure{ran: r.attempts.Ran(), reason: domain.ReasonNoUpstream, detail: detail, final: true}
 }
 
 // poolBackoff returns the time until the backoff of the first upstream of a role ends, the
@@ -206,7 +210,7 @@
 func (s *Server) hasOther(r *request, role domain.Role, except roster.Start) bool {
 	for _, u := range s.roster.Upstreams(r.service.Name) {
 		m, now := u.Server(), time.Now()
-		if m.Role == role && m.Key() != except.Key() && !r.excluded[m.Key()] && u.Eligibility(now).Eligible() && u.Stats.RateLimitWait(now) == 0 {
+		if m.Role == role && m.Key() != except.Key() && r.mayUse(m, r.software) && u.Eligibility(now).Eligible() && u.Stats.RateLimitWait(now) == 0 {
 			return true
 		}
 	}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -159,7 +159,7 @@
 	zone := decode.Server().Zone
 	p, assigned := s.assignPrefill(ctx, r, zone, load)
 	if p.upstream == nil {
-		p = s.place(r, domain.RolePrefill, zone, load)
+		p = s.place(r, pool{role: domain.RolePrefill, preferredZone: zone}, load)
 		p.expectedWait = p.candidate.EstimateWait(load)
 	}
 	s.logPlacement(r, domain.RolePrefill, p, "only_sure", load.OnlyResponsive)
--- a/direct/request.go
+++ b/direct/request.go
@@ -61,6 +61,8 @@
 	enginesAsked int
 	// prefills counts the calls that prefill the request's prompt.
 	prefills int
+	// software is the software version to which the answer is bound; nil if it may come from any.
+	software *domain.Software
 	// excluded are the upstreams that later attempts must not use: those that failed or
 	// refused the request, or were at their rate limit.
 	excluded map[roster.InstanceKey]bool
@@ -150,14 +152,20 @@
 	if f := r.readBody(h, c.Limits.MaxBody); f != nil {
 		return f
 	}
+	r.setDeadline()
 	name := route.Pick(r.random)
+	if r.route.Kind == paths.Stream && r.takesUp() {
+		var f *failure
+		if name, f = s.bindToOrigin(h.Context(), r, name); f != nil {
+			return f
+		}
+	}
 	r.service = c.Service(name)
 	if r.service == nil {
 		return &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "the route names a service that does not exist", retryAfter: time.Second}
 	}
 	r.firstSent = r.accepted.Add(-s.ages.Estimate(route.Name, r.info.Timeout))
 	r.identity = retry.Identify("", name, []byte(r.method), []byte(r.target), r.body)
-	r.setDeadline()
 	s.logSuspicion(r)
 	if f := s.refuseCrashing(r); f != nil {
 		return f
@@ -207,6 +215,12 @@
 // defaultMaxBody bounds a body, in bytes, if the configuration does not.
 const defaultMaxBody = 4 << 20
 
+// mayUse reports whether an attempt may use an upstream at which the request is bound to a software
+// version; nil is any.
+func (r *request) mayUse(m roster.Server, software *domain.Software) bool {
+	return !r.excluded[m.Key()] && (software == nil || m.Software == *software)
+}
+
 // timeLeft is the time to the request's deadline.
 func (r *request) timeLeft() time.Duration { return time.Until(r.deadline) }
 
--- a/direct/speeds_test.go
+++ b/direct/speeds_test.go
@@ -107,7 +107,7 @@
 	r := &request{service: s.config.Current().Service("model"), random: newRandom()}
 	slowPlaced := func() (count int) {
 		for range 100 {
-			p := s.place(r, domain.RoleDecode, "", route.Request{SkipExcluded: true, Units: 1, AnswerUnits: 70})
+			p := s.place(r, pool{role: domain.RoleDecode, preferredZone: ""}, route.Request{SkipExcluded: true, Units: 1, AnswerUnits: 70})
 			if p.candidate.AnswerUnitTime > 50*time.Millisecond || p.candidate.Name == "e-0" {
 				count++
 			}
@@ -201,7 +201,7 @@
 			b.ReportAllocs()
 			for b.Loop() {
 				s.recordSpeed("model", domain.RoleDecode, engineStart(1), speed.Observation{Units: 8, Took: 320 * time.Millisecond})
-				s.place(r, domain.RoleDecode, "", route.Request{SkipExcluded: true, Units: 1, AnswerUnits: 70})
+				s.place(r, pool{role: domain.RoleDecode, preferredZone: ""}, route.Request{SkipExcluded: true, Units: 1, AnswerUnits: 70})
 			}
 		})
 	}
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -219,9 +219,11 @@
 		}
 		if len(unsent) > 0 {
 			if !r.responseBegun {
+				r.software = &a.software
+				s.recordOrigin(ctx, r, a)
 				s.writeHeader(r, reply)
 				s.Log.Info("first event", "request", r.id, "upstream", a.start.ID, "took", time.Since(r.accepted), "framing", reply.Framing,
-					"software", a.upstream.Server().Software)
+					"software", a.software)
 			}
 			if _, writeErr := r.w.Write(unsent); writeErr == nil {
 				writeErr = flush.Flush()
@@ -244,7 +246,7 @@
 		s.writeHeader(r, reply) // a stream without events
 	}
 	s.finishAnswered(r, a, firstAfter, 1, true)
-	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status, "first", firstAfter, "longest_gap", longestGap, "last_event", e.LastEventID, "software", a.upstream.Server().Software},
+	s.finish(r, "answered", append([]any{"upstream", a.start.ID, "status", reply.Status, "first", firstAfter, "longest_gap", longestGap, "last_event", e.LastEventID, "software", a.software},
 		s.recordEnd(r, a, endWhole)...)...)
 	return nil
 }
--- /dev/null
+++ b/origin/origin_test.go
@@ -0,0 +1,72 @@
+package origin
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/domain"
+)
+
+const window = 30 * time.Second
+
+func view(since time.Duration, current bool, versions ...domain.Software) View {
+	return View{Versions: versions, Since: since, Current: current}
+}
+
+func recorded(version domain.Software) View {
+	return View{Origin: &Origin{Service: "lm", Software: version}, Versions: []domain.Software{"v1", "v2"}}
+}
+
+func TestDecideByRecordsThenByVersions(t *testing.T) {
+	for name, c := range map[string]struct {
+		named  bool
+		own    View
+		others []View
+		want   Decision
+	}{
+		"own record":                         {true, recorded("v1"), nil, Decision{Recorded, "v1", "lm"}},
+		"record of another, registry lost":   {true, view(time.Second, false, "v2"), []View{recorded("v1")}, Decision{Recorded, "v1", "lm"}},
+		"two records that agree":             {true, recorded("v1"), []View{recorded("v1")}, Decision{Recorded, "v1", "lm"}},
+		"two records that differ":            {true, recorded("v1"), []View{recorded("v2")}, Decision{Grounds: Conflict}},
+		"one version for long":               {true, view(window, true, "v1"), nil, Decision{OnlyVersion, "v1", ""}},
+		"just started":                       {true, view(time.Second, true, "v1"), nil, Decision{Grounds: Uncertain}},
+		"just started, another one for long": {true, view(time.Second, true, "v1"), []View{view(time.Hour, true, "v1")}, Decision{OnlyVersion, "v1", ""}},
+		"registry lost":                      {true, view(time.Hour, false, "v1"), nil, Decision{Grounds: Uncertain}},
+		"another one knows more":             {true, view(time.Hour, true, "v1"), []View{view(time.Hour, true, "v1", "v2")}, Decision{Grounds: SeveralVersions}},
+		"no version":                         {false, view(time.Hour, true), nil, Decision{Grounds: Uncertain}},
+		"not named, just started":            {false, view(0, false, "v1"), nil, Decision{OnlyVersion, "v1", ""}},
+		"not named, several":                 {false, view(time.Hour, true, "v1", "v2"), nil, Decision{Grounds: SeveralVersions}},
+	} {
+		require.Equal(t, c.want, Question{Named: c.named, Window: window}.Decide(c.own, c.others...), name)
+	}
+}
+
+func TestBookKeepsRecordsForTheirLifeWithinItsBound(t *testing.T) {
+	var b Book
+	now := time.Now()
+	one := Origin{Service: "lm", Software: "v1"}
+	b.Record(now, "a", one, time.Second)
+	b.Record(now, "b", one, time.Minute)
+	found, ok := b.Find(now, "a")
+	require.True(t, ok)
+	require.Equal(t, one, found)
+	now = now.Add(time.Second)
+	_, ok = b.Find(now, "a")
+	require.False(t, ok)
+	require.Equal(t, []Entry{{"b", one, 59 * time.Second}}, b.Newest(now, 10))
+	two := Origin{Service: "lm", Software: "v2"}
+	b.Record(now, "b", two, time.Minute)
+	found, _ = b.Find(now, "b")
+	require.Equal(t, two, found)
+	for n := range MaxRecords {
+		b.Record(now, domain.RequestID(fmt.Sprint(n)), one, time.Minute)
+	}
+	_, ok = b.Find(now, "b")
+	require.False(t, ok, "the oldest record goes")
+	require.Equal(t, MaxRecords, b.oldest.Len())
+	require.Len(t, b.records, MaxRecords)
+	require.Len(t, b.Newest(now, 3), 3)
+}
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -78,6 +78,11 @@
 	return r.Kind == Idempotent || r.Kind == Stream && r.Resumable
 }
 
+// LeadsTo reports whether the route sends requests to a service.
+func (r *Route) LeadsTo(service domain.Service) bool {
+	return slices.ContainsFunc(r.Shares, func(s WeightedService) bool { return s.Service == service && s.Weight > 0 }) || len(r.Shares) == 1 && r.Shares[0].Service == service
+}
+
 // Pick selects a service at random, by weight.
 func (r *Route) Pick(random *rand.Rand) domain.Service {
 	total := 0
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -374,6 +374,17 @@
 	return f.others[:min(len(f.others), limit)]
 }
 
+// KnownPeers returns all other processes, or, until the members are known, those that are asked at
+// the start.
+func (f *Fleet) KnownPeers() []*Peer {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if len(f.others) > 0 {
+		return slices.Clone(f.others)
+	}
+	return slices.Clone(f.seedPeers)
+}
+
 // MemberCount returns the number of processes in the fleet that have an address, with this process.
 func (f *Fleet) MemberCount() int {
 	f.mu.Lock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -63,7 +63,6 @@
 	Software domain.Software
 }
 
-
 // Upstream is a member of the directory: one instance of an upstream.
 type Upstream struct {
 	// Client sends requests to the upstream.
@@ -164,11 +163,14 @@
 	registryDown bool
 	recoveredAt  time.Time
 	loaded       bool
+	loadedAt     time.Time // when the registry was first listed
 	// restored is set from RegistryRestored until the next SetAll, whose list comes from an older
 	// snapshot of the registry.
 	restored bool
 	// removed holds recently removed instances with their state.
 	removed map[InstanceKey]removedInstance
+	// pastVersions holds when a member of a service last had a software version.
+	pastVersions map[domain.Service]map[domain.Software]time.Time
 	// overridden holds the entries of a restored registry that are treated as draining, until they
 	// are written again or overrideTTL has passed.
 	overridden map[ID]overriddenEntry
@@ -209,7 +211,9 @@
 func (r *Directory) SetAll(now time.Time, all []feed.Item[Server]) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.loaded = true
+	if !r.loaded {
+		r.loaded, r.loadedAt = true, now
+	}
 	listed := make(map[ID]bool, len(all))
 	for _, i := range all {
 		listed[ID(i.Name)] = true
@@ -303,11 +307,14 @@
 		u.pendingRole = ""
 	}
 	u.mu.Unlock()
+	if previous.ID != "" && (previous.Software != s.Software || previous.Service != s.Service) {
+		r.keepVersion(now, previous)
+	}
 	if previous.ID != "" && previous.Role != s.Role {
 		u.Stats.RoleChanged()
 	}
-	if previous.ID != "" && (previous.Draining != s.Draining || previous.Role != s.Role) {
-		r.Log.Info("upstream changed", "upstream", s.ID, "service", s.Service, "draining", s.Draining, "role", s.Role)
+	if previous.ID != "" && (previous.Draining != s.Draining || previous.Role != s.Role || previous.Software != s.Software) {
+		r.Log.Info("upstream changed", "upstream", s.ID, "service", s.Service, "draining", s.Draining, "role", s.Role, "software", s.Software)
 	}
 }
 
@@ -349,6 +356,7 @@
 	u.mu.Unlock()
 	u.Client.CloseIdleConnections()
 	r.keepRemoved(time.Now(), u)
+	r.keepVersion(time.Now(), s)
 	delete(r.members, id)
 	delete(r.unconfirmed, id)
 	delete(r.overridden, id)
