direct: a prompt is prefilled at the software version of its answer

A prompt goes to a prefill engine of the decode engine's version now, or is read by the decode engine. With one version nothing changes.

--- a/direct/assign.go
+++ b/direct/assign.go
@@ -63,10 +63,10 @@
 // assignPrefill asks the entry that tracks the prefill load of all entries for an engine.
 // It returns no upstream if no tracking entry can be reached, or if the assigned engine is
 // unknown or closed to new requests here.
-func (s *Server) assignPrefill(ctx context.Context, r *request, decodeZone domain.Zone, l route.Request) (p placement, a assignment) {
-	engines, skip := s.prefillEngines(r, l)
+func (s *Server) assignPrefill(ctx context.Context, r *request, decode roster.Server, l route.Request) (p placement, a assignment) {
+	engines, skip := s.prefillEngines(r, decode.Software, l)
 	call := assignRequest{
-		Shard: assign.PickShard(r.service.Name, engines, r.random), Tokens: l.Units, DecodeZone: decodeZone, Timeout: r.targetLatency(), Exclude: skip,
+		Shard: assign.PickShard(r.service.Name, engines, r.random), Tokens: l.Units, DecodeZone: decode.Zone, Timeout: r.targetLatency(), Exclude: skip,
 	}
 	local := func(bool) assign.Assignment { return s.assignLocally(call) }
 	assigned, tracker, ok := callOwner(ctx, s, call.Shard.Key(), assignPath, maxOwnerTries, call, local)
@@ -75,7 +75,7 @@
 	}
 	a = assignment{owner: tracker, shard: call.Shard, ticket: assigned.Ticket, aheadTokens: assigned.AheadTokens, tokenTime: assigned.PerToken}
 	u := s.roster.Upstream(roster.ID(assigned.Engine))
-	if u == nil || !u.Eligibility(time.Now()).Eligible() {
+	if u == nil || !u.Eligibility(time.Now()).Eligible() || u.Server().Software != decode.Software {
 		s.endAssignment(a, nil)
 		return placement{}, assignment{}
 	}
@@ -85,8 +85,9 @@
 }
 
 // prefillEngines returns the number of prefill engines of the service, and the engines that
-// must not be assigned: the request has tried them, or this entry sees them refuse or fail.
-func (s *Server) prefillEngines(r *request, l route.Request) (total int, skip []roster.ID) {
+// must not be assigned: their software is of another version, the request has tried them, or this
+// entry sees them refuse or fail.
+func (s *Server) prefillEngines(r *request, software domain.Software, l route.Request) (total int, skip []roster.ID) {
 	now := time.Now()
 	for _, u := range s.roster.Upstreams(r.service.Name) {
 		m := u.Server()
@@ -95,7 +96,7 @@
 		}
 		total++
 		c := u.Stats.Candidate(now)
-		if r.excluded[m.Key()] || !u.Eligibility(now).Eligible() || c.CoolingDown || c.FailureRate > assignMaxFailureRate || l.OnlyResponsive && !c.Responsive {
+		if !r.mayUse(m, &software) || !u.Eligibility(now).Eligible() || c.CoolingDown || c.FailureRate > assignMaxFailureRate || l.OnlyResponsive && !c.Responsive {
 			skip = append(skip, m.ID)
 		}
 	}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -153,13 +153,14 @@
 	return refusals > maxPrefillRefusals*successes
 }
 
-// placePrefill chooses a prefill engine near the decode engine. It returns false if none is
+// placePrefill chooses a prefill engine near the decode engine, of the same software version: what
+// one version writes, another can't be trusted to read. It returns false if none is
 // left, or if the wait for it is longer than the prompt should wait.
 func (s *Server) placePrefill(ctx context.Context, r *request, decode *roster.Upstream, load route.Request) (placement, assignment, bool) {
-	zone := decode.Server().Zone
-	p, assigned := s.assignPrefill(ctx, r, zone, load)
+	zone, software := decode.Server().Zone, decode.Server().Software
+	p, assigned := s.assignPrefill(ctx, r, decode.Server(), load)
 	if p.upstream == nil {
-		p = s.place(r, pool{role: domain.RolePrefill, preferredZone: zone}, load)
+		p = s.place(r, pool{role: domain.RolePrefill, software: &software, preferredZone: zone}, load)
 		p.expectedWait = p.candidate.EstimateWait(load)
 	}
 	s.logPlacement(r, domain.RolePrefill, p, "only_sure", load.OnlyResponsive)
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -66,6 +66,10 @@
 		s.freeHandle(r, prefilled)
 		return f
 	}
+	if prefilled != nil && prefilled.upstream.Server().Software != allocated.upstream.Server().Software {
+		s.freeHandle(r, prefilled)
+		prefilled = nil
+	}
 	a := &attempt{upstream: allocated.upstream, cost: allocated.cost, loadCounted: true, headerTimeout: s.streamHeaderTimeout(r), permit: allocated.permit}
 	a.info.LastEvent, a.info.Reservation = e.LastEventID, allocated.reservation
 	if prefilled != nil {
