roles: an engine that changes its role is of the version with the most engines there

A stream goes on only at its version, and only at a decode engine. Where two engines of a version are left and both read prompts, none of its streams can go on although its engines serve. Among engines of similar speed the version goes before the zone now; with one version nothing changes. TestEngineToMoveIsOfTheMostFrequentVersion failed without it (by the zone alone: a, of v1).

--- a/direct/engines.go
+++ b/direct/engines.go
@@ -132,7 +132,7 @@
 		pool := roles.Pool{Model: v.Name, Role: e.state.Role}
 		speed, observations := speeds.of(e.server.Start)
 		result.Engines = append(result.Engines, roles.Engine{
-			Host: domain.Host(e.server.ID), Zone: e.server.Zone, Pool: pool, Changing: e.state.RoleChanging, ChangingSince: time.Now(),
+			Host: domain.Host(e.server.ID), Zone: e.server.Zone, Software: e.server.Software, Pool: pool, Changing: e.state.RoleChanging, ChangingSince: time.Now(),
 			Speed: speed, Observations: observations,
 		})
 		if speed == 0 {
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -101,6 +101,8 @@
 type Engine struct {
 	Host domain.Host
 	Zone domain.Zone
+	// Software is the version of its software. A stream can't go on at another one.
+	Software domain.Software
 	// Pool is the pool that it serves or, while it is changing, will serve.
 	Pool Pool
 	// Changing means that an order has been under way since the given time, and Loading
@@ -332,8 +334,8 @@
 
 // pickNext returns the index of the engine that loses least by a move to the role: a slow one
 // for prefill, a fast one for decode, and any for other roles. Among engines of similar speed
-// it comes from the zone in which most engines are, so that both pools stay spread over the
-// zones.
+// it is of the software version, and then from the zone, of which most engines are, so that both
+// pools stay spread over the versions and zones.
 func pickNext(engines, others []Engine, to domain.Role) int {
 	slowest, fastest := engines[0].speed(), engines[0].speed()
 	for _, e := range engines {
@@ -358,15 +360,16 @@
 	return slices.IndexFunc(engines, func(e Engine) bool { return e.Host == picked.Host })
 }
 
-// mostCrowded returns the index of an engine in the zone with the most of the given engines;
-// among those, in the zone with the fewest of the others.
+// mostCrowded returns the index of an engine of the software version with the most of the given
+// engines and, among those, the fewest of the others; then in the zone of which the same holds.
 func mostCrowded(engines, others []Engine) int {
 	best := 0
 	for i, e := range engines {
+		b := engines[best]
 		order := cmp.Or(
-			cmp.Compare(countInZone(engines, e.Zone), countInZone(engines, engines[best].Zone)),
-			cmp.Compare(countInZone(others, engines[best].Zone), countInZone(others, e.Zone)),
-			cmp.Compare(engines[best].Host, e.Host),
+			compareCrowd(engines, others, e, b, sameSoftware),
+			compareCrowd(engines, others, e, b, sameZone),
+			cmp.Compare(b.Host, e.Host),
 		)
 		if order > 0 {
 			best = i
@@ -375,12 +378,19 @@
 	return best
 }
 
-func countInZone(engines []Engine, z domain.Zone) int {
-	n := 0
-	for _, e := range engines {
-		if e.Zone == z {
-			n++
+func sameSoftware(a, b Engine) bool { return a.Software == b.Software }
+
+func sameZone(a, b Engine) bool { return a.Zone == b.Zone }
+
+// compareCrowd compares how many engines are alike a and b, and then how few of the others are.
+func compareCrowd(engines, others []Engine, a, b Engine, alike func(Engine, Engine) bool) int {
+	count := func(all []Engine, like Engine) (n int) {
+		for _, e := range all {
+			if alike(e, like) {
+				n++
+			}
 		}
+		return n
 	}
-	return n
+	return cmp.Or(cmp.Compare(count(engines, a), count(engines, b)), cmp.Compare(count(others, b), count(others, a)))
 }
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -337,3 +337,17 @@
 		p.Plan(start, v, tokens())
 	}
 }
+
+// Guards against a software version that loses its last engines in a role while other versions have
+// many: its streams could go on nowhere.
+func TestEngineToMoveIsOfTheMostFrequentVersion(t *testing.T) {
+	engine := func(host, zone, version string) Engine {
+		return Engine{Host: domain.Host(host), Zone: domain.Zone(zone), Software: domain.Software(version)}
+	}
+	decode := []Engine{
+		engine("a", "z1", "v1"), engine("b", "z1", "v1"), engine("c", "z2", "v2"), engine("d", "z3", "v2"), engine("e", "z3", "v2"),
+	}
+	require.Equal(t, "d", string(decode[pickNext(decode, nil, domain.RolePrefill)].Host), "of v2, from the zone with most")
+	even := decode[:4]
+	require.Equal(t, "v2", string(even[pickNext(even, []Engine{engine("f", "z1", "v1")}, domain.RolePrefill)].Software), "v2 has none in the other role")
+}
