direct: records of streams spare entries of an earlier version

An entry without the endpoint refused a record with 404 and was marked as unresponsive, which kept the owners of quotas and slots away from it for a second each time. Only entries that do not answer, or leave, are marked now. Callers that name no stream cost no calls: their answer follows from this entry's own view.

--- a/direct/origins.go
+++ b/direct/origins.go
@@ -93,18 +93,15 @@
 }
 
 // findOrigin decides at which software version a stream may go on, by what this entry knows or, if it
-// has no record, a few others.
+// has no record of a stream that the caller names, a few others.
 func (s *Server) findOrigin(ctx context.Context, r *request, picked domain.Service) (d origin.Decision, asked, answered int) {
 	query := originQuery{Request: r.info.Resumes, Service: picked, Window: max(originWindow, routeWindows*r.route.Timeout)}
 	question := origin.Question{Named: r.info.Resumes != "", Window: query.Window}
 	own, _ := s.handleOriginQuery(query)
-	if own.Origin != nil {
+	if own.Origin != nil || !question.Named {
 		return question.Decide(own), 0, 0
 	}
-	peers := s.originPeers(r.id)
-	if question.Named {
-		peers = s.originPeers(query.Request)
-	}
+	peers := s.originPeers(query.Request)
 	peers = peers[:min(len(peers), originSearch)]
 	views := s.askOrigin(ctx, peers, query)
 	return question.Decide(own, views...), len(peers), len(views)
@@ -213,11 +210,14 @@
 		return false
 	}
 	err := callPeer(ctx, p, http.MethodPost, originPath, ownerTimeout, e, nil)
-	if err != nil {
+	if err == nil {
+		return true
+	}
+	if !errors.Is(err, errMessageRejected) && ctx.Err() == nil {
 		s.unresponsive.MarkDown(time.Now(), p)
-		s.Log.Info("origin of a stream not recorded", "stream", e.Request, "entry", p.Name, "err", err)
 	}
-	return err == nil
+	s.Log.Info("origin of a stream not recorded", "stream", e.Request, "entry", p.Name, "err", err)
+	return false
 }
 
 // originPeers returns the other entries in the order in which they hold the record of a stream.
