direct: a probe whose connection breaks is repeated

A request that crashes engines was sent on, and an answer that ended with its engine could count as whole, if the probe that looks for the crash was accepted in the engine's last moment and broke with the other connections: a broken probe counted as a sign of life. Such a probe is repeated now, three in all; what refuses all connections so, at its limit, still counts as alive.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -25,6 +25,13 @@
 // live upstream accepts within milliseconds.
 const probeTimeout = 300 * time.Millisecond
 
+// A probe whose connection is accepted and then breaks is repeated: an upstream that is crashing breaks
+// that connection too. probeTries bounds the probes, and probePause is the time between two.
+const (
+	probeTries = 3
+	probePause = 20 * time.Millisecond
+)
+
 // crashBatchDelay is how long further crashes are collected for one notice.
 const crashBatchDelay = 300 * time.Millisecond
 
@@ -173,12 +180,21 @@
 	}
 }
 
+// probeState calls an upstream for its state over a connection of its own.
+func (s *Server) probeState(ctx context.Context, u *roster.Upstream) (body []byte, status int, err error) {
+	q := s.Protocol.StateRequest()
+	q.NewConn = true
+	return s.callUpstream(ctx, u, q, probeTimeout)
+}
+
 // probeInstance returns an error if the start of an upstream has ended: if nothing accepts
 // connections at its address, or another start does.
 func (s *Server) probeInstance(ctx context.Context, u *roster.Upstream, start roster.Start) error {
-	q := s.Protocol.StateRequest()
-	q.NewConn = true
-	body, status, err := s.callUpstream(ctx, u, q, probeTimeout)
+	body, status, err := s.probeState(ctx, u)
+	for n := 1; n < probeTries && send.StageOf(err) == send.Broken; n++ {
+		group.Sleep(ctx, probePause)
+		body, status, err = s.probeState(ctx, u)
+	}
 	switch {
 	case errors.Is(err, errNotAccepting) && u.Removed():
 		return errRemoved
