direct: streams are resumed, not taken up; records apart from decisions

Names for a reader who has not seen the work: the field's word for what callers do, records in origins.go and what follows from them in resume.go, origin.Records in place of Book. attempt failed says within_event as its end where only the framing was complete. No decision has changed; unit tests pass.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"time"
 
@@ -22,6 +23,7 @@
 type attempt struct {
 	upstream *roster.Upstream
 	start    roster.Start
+	// software is the version of the upstream's software.
 	software domain.Software
 	info     AttemptInfo
 	cost     roster.Cost
@@ -46,9 +48,10 @@
 // answerEnd is how the body of an upstream's answer ended.
 type answerEnd string
 
-// The ends of a body. The framing of one that is within an event states that the body is complete.
+// The ends of a body.
 const (
-	endWhole       answerEnd = "whole"
+	endWhole answerEnd = "whole"
+	// endWithinEvent: the framing states that the body is complete, and the last event is not.
 	endWithinEvent answerEnd = "within_event"
 	endBroken      answerEnd = "broken"
 )
@@ -58,9 +61,6 @@
 	if a.reply == nil {
 		return nil
 	}
-	if end == endWhole && a.reply.WithinEvent() {
-		end = endWithinEvent
-	}
 	s.Meter.Inc("jacinthworks_upstream_answers_total", meter.Labels{"service", string(r.service.Name), "framing", string(a.reply.Framing), "end", string(end)})
 	return []any{"framing", a.reply.Framing, "end", end, "within_event", a.reply.WithinEvent()}
 }
@@ -205,7 +205,11 @@
 	if f.reason != domain.ReasonCallerGone {
 		a.upstream.Stats.RecordFailure(time.Now())
 	}
-	return s.finishFailed(r, a, f, s.recordEnd(r, a, endBroken)...)
+	end := endBroken
+	if errors.Is(err, send.ErrWithinEvent) {
+		end = endWithinEvent
+	}
+	return s.finishFailed(r, a, f, s.recordEnd(r, a, end)...)
 }
 
 // finishFailed records an attempt without a usable response. fields are added to its log line.
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -102,7 +102,7 @@
 	trackers         assign.Trackers
 	hostLoads        hostLoads
 	shares           fleetShares
-	origins          origin.Book
+	origins          origin.Records
 	slotPools        slotPools
 	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
 	// prompts of all entries that this one tracks.
--- a/direct/end.go
+++ b/direct/end.go
@@ -60,7 +60,7 @@
 // A caller of HTTP/1.0 knows no chunks, and takes a connection that is closed in order for the end of
 // its response, so its connection is reset.
 func (s *Server) abort(r *request) {
-	if !r.knowsChunks {
+	if !r.supportsChunks {
 		if c, _, err := http.NewResponseController(r.w).Hijack(); err != nil {
 			s.Log.Warn("caller's connection not reset", "request", r.id, "err", err)
 		} else {
@@ -77,7 +77,7 @@
 			s.Log.Warn("caller's connection not reset", "request", r.id, "err", err)
 		}
 	}
-	_ = c.Close() // the connection is given up
+	_ = c.Close() // nothing follows on the connection
 }
 
 // statusOf returns the HTTP status of a refusal. 503 and 429 promise that the request has
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -62,8 +62,8 @@
 	ExpectedOutputTokens int
 	// LastEvent is the id of the last event of the stream that the caller has.
 	LastEvent string
-	// Resumes is the id of the request that brought the first event of a stream which the caller
-	// takes up again.
+	// Resumes is the id of the request that brought the first event of the stream that the caller
+	// resumes.
 	Resumes domain.RequestID
 }
 
--- a/direct/request.go
+++ b/direct/request.go
@@ -51,8 +51,8 @@
 	body   []byte
 
 	w http.ResponseWriter
-	// knowsChunks means that the caller's version of HTTP has chunks.
-	knowsChunks bool
+	// supportsChunks means that the caller's version of HTTP has chunks.
+	supportsChunks bool
 	// responseBegun means that part of a response was written to the caller.
 	responseBegun bool
 	// attempts counts the attempts, and decides what may follow each.
@@ -109,7 +109,7 @@
 	if from, err := netip.ParseAddrPort(h.RemoteAddr); err == nil {
 		r.account = domain.Account(from.Addr().String())
 	}
-	r.knowsChunks = h.ProtoAtLeast(1, 1)
+	r.supportsChunks = h.ProtoAtLeast(1, 1)
 	r.id, r.method, r.target, r.host = r.info.ID, h.Method, h.RequestURI, h.Host
 	if f := s.accept(r, h); f != nil {
 		s.refuse(r, f)
@@ -154,7 +154,7 @@
 	}
 	r.setDeadline()
 	name := route.Pick(r.random)
-	if r.route.Kind == paths.Stream && r.takesUp() {
+	if r.route.Kind == paths.Stream && r.isResumption() {
 		var f *failure
 		if name, f = s.bindToOrigin(h.Context(), r, name); f != nil {
 			return f
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -1,22 +1,22 @@
-// Package origin decides where a stream may go on that its caller takes up again.
+// Package origin decides where a stream may continue that its caller resumes.
 //
-// Upstreams of several software versions may serve one service side by side, and what two versions
-// write doesn't fit together: a stream may go on only at the version that began it. The caller may
-// come to any entry, also after the one that served the first event is gone.
+// Upstreams of several software versions may serve one service side by side, and their outputs are
+// not compatible: a stream may continue only at the version that began it. The caller may resume it
+// at any entry, also after the one that served the first event has failed.
 //
-// The load that this answers: an entry or an upstream ends, and all its streams come back within
-// moments, at the other entries, some of which have just started themselves. Without a record each
-// entry would choose by the versions that it happens to see, and join pieces of two versions, or
-// refuse them all.
+// The load pattern is the failure of an entry or an upstream, all of whose streams are resumed within
+// moments at the other entries, some of which have just started. Without records each entry would
+// choose by the versions that it happens to see, and join parts of two versions or refuse them all.
 //
 // # Usage
 //
-//	var book origin.Book
-//	book.Record(now, id, origin.Origin{Service: "appraiser-lm", Software: "v1.1"}, life) // before the first event is passed on
-//	found, ok := book.Find(now, id)
+//	var records origin.Records
+//	o := origin.Origin{Service: "appraiser-lm", Software: "v1.1"}
+//	records.Add(now, origin.Record{Request: id, Origin: o, Life: life}) // before the first event is passed on
+//	found, ok := records.Find(now, id)
 //
-//	d := origin.Question{Named: true, Window: window}.Decide(own, others...)
-//	if !d.Known() {} // refuse: no version can be told
+//	d := origin.Resumption{Named: true, Window: window}.Decide(own, others...)
+//	if !d.Known() {} // refuse: no version is known
 package origin
 
 import (
@@ -45,7 +45,7 @@
 	Current bool          `json:"current"`
 }
 
-// Grounds is why a stream may go on at a version, or why none can be told.
+// Grounds is why a stream may continue at a version, or why none is known.
 type Grounds string
 
 // The grounds of a decision.
@@ -56,13 +56,13 @@
 	OnlyVersion Grounds = "only_version"
 	// SeveralVersions: the service has had several, and no entry has a record.
 	SeveralVersions Grounds = "several_versions"
-	// Uncertain: one version is known, and no entry can tell that there was no other.
+	// Uncertain: one version is known, and no entry can rule out another.
 	Uncertain Grounds = "uncertain"
 	// Conflict: the records of two entries differ.
 	Conflict Grounds = "conflict"
 )
 
-// Decision is at which version a stream may go on.
+// Decision is at which version a stream may continue.
 type Decision struct {
 	Grounds  Grounds
 	Software domain.Software
@@ -70,24 +70,25 @@
 	Service domain.Service
 }
 
-// Known reports whether a version can be told.
+// Known reports whether a version is known.
 func (d Decision) Known() bool { return d.Grounds == Recorded || d.Grounds == OnlyVersion }
 
-// Question asks where a stream may go on.
-type Question struct {
-	// Named means that the caller names the request that began the stream. Callers that don't are
-	// of a time when all upstreams of a service had one version.
+// Resumption is a request that resumes a stream.
+type Resumption struct {
+	// Named means that the caller names the request that began the stream. Callers that don't use a
+	// protocol from before there were versions.
 	Named bool
 	// Window is how long ago the stream may have begun.
 	Window time.Duration
 }
 
-// Decide answers the question by what this entry and those that it asked know.
+// Decide decides by what this entry and those that it asked know.
 //
 // Without a record a version counts as the only one if no entry knows another. If the caller names
-// the stream's beginning, a record has been lost, and one entry must have followed the registry for
-// the whole window and follow it now: one that has just started, or is cut off, has missed versions.
-func (q Question) Decide(own View, others ...View) Decision {
+// the request that began the stream, its record was lost. One entry must then have followed the
+// registry for the whole window and follow it now: one that has just started, or is partitioned from
+// the registry, may have missed a version.
+func (q Resumption) Decide(own View, others ...View) Decision {
 	views := append([]View{own}, others...)
 	var versions []domain.Software
 	var found *Origin
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -40,33 +40,33 @@
 		"not named, just started":            {false, view(0, false, "v1"), nil, Decision{OnlyVersion, "v1", ""}},
 		"not named, several":                 {false, view(time.Hour, true, "v1", "v2"), nil, Decision{Grounds: SeveralVersions}},
 	} {
-		require.Equal(t, c.want, Question{Named: c.named, Window: window}.Decide(c.own, c.others...), name)
+		require.Equal(t, c.want, Resumption{Named: c.named, Window: window}.Decide(c.own, c.others...), name)
 	}
 }
 
-func TestBookKeepsRecordsForTheirLifeWithinItsBound(t *testing.T) {
-	var b Book
+func TestRecordsAreKeptForTheirLifeWithinTheBound(t *testing.T) {
+	var r Records
 	now := time.Now()
 	one := Origin{Service: "lm", Software: "v1"}
-	b.Record(now, "a", one, time.Second)
-	b.Record(now, "b", one, time.Minute)
-	found, ok := b.Find(now, "a")
+	r.Add(now, Record{"a", one, time.Second})
+	r.Add(now, Record{"b", one, time.Minute})
+	found, ok := r.Find(now, "a")
 	require.True(t, ok)
 	require.Equal(t, one, found)
 	now = now.Add(time.Second)
-	_, ok = b.Find(now, "a")
+	_, ok = r.Find(now, "a")
 	require.False(t, ok)
-	require.Equal(t, []Entry{{"b", one, 59 * time.Second}}, b.Newest(now, 10))
+	require.Equal(t, []Record{{"b", one, 59 * time.Second}}, r.Newest(now, 10))
 	two := Origin{Service: "lm", Software: "v2"}
-	b.Record(now, "b", two, time.Minute)
-	found, _ = b.Find(now, "b")
+	r.Add(now, Record{"b", two, time.Minute})
+	found, _ = r.Find(now, "b")
 	require.Equal(t, two, found)
 	for n := range MaxRecords {
-		b.Record(now, domain.RequestID(fmt.Sprint(n)), one, time.Minute)
+		r.Add(now, Record{domain.RequestID(fmt.Sprint(n)), one, time.Minute})
 	}
-	_, ok = b.Find(now, "b")
+	_, ok = r.Find(now, "b")
 	require.False(t, ok, "the oldest record goes")
-	require.Equal(t, MaxRecords, b.oldest.Len())
-	require.Len(t, b.records, MaxRecords)
-	require.Len(t, b.Newest(now, 3), 3)
+	require.Equal(t, MaxRecords, r.oldest.Len())
+	require.Len(t, r.records, MaxRecords)
+	require.Len(t, r.Newest(now, 3), 3)
 }
--- a/roles/roles.go
+++ b/roles/roles.go
@@ -101,7 +101,7 @@
 type Engine struct {
 	Host domain.Host
 	Zone domain.Zone
-	// Software is the version of its software. A stream can't go on at another one.
+	// Software is the version of its software. A stream can't continue at another one.
 	Software domain.Software
 	// Pool is the pool that it serves or, while it is changing, will serve.
 	Pool Pool
--- a/roles/roles_test.go
+++ b/roles/roles_test.go
@@ -339,7 +339,7 @@
 }
 
 // Guards against a software version that loses its last engines in a role while other versions have
-// many: its streams could go on nowhere.
+// many: its streams could continue nowhere.
 func TestEngineToMoveIsOfTheMostFrequentVersion(t *testing.T) {
 	engine := func(host, zone, version string) Engine {
 		return Engine{Host: domain.Host(host), Zone: domain.Zone(zone), Software: domain.Software(version)}
--- a/roster/versions_test.go
+++ b/roster/versions_test.go
@@ -12,7 +12,7 @@
 	"jacinthworks/feed"
 )
 
-// Guards against a stream that goes on at the only version in sight although its own left moments ago.
+// Guards against a stream that continues at the only version left although its own was removed moments ago.
 func TestHistoryHoldsVersionsOfMembersThatLeft(t *testing.T) {
 	versioned := func(id string, v domain.Software) feed.Item[Server] {
 		i := item(id, false)
--- a/send/reply.go
+++ b/send/reply.go
@@ -106,8 +106,9 @@
 	return n, err
 }
 
-// errEndsWithinEvent is the cause of the failure of a response that ends inside an event.
-var errEndsWithinEvent = errors.New("send: the event stream ends inside an event")
+// ErrWithinEvent is the cause of the Failure of an event stream that ends inside an event although its
+// framing states that it is complete.
+var ErrWithinEvent = errors.New("send: the event stream ends inside an event")
 
 // verifyEnd returns the failure of a body that has ended and is not complete.
 func (p *Response) verifyEnd() error {
@@ -117,7 +118,7 @@
 	var err error
 	switch {
 	case p.WithinEvent():
-		err = errEndsWithinEvent
+		err = ErrWithinEvent
 	case p.Framing == FramedByClose:
 		err = p.confirmEnd(p.ctx)
 	}
