--- a/test/fleet.go
+++ b/test/fleet.go
@@ -36,6 +36,9 @@
 	leaves     []leaveRecord
 	configs    []configRecord
 	limits     []limitPeriod
+
+	// versions means that engines are of two software versions, and callers resume broken streams.
+	versions bool
 }
 
 // serverSlot is a server name and the server that runs under it now. Each start gets an id of
@@ -103,9 +106,9 @@
 )
 
 // newFleet starts the store, the servers and the entries, and waits until all entries are ready.
-// With eras, the store states its era in its answers.
-func newFleet(binaries Binaries, dir string, eras bool) (*fleet, error) {
-	f := &fleet{w: newWorld(binaries, dir), store: fake.NewStore(), servers: make(map[string]*serverSlot)}
+// With eras, the store states its era in its answers; for versions, see fleet.
+func newFleet(binaries Binaries, dir string, eras, versions bool) (*fleet, error) {
+	f := &fleet{w: newWorld(binaries, dir), store: fake.NewStore(), servers: make(map[string]*serverSlot), versions: versions}
 	f.store.SetStaleReadLag(time.Second)
 	if eras {
 		f.store.EnableEras()
@@ -166,6 +169,7 @@
 		fake.Route{Prefix: "/stream/", Kind: "streaming", Service: "model", Attempts: 2},
 		fake.Route{Prefix: fake.LongPrefix, Kind: "streaming", Service: "model", Attempts: 1},
 		fake.Route{Prefix: "/resumed/", Kind: "streaming", Service: "model", Attempts: 2, Resumable: true},
+		fake.Route{Prefix: "/" + singleKind + "/", Kind: "streaming", Service: "model", Attempts: 1, Resumable: true},
 		fake.Route{Prefix: "/probe/", Kind: "idempotent", Service: generationName(n), Attempts: 1},
 	))
 }
@@ -187,9 +191,11 @@
 	}
 	f.w.background.Go(f.w.ctx, id, r.run)
 	s.proxy = r
-	s.current = fake.NewServer(f.store, fake.Entry{
-		ID: id, Service: service, Stage: stage, Zone: "here", Slots: 16, Address: r.address().String(),
-	})
+	e := fake.Entry{ID: id, Service: service, Stage: stage, Zone: "here", Slots: 16, Address: r.address().String()}
+	if f.versions && stage != "" {
+		e.Version = softwareOf(name, s.startCount)
+	}
+	s.current = fake.NewServer(f.store, e)
 	s.current.SetEventInterval(fleetEventInterval)
 	r.setTarget(s.current.Addr())
 	f.allServers = append(f.allServers, s.current)
--- a/test/fleet_calls.go
+++ b/test/fleet_calls.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"strconv"
 	"time"
 
@@ -20,6 +21,9 @@
 	// newConn reports whether a new connection was opened for the request, and abandoned whether
 	// its caller gave up.
 	newConn, abandoned bool
+	// resumes and lastEvent are the call and the event after which this one resumes a stream; empty
+	// for none.
+	resumes, lastEvent string
 }
 
 // Number and timing of the fleet's callers.
@@ -38,6 +42,11 @@
 
 const longKind = "long"
 
+// isStream reports whether calls of a kind are answered with a stream.
+func isStream(kind string) bool {
+	return slices.Contains([]string{"stream", "resumed", singleKind, resumedKind, longKind}, kind)
+}
+
 // runCaller sends requests until ctx ends. It keeps a connection for as long as the entry allows,
 // also while the entry stops.
 func (f *fleet) runCaller(ctx context.Context, number int, r *rand.Rand) {
@@ -63,13 +72,20 @@
 			l = h.current()
 			c = &fake.Caller{EntryAddr: l.listen}
 		}
-		kind, givesUp := pick(r, fleetKinds), r.IntN(fleetAbandonEvery) == 0
+		kinds := fleetKinds
+		if f.versions {
+			kinds = append(slices.Clone(kinds), singleKind)
+		}
+		kind, givesUp := pick(r, kinds), r.IntN(fleetAbandonEvery) == 0
 		if givesUp && r.IntN(2) == 0 {
 			kind = longKind
 		}
 		request := newFleetCall(fmt.Sprintf("c%d-%d", number, n), kind)
 		request.entry, request.incarnation = h.index, l.number
-		f.sendCall(c, request, givesUp, r)
+		request = f.sendCall(c, request, givesUp, r)
+		if f.versions && kind == singleKind && request.response.Err != nil && !request.abandoned {
+			f.resumeBroken(ctx, request, r)
+		}
 		group.Sleep(ctx, fleetThinkTime)
 		if hasExited(l) {
 			c.Close()
@@ -107,8 +123,8 @@
 	}
 	ctx, cancel := context.WithTimeout(f.w.ctx, patience)
 	defer cancel()
-	a := fake.Request{ID: request.id, Method: request.method, Target: request.target, Body: request.body, Timeout: fleetRequestTimeout}
-	if request.kind == "stream" || request.kind == "resumed" || request.kind == longKind {
+	a := fake.Request{ID: request.id, Method: request.method, Target: request.target, Body: request.body, Timeout: fleetRequestTimeout, Resumes: request.resumes, LastEvent: request.lastEvent}
+	if isStream(request.kind) {
 		a.PromptTokens, a.MaxOutputTokens = 1000, 200
 	}
 	request.sentAt = time.Now()
--- a/test/fleet_judge.go
+++ b/test/fleet_judge.go
@@ -62,6 +62,7 @@
 	f.judgeWithoutFaults(&found, ran)
 	f.judgeLeaving(&found, ran)
 	f.judgeVersions(&found)
+	f.judgeSoftware(&found)
 	f.judgeLimits(&found)
 	f.judgeAnnouncements(&found)
 	f.judgeProcesses(&found)
@@ -77,6 +78,10 @@
 		switch {
 		case c.kind == "probe":
 			counts["probes"]++
+		case c.kind == resumedKind && c.response.Err == nil && c.response.Stamped:
+			counts["resumed"]++
+		case c.kind == resumedKind:
+			counts["not resumed"]++
 		case c.abandoned:
 			counts["given up"]++
 		case c.response.Err != nil:
@@ -223,11 +228,12 @@
 
 // complete reports whether the body is the whole answer to this call.
 func (c fleetCall) complete() bool {
-	if c.kind != "stream" && c.kind != "resumed" {
+	if !isStream(c.kind) {
 		return strings.HasPrefix(c.response.Body, "answer of ") && strings.HasSuffix(c.response.Body, " to "+c.method+" "+c.target+" "+c.body)
 	}
 	var b strings.Builder
-	for n := 1; n <= fake.EventCount; n++ {
+	last, _ := strconv.Atoi(c.lastEvent) // zero for none
+	for n := last + 1; n <= fake.EventCount; n++ {
 		b.WriteString(fake.Event(c.target, n))
 	}
 	return c.response.Body == b.String()
@@ -246,6 +252,7 @@
 		switch {
 		case c.response.Err != nil && !closedUnread:
 			found.add("%s at entry-%d broke off without a fault (header received %v, new connection %v): %v", c.id, c.entry+1, c.response.HeaderReceived, c.newConn, c.response.Err)
+		case c.kind == resumedKind: // the upstreams of its version may have ended with the fault that broke it off
 		case c.response.Status != http.StatusOK && !closedUnread && f.noDisruptions(c.entry, c.sentAt, c.endedAt):
 			found.add("%s at entry-%d was answered with status %d without a fault or planned work", c.id, c.entry+1, c.response.Status)
 		}
--- a/test/fleet_plan.go
+++ b/test/fleet_plan.go
@@ -37,6 +37,9 @@
 	// firstAnnouncementSeed is the first seed whose plan may have servers that refuse requests with
 	// a Retry-After, or that announce their shutdown before they register as draining.
 	firstAnnouncementSeed = 300
+	// firstResumeSeed is the first seed whose plan has engines of two software versions, callers that
+	// resume broken streams, and streams that break off without a sign in their framing.
+	firstResumeSeed = 400
 	// fleetLimitMin is the minimum duration of a rate limit; the maximum is twice as long.
 	fleetLimitMin = 4 * time.Second
 )
@@ -88,6 +91,9 @@
 	if seed >= firstAnnouncementSeed {
 		s.addAnnouncements(rand.New(rand.NewPCG(seed, 13)))
 	}
+	if seed >= firstResumeSeed && seed%4 != 0 {
+		s.addUnframedAnswers(rand.New(rand.NewPCG(seed, 14)))
+	}
 	for range 1 + r.IntN(2) {
 		s.addDisruption(r, drawPlannedWork(r))
 	}
@@ -276,7 +282,7 @@
 // Run executes the plan under traffic and judges it. The error lists all findings; tally is the
 // number of calls by outcome.
 func (s FleetSoak) Run(binaries Binaries, dir string) (tally string, err error) {
-	f, err := newFleet(binaries, dir, s.Seed >= firstLimitSeed)
+	f, err := newFleet(binaries, dir, s.Seed >= firstLimitSeed, s.Seed >= firstResumeSeed)
 	defer f.close()
 	if err != nil {
 		return "", errors.Wrap(err, "fleet")
