review: case 3, streams that are taken up after a common restart are refused

After all entries were killed and started again, none of 64 streams that their callers took up went on.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -3,4 +3,4 @@
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
 [ -x target/jacinthworks ] && [ -x target/review-standins ] || { echo "not built"; exit 2; }
-exec target/review-standins case path "$folder"
+exec target/review-standins case resume "$folder"
