direct: retries are logged and counted by cause, with the entry's share and window

No line told by which cause a retry was sent, whether an allowance was left for it, or what the entry still had, so that the hypotheses of docs/incidents/retry-shares.md could not be told apart. The line 'retry budget' (once a second for a service at most) and two metrics do; summed over the entries they are the fleet's. No decision changes.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -280,7 +280,7 @@
 	switch {
 	case ctx.Err() != nil:
 		decision = retry.TooLate
-	case decision == retry.Allowed && !f.unsent && !s.retryBudgets.window(r.service.Name).Take(time.Now(), s.retryTerms()):
+	case decision == retry.Allowed && !f.unsent && !s.takeRetry(r, causeOfRetry(f.ran)):
 		decision = retry.OverBudget
 	}
 	if decision == retry.Allowed {
--- a/direct/budget.go
+++ b/direct/budget.go
@@ -5,25 +5,104 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/meter"
 	"jacinthworks/retry"
 )
 
+// retryCause is why a retry was charged to the budget.
+type retryCause string
+
+// The causes of retries.
+const (
+	// retryRefused follows an attempt that did not run, retryLost one that ran or may have run,
+	// and retryFailed an answer that reports a failure.
+	retryRefused retryCause = "refused"
+	retryLost    retryCause = "lost"
+	retryFailed  retryCause = "failed"
+	// retryPrefill is another prefill after the first, and retryFirstPrefill a first one that
+	// failed; retryOverdrawn is such a one that was sent without an allowance.
+	retryPrefill      retryCause = "prefill"
+	retryFirstPrefill retryCause = "first_prefill"
+	retryOverdrawn    retryCause = "overdrawn"
+)
+
+// causeOfRetry is the cause of a retry after an attempt.
+func causeOfRetry(ran domain.Execution) retryCause {
+	if ran == domain.NotRun {
+		return retryRefused
+	}
+	return retryLost
+}
+
+// retryBudget is the retry budget of one service at this entry. The zero value is ready to use; it
+// must not be copied.
+type retryBudget struct {
+	window retry.Window
+
+	mu sync.Mutex // leaf lock: no other lock is acquired while it is held
+	// charged and denied are counted since the last log line.
+	charged  map[retryCause]int
+	denied   int
+	loggedAt time.Time
+}
+
+// count counts a retry that was charged or denied, and returns the counts if a log line is due.
+func (b *retryBudget) count(now time.Time, cause retryCause, granted bool) (charged map[retryCause]int, denied int, due bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.charged == nil {
+		b.charged = make(map[retryCause]int)
+	}
+	if granted {
+		b.charged[cause]++
+	} else {
+		b.denied++
+	}
+	if now.Sub(b.loggedAt) < retryLogInterval {
+		return nil, 0, false
+	}
+	charged, denied = b.charged, b.denied
+	b.charged, b.denied, b.loggedAt = nil, 0, now
+	return charged, denied, true
+}
+
+// retryLogInterval is the least time between two log lines on the budget of a service.
+const retryLogInterval = time.Second
+
 // retryBudgets holds the retry budget of each service.
 type retryBudgets struct {
 	mu        sync.Mutex // leaf lock: no other lock is acquired while it is held
-	byService map[domain.Service]*retry.Window
+	byService map[domain.Service]*retryBudget
 }
 
-func (b *retryBudgets) window(s domain.Service) *retry.Window {
+// of returns the budget of a service.
+func (b *retryBudgets) of(s domain.Service) (budget *retryBudget, added bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.byService == nil {
-		b.byService = make(map[domain.Service]*retry.Window)
+		b.byService = make(map[domain.Service]*retryBudget)
 	}
 	if b.byService[s] == nil {
-		b.byService[s] = &retry.Window{}
+		b.byService[s], added = &retryBudget{}, true
 	}
-	return b.byService[s]
+	return b.byService[s], added
+}
+
+// retryBudget returns the budget of a service, and registers its gauges on first use.
+func (s *Server) retryBudget(v domain.Service) *retryBudget {
+	b, added := s.retryBudgets.of(v)
+	if added && s.Meter != nil {
+		for what, value := range map[string]func(retry.Usage) float64{
+			"requests": func(u retry.Usage) float64 { return float64(u.Requests) },
+			"retries":  func(u retry.Usage) float64 { return float64(u.Retries) },
+			"allowed":  func(u retry.Usage) float64 { return u.Allowed },
+		} {
+			s.Meter.Gauge("jacinthworks_retry_budget", meter.Labels{"service", string(v), "what", what}, func() float64 {
+				return value(b.window.Usage(time.Now(), s.retryTerms()))
+			})
+		}
+	}
+	return b
 }
 
 // retryTerms returns the bounds on retries in this process: the fleet's ratio of retries to
@@ -37,3 +116,30 @@
 // entries. The rest covers entries that have just started, and retries that were not
 // charged to a budget, such as a failed prefill.
 const fixedRetryPart = 0.6
+
+// takeRetry charges a retry of the request, and reports whether one was left.
+func (s *Server) takeRetry(r *request, cause retryCause) bool {
+	granted := s.retryBudget(r.service.Name).window.Take(time.Now(), s.retryTerms())
+	s.recordRetry(r, cause, granted)
+	return granted
+}
+
+// retryAvailable reports whether a retry of the request would be granted now.
+func (s *Server) retryAvailable(r *request) bool {
+	return s.retryBudget(r.service.Name).window.Available(time.Now(), s.retryTerms())
+}
+
+// recordRetry logs and counts a retry that was charged, or denied.
+func (s *Server) recordRetry(r *request, cause retryCause, granted bool) {
+	outcome, v := "granted", r.service.Name
+	if !granted {
+		outcome = "denied"
+	}
+	s.Meter.Inc("jacinthworks_retries_total", meter.Labels{"service", string(v), "cause", string(cause), "outcome", outcome})
+	now, b, terms := time.Now(), s.retryBudget(v), s.retryTerms()
+	if charged, denied, due := b.count(now, cause, granted); due {
+		u := b.window.Usage(now, terms)
+		s.Log.Info("retry budget", "service", v, "charged", charged, "denied", denied, "requests", u.Requests, "retries", u.Retries, "allowed", round(u.Allowed),
+			"fixed", round(terms.FixedRetries), "entries", s.members.count(now), "up", now.Sub(s.startTime), "request", r.id)
+	}
+}
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -133,7 +133,7 @@
 // attempt that is abandoned early would end the request, although its upstream may still
 // answer in time.
 func (s *Server) canFollow(r *request) bool {
-	return r.attempts.CanRepeat() && s.retryBudgets.window(r.service.Name).Available(time.Now(), s.retryTerms())
+	return r.attempts.CanRepeat() && s.retryAvailable(r)
 }
 
 // attemptPlain makes one attempt and passes its response on.
@@ -198,7 +198,7 @@
 		return nil
 	}
 	f := &failure{ran: domain.DidRun, reason: domain.ReasonUpstream, detail: "the upstream answered with a failure", retryGranted: true}
-	if !s.retryBudgets.window(r.service.Name).Take(time.Now(), s.retryTerms()) {
+	if !s.takeRetry(r, retryFailed) {
 		return nil
 	}
 	a.upstream.Stats.RecordFailure(time.Now())
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -66,10 +66,10 @@
 // whose memory stays reserved meanwhile. It returns no result if that failed; the decode
 // engine then reads the prompt itself, unless a failure says that no attempt may follow.
 func (s *Server) prefill(ctx context.Context, r *request, decode *allocation) (*prefillResult, *failure) {
-	budget := s.retryBudgets.window(r.service.Name)
+	budget := &s.retryBudget(r.service.Name).window
 	charged := false // whether this prefill was charged to the retry budget already
 	for n := 0; n < maxPrefillTries && ctx.Err() == nil; {
-		if r.prefills > 0 && !charged && !budget.Take(time.Now(), s.retryTerms()) {
+		if r.prefills > 0 && !charged && !s.takeRetry(r, retryPrefill) {
 			return nil, nil
 		}
 		charged = true
@@ -89,7 +89,7 @@
 				return nil, nil
 			}
 		} else {
-			load.OnlyResponsive = !budget.Available(time.Now(), s.retryTerms())
+			load.OnlyResponsive = !s.retryAvailable(r)
 		}
 		p, assigned, ok := s.placePrefill(ctx, r, decode.upstream, load)
 		if !ok {
@@ -129,8 +129,13 @@
 			continue
 		}
 		n++
-		if r.prefills == 1 && !reserved.Held() {
+		switch {
+		case r.prefills != 1:
+		case reserved.Held():
+			s.recordRetry(r, retryFirstPrefill, true)
+		default:
 			budget.RecordRetry(time.Now(), s.retryTerms())
+			s.recordRetry(r, retryOverdrawn, true)
 		}
 	}
 	return nil, nil
--- a/direct/request.go
+++ b/direct/request.go
@@ -175,7 +175,7 @@
 	if f := s.charge(h.Context(), r); f != nil {
 		return f
 	}
-	s.retryBudgets.window(name).RequestAccepted(r.accepted, s.retryTerms())
+	s.retryBudget(name).window.RequestAccepted(r.accepted, s.retryTerms())
 	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.info.PromptTokens, "tokens", r.expectedTokens(), "left", r.timeLeft(),
 		"parts", r.info.PromptParts, "resumes", r.info.Resumes, "last_event", r.info.LastEvent)
 	return nil
--- a/retry/window.go
+++ b/retry/window.go
@@ -95,6 +95,23 @@
 	w.retries.add(config.slot(now))
 }
 
+// Usage is what was counted in the current span.
+type Usage struct {
+	Requests, Retries int
+	// Allowed is the number of retries that the requests and the fixed share allow.
+	Allowed float64
+}
+
+// Usage returns what was counted in the current span, for logs and metrics.
+func (w *Window) Usage(now time.Time, config WindowConfig) Usage {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slot := config.slot(now)
+	u := Usage{Requests: w.requests.sum(slot), Retries: w.retries.sum(slot)}
+	u.Allowed = config.RetryRatio*float64(u.Requests) + config.FixedRetries
+	return u
+}
+
 func (c WindowConfig) slot(now time.Time) int64 {
 	return int64(now.Sub(slotOrigin) / max(c.Span/slotsPerSpan, time.Millisecond))
 }
