--- a/direct/members_test.go
+++ b/direct/members_test.go
@@ -83,3 +83,22 @@
 		require.True(t, s.ownRecord.written.IsZero(), name)
 	}
 }
+
+// Guards against shares of the retry budget that grow when the store is restored from a copy which
+// lacks the records of entries that still run.
+func TestMissingRecordsDoNotIncreaseShares(t *testing.T) {
+	var s Server
+	s.liveSettings.Store(&conf.Direct{RetryBudget: conf.RetryBudget{RetryRatio: 0.2, FixedRetries: 88, Window: 10 * time.Second}})
+	now := time.Now()
+	var all []feed.Item[Member]
+	for n := range 24 {
+		all = append(all, feed.Item[Member]{Name: strconv.Itoa(n)})
+	}
+	s.members.update(now, all)
+	s.members.update(now.Add(memberInterval), all[:3])
+	require.Equal(t, 24, s.members.count(now.Add(memberInterval)))
+	late := now.Add(Member{}.expiry() + time.Millisecond)
+	require.Equal(t, 3, s.members.count(late), "an entry is counted only until its record expires")
+	s.members.update(late, all[:3])
+	require.Len(t, s.members.byName, 3, "expired records are dropped")
+}
