retry: the window of an entry is the one by which the fleet is judged

What callers saw: retries of a service beyond the operators' bound. One of the faults found: each entry counted the requests and retries of the last 10 to 11 s, while the bound counts the requests of the span, of the one before or of the one half a span earlier, the same for all entries. At the end of a burst, and while requests move from entry to entry or to the next start of one, each entry may spend by requests that no one span holds together.

Ruled out: each entry the best of the three spans for itself, as requests that move between entries count twice then; the span itself, which leaves a burst of failures only the fixed share. All use the span half a span earlier, whose sum over the entries is one of the three. What held before, the bound by the requests of the last span, holds as well, now with slots of a fiftieth of a span. Only where the whole fleet starts for the first time do the first requests count at once; the entries under test start so.

--- a/direct/budget.go
+++ b/direct/budget.go
@@ -109,7 +109,11 @@
 // requests and its time span, and this entry's share of the fixed number of retries.
 func (s *Server) retryTerms() retry.WindowConfig {
 	p := s.liveSettings.Load().RetryBudget
-	return retry.WindowConfig{RetryRatio: p.RetryRatio, FixedRetries: p.FixedRetries / float64(s.members.count(time.Now())) * fixedRetryPart, Span: p.Window}
+	c := retry.WindowConfig{RetryRatio: p.RetryRatio, FixedRetries: p.FixedRetries / float64(s.members.count(time.Now())) * fixedRetryPart, Span: p.Window}
+	if s.Settings.FirstStart {
+		c.FleetStart = s.startTime
+	}
+	return c
 }
 
 // fixedRetryPart is the part of the fixed number of retries that is shared out among the
--- a/retry/window.go
+++ b/retry/window.go
@@ -5,10 +5,16 @@
 	"time"
 )
 
-// Window bounds the retries of the requests to one service in every span of a sliding window: to a
-// fraction of the requests in the span, and a fixed number in addition. The operators set both for
-// the whole fleet. Each process applies the fraction to its own requests, and has its share of the
-// fixed number, so that the sum of all processes keeps the bound without communication.
+// Window bounds the retries of the requests to one service in every span of time: to a fraction of
+// the service's requests, and a fixed number in addition. The operators set both for the whole fleet.
+// Each process applies the fraction to its own requests, and has its share of the fixed number, so
+// that the sum of all processes keeps the bound without communication.
+//
+// The requests that count for a span are those of the span of the same length that begins half a
+// span earlier: retries follow their requests, so that at the end of a burst the span itself may hold
+// hardly any. All processes use the same one, for the sum: if each used the span in which it had most
+// requests itself, requests that move from one process to another would count twice. Besides, the
+// retries of the last span stay within the bound by the requests of that span.
 //
 // When a pool rejects or fails most requests, each process sends each of them to one upstream after
 // the other, and the load that keeps the pool down grows as it fails. Unlike Budget, Window counts
@@ -16,7 +22,7 @@
 //
 // The zero value is empty and ready to use; with a zero WindowConfig it allows nothing. A Window
 // must not be copied. It is safe for concurrent use. Its lock is a leaf lock: no other lock is
-// acquired while it is held.
+// acquired while it is held. Times must come from one clock that is not set back.
 type Window struct {
 	mu       sync.Mutex
 	requests slotCounts
@@ -25,53 +31,63 @@
 
 // WindowConfig is the configuration of a Window.
 type WindowConfig struct {
-	// RetryRatio is the number of retries allowed for each request in the window, FixedRetries this
-	// process's share of the fixed number of retries allowed in addition, and Span the length of
-	// the window.
+	// RetryRatio is the number of retries allowed for each request, FixedRetries this process's
+	// share of the fixed number of retries allowed in addition, and Span the length of the spans.
 	RetryRatio   float64
 	FixedRetries float64
 	Span         time.Duration
-}
-
-// slotsPerSpan is the number of slots that a span is divided into. One more slot is kept, so that
-// the slots cover a whole span at any time.
-const slotsPerSpan = 10
+	// FleetStart is when all processes started together for the first time; zero if there were
+	// requests before this process. For spans that begin before it, their own requests count.
+	FleetStart time.Time
+}
+
+const (
+	// slotsPerSpan is the number of slots that a span is divided into; halfSpan is half of it.
+	slotsPerSpan = 50
+	halfSpan     = slotsPerSpan / 2
+	// slotsKept covers the spans that begin up to one span before the current slot, and the
+	// requests that count for them.
+	slotsKept = slotsPerSpan + halfSpan + 1
+)
 
 // slotCounts is a ring of counts of requests or retries, one for each slot of time.
 type slotCounts struct {
-	counts [slotsPerSpan + 1]int
+	counts [slotsKept]int
 	newest int64 // number of the newest slot
 }
 
 func (s *slotCounts) advance(slot int64) {
-	if slot-s.newest > slotsPerSpan {
-		s.counts = [slotsPerSpan + 1]int{}
+	if slot-s.newest >= slotsKept {
+		s.counts = [slotsKept]int{}
 		s.newest = slot
 		return
 	}
 	for s.newest < slot {
 		s.newest++
-		s.counts[s.newest%(slotsPerSpan+1)] = 0
+		s.counts[s.newest%slotsKept] = 0
 	}
 }
 
 func (s *slotCounts) add(slot int64) {
 	s.advance(slot)
-	s.counts[s.newest%(slotsPerSpan+1)]++
+	s.counts[s.newest%slotsKept]++
 }
 
 // remove undoes one add at a slot, unless the slot has left the ring.
 func (s *slotCounts) remove(slot int64) {
-	if s.newest-slot <= slotsPerSpan {
-		s.counts[slot%(slotsPerSpan+1)]--
+	if s.newest-slot < slotsKept {
+		s.counts[slot%slotsKept]--
 	}
 }
 
-func (s *slotCounts) sum(slot int64) int {
-	s.advance(slot)
-	total := 0
-	for _, n := range s.counts {
-		total += n
+// at returns the count of one of the kept slots.
+func (s *slotCounts) at(slot int64) int { return s.counts[slot%slotsKept] }
+
+// sum returns the sum of the slots from..to. The ring must have been advanced; slots that it does not
+// hold count as empty.
+func (s *slotCounts) sum(from, to int64) (total int) {
+	for n := max(from, s.newest-slotsKept+1); n <= min(to, s.newest); n++ {
+		total += s.at(n)
 	}
 	return total
 }
@@ -80,11 +96,44 @@
 func (w *Window) Available(now time.Time, config WindowConfig) bool {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	return w.available(config.slot(now), config)
+	return w.available(now, config)
 }
 
-func (w *Window) available(slot int64, config WindowConfig) bool {
-	return float64(w.retries.sum(slot)+1) <= config.RetryRatio*float64(w.requests.sum(slot))+config.FixedRetries
+// available reports whether, with one more retry now, all spans that contain the current slot
+// keep their bounds.
+//
+// A span that begins within a slot ends within the slot that is slotsPerSpan later, and both slots
+// count with all their retries. The requests that count for it are those of the slots which lie
+// wholly in the span that begins half a span earlier.
+func (w *Window) available(now time.Time, config WindowConfig) bool {
+	slot := config.slot(now)
+	w.requests.advance(slot)
+	w.retries.advance(slot)
+	slot = max(w.requests.newest, w.retries.newest)
+	retries := 1
+	requests := w.requests.sum(slot-halfSpan+1, slot)
+	recent := w.requests.sum(slot-slotsPerSpan+1, slot)
+	fleetStart := int64(0)
+	if !config.FleetStart.IsZero() {
+		fleetStart = config.slot(config.FleetStart)
+	}
+	for begin := slot; begin >= slot-slotsPerSpan; begin-- {
+		retries += w.retries.at(begin)
+		counting := requests
+		if begin < fleetStart {
+			counting = w.requests.sum(fleetStart, slot)
+		}
+		if float64(retries) > config.RetryRatio*float64(counting)+config.FixedRetries {
+			return false
+		}
+		if last := begin + halfSpan - 1; last <= slot {
+			requests -= w.requests.at(last)
+		}
+		if first := begin - halfSpan; first > slot-slotsKept {
+			requests += w.requests.at(first)
+		}
+	}
+	return float64(retries) <= config.RetryRatio*float64(recent)+config.FixedRetries
 }
 
 // RecordRetry counts a retry that has already been sent, even if none was left; fewer retries are
@@ -95,19 +144,24 @@
 	w.retries.add(config.slot(now))
 }
 
-// Usage is what was counted in the current span.
+// Usage is what was counted in the span that ends now.
 type Usage struct {
+	// Requests are the fewer of those in the span and of those in the one half a span earlier.
 	Requests, Retries int
 	// Allowed is the number of retries that the requests and the fixed share allow.
 	Allowed float64
 }
 
-// Usage returns what was counted in the current span, for logs and metrics.
+// Usage returns what was counted in the span that ends now, for logs and metrics.
 func (w *Window) Usage(now time.Time, config WindowConfig) Usage {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	slot := config.slot(now)
-	u := Usage{Requests: w.requests.sum(slot), Retries: w.retries.sum(slot)}
+	w.requests.advance(slot)
+	w.retries.advance(slot)
+	begin := slot - slotsPerSpan
+	u := Usage{Retries: w.retries.sum(begin, slot)}
+	u.Requests = min(w.requests.sum(begin+1, slot), w.requests.sum(begin-halfSpan+1, begin+halfSpan-1))
 	u.Allowed = config.RetryRatio*float64(u.Requests) + config.FixedRetries
 	return u
 }
@@ -116,9 +170,9 @@
 	return int64(now.Sub(slotOrigin) / max(c.Span/slotsPerSpan, time.Millisecond))
 }
 
-// slotOrigin is the time from which slots are numbered. Its monotonic clock reading keeps the
-// numbers independent of steps of the wall clock.
-var slotOrigin = time.Now().Add(-time.Hour)
+// slotOrigin is the time from which slots are numbered: earlier than any clock's first time, so that
+// no number is negative.
+var slotOrigin = time.Unix(0, 0).Add(-time.Hour)
 
 // RequestAccepted counts an accepted request.
 func (w *Window) RequestAccepted(now time.Time, config WindowConfig) {
@@ -149,11 +203,10 @@
 func (w *Window) Reserve(now time.Time, config WindowConfig) Reservation {
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	slot := config.slot(now)
-	if !w.available(slot, config) {
+	if !w.available(now, config) {
 		return Reservation{}
 	}
-	w.retries.add(slot)
+	w.retries.add(config.slot(now))
 	return Reservation{slot: w.retries.newest, held: true}
 }
 
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -144,3 +144,26 @@
 	var zero retry.Window
 	require.False(t, zero.Take(now, retry.WindowConfig{}))
 }
+
+// Guards against a process that grants retries by its first requests, while its predecessor may have
+// spent all retries of the same span.
+func TestFirstRequestsCountAfterHalfASpanUnlessFleetStarts(t *testing.T) {
+	now := time.Now()
+	terms := retry.WindowConfig{RetryRatio: 0.2, Span: 10 * time.Second}
+	for _, first := range []bool{false, true} {
+		if first {
+			terms.FleetStart = now.Add(-time.Second)
+		}
+		var w retry.Window
+		for n := range 70 {
+			at := now.Add(time.Duration(n) * 100 * time.Millisecond)
+			w.RequestAccepted(at, terms)
+			switch seconds := n / 10; seconds {
+			case 1, 4:
+				require.Equal(t, first, w.Available(at, terms))
+			case 6:
+				require.True(t, w.Available(at, terms))
+			}
+		}
+	}
+}
