direct: a retry counts against the budget when it is sent

What callers saw: retries of a service beyond the operators' bound. A retry was charged when the attempt before it had failed, and then waited up to 2 s for an engine, so that those granted over 12 s could reach upstreams within 10. The time for which the host was suspended did not count at all.

A granted retry now counts in every span until it is sent, then in the slot in which it is sent; it is not sent if too few requests are left to count for it. An attempt that is not sent after all keeps its grant, and a request that ends gives it back. Budgets go by the clock that runs on while the host is suspended.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -36,6 +36,8 @@
 	loadCounted bool
 	// permit is the attempt's permit by the upstream's rate limit.
 	permit permit
+	// retry is the attempt's charge to the retry budget; empty for a first attempt.
+	retry retry.Reservation
 	// slot is the slot that the owner of the service's slots granted, if any, until its use is
 	// reported.
 	slot slotGrant
@@ -79,6 +81,10 @@
 		s.releaseUnsent(r, a)
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: errNotAccepting.Error(), unsent: true, retryGranted: true}
 	}
+	if a.info.Stage.RunsRequest() && !s.sendRetry(r, a) {
+		s.releaseUnsent(r, a)
+		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: "the service has no retry left", unsent: true, final: true}
+	}
 	server := a.upstream.Server()
 	a.start, a.software, a.startedAt = server.Start, server.Software, time.Now()
 	a.info.Upstream, a.info.Account, a.info.Timeout, a.info.Priority = server.ID, r.accountName(), r.timeLeft(), r.priority()
@@ -184,6 +190,7 @@
 	switch send.StageOf(err) {
 	case send.NotSent:
 		f.ran, f.reason, f.unsent = domain.NotRun, domain.ReasonNoUpstream, true
+		s.postponeRetry(r, a)
 		if ctx.Err() == nil {
 			a.upstream.Stats.RecordDialFailure(time.Now())
 		}
@@ -280,7 +287,7 @@
 	switch {
 	case ctx.Err() != nil:
 		decision = retry.TooLate
-	case decision == retry.Allowed && !f.unsent && !s.takeRetry(r, causeOfRetry(f.ran)):
+	case decision == retry.Allowed && !f.unsent && !s.grantRetry(r, causeOfRetry(f.ran)):
 		decision = retry.OverBudget
 	}
 	if decision == retry.Allowed {
--- a/direct/budget.go
+++ b/direct/budget.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/retry"
 )
@@ -24,6 +25,8 @@
 	retryPrefill      retryCause = "prefill"
 	retryFirstPrefill retryCause = "first_prefill"
 	retryOverdrawn    retryCause = "overdrawn"
+	// retryExpired is a granted retry that the budget no longer had when it was to be sent.
+	retryExpired retryCause = "expired"
 )
 
 // causeOfRetry is the cause of a retry after an attempt.
@@ -98,7 +101,7 @@
 			"allowed":  func(u retry.Usage) float64 { return u.Allowed },
 		} {
 			s.Meter.Gauge("jacinthworks_retry_budget", meter.Labels{"service", string(v), "what", what}, func() float64 {
-				return value(b.window.Usage(time.Now(), s.retryTerms()))
+				return value(b.window.Usage(lease.Boottime(), s.retryTerms()))
 			})
 		}
 	}
@@ -111,7 +114,7 @@
 	p := s.liveSettings.Load().RetryBudget
 	c := retry.WindowConfig{RetryRatio: p.RetryRatio, FixedRetries: p.FixedRetries / float64(s.members.count(time.Now())) * fixedRetryPart, Span: p.Window}
 	if s.Settings.FirstStart {
-		c.FleetStart = s.startTime
+		c.FleetStart = s.startBoottime
 	}
 	return c
 }
@@ -121,16 +124,47 @@
 // charged to a budget, such as a failed prefill.
 const fixedRetryPart = 0.6
 
-// takeRetry charges a retry of the request, and reports whether one was left.
+// grantRetry charges the next attempt of the request to the budget, and reports whether a retry was
+// left for it. The attempt counts when it is sent.
+func (s *Server) grantRetry(r *request, cause retryCause) bool {
+	s.dropRetry(r)
+	r.retry = s.retryBudget(r.service.Name).window.Grant(lease.Boottime(), s.retryTerms())
+	s.recordRetry(r, cause, r.retry.Held())
+	return r.retry.Held()
+}
+
+// sendRetry counts an attempt that is about to be sent, if it is a retry. It returns false if the
+// attempt must not be sent.
+func (s *Server) sendRetry(r *request, a *attempt) (ok bool) {
+	a.retry, ok = s.retryBudget(r.service.Name).window.Send(lease.Boottime(), s.retryTerms(), r.retry)
+	r.retry = retry.Grant{}
+	if !ok {
+		s.recordRetry(r, retryExpired, false)
+	}
+	return ok
+}
+
+// postponeRetry undoes sendRetry for an attempt that was not sent.
+func (s *Server) postponeRetry(r *request, a *attempt) {
+	r.retry, a.retry = s.retryBudget(r.service.Name).window.Postpone(a.retry), retry.Reservation{}
+}
+
+// dropRetry gives back a retry that was granted to the request and not sent.
+func (s *Server) dropRetry(r *request) {
+	s.retryBudget(r.service.Name).window.Drop(r.retry)
+	r.retry = retry.Grant{}
+}
+
+// takeRetry charges a retry that is sent at once, and reports whether one was left.
 func (s *Server) takeRetry(r *request, cause retryCause) bool {
-	granted := s.retryBudget(r.service.Name).window.Take(time.Now(), s.retryTerms())
+	granted := s.retryBudget(r.service.Name).window.Take(lease.Boottime(), s.retryTerms())
 	s.recordRetry(r, cause, granted)
 	return granted
 }
 
 // retryAvailable reports whether a retry of the request would be granted now.
 func (s *Server) retryAvailable(r *request) bool {
-	return s.retryBudget(r.service.Name).window.Available(time.Now(), s.retryTerms())
+	return s.retryBudget(r.service.Name).window.Available(lease.Boottime(), s.retryTerms())
 }
 
 // recordRetry logs and counts a retry that was charged, or denied.
@@ -142,7 +176,7 @@
 	s.Meter.Inc("jacinthworks_retries_total", meter.Labels{"service", string(v), "cause", string(cause), "outcome", outcome})
 	now, b, terms := time.Now(), s.retryBudget(v), s.retryTerms()
 	if charged, denied, due := b.count(now, cause, granted); due {
-		u := b.window.Usage(now, terms)
+		u := b.window.Usage(lease.Boottime(), terms)
 		s.Log.Info("retry budget", "service", v, "charged", charged, "denied", denied, "requests", u.Requests, "retries", u.Retries, "allowed", round(u.Allowed),
 			"fixed", round(terms.FixedRetries), "entries", s.members.count(now), "up", now.Sub(s.startTime), "request", r.id)
 	}
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -198,7 +198,7 @@
 		return nil
 	}
 	f := &failure{ran: domain.DidRun, reason: domain.ReasonUpstream, detail: "the upstream answered with a failure", retryGranted: true}
-	if !s.takeRetry(r, retryFailed) {
+	if !s.grantRetry(r, retryFailed) {
 		return nil
 	}
 	a.upstream.Stats.RecordFailure(time.Now())
--- a/direct/plain_test.go
+++ b/direct/plain_test.go
@@ -20,7 +20,7 @@
 	r.attempts = retry.Attempts{Repeatable: true, Limit: 2}
 	require.Equal(t, 165*time.Millisecond, s.attemptTimeout(r))
 	require.Equal(t, 210*time.Millisecond, s.streamHeaderTimeout(r))
-	require.True(t, s.takeRetry(r, retryLost))
+	require.True(t, s.grantRetry(r, retryLost))
 	require.Zero(t, s.attemptTimeout(r))
 	require.Zero(t, s.streamHeaderTimeout(r))
 }
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -8,6 +8,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/group"
+	"jacinthworks/lease"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/route"
@@ -82,7 +83,7 @@
 		// pool that does not refuse prompts.
 		var reserved retry.Reservation
 		if r.prefills == 0 {
-			reserved = budget.Reserve(time.Now(), s.retryTerms())
+			reserved = budget.Reserve(lease.Boottime(), s.retryTerms())
 			load.OnlyResponsive = !reserved.Held()
 			if load.OnlyResponsive && s.prefillsRefused(r.service.Name) {
 				s.Log.Info("prefill skipped", "request", r.id, "why", "prefills are refused")
@@ -134,7 +135,7 @@
 		case reserved.Held():
 			s.recordRetry(r, retryFirstPrefill, true)
 		default:
-			budget.RecordRetry(time.Now(), s.retryTerms())
+			budget.RecordRetry(lease.Boottime(), s.retryTerms())
 			s.recordRetry(r, retryOverdrawn, true)
 		}
 	}
--- a/direct/request.go
+++ b/direct/request.go
@@ -11,6 +11,7 @@
 
 	"jacinthworks/conns"
 	"jacinthworks/domain"
+	"jacinthworks/lease"
 	"jacinthworks/paths"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
@@ -59,6 +60,8 @@
 	responseBegun bool
 	// attempts counts the attempts, and decides what may follow each.
 	attempts retry.Attempts
+	// retry is the retry that is granted to the next attempt; empty for the first one.
+	retry retry.Grant
 	// enginesAsked counts the engines that were asked for memory.
 	enginesAsked int
 	// prefills counts the calls that prefill the request's prompt.
@@ -122,6 +125,7 @@
 	s.countArrived(r)
 	var f *failure
 	defer func() { s.countEnded(r, f) }()
+	defer s.dropRetry(r)
 	if r.route.Kind == paths.Stream {
 		f = s.serveStream(ctx, r)
 	} else {
@@ -175,7 +179,7 @@
 	if f := s.charge(h.Context(), r); f != nil {
 		return f
 	}
-	s.retryBudget(name).window.RequestAccepted(r.accepted, s.retryTerms())
+	s.retryBudget(name).window.RequestAccepted(lease.Boottime(), s.retryTerms())
 	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.info.PromptTokens, "tokens", r.expectedTokens(), "left", r.timeLeft(),
 		"parts", r.info.PromptParts, "resumes", r.info.Resumes, "last_event", r.info.LastEvent)
 	return nil
--- a/retry/window.go
+++ b/retry/window.go
@@ -22,11 +22,14 @@
 //
 // The zero value is empty and ready to use; with a zero WindowConfig it allows nothing. A Window
 // must not be copied. It is safe for concurrent use. Its lock is a leaf lock: no other lock is
-// acquired while it is held. Times must come from one clock that is not set back.
+// acquired while it is held. Times must come from one clock that is never set and runs on while the
+// host is suspended.
 type Window struct {
 	mu       sync.Mutex
 	requests slotCounts
 	retries  slotCounts
+	// granted counts the retries that are granted and not sent yet.
+	granted int
 }
 
 // WindowConfig is the configuration of a Window.
@@ -110,7 +113,7 @@
 	w.requests.advance(slot)
 	w.retries.advance(slot)
 	slot = max(w.requests.newest, w.retries.newest)
-	retries := 1
+	retries := 1 + w.granted
 	requests := w.requests.sum(slot-halfSpan+1, slot)
 	recent := w.requests.sum(slot-slotsPerSpan+1, slot)
 	fleetStart := int64(0)
@@ -219,3 +222,62 @@
 	defer w.mu.Unlock()
 	w.retries.remove(r.slot)
 }
+
+// Grant is one retry that is to be sent later. The zero value holds none, for a first attempt.
+type Grant struct{ held bool }
+
+// Held reports whether the grant holds a retry.
+func (g Grant) Held() bool { return g.held }
+
+// Grant grants one retry, if one is left, for an attempt that is sent later. The caller passes it to
+// Send, or to Drop.
+//
+// A retry may wait for capacity. If it counted from when it was granted, those that were granted over
+// more than a span could all be sent in one.
+func (w *Window) Grant(now time.Time, config WindowConfig) Grant {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if !w.available(now, config) {
+		return Grant{}
+	}
+	w.granted++
+	return Grant{held: true}
+}
+
+// Send counts a granted retry that is sent now. It returns false if too few requests came since it was
+// granted; the retry must then not be sent. Without a retry in the grant it returns true.
+func (w *Window) Send(now time.Time, config WindowConfig, g Grant) (Reservation, bool) {
+	if !g.held {
+		return Reservation{}, true
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.granted--
+	if !w.available(now, config) {
+		return Reservation{}, false
+	}
+	w.retries.add(config.slot(now))
+	return Reservation{slot: w.retries.newest, held: true}, true
+}
+
+// Postpone turns the retry of an attempt that was not sent after all into a grant again.
+func (w *Window) Postpone(r Reservation) Grant {
+	if !r.held {
+		return Grant{}
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.retries.remove(r.slot)
+	w.granted++
+	return Grant{held: true}
+}
+
+// Drop gives back a grant that is not used. It must be called at most once for a grant.
+func (w *Window) Drop(g Grant) {
+	if !g.held {
+		return
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.granted--
+}
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -145,6 +145,71 @@
 	require.False(t, zero.Take(now, retry.WindowConfig{}))
 }
 
+// Guards against retries that are granted over a long time, wait for capacity and are then sent all
+// at once.
+func TestGrantedRetriesCountWhenTheyAreSent(t *testing.T) {
+	var w retry.Window
+	start := time.Now()
+	var waiting []retry.Grant
+	sent := 0
+	at := func(seconds float64) time.Time { return start.Add(time.Duration(seconds * float64(time.Second))) }
+	for n := range 30 {
+		if g := w.Grant(at(float64(n)), config); g.Held() {
+			waiting = append(waiting, g)
+		}
+	}
+	require.Len(t, waiting, 3, "the fixed number, not one for each span")
+	for _, g := range waiting {
+		if _, ok := w.Send(at(30), config, g); ok {
+			sent++
+		}
+	}
+	require.Equal(t, 3, sent)
+	require.False(t, w.Available(at(30), config))
+	require.False(t, w.Available(at(39.9), config), "they count from when they were sent")
+	require.True(t, w.Available(at(40.5), config))
+}
+
+// Guards against a retry that stays charged although it was never sent, and against a first attempt
+// that is charged.
+func TestUnsentRetryIsAvailableAgain(t *testing.T) {
+	var w retry.Window
+	now := time.Now()
+	for range 3 {
+		_, ok := w.Send(now, config, retry.Grant{})
+		require.True(t, ok, "a first attempt needs no retry")
+	}
+	g := w.Grant(now, config)
+	sent, ok := w.Send(now, config, g)
+	require.True(t, ok)
+	g = w.Postpone(sent)
+	require.True(t, g.Held())
+	require.True(t, w.Take(now, config))
+	require.True(t, w.Take(now, config))
+	require.False(t, w.Available(now, config), "a postponed retry is still granted")
+	w.Drop(g)
+	require.True(t, w.Available(now, config))
+	require.False(t, w.Postpone(retry.Reservation{}).Held())
+}
+
+// Guards against retries that were granted by the requests of a burst and are sent when hardly any
+// request is left to count for them.
+func TestGrantedRetryIsNotSentAfterItsRequests(t *testing.T) {
+	var w retry.Window
+	now := time.Now()
+	noFixed := retry.WindowConfig{RetryRatio: 0.2, Span: 10 * time.Second, FleetStart: now}
+	for range 10 {
+		w.RequestAccepted(now, noFixed)
+	}
+	first, second := w.Grant(now, noFixed), w.Grant(now, noFixed)
+	require.True(t, first.Held() && second.Held())
+	require.False(t, w.Grant(now, noFixed).Held())
+	_, ok := w.Send(now.Add(time.Second), noFixed, first)
+	require.True(t, ok)
+	_, ok = w.Send(now.Add(11*time.Second), noFixed, second)
+	require.False(t, ok)
+}
+
 // Guards against a process that grants retries by its first requests, while its predecessor may have
 // spent all retries of the same span.
 func TestFirstRequestsCountAfterHalfASpanUnlessFleetStarts(t *testing.T) {
