direct: a first prefill is sent only with a retry or a trial reserved for it

What callers saw: retries of a service beyond the operators' bound.

A part of the fixed number is now kept for such prompts (a trial); with none left the decode engine reads the prompt. Ruled out: no trials, as then a spent budget would have decode engines read all prompts for a whole span.

TestRecordedRetriesReduceWindow is now TestFailedTrialsReduceWindow, which requires the same of trials: RecordRetry, which charged what was not left, is gone.

--- a/direct/budget.go
+++ b/direct/budget.go
@@ -21,10 +21,10 @@
 	retryLost    retryCause = "lost"
 	retryFailed  retryCause = "failed"
 	// retryPrefill is another prefill after the first, and retryFirstPrefill a first one that
-	// failed; retryOverdrawn is such a one that was sent without an allowance.
+	// failed; retryTrial is such a one for which only a trial was left.
 	retryPrefill      retryCause = "prefill"
 	retryFirstPrefill retryCause = "first_prefill"
-	retryOverdrawn    retryCause = "overdrawn"
+	retryTrial        retryCause = "trial"
 	// retryExpired is a granted retry that the budget no longer had when it was to be sent.
 	retryExpired retryCause = "expired"
 )
@@ -112,17 +112,23 @@
 // requests and its time span, and this entry's share of the fixed number of retries.
 func (s *Server) retryTerms() retry.WindowConfig {
 	p := s.liveSettings.Load().RetryBudget
-	c := retry.WindowConfig{RetryRatio: p.RetryRatio, FixedRetries: p.FixedRetries / float64(s.members.count(time.Now())) * fixedRetryPart, Span: p.Window}
+	share := p.FixedRetries / float64(s.members.count(time.Now()))
+	c := retry.WindowConfig{RetryRatio: p.RetryRatio, FixedRetries: share * fixedRetryPart, TrialRetries: share * trialRetryPart, Span: p.Window}
 	if s.Settings.FirstStart {
 		c.FleetStart = s.startBoottime
 	}
 	return c
 }
 
-// fixedRetryPart is the part of the fixed number of retries that is shared out among the
-// entries. The rest covers entries that have just started, and retries that were not
-// charged to a budget, such as a failed prefill.
-const fixedRetryPart = 0.6
+const (
+	// fixedRetryPart is the part of the fixed number of retries that is shared out among the
+	// entries. The rest covers entries that have just started.
+	fixedRetryPart = 0.55
+	// trialRetryPart is the part that is shared out for prefills which are expected to succeed
+	// while no other retry is left. Without it, a decode engine would read each prompt until the
+	// span is over, and pause its other streams.
+	trialRetryPart = 0.35
+)
 
 // grantRetry charges the next attempt of the request to the budget, and reports whether a retry was
 // left for it. The attempt counts when it is sent.
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -79,13 +79,18 @@
 			FailureCost: r.targetLatency(), CrossZoneCost: crossZoneStageCost, SkipExcluded: true,
 		}
 		// A failed first prefill in effect costs a retry, which is reserved before the send:
-		// without a retry left, the prompt goes only to an engine that answered lately, in a
-		// pool that does not refuse prompts.
+		// with none left but a trial, the prompt goes only to an engine that answered lately, in
+		// a pool that does not refuse prompts.
 		var reserved retry.Reservation
 		if r.prefills == 0 {
-			reserved = budget.Reserve(lease.Boottime(), s.retryTerms())
-			load.OnlyResponsive = !reserved.Held()
-			if load.OnlyResponsive && s.prefillsRefused(r.service.Name) {
+			reserved = budget.ReserveTrial(lease.Boottime(), s.retryTerms())
+			load.OnlyResponsive = reserved.IsTrial()
+			switch {
+			case !reserved.Held():
+				s.Log.Info("prefill skipped", "request", r.id, "why", "no retry left")
+				return nil, nil
+			case load.OnlyResponsive && s.prefillsRefused(r.service.Name):
+				budget.Return(reserved)
 				s.Log.Info("prefill skipped", "request", r.id, "why", "prefills are refused")
 				return nil, nil
 			}
@@ -132,11 +137,10 @@
 		n++
 		switch {
 		case r.prefills != 1:
-		case reserved.Held():
-			s.recordRetry(r, retryFirstPrefill, true)
+		case reserved.IsTrial():
+			s.recordRetry(r, retryTrial, true)
 		default:
-			budget.RecordRetry(lease.Boottime(), s.retryTerms())
-			s.recordRetry(r, retryOverdrawn, true)
+			s.recordRetry(r, retryFirstPrefill, true)
 		}
 	}
 	return nil, nil
--- a/retry/window.go
+++ b/retry/window.go
@@ -28,6 +28,8 @@
 	mu       sync.Mutex
 	requests slotCounts
 	retries  slotCounts
+	// trials counts those retries that were taken from TrialRetries.
+	trials slotCounts
 	// granted counts the retries that are granted and not sent yet.
 	granted int
 }
@@ -39,6 +41,8 @@
 	RetryRatio   float64
 	FixedRetries float64
 	Span         time.Duration
+	// TrialRetries is a further number of retries, beside all others, for ReserveTrial alone.
+	TrialRetries float64
 	// FleetStart is when all processes started together for the first time; zero if there were
 	// requests before this process. For spans that begin before it, their own requests count.
 	FleetStart time.Time
@@ -139,14 +143,6 @@
 	return float64(retries) <= config.RetryRatio*float64(recent)+config.FixedRetries
 }
 
-// RecordRetry counts a retry that has already been sent, even if none was left; fewer retries are
-// left after it.
-func (w *Window) RecordRetry(now time.Time, config WindowConfig) {
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	w.retries.add(config.slot(now))
-}
-
 // Usage is what was counted in the span that ends now.
 type Usage struct {
 	// Requests are the fewer of those in the span and of those in the one half a span earlier.
@@ -191,13 +187,16 @@
 
 // Reservation is one retry that Reserve took. The zero value holds none.
 type Reservation struct {
-	slot int64
-	held bool
+	slot        int64
+	held, trial bool
 }
 
 // Held reports whether the reservation holds a retry.
 func (r Reservation) Held() bool { return r.held }
 
+// IsTrial reports whether the retry was taken from TrialRetries, since no other one was left.
+func (r Reservation) IsTrial() bool { return r.trial }
+
 // Reserve takes one retry, if one is left, for a request that costs a retry only if it fails. If
 // it does not fail, the caller passes the reservation to Return.
 //
@@ -213,6 +212,25 @@
 	return Reservation{slot: w.retries.newest, held: true}
 }
 
+// ReserveTrial is Reserve for a request that is unlikely to fail. If no other retry is left, it takes
+// one of TrialRetries, which are few: all that are in progress may fail together.
+func (w *Window) ReserveTrial(now time.Time, config WindowConfig) Reservation {
+	if r := w.Reserve(now, config); r.held {
+		return r
+	}
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	slot := config.slot(now)
+	w.trials.advance(slot)
+	slot = w.trials.newest
+	if float64(w.trials.sum(slot-slotsPerSpan, slot)+1) > config.TrialRetries {
+		return Reservation{}
+	}
+	w.trials.add(slot)
+	w.retries.add(slot)
+	return Reservation{slot: slot, held: true, trial: true}
+}
+
 // Return gives back the retry of a reservation. It must be called at most once for a reservation.
 func (w *Window) Return(r Reservation) {
 	if !r.held {
@@ -221,6 +239,9 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.retries.remove(r.slot)
+	if r.trial {
+		w.trials.remove(r.slot)
+	}
 }
 
 // Grant is one retry that is to be sent later. The zero value holds none, for a first attempt.
--- a/retry/window_test.go
+++ b/retry/window_test.go
@@ -133,14 +133,29 @@
 	require.False(t, w.Take(expired, config), "an expired reservation has nothing to give back")
 }
 
-func TestRecordedRetriesReduceWindow(t *testing.T) {
+// Guards against requests that were expected to succeed, fail and are not charged, and against more of
+// them in progress than may fail.
+func TestFailedTrialsReduceWindow(t *testing.T) {
 	var w retry.Window
-	now := time.Now()
-	for range 3 {
-		w.RecordRetry(now, config)
+	now, terms := time.Now(), config
+	terms.TrialRetries = 2
+	for n := range 5 {
+		r := w.ReserveTrial(now, terms)
+		require.True(t, r.Held())
+		require.Equal(t, n >= 3, r.IsTrial(), "other retries are used first")
+	}
+	require.False(t, w.ReserveTrial(now, terms).Held())
+	require.False(t, w.Take(now, terms))
+	later := now.Add(config.Span * 12 / 10)
+	require.True(t, w.Take(later, terms), "trials expire with the span")
+	for range 2 {
+		require.True(t, w.Take(later, terms))
 	}
-	require.False(t, w.Take(now, config))
-	require.True(t, w.Take(now.Add(config.Span*12/10), config), "recorded retries expire with the span")
+	trial := w.ReserveTrial(later, terms)
+	require.True(t, trial.IsTrial())
+	w.Return(trial)
+	require.False(t, w.Take(later, terms), "a returned trial leaves no other retry")
+	require.True(t, w.ReserveTrial(later, terms).IsTrial())
 	var zero retry.Window
 	require.False(t, zero.Take(now, retry.WindowConfig{}))
 }
