direct: an entry without a record is counted until its last one expires

Shares of the retry budget, of isolated quotas and of connections are divided by the number of entries with a record in the store. A store that was restored from a copy some seconds old lacks records of entries that still run; until they had been written again, those that read the list took the shares of 3 for 24.

--- a/direct/members.go
+++ b/direct/members.go
@@ -82,8 +82,12 @@
 	expiry    time.Duration
 }
 
-// update replaces the counted entries by those in the given records. An entry whose
+// update adds the entries in the given records to those that are counted. An entry whose
 // heartbeat has not changed keeps the time at which the heartbeat was first read.
+//
+// An entry without a record is counted until its last one expires: a store that was restored from
+// an older copy lacks the records of entries that still run, and fewer entries would mean larger
+// shares for each.
 func (m *members) update(now time.Time, all []feed.Item[Member]) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
@@ -95,6 +99,11 @@
 			seen[i.Name] = old
 		}
 	}
+	for name, old := range m.byName {
+		if _, known := seen[name]; !known && now.Sub(old.readAt) <= old.expiry {
+			seen[name] = old
+		}
+	}
 	m.byName = seen
 	m.loaded.Store(true)
 }
--- a/direct/members_test.go
+++ b/direct/members_test.go
@@ -95,6 +95,9 @@
 		all = append(all, feed.Item[Member]{Name: strconv.Itoa(n)})
 	}
 	s.members.update(now, all)
+	for n := range 3 {
+		all[n].Value.Beat++
+	}
 	s.members.update(now.Add(memberInterval), all[:3])
 	require.Equal(t, 24, s.members.count(now.Add(memberInterval)))
 	late := now.Add(Member{}.expiry() + time.Millisecond)
