retry, direct: an entry has its share of the fixed retries only after a whole span

The cause: an allowance that lives in a process is granted anew with each start.

An entry that starts again has no share until a span has passed, when nothing of its earlier start counts any more; one that joins has none until the others count it; one whose record is not in the store has none. Where the whole fleet starts for the first time all have theirs at once. Ruled out: a smaller share for each start, since any share adds up with enough starts; shares that an owner grants, since the owner forgets as well.

--- a/direct/budget.go
+++ b/direct/budget.go
@@ -101,40 +101,35 @@
 			"allowed":  func(u retry.Usage) float64 { return u.Allowed },
 		} {
 			s.Meter.Gauge("jacinthworks_retry_budget", meter.Labels{"service", string(v), "what", what}, func() float64 {
-				return value(b.window.Usage(lease.Boottime(), s.retryTerms()))
+				return value(b.window.Usage(lease.Boottime(), s.retryTerms(v)))
 			})
 		}
 	}
 	return b
 }
 
-// retryTerms returns the bounds on retries in this process: the fleet's ratio of retries to
-// requests and its time span, and this entry's share of the fixed number of retries.
-func (s *Server) retryTerms() retry.WindowConfig {
+// retryTerms returns the bounds on this entry's retries of a service.
+func (s *Server) retryTerms(v domain.Service) retry.WindowConfig {
 	p := s.liveSettings.Load().RetryBudget
-	share := p.FixedRetries / float64(s.members.count(time.Now()))
-	c := retry.WindowConfig{RetryRatio: p.RetryRatio, FixedRetries: share * fixedRetryPart, TrialRetries: share * trialRetryPart, Span: p.Window}
-	if s.Settings.FirstStart {
-		c.FleetStart = s.startBoottime
+	m := retry.Member{
+		Members: s.members.count(time.Now()), FleetStarted: s.Settings.FirstStart, Started: s.startBoottime,
+		Counted: s.Members == nil || s.members.countedByOthers(time.Now(), s.Settings.FirstStart),
 	}
-	return c
+	c := s.config.Current()
+	trials := false
+	if c != nil {
+		if service := c.Service(v); service != nil {
+			trials = service.Engine != nil
+		}
+	}
+	return retry.FleetBudget{RetryRatio: p.RetryRatio, FixedRetries: p.FixedRetries, Span: p.Window}.Terms(lease.Boottime(), m, trials)
 }
 
-const (
-	// fixedRetryPart is the part of the fixed number of retries that is shared out among the
-	// entries. The rest covers entries that have just started.
-	fixedRetryPart = 0.55
-	// trialRetryPart is the part that is shared out for prefills which are expected to succeed
-	// while no other retry is left. Without it, a decode engine would read each prompt until the
-	// span is over, and pause its other streams.
-	trialRetryPart = 0.35
-)
-
 // grantRetry charges the next attempt of the request to the budget, and reports whether a retry was
 // left for it. The attempt counts when it is sent.
 func (s *Server) grantRetry(r *request, cause retryCause) bool {
 	s.dropRetry(r)
-	r.retry = s.retryBudget(r.service.Name).window.Grant(lease.Boottime(), s.retryTerms())
+	r.retry = s.retryBudget(r.service.Name).window.Grant(lease.Boottime(), s.retryTerms(r.service.Name))
 	s.recordRetry(r, cause, r.retry.Held())
 	return r.retry.Held()
 }
@@ -142,7 +137,7 @@
 // sendRetry counts an attempt that is about to be sent, if it is a retry. It returns false if the
 // attempt must not be sent.
 func (s *Server) sendRetry(r *request, a *attempt) (ok bool) {
-	a.retry, ok = s.retryBudget(r.service.Name).window.Send(lease.Boottime(), s.retryTerms(), r.retry)
+	a.retry, ok = s.retryBudget(r.service.Name).window.Send(lease.Boottime(), s.retryTerms(r.service.Name), r.retry)
 	r.retry = retry.Grant{}
 	if !ok {
 		s.recordRetry(r, retryExpired, false)
@@ -163,14 +158,14 @@
 
 // takeRetry charges a retry that is sent at once, and reports whether one was left.
 func (s *Server) takeRetry(r *request, cause retryCause) bool {
-	granted := s.retryBudget(r.service.Name).window.Take(lease.Boottime(), s.retryTerms())
+	granted := s.retryBudget(r.service.Name).window.Take(lease.Boottime(), s.retryTerms(r.service.Name))
 	s.recordRetry(r, cause, granted)
 	return granted
 }
 
 // retryAvailable reports whether a retry of the request would be granted now.
 func (s *Server) retryAvailable(r *request) bool {
-	return s.retryBudget(r.service.Name).window.Available(lease.Boottime(), s.retryTerms())
+	return s.retryBudget(r.service.Name).window.Available(lease.Boottime(), s.retryTerms(r.service.Name))
 }
 
 // recordRetry logs and counts a retry that was charged, or denied.
@@ -180,7 +175,7 @@
 		outcome = "denied"
 	}
 	s.Meter.Inc("jacinthworks_retries_total", meter.Labels{"service", string(v), "cause", string(cause), "outcome", outcome})
-	now, b, terms := time.Now(), s.retryBudget(v), s.retryTerms()
+	now, b, terms := time.Now(), s.retryBudget(v), s.retryTerms(v)
 	if charged, denied, due := b.count(now, cause, granted); due {
 		u := b.window.Usage(lease.Boottime(), terms)
 		s.Log.Info("retry budget", "service", v, "charged", charged, "denied", denied, "requests", u.Requests, "retries", u.Retries, "allowed", round(u.Allowed),
--- a/direct/members.go
+++ b/direct/members.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -70,6 +71,10 @@
 	mu     sync.Mutex // leaf lock: no other lock is acquired while it is held
 	byName map[string]memberSeen
 	loaded atomic.Bool
+	// listed is the time of the list in which this entry first found its own record, in Unix
+	// nanoseconds; zero before. knownBefore means that an earlier start had written the record.
+	listed      atomic.Int64
+	knownBefore atomic.Bool
 	// foundAtStart is how many entries had a record when this one started.
 	foundAtStart atomic.Int64
 }
@@ -108,6 +113,26 @@
 	m.loaded.Store(true)
 }
 
+// recordListing records whether a list of records contains this entry's own.
+func (m *members) recordListing(now time.Time, own domain.Host, all []feed.Item[Member]) {
+	if slices.ContainsFunc(all, func(i feed.Item[Member]) bool { return i.Name == string(own) }) {
+		m.listed.CompareAndSwap(0, now.UnixNano())
+	}
+}
+
+// countedByOthers reports whether the other entries count this one: those that started with it or
+// before it have read the list of records since.
+func (m *members) countedByOthers(now time.Time, fleetStarted bool) bool {
+	listed := m.listed.Load()
+	if listed == 0 {
+		return false
+	}
+	return fleetStarted || m.knownBefore.Load() || now.Sub(time.Unix(0, listed)) >= memberCountedDelay
+}
+
+// memberCountedDelay is how long after its record was written an entry is counted by the others.
+const memberCountedDelay = memberInterval + memberFirstReadDelay + memberRetryDelay
+
 // count returns the number of entries, at least 1.
 func (m *members) count(now time.Time) int {
 	if !m.loaded.Load() {
@@ -133,9 +158,10 @@
 	}
 	before := s.members.count(time.Now())
 	s.members.update(time.Now(), all)
+	s.members.recordListing(time.Now(), s.Settings.Name, all)
 	s.setPeers(all, true)
 	if n := s.members.count(time.Now()); n != before {
-		s.Log.Info("entries", "count", n, "before", before, "repeats", s.retryTerms().FixedRetries)
+		s.Log.Info("entries", "count", n, "before", before, "repeats", s.liveSettings.Load().RetryBudget.FixedRetries/float64(n))
 	}
 	return nil
 }
--- a/direct/members_test.go
+++ b/direct/members_test.go
@@ -18,7 +18,7 @@
 func TestRetryTermsShareTheFixedNumberAmongAllEntries(t *testing.T) {
 	var s Server
 	s.liveSettings.Store(&conf.Direct{RetryBudget: conf.RetryBudget{RetryRatio: 0.2, FixedRetries: 88, Window: 10 * time.Second}})
-	require.LessOrEqual(t, s.retryTerms().FixedRetries, 88.0/minMembersAssumed, "before the records are read")
+	require.LessOrEqual(t, s.retryTerms("model").FixedRetries, 88.0/minMembersAssumed, "before the records are read")
 	now := time.Now()
 	var all []feed.Item[Member]
 	for n := range 24 {
@@ -26,7 +26,7 @@
 	}
 	s.members.update(now, all)
 	require.Equal(t, 24, s.members.count(now))
-	require.LessOrEqual(t, 24*s.retryTerms().FixedRetries, 88.0)
+	require.LessOrEqual(t, 24*s.retryTerms("model").FixedRetries, 88.0)
 	all[0].Value.Beat++
 	expiry := Member{}.expiry()
 	s.members.update(now.Add(expiry), all)
@@ -105,3 +105,21 @@
 	s.members.update(late, all[:3])
 	require.Len(t, s.members.byName, 3, "expired records are dropped")
 }
+
+// Guards against an entry that takes a share of the retry budget before the others leave it one.
+func TestEntryHasNoShareBeforeOthersCountIt(t *testing.T) {
+	now := time.Now()
+	own := feed.Item[Member]{Name: "e"}
+	var joined, restarted, started members
+	restarted.knownBefore.Store(true)
+	for _, m := range []*members{&joined, &restarted, &started} {
+		m.recordListing(now, "e", []feed.Item[Member]{{Name: "other"}})
+		require.False(t, m.countedByOthers(now.Add(time.Hour), true), "its record is not in the store")
+		m.recordListing(now, "e", []feed.Item[Member]{{Name: "other"}, own})
+		m.recordListing(now.Add(time.Hour), "e", []feed.Item[Member]{own})
+	}
+	require.False(t, joined.countedByOthers(now.Add(memberInterval), false))
+	require.True(t, joined.countedByOthers(now.Add(memberCountedDelay), false))
+	require.True(t, restarted.countedByOthers(now, false), "they counted its earlier start")
+	require.True(t, started.countedByOthers(now, true), "they started with it")
+}
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -83,7 +83,7 @@
 		// a pool that does not refuse prompts.
 		var reserved retry.Reservation
 		if r.prefills == 0 {
-			reserved = budget.ReserveTrial(lease.Boottime(), s.retryTerms())
+			reserved = budget.ReserveTrial(lease.Boottime(), s.retryTerms(r.service.Name))
 			load.OnlyResponsive = reserved.IsTrial()
 			switch {
 			case !reserved.Held():
--- a/direct/request.go
+++ b/direct/request.go
@@ -179,7 +179,7 @@
 	if f := s.charge(h.Context(), r); f != nil {
 		return f
 	}
-	s.retryBudget(name).window.RequestAccepted(lease.Boottime(), s.retryTerms())
+	s.retryBudget(name).window.RequestAccepted(lease.Boottime(), s.retryTerms(name))
 	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.info.PromptTokens, "tokens", r.expectedTokens(), "left", r.timeLeft(),
 		"parts", r.info.PromptParts, "resumes", r.info.Resumes, "last_event", r.info.LastEvent)
 	return nil
--- a/retry/fleet_test.go
+++ b/retry/fleet_test.go
@@ -1,6 +1,7 @@
 package retry_test
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,17 +11,14 @@
 	"jacinthworks/retry"
 )
 
-// fleetCounts are the times of the requests and the retries of all entries.
+// fleetCounts are the times of the requests and the retries of all entries, in order.
 type fleetCounts struct{ requests, retries []time.Duration }
 
+// countBetween counts the times from..to in a list that is in order.
 func countBetween(all []time.Duration, from, to time.Duration) int {
-	n := 0
-	for _, a := range all {
-		if a >= from && a < to {
-			n++
-		}
-	}
-	return n
+	first, _ := slices.BinarySearch(all, from)
+	end, _ := slices.BinarySearch(all, to)
+	return end - first
 }
 
 // requireWithin requires that in every span the retries stay within the bound that the operators
--- /dev/null
+++ b/retry/share.go
@@ -0,0 +1,68 @@
+package retry
+
+import "time"
+
+const (
+	// FixedPart is the part of the fleet's fixed number of retries that is shared out for all
+	// retries, and TrialPart the one that is shared out for ReserveTrial; a service without trials
+	// has both for all retries. The rest covers processes that have joined the fleet and that some
+	// others, which can't read the list of its members, do not count yet.
+	FixedPart = 0.55
+	TrialPart = 0.35
+)
+
+// FleetBudget is what the operators allow all processes together for a service, in every span.
+type FleetBudget struct {
+	// RetryRatio is the number of retries allowed for each request, and FixedRetries the number
+	// allowed in addition.
+	RetryRatio   float64
+	FixedRetries float64
+	Span         time.Duration
+}
+
+// Member is a process among those that share a FleetBudget.
+//
+// The loads that it answers:
+//
+//   - Processes crash and start again while most requests fail. What the last start of a process
+//     has spent is forgotten with it. If each start had its share at once, the fleet would spend the
+//     fixed number once more with each crash.
+//   - Processes join. The others divide the fixed number by the processes that they know; until they
+//     count a new one, its share is one too many.
+//   - A process can't reach the list of members. It is not counted by those that can, and does not
+//     know how many they are.
+//
+// The zero value is a process that nothing is known of, and has no share.
+type Member struct {
+	// Members is the number of processes, this one included.
+	Members int
+	// FleetStarted means that all processes started together for the first time, so that none has
+	// spent anything before.
+	FleetStarted bool
+	// Started is when this process started.
+	Started time.Time
+	// Counted means that the others count this process.
+	Counted bool
+}
+
+// share is the part of a fixed number that the process may spend.
+func (m Member) share(now time.Time, span time.Duration) float64 {
+	if m.Members < 1 || !m.Counted || !m.FleetStarted && now.Sub(m.Started) < span {
+		return 0
+	}
+	return 1 / float64(m.Members)
+}
+
+// Terms are the terms of a member's Window. trials means that requests of the service use
+// ReserveTrial.
+func (b FleetBudget) Terms(now time.Time, m Member, trials bool) WindowConfig {
+	fixed := b.FixedRetries * m.share(now, b.Span)
+	c := WindowConfig{RetryRatio: b.RetryRatio, FixedRetries: (FixedPart + TrialPart) * fixed, Span: b.Span}
+	if trials {
+		c.FixedRetries, c.TrialRetries = FixedPart*fixed, TrialPart*fixed
+	}
+	if m.FleetStarted {
+		c.FleetStart = m.Started
+	}
+	return c
+}
