--- a/direct/budget.go
+++ b/direct/budget.go
@@ -113,7 +113,7 @@
 	p := s.liveSettings.Load().RetryBudget
 	m := retry.Member{
 		Members: s.members.count(time.Now()), FleetStarted: s.Settings.FirstStart, Started: s.startBoottime,
-		Counted: s.Members == nil || s.members.countedByOthers(time.Now(), s.Settings.FirstStart),
+		Counted: s.Members == nil || s.members.countedByOthers(time.Now(), lease.Boottime().Sub(s.startBoottime), s.Settings.FirstStart),
 	}
 	c := s.config.Current()
 	trials := false
@@ -156,13 +156,6 @@
 	r.retry = retry.Grant{}
 }
 
-// takeRetry charges a retry that is sent at once, and reports whether one was left.
-func (s *Server) takeRetry(r *request, cause retryCause) bool {
-	granted := s.retryBudget(r.service.Name).window.Take(lease.Boottime(), s.retryTerms(r.service.Name))
-	s.recordRetry(r, cause, granted)
-	return granted
-}
-
 // retryAvailable reports whether a retry of the request would be granted now.
 func (s *Server) retryAvailable(r *request) bool {
 	return s.retryBudget(r.service.Name).window.Available(lease.Boottime(), s.retryTerms(r.service.Name))
--- a/direct/members.go
+++ b/direct/members.go
@@ -120,18 +120,24 @@
 	}
 }
 
-// countedByOthers reports whether the other entries count this one: those that started with it or
-// before it have read the list of records since.
-func (m *members) countedByOthers(now time.Time, fleetStarted bool) bool {
+// countedByOthers reports whether the other entries count this one, which runs for the time up: those
+// that started with it or before it have read the list of records since. Of a fleet that has just
+// started no entry has read the list, and each assumes minMembersAssumed.
+func (m *members) countedByOthers(now time.Time, up time.Duration, fleetStarted bool) bool {
 	listed := m.listed.Load()
 	if listed == 0 {
-		return false
+		return fleetStarted && !m.loaded.Load() && up < memberListDelay
 	}
 	return fleetStarted || m.knownBefore.Load() || now.Sub(time.Unix(0, listed)) >= memberCountedDelay
 }
 
-// memberCountedDelay is how long after its record was written an entry is counted by the others.
-const memberCountedDelay = memberInterval + memberFirstReadDelay + memberRetryDelay
+const (
+	// memberListDelay is how long the first reading of the records takes at most in a fleet that
+	// starts while the store is reachable.
+	memberListDelay = memberFirstReadDelay + memberRetryDelay
+	// memberCountedDelay is how long after its record was written an entry is counted by the others.
+	memberCountedDelay = memberInterval + memberListDelay
+)
 
 // count returns the number of entries, at least 1.
 func (m *members) count(now time.Time) int {
--- a/retry/share.go
+++ b/retry/share.go
@@ -61,8 +61,5 @@
 	if trials {
 		c.FixedRetries, c.TrialRetries = FixedPart*fixed, TrialPart*fixed
 	}
-	if m.FleetStarted {
-		c.FleetStart = m.Started
-	}
 	return c
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -10,11 +10,12 @@
 // Each process applies the fraction to its own requests, and has its share of the fixed number, so
 // that the sum of all processes keeps the bound without communication.
 //
-// The requests that count for a span are those of the span of the same length that begins half a
-// span earlier: retries follow their requests, so that at the end of a burst the span itself may hold
-// hardly any. All processes use the same one, for the sum: if each used the span in which it had most
-// requests itself, requests that move from one process to another would count twice. Besides, the
-// retries of the last span stay within the bound by the requests of that span.
+// The requests that count for a span are the mean of those in it and of those in the span that begins
+// half a span earlier. By the first alone, few retries could be sent at once, as the requests that
+// they belong to came before; by the second alone, none could in the first half span of a process.
+// All processes use the same mean, for the sum: if each used the span in which it had most requests
+// itself, requests that move from one process to another would count twice. Besides, the retries of
+// the last span stay within the bound by the requests of that span.
 //
 // When a pool rejects or fails most requests, each process sends each of them to one upstream after
 // the other, and the load that keeps the pool down grows as it fails. Unlike Budget, Window counts
@@ -43,9 +44,6 @@
 	Span         time.Duration
 	// TrialRetries is a further number of retries, beside all others, for ReserveTrial alone.
 	TrialRetries float64
-	// FleetStart is when all processes started together for the first time; zero if there were
-	// requests before this process. For spans that begin before it, their own requests count.
-	FleetStart time.Time
 }
 
 const (
@@ -110,34 +108,27 @@
 // keep their bounds.
 //
 // A span that begins within a slot ends within the slot that is slotsPerSpan later, and both slots
-// count with all their retries. The requests that count for it are those of the slots which lie
-// wholly in the span that begins half a span earlier.
+// count with all their retries. Requests count if their slots lie wholly in the span, and in the one
+// that begins half a span earlier.
 func (w *Window) available(now time.Time, config WindowConfig) bool {
 	slot := config.slot(now)
 	w.requests.advance(slot)
 	w.retries.advance(slot)
 	slot = max(w.requests.newest, w.retries.newest)
 	retries := 1 + w.granted
-	requests := w.requests.sum(slot-halfSpan+1, slot)
+	inSpan, earlier := 0, w.requests.sum(slot-halfSpan+1, slot)
 	recent := w.requests.sum(slot-slotsPerSpan+1, slot)
-	fleetStart := int64(0)
-	if !config.FleetStart.IsZero() {
-		fleetStart = config.slot(config.FleetStart)
-	}
 	for begin := slot; begin >= slot-slotsPerSpan; begin-- {
 		retries += w.retries.at(begin)
-		counting := requests
-		if begin < fleetStart {
-			counting = w.requests.sum(fleetStart, slot)
-		}
-		if float64(retries) > config.RetryRatio*float64(counting)+config.FixedRetries {
+		if requests := float64(inSpan+earlier) / 2; float64(retries) > config.RetryRatio*requests+config.FixedRetries {
 			return false
 		}
+		inSpan += w.requests.at(begin)
 		if last := begin + halfSpan - 1; last <= slot {
-			requests -= w.requests.at(last)
+			earlier -= w.requests.at(last)
 		}
 		if first := begin - halfSpan; first > slot-slotsKept {
-			requests += w.requests.at(first)
+			earlier += w.requests.at(first)
 		}
 	}
 	return float64(retries) <= config.RetryRatio*float64(recent)+config.FixedRetries
@@ -145,7 +136,7 @@
 
 // Usage is what was counted in the span that ends now.
 type Usage struct {
-	// Requests are the fewer of those in the span and of those in the one half a span earlier.
+	// Requests are those in the span, and Retries the retries.
 	Requests, Retries int
 	// Allowed is the number of retries that the requests and the fixed share allow.
 	Allowed float64
@@ -159,8 +150,7 @@
 	w.requests.advance(slot)
 	w.retries.advance(slot)
 	begin := slot - slotsPerSpan
-	u := Usage{Retries: w.retries.sum(begin, slot)}
-	u.Requests = min(w.requests.sum(begin+1, slot), w.requests.sum(begin-halfSpan+1, begin+halfSpan-1))
+	u := Usage{Requests: w.requests.sum(begin+1, slot), Retries: w.retries.sum(begin, slot)}
 	u.Allowed = config.RetryRatio*float64(u.Requests) + config.FixedRetries
 	return u
 }
