direct: the first prefill that an engine accepts is not charged, also after a refusal

A prompt that a first engine refused and a second one read was charged two retries; upstreams see one arrival beyond the first, since the first prefill that is accepted is none. The allowance was lost for others.

--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -68,34 +68,15 @@
 // engine then reads the prompt itself, unless a failure says that no attempt may follow.
 func (s *Server) prefill(ctx context.Context, r *request, decode *allocation) (*prefillResult, *failure) {
 	budget := &s.retryBudget(r.service.Name).window
-	charged := false // whether this prefill was charged to the retry budget already
 	for n := 0; n < maxPrefillTries && ctx.Err() == nil; {
-		if r.prefills > 0 && !charged && !s.takeRetry(r, retryPrefill) {
+		reserved, ok := s.reservePrefill(r)
+		if !ok {
 			return nil, nil
 		}
-		charged = true
 		load := route.Request{
 			Units: r.info.PromptTokens, Tokens: r.info.PromptTokens, Typical: route.RequestSize{Units: r.info.PromptTokens, Tokens: r.info.PromptTokens},
 			FailureCost: r.targetLatency(), CrossZoneCost: crossZoneStageCost, SkipExcluded: true,
-		}
-		// A failed first prefill in effect costs a retry, which is reserved before the send:
-		// with none left but a trial, the prompt goes only to an engine that answered lately, in
-		// a pool that does not refuse prompts.
-		var reserved retry.Reservation
-		if r.prefills == 0 {
-			reserved = budget.ReserveTrial(lease.Boottime(), s.retryTerms(r.service.Name))
-			load.OnlyResponsive = reserved.IsTrial()
-			switch {
-			case !reserved.Held():
-				s.Log.Info("prefill skipped", "request", r.id, "why", "no retry left")
-				return nil, nil
-			case load.OnlyResponsive && s.prefillsRefused(r.service.Name):
-				budget.Return(reserved)
-				s.Log.Info("prefill skipped", "request", r.id, "why", "prefills are refused")
-				return nil, nil
-			}
-		} else {
-			load.OnlyResponsive = !s.retryAvailable(r)
+			OnlyResponsive: reserved.IsTrial() || r.prefills > 0 && !s.retryAvailable(r),
 		}
 		p, assigned, ok := s.placePrefill(ctx, r, decode.upstream, load)
 		if !ok {
@@ -109,43 +90,74 @@
 			continue // the engine is excluded now
 		}
 		r.prefills++
-		charged = false
 		result, f := s.attemptPrefill(ctx, r, p, assigned, permitted)
 		s.endAssignment(assigned, result)
-		if result != nil {
-			budget.Return(reserved)
+		switch {
+		case result != nil:
+			s.chargePrefill(r, reserved, r.prefilled)
+			r.prefilled = true
 			return result, nil
-		}
-		if f.final {
+		case f.final:
 			budget.Return(reserved)
 			return nil, f
-		}
-		if f.retryGranted {
+		case f.retryGranted: // nothing was sent
 			budget.Return(reserved)
 			r.prefills--
-			charged = true
-			continue // nothing was sent
-		}
-		if f.unsent {
-			// Not counted as a try, and the engine is excluded now. The next try is charged
-			// to the retry budget all the same: otherwise prompts would go on to
-			// unreachable engines, whereas with the budget spent they go only to engines
-			// that answered lately.
+		case f.unsent: // the engine is excluded now
 			budget.Return(reserved)
-			continue
-		}
-		n++
-		switch {
-		case r.prefills != 1:
-		case reserved.IsTrial():
-			s.recordRetry(r, retryTrial, true)
 		default:
-			s.recordRetry(r, retryFirstPrefill, true)
+			s.chargePrefill(r, reserved, true)
+			n++
 		}
 	}
 	return nil, nil
 }
 
+// reservePrefill reserves the retry that a prefill costs if it fails, or if an engine has read the
+// prompt before. It returns false if none is left: the decode engine then reads the prompt.
+//
+// With none left but a trial, a first prefill goes only to an engine that answered lately, in a pool
+// that does not refuse prompts.
+func (s *Server) reservePrefill(r *request) (retry.Reservation, bool) {
+	budget, terms := &s.retryBudget(r.service.Name).window, s.retryTerms(r.service.Name)
+	if r.prefills > 0 {
+		reserved := budget.Reserve(lease.Boottime(), terms)
+		if !reserved.Held() {
+			s.recordRetry(r, retryPrefill, false)
+		}
+		return reserved, reserved.Held()
+	}
+	reserved := budget.ReserveTrial(lease.Boottime(), terms)
+	why := ""
+	switch {
+	case !reserved.Held():
+		why = "no retry left"
+	case reserved.IsTrial() && s.prefillsRefused(r.service.Name):
+		why = "prefills are refused"
+	default:
+		return reserved, true
+	}
+	budget.Return(reserved)
+	s.Log.Info("prefill skipped", "request", r.id, "why", why)
+	return retry.Reservation{}, false
+}
+
+// chargePrefill keeps the retry of a prefill that was sent as charged, or gives it back.
+func (s *Server) chargePrefill(r *request, reserved retry.Reservation, charge bool) {
+	if !charge {
+		s.retryBudget(r.service.Name).window.Return(reserved)
+		return
+	}
+	cause := retryFirstPrefill
+	switch {
+	case reserved.IsTrial():
+		cause = retryTrial
+	case r.prefills > 1:
+		cause = retryPrefill
+	}
+	s.recordRetry(r, cause, true)
+}
+
 // prefillsRefused reports whether the prefill engines of a service have lately refused so many
 // prompts that one success of an engine does not show that it accepts the next prompt.
 //
--- a/direct/request.go
+++ b/direct/request.go
@@ -66,6 +66,8 @@
 	enginesAsked int
 	// prefills counts the calls that prefill the request's prompt.
 	prefills int
+	// prefilled means that an engine has read the prompt.
+	prefilled bool
 	// software is the software version to which the answer is bound; nil if it may come from any.
 	software *domain.Software
 	// excluded are the upstreams that later attempts must not use: those that failed or
