direct: trials of prefills are granted by one entry for the fleet

With the fixed number divided among the entries each has a few retries, fewer than the prompts that it has in progress in a burst, and an entry that has just started has none: its prompts were read by decode engines, and paused their other streams.

The part for trials is no longer divided. The first owner of trials/SERVICE grants them, if it has run for a span; a later owner grants none, as it does not know what the first has granted, so that the sum holds while entries lose each other.

--- a/direct/budget.go
+++ b/direct/budget.go
@@ -21,7 +21,7 @@
 	retryLost    retryCause = "lost"
 	retryFailed  retryCause = "failed"
 	// retryPrefill is another prefill after the first, and retryFirstPrefill a first one that
-	// failed; retryTrial is such a one for which only a trial was left.
+	// failed; retryTrial is such a one that was charged to the fleet's trials.
 	retryPrefill      retryCause = "prefill"
 	retryFirstPrefill retryCause = "first_prefill"
 	retryTrial        retryCause = "trial"
@@ -110,19 +110,14 @@
 
 // retryTerms returns the bounds on this entry's retries of a service.
 func (s *Server) retryTerms(v domain.Service) retry.WindowConfig {
-	p := s.liveSettings.Load().RetryBudget
-	m := retry.Member{
-		Members: s.members.count(time.Now()), FleetStarted: s.Settings.FirstStart, Started: s.startBoottime,
-		Counted: s.Members == nil || s.members.countedByOthers(time.Now(), lease.Boottime().Sub(s.startBoottime), s.Settings.FirstStart),
-	}
-	c := s.config.Current()
+	now, c := lease.Boottime(), s.config.Current()
 	trials := false
 	if c != nil {
 		if service := c.Service(v); service != nil {
 			trials = service.Engine != nil
 		}
 	}
-	return retry.FleetBudget{RetryRatio: p.RetryRatio, FixedRetries: p.FixedRetries, Span: p.Window}.Terms(lease.Boottime(), m, trials)
+	return s.fleetBudget().Terms(now, s.retryMember(now), trials)
 }
 
 // grantRetry charges the next attempt of the request to the budget, and reports whether a retry was
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -90,6 +90,7 @@
 	blockedPartsMu   sync.Mutex
 	blockedParts     map[retry.Part]retry.PartFinding
 	retryBudgets     retryBudgets
+	trials           trialPools
 	queues           search.Queues
 	ages             delay.AgeEstimator // estimates how long ago a caller first sent a request that it retries
 	members          members
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -67,6 +67,7 @@
 	m.HandleFunc("POST "+originsPath, ownerHandler(s, s.handleOrigins))
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("POST "+quotaPath, ownerHandler(s, s.handleQuota))
+	m.HandleFunc("POST "+trialsPath, ownerHandler(s, s.handleTrial))
 	m.HandleFunc("POST "+limitPath, ownerHandler(s, s.handleLimit))
 	m.HandleFunc("POST "+limitUpdatePath, ownerHandler(s, s.handleLimitUpdate))
 	m.HandleFunc("POST "+reachPath, ownerHandler(s, s.handleReach))
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -67,25 +67,24 @@
 // whose memory stays reserved meanwhile. It returns no result if that failed; the decode
 // engine then reads the prompt itself, unless a failure says that no attempt may follow.
 func (s *Server) prefill(ctx context.Context, r *request, decode *allocation) (*prefillResult, *failure) {
-	budget := &s.retryBudget(r.service.Name).window
 	for n := 0; n < maxPrefillTries && ctx.Err() == nil; {
-		reserved, ok := s.reservePrefill(r)
+		c, ok := s.reservePrefill(ctx, r)
 		if !ok {
 			return nil, nil
 		}
 		load := route.Request{
 			Units: r.info.PromptTokens, Tokens: r.info.PromptTokens, Typical: route.RequestSize{Units: r.info.PromptTokens, Tokens: r.info.PromptTokens},
 			FailureCost: r.targetLatency(), CrossZoneCost: crossZoneStageCost, SkipExcluded: true,
-			OnlyResponsive: reserved.IsTrial() || r.prefills > 0 && !s.retryAvailable(r),
+			OnlyResponsive: c.onlyResponsive,
 		}
 		p, assigned, ok := s.placePrefill(ctx, r, decode.upstream, load)
 		if !ok {
-			budget.Return(reserved)
+			s.returnPrefill(r, c)
 			return nil, nil
 		}
 		permitted, _, ok := s.acquirePermit(ctx, r, p.upstream, 0)
 		if !ok {
-			budget.Return(reserved)
+			s.returnPrefill(r, c)
 			s.endAssignment(assigned, nil)
 			continue // the engine is excluded now
 		}
@@ -93,69 +92,81 @@
 		result, f := s.attemptPrefill(ctx, r, p, assigned, permitted)
 		s.endAssignment(assigned, result)
 		switch {
+		case result != nil && r.prefilled:
+			s.recordRetry(r, c.cause(), true)
+			return result, nil
 		case result != nil:
-			s.chargePrefill(r, reserved, r.prefilled)
 			r.prefilled = true
+			s.returnPrefill(r, c)
 			return result, nil
 		case f.final:
-			budget.Return(reserved)
+			s.returnPrefill(r, c)
 			return nil, f
 		case f.retryGranted: // nothing was sent
-			budget.Return(reserved)
+			s.returnPrefill(r, c)
 			r.prefills--
 		case f.unsent: // the engine is excluded now
-			budget.Return(reserved)
+			s.returnPrefill(r, c)
 		default:
-			s.chargePrefill(r, reserved, true)
+			s.recordRetry(r, c.cause(), true)
 			n++
 		}
 	}
 	return nil, nil
 }
 
-// reservePrefill reserves the retry that a prefill costs if it fails, or if an engine has read the
-// prompt before. It returns false if none is left: the decode engine then reads the prompt.
-//
-// With none left but a trial, a first prefill goes only to an engine that answered lately, in a pool
-// that does not refuse prompts.
-func (s *Server) reservePrefill(r *request) (retry.Reservation, bool) {
-	budget, terms := &s.retryBudget(r.service.Name).window, s.retryTerms(r.service.Name)
-	if r.prefills > 0 {
-		reserved := budget.Reserve(lease.Boottime(), terms)
-		if !reserved.Held() {
-			s.recordRetry(r, retryPrefill, false)
-		}
-		return reserved, reserved.Held()
-	}
-	reserved := budget.ReserveTrial(lease.Boottime(), terms)
-	why := ""
+// prefillCharge is the retry that a prefill costs if it fails, or if an engine has read the prompt
+// before: one of this entry, or a trial of the fleet.
+type prefillCharge struct {
+	reserved retry.Reservation
+	trial    trial
+	// again means that it is not the first prefill of the request.
+	again bool
+	// onlyResponsive means that the prompt goes only to an engine that answered lately.
+	onlyResponsive bool
+}
+
+// cause is the cause of the retry if it is charged.
+func (c prefillCharge) cause() retryCause {
 	switch {
-	case !reserved.Held():
-		why = "no retry left"
-	case reserved.IsTrial() && s.prefillsRefused(r.service.Name):
-		why = "prefills are refused"
-	default:
-		return reserved, true
+	case c.trial.ticket != 0:
+		return retryTrial
+	case c.again:
+		return retryPrefill
 	}
-	budget.Return(reserved)
-	s.Log.Info("prefill skipped", "request", r.id, "why", why)
-	return retry.Reservation{}, false
+	return retryFirstPrefill
 }
 
-// chargePrefill keeps the retry of a prefill that was sent as charged, or gives it back.
-func (s *Server) chargePrefill(r *request, reserved retry.Reservation, charge bool) {
-	if !charge {
-		s.retryBudget(r.service.Name).window.Return(reserved)
-		return
-	}
-	cause := retryFirstPrefill
+// reservePrefill reserves the retry that a prefill may cost. It returns false if none is left: the
+// decode engine then reads the prompt.
+func (s *Server) reservePrefill(ctx context.Context, r *request) (prefillCharge, bool) {
+	c := prefillCharge{again: r.prefills > 0}
+	c.reserved = s.retryBudget(r.service.Name).window.Reserve(lease.Boottime(), s.retryTerms(r.service.Name))
 	switch {
-	case reserved.IsTrial():
-		cause = retryTrial
-	case r.prefills > 1:
-		cause = retryPrefill
+	case c.reserved.Held():
+		c.onlyResponsive = c.again && !s.retryAvailable(r)
+		return c, true
+	case c.again:
+		s.recordRetry(r, retryPrefill, false)
+		return c, false
+	case s.prefillsRefused(r.service.Name):
+		s.Log.Info("prefill skipped", "request", r.id, "why", "prefills are refused")
+		return c, false
+	}
+	granted, ok := s.takeTrial(ctx, r)
+	if !ok {
+		s.Log.Info("prefill skipped", "request", r.id, "why", "no retry left", "by", granted.by.name())
+		return c, false
 	}
-	s.recordRetry(r, cause, true)
+	// An entry that has just started has no answer of any engine yet.
+	c.trial, c.onlyResponsive = granted, lease.Boottime().Sub(s.startBoottime) > s.fleetBudget().Span
+	return c, true
+}
+
+// returnPrefill gives the retry of a prefill back that it did not cost.
+func (s *Server) returnPrefill(r *request, c prefillCharge) {
+	s.retryBudget(r.service.Name).window.Return(c.reserved)
+	s.returnTrial(r, c.trial)
 }
 
 // prefillsRefused reports whether the prefill engines of a service have lately refused so many
--- a/retry/share.go
+++ b/retry/share.go
@@ -3,10 +3,11 @@
 import "time"
 
 const (
-	// FixedPart is the part of the fleet's fixed number of retries that is shared out for all
-	// retries, and TrialPart the one that is shared out for ReserveTrial; a service without trials
-	// has both for all retries. The rest covers processes that have joined the fleet and that some
-	// others, which can't read the list of its members, do not count yet.
+	// FixedPart is the part of the fleet's fixed number of retries that is divided among the
+	// processes, and TrialPart the one that a single process grants to all, for requests which are
+	// expected to succeed; a service without such requests has both divided. The rest covers
+	// processes that have joined the fleet and that some others, which can't read the list of its
+	// members, do not count yet.
 	FixedPart = 0.55
 	TrialPart = 0.35
 )
@@ -53,13 +54,17 @@
 	return 1 / float64(m.Members)
 }
 
-// Terms are the terms of a member's Window. trials means that requests of the service use
-// ReserveTrial.
+// PoolTerms are the terms of the Window from which a member grants trials to all.
+func (b FleetBudget) PoolTerms(now time.Time, m Member) WindowConfig {
+	return WindowConfig{FixedRetries: TrialPart * b.FixedRetries * float64(m.Members) * m.share(now, b.Span), Span: b.Span}
+}
+
+// Terms are the terms of a member's Window. trials means that the service has trials.
 func (b FleetBudget) Terms(now time.Time, m Member, trials bool) WindowConfig {
 	fixed := b.FixedRetries * m.share(now, b.Span)
 	c := WindowConfig{RetryRatio: b.RetryRatio, FixedRetries: (FixedPart + TrialPart) * fixed, Span: b.Span}
 	if trials {
-		c.FixedRetries, c.TrialRetries = FixedPart*fixed, TrialPart*fixed
+		c.FixedRetries = FixedPart * fixed
 	}
 	return c
 }
--- a/retry/window.go
+++ b/retry/window.go
@@ -29,8 +29,6 @@
 	mu       sync.Mutex
 	requests slotCounts
 	retries  slotCounts
-	// trials counts those retries that were taken from TrialRetries.
-	trials slotCounts
 	// granted counts the retries that are granted and not sent yet.
 	granted int
 }
@@ -42,8 +40,6 @@
 	RetryRatio   float64
 	FixedRetries float64
 	Span         time.Duration
-	// TrialRetries is a further number of retries, beside all others, for ReserveTrial alone.
-	TrialRetries float64
 }
 
 const (
@@ -80,7 +76,7 @@
 
 // remove undoes one add at a slot, unless the slot has left the ring.
 func (s *slotCounts) remove(slot int64) {
-	if s.newest-slot < slotsKept {
+	if slot <= s.newest && s.newest-slot < slotsKept && s.counts[slot%slotsKept] > 0 {
 		s.counts[slot%slotsKept]--
 	}
 }
@@ -177,15 +173,26 @@
 
 // Reservation is one retry that Reserve took. The zero value holds none.
 type Reservation struct {
-	slot        int64
-	held, trial bool
+	slot int64
+	held bool
 }
 
 // Held reports whether the reservation holds a retry.
 func (r Reservation) Held() bool { return r.held }
 
-// IsTrial reports whether the retry was taken from TrialRetries, since no other one was left.
-func (r Reservation) IsTrial() bool { return r.trial }
+// Ticket names a reservation in messages to the process that made it; zero is none.
+type Ticket int64
+
+// Ticket returns the ticket of the reservation.
+func (r Reservation) Ticket() Ticket {
+	if !r.held {
+		return 0
+	}
+	return Ticket(r.slot)
+}
+
+// ReturnTicket is Return for a ticket.
+func (w *Window) ReturnTicket(t Ticket) { w.Return(Reservation{slot: int64(t), held: t > 0}) }
 
 // Reserve takes one retry, if one is left, for a request that costs a retry only if it fails. If
 // it does not fail, the caller passes the reservation to Return.
@@ -202,25 +209,6 @@
 	return Reservation{slot: w.retries.newest, held: true}
 }
 
-// ReserveTrial is Reserve for a request that is unlikely to fail. If no other retry is left, it takes
-// one of TrialRetries, which are few: all that are in progress may fail together.
-func (w *Window) ReserveTrial(now time.Time, config WindowConfig) Reservation {
-	if r := w.Reserve(now, config); r.held {
-		return r
-	}
-	w.mu.Lock()
-	defer w.mu.Unlock()
-	slot := config.slot(now)
-	w.trials.advance(slot)
-	slot = w.trials.newest
-	if float64(w.trials.sum(slot-slotsPerSpan, slot)+1) > config.TrialRetries {
-		return Reservation{}
-	}
-	w.trials.add(slot)
-	w.retries.add(slot)
-	return Reservation{slot: slot, held: true, trial: true}
-}
-
 // Return gives back the retry of a reservation. It must be called at most once for a reservation.
 func (w *Window) Return(r Reservation) {
 	if !r.held {
@@ -229,9 +217,6 @@
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	w.retries.remove(r.slot)
-	if r.trial {
-		w.trials.remove(r.slot)
-	}
 }
 
 // Grant is one retry that is to be sent later. The zero value holds none, for a first attempt.
