--- a/direct/members.go
+++ b/direct/members.go
@@ -71,10 +71,9 @@
 	mu     sync.Mutex // leaf lock: no other lock is acquired while it is held
 	byName map[string]memberSeen
 	loaded atomic.Bool
-	// listed is the time of the list in which this entry first found its own record, in Unix
-	// nanoseconds; zero before. knownBefore means that an earlier start had written the record.
-	listed      atomic.Int64
-	knownBefore atomic.Bool
+	// listedSince is since when the store has this entry's record, as the first list says in which
+	// the entry found it, in Unix nanoseconds; zero before.
+	listedSince atomic.Int64
 	// foundAtStart is how many entries had a record when this one started.
 	foundAtStart atomic.Int64
 }
@@ -113,22 +112,29 @@
 	m.loaded.Store(true)
 }
 
-// recordListing records whether a list of records contains this entry's own.
+// recordListing records since when a list of records contains this entry's own. A record that had
+// expired before this start counts from now on.
 func (m *members) recordListing(now time.Time, own domain.Host, all []feed.Item[Member]) {
-	if slices.ContainsFunc(all, func(i feed.Item[Member]) bool { return i.Name == string(own) }) {
-		m.listed.CompareAndSwap(0, now.UnixNano())
+	n := slices.IndexFunc(all, func(i feed.Item[Member]) bool { return i.Name == string(own) })
+	if n < 0 {
+		return
 	}
+	since, record := now, all[n].Value
+	if !record.Since.IsZero() && record.Since.Before(now) && now.Sub(record.Written) <= record.expiry() {
+		since = record.Since
+	}
+	m.listedSince.CompareAndSwap(0, since.UnixNano())
 }
 
 // countedByOthers reports whether the other entries count this one, which runs for the time up: those
 // that started with it or before it have read the list of records since. Of a fleet that has just
 // started no entry has read the list, and each assumes minMembersAssumed.
 func (m *members) countedByOthers(now time.Time, up time.Duration, fleetStarted bool) bool {
-	listed := m.listed.Load()
-	if listed == 0 {
+	since := m.listedSince.Load()
+	if since == 0 {
 		return fleetStarted && !m.loaded.Load() && up < memberListDelay
 	}
-	return fleetStarted || m.knownBefore.Load() || now.Sub(time.Unix(0, listed)) >= memberCountedDelay
+	return fleetStarted || now.Sub(time.Unix(0, since)) >= memberCountedDelay
 }
 
 const (
--- a/direct/members_test.go
+++ b/direct/members_test.go
@@ -110,14 +110,20 @@
 func TestEntryHasNoShareBeforeOthersCountIt(t *testing.T) {
 	now := time.Now()
 	own := feed.Item[Member]{Name: "e"}
-	var joined, restarted, started members
-	restarted.knownBefore.Store(true)
-	for _, m := range []*members{&joined, &restarted, &started} {
+	var joined, restarted, started, returned members
+	since := map[*members]Member{
+		&joined: {Since: now, Written: now}, &started: {Since: now, Written: now},
+		&restarted: {Since: now.Add(-time.Hour), Written: now.Add(-time.Second)},
+		&returned:  {Since: now.Add(-time.Hour), Written: now.Add(-time.Hour)},
+	}
+	for m, record := range since {
+		own.Value = record
 		m.recordListing(now, "e", []feed.Item[Member]{{Name: "other"}})
 		require.False(t, m.countedByOthers(now.Add(time.Hour), time.Hour, true), "its record is not in the store")
 		m.recordListing(now, "e", []feed.Item[Member]{{Name: "other"}, own})
 		m.recordListing(now.Add(time.Hour), "e", []feed.Item[Member]{own})
 	}
+	require.False(t, returned.countedByOthers(now, time.Minute, false), "its record had expired")
 	require.False(t, joined.countedByOthers(now.Add(memberInterval), time.Minute, false))
 	require.True(t, joined.countedByOthers(now.Add(memberCountedDelay), time.Minute, false))
 	require.True(t, restarted.countedByOthers(now, time.Minute, false), "they counted its earlier start")
--- a/direct/relays.go
+++ b/direct/relays.go
@@ -144,7 +144,6 @@
 	for _, i := range all {
 		if i.Name == string(s.Settings.Name) { // written by an earlier start
 			s.adoptRecord(time.Now(), i)
-			s.members.knownBefore.Store(true)
 		}
 	}
 	s.fetchConfigs(ctx, all)
