direct: an entry that starts again has no quota of its own left over

TestIsolatedEntryThatStartsAgainGrantsNoSecondBurst failed before. Looked at and left: owners of quotas begin empty, owners of rate limits with a quarter of the rate and a burst of one, owners of slots hold no allowance, rechecks of prompt parts are counted in evidence that entries exchange.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -241,7 +241,10 @@
 	s.recordLost, s.discovered = make(chan struct{}, 1), make(chan struct{})
 	s.startTime, s.startBoottime = time.Now(), lease.Boottime()
 	s.quotas.shared.Start = time.Now()
-	s.quotas.isolated.Start = s.quotas.shared.Start.Add(-isolatedQuotaAccrual)
+	s.quotas.isolated.Start = s.quotas.shared.Start
+	if s.Settings.FirstStart || !s.Settings.PeerListen.IsValid() {
+		s.quotas.isolated.Start = s.quotas.shared.Start.Add(-isolatedQuotaAccrual)
+	}
 	live := s.Settings
 	s.liveSettings.Store(&live)
 }
--- a/direct/quota.go
+++ b/direct/quota.go
@@ -18,7 +18,8 @@
 	// since they can't tell an entry that is cut off from one that has stopped.
 	isolatedQuotaPart = 0.2
 	// isolatedQuotaAccrual is how long the isolated counter of an entry counts as having
-	// accrued quota when the entry starts.
+	// accrued quota when the fleet starts, or if the entry has no peers. An entry that starts
+	// again has accrued nothing: its earlier start may have spent it.
 	isolatedQuotaAccrual = time.Hour
 	// overQuotaPart is the part of the excess over quotas tolerated by the operators that is
 	// granted to accounts.
--- a/direct/quota_test.go
+++ b/direct/quota_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -33,3 +34,25 @@
 	require.LessOrEqual(t, count(false), 168_000*standbyQuotaAccrual.Seconds()+5600)
 	require.Greater(t, count(true), 168_000.0)
 }
+
+// Guards against an entry that reaches no other one and grants an account a burst after each of its
+// starts.
+func TestIsolatedEntryThatStartsAgainGrantsNoSecondBurst(t *testing.T) {
+	a := &paths.Account{Name: "studs", Quota: paths.Quota{Rate: 1000, Burst: 3000}}
+	const lives = 10
+	granted := 0
+	for life := range lives {
+		s := &Server{Settings: conf.Direct{FirstStart: life == 0, PeerListen: netip.MustParseAddrPort("127.0.0.1:1")}}
+		s.init()
+		for range 30 {
+			if d, by := s.callQuotaOwner(t.Context(), a, quotaRequest{Account: a.Name, Cost: 1}); by == "alone" && d.Granted {
+				granted++
+			}
+		}
+		if life == 0 {
+			require.NotZero(t, granted)
+		}
+	}
+	// A bucket that is not empty grants one request, which each start does once.
+	require.LessOrEqual(t, float64(granted), isolatedQuotaPart*a.Quota.Burst/minMembersAssumed+lives)
+}
