--- a/direct/budget.go
+++ b/direct/budget.go
@@ -132,6 +132,9 @@
 // sendRetry counts an attempt that is about to be sent, if it is a retry. It returns false if the
 // attempt must not be sent.
 func (s *Server) sendRetry(r *request, a *attempt) (ok bool) {
+	if !r.retry.Held() {
+		return true
+	}
 	a.retry, ok = s.retryBudget(r.service.Name).window.Send(lease.Boottime(), s.retryTerms(r.service.Name), r.retry)
 	r.retry = retry.Grant{}
 	if !ok {
