direct: an owner that starts again grants trials if no other start did lately

A part of the trials is now kept for such starts. The owner claims it by a record in the store, one within two spans, so that the sum holds.

--- a/direct/plain_test.go
+++ b/direct/plain_test.go
@@ -14,7 +14,7 @@
 // Guards against a request that is lost because its attempt was abandoned early for another
 // one, which the retry budget then denied.
 func TestAttemptIsAbandonedEarlyOnlyIfRetryIsLeft(t *testing.T) {
-	s := &Server{Settings: conf.Direct{RetryBudget: conf.RetryBudget{FixedRetries: minMembersAssumed / (retry.FixedPart + retry.TrialPart), Window: 10 * time.Second}}}
+	s := &Server{Settings: conf.Direct{RetryBudget: conf.RetryBudget{FixedRetries: minMembersAssumed / (retry.FixedPart + retry.TrialPart + retry.StartPart), Window: 10 * time.Second}}}
 	s.Settings.FirstStart = true
 	s.init()
 	r := &request{route: &paths.Route{Kind: paths.Idempotent, Target: 300 * time.Millisecond, Attempts: 2}, service: &paths.Service{Name: "app"}}
--- a/direct/trials.go
+++ b/direct/trials.go
@@ -2,10 +2,15 @@
 
 import (
 	"context"
+	"encoding/json"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jacinthworks/domain"
+	"jacinthworks/infra"
 	"jacinthworks/lease"
 	"jacinthworks/retry"
 )
@@ -21,18 +26,41 @@
 // it has in progress in a burst, and an entry that has just started has none.
 type trialPools struct {
 	mu        sync.Mutex // leaf lock: no other lock is acquired while it is held
-	byService map[domain.Service]*retry.Window
+	byService map[domain.Service]*trialPool
+}
+
+// trialPool holds the trials of one service.
+type trialPool struct {
+	window retry.Window
+	// claimed means that this start of the entry may grant trials in its first span; claimTriedAt
+	// is when that was last asked for, in Unix nanoseconds.
+	claimed      atomic.Bool
+	claimTriedAt atomic.Int64
+}
+
+// trialStart is the record in the store of the last start of an owner that granted trials of a service
+// in its first span.
+type trialStart struct {
+	By domain.Host `json:"by"`
+	At time.Time   `json:"at"`
 }
 
+const (
+	// trialStartPrefix is the collection of the records of starts.
+	trialStartPrefix = "trial_starts/"
+	// trialClaimInterval is the least time between two attempts to write such a record.
+	trialClaimInterval = 500 * time.Millisecond
+)
+
 // of returns the trials of a service.
-func (p *trialPools) of(v domain.Service) *retry.Window {
+func (p *trialPools) of(v domain.Service) *trialPool {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	if p.byService == nil {
-		p.byService = make(map[domain.Service]*retry.Window)
+		p.byService = make(map[domain.Service]*trialPool)
 	}
 	if p.byService[v] == nil {
-		p.byService[v] = &retry.Window{}
+		p.byService[v] = &trialPool{}
 	}
 	return p.byService[v]
 }
@@ -94,17 +122,63 @@
 func (s *Server) applyTrial(call trialRequest, first bool) trialResponse {
 	now, pool := lease.Boottime(), s.trials.of(call.Service)
 	if call.Return != 0 {
-		pool.ReturnTicket(call.Return)
+		pool.window.ReturnTicket(call.Return)
 		return trialResponse{}
 	}
 	if !first {
 		return trialResponse{}
 	}
-	terms := s.fleetBudget().PoolTerms(now, s.retryMember(now))
+	budget, member := s.fleetBudget(), s.retryMember(now)
 	if !s.Settings.PeerListen.IsValid() {
-		terms.FixedRetries /= float64(s.members.count(time.Now()))
+		budget.FixedRetries *= (retry.TrialPart + retry.StartPart) / retry.TrialPart / float64(member.Members)
+	} else if member.IsNew(now, budget.Span) && !pool.claimed.Load() {
+		s.claimTrials(call.Service, pool)
+	}
+	return trialResponse{Ticket: pool.window.Reserve(now, budget.PoolTerms(now, member, pool.claimed.Load())).Ticket()}
+}
+
+// claimTrials records in the store, in the background, that this start grants trials in its first
+// span, unless another start has done so lately.
+//
+// When all entries crash, the owner of the trials does not know what its earlier start has granted.
+// Without any, decode engines would read all prompts just when all callers come back.
+func (s *Server) claimTrials(v domain.Service, pool *trialPool) {
+	now := time.Now()
+	tried := pool.claimTriedAt.Load()
+	listed := s.members.foundAtStart.Load() > 0 || s.members.loaded.Load() // else every entry takes itself for the owner
+	if s.Records == nil || !listed || now.UnixNano()-tried < int64(trialClaimInterval) || !pool.claimTriedAt.CompareAndSwap(tried, now.UnixNano()) {
+		return
+	}
+	s.background("claim trials", storeTimeout, func(ctx context.Context) error {
+		ok, err := s.recordTrialStart(ctx, v)
+		pool.claimed.Store(ok)
+		s.Log.Info("trials claimed", "service", v, "granted", ok, "err", err)
+		return nil
+	})
+}
+
+// recordTrialStart writes the record of this start. It returns false if another one was written
+// within the last two spans, since the clocks of two starts may differ, or one that can't be read.
+func (s *Server) recordTrialStart(ctx context.Context, v domain.Service) (bool, error) {
+	name := trialStartPrefix + string(v)
+	old, err := s.Records.Get(ctx, name)
+	if err != nil && !errors.Is(err, infra.ErrNotFound) {
+		return false, err
+	}
+	now := time.Now()
+	granted := true
+	if err == nil {
+		var last trialStart
+		if granted = json.Unmarshal(old.Value, &last) == nil; granted && now.Sub(last.At).Abs() < 2*s.fleetBudget().Span {
+			return false, nil
+		}
+	}
+	value, err := json.Marshal(trialStart{By: s.Settings.Name, At: now})
+	if err != nil {
+		return false, errors.Wrap(err, "direct: encoding the record of a start")
 	}
-	return trialResponse{Ticket: pool.Reserve(now, terms).Ticket()}
+	_, err = s.Records.Put(ctx, name, value, old.Version)
+	return granted && err == nil, err
 }
 
 // handleTrial answers a call of another entry. It returns false if the configuration is not known yet
--- a/retry/fleet_load_test.go
+++ b/retry/fleet_load_test.go
@@ -16,6 +16,7 @@
 	window retry.Window
 	// pool holds the trials of all entries if this one owns them.
 	pool    retry.Window
+	claimed bool
 	started time.Duration
 	first   bool
 	// joined means that the others do not count the entry yet.
@@ -50,6 +51,8 @@
 	all    []*simMember
 	counts fleetCounts
 	budget retry.FleetBudget
+	// lastClaim is when an owner last claimed the trials of its first span.
+	lastClaim time.Time
 }
 
 func (f *simFleet) time(now time.Duration) time.Time { return f.epoch.Add(now) }
@@ -67,13 +70,21 @@
 	return f.budget.Terms(f.time(now), f.member(m), f.trials)
 }
 
+// claim reports whether a start of the owner may grant trials in its first span.
+func (f *simFleet) claim(owner *simMember, now time.Duration) bool {
+	if !owner.claimed && f.time(now).Sub(f.lastClaim) >= 2*f.budget.Span {
+		owner.claimed, f.lastClaim = true, f.time(now)
+	}
+	return owner.claimed
+}
+
 // try makes the call that costs a retry only if it fails.
 func (f *simFleet) try(m *simMember, now time.Duration) {
 	w, owner := &m.window, f.all[0]
 	r := w.Reserve(f.time(now), f.terms(m, now))
 	if !r.Held() && now >= owner.away {
 		w = &owner.pool
-		r = w.Reserve(f.time(now), f.budget.PoolTerms(f.time(now), f.member(owner)))
+		r = w.Reserve(f.time(now), f.budget.PoolTerms(f.time(now), f.member(owner), f.claim(owner, now)))
 	}
 	switch {
 	case !r.Held():
--- a/retry/share.go
+++ b/retry/share.go
@@ -5,11 +5,13 @@
 const (
 	// FixedPart is the part of the fleet's fixed number of retries that is divided among the
 	// processes, and TrialPart the one that a single process grants to all, for requests which are
-	// expected to succeed; a service without such requests has both divided. The rest covers
+	// expected to succeed. That process grants StartPart in its place in the first span after it
+	// has started again. A service without such requests has all three divided. The rest covers
 	// processes that have joined the fleet and that some others, which can't read the list of its
 	// members, do not count yet.
 	FixedPart = 0.55
-	TrialPart = 0.35
+	TrialPart = 0.2
+	StartPart = 0.15
 )
 
 // FleetBudget is what the operators allow all processes together for a service, in every span.
@@ -46,23 +48,36 @@
 	Counted bool
 }
 
-// share is the part of a fixed number that the process may spend.
-func (m Member) share(now time.Time, span time.Duration) float64 {
-	if m.Members < 1 || !m.Counted || !m.FleetStarted && now.Sub(m.Started) < span {
-		return 0
-	}
-	return 1 / float64(m.Members)
+// hasShare reports whether the process may spend a part of a fixed number.
+func (m Member) hasShare(now time.Time, span time.Duration) bool {
+	return m.Members > 0 && m.Counted && !m.IsNew(now, span)
+}
+
+// IsNew reports whether an earlier start of the process may have spent what it had in this span.
+func (m Member) IsNew(now time.Time, span time.Duration) bool {
+	return !m.FleetStarted && now.Sub(m.Started) < span
 }
 
-// PoolTerms are the terms of the Window from which a member grants trials to all.
-func (b FleetBudget) PoolTerms(now time.Time, m Member) WindowConfig {
-	return WindowConfig{FixedRetries: TrialPart * b.FixedRetries * float64(m.Members) * m.share(now, b.Span), Span: b.Span}
+// PoolTerms are the terms of the Window from which a member grants trials to all. claimed means that
+// no other start has granted StartPart in the last span.
+func (b FleetBudget) PoolTerms(now time.Time, m Member, claimed bool) WindowConfig {
+	c := WindowConfig{Span: b.Span}
+	switch {
+	case m.hasShare(now, b.Span):
+		c.FixedRetries = TrialPart * b.FixedRetries
+	case claimed && m.IsNew(now, b.Span):
+		c.FixedRetries = StartPart * b.FixedRetries
+	}
+	return c
 }
 
 // Terms are the terms of a member's Window. trials means that the service has trials.
 func (b FleetBudget) Terms(now time.Time, m Member, trials bool) WindowConfig {
-	fixed := b.FixedRetries * m.share(now, b.Span)
-	c := WindowConfig{RetryRatio: b.RetryRatio, FixedRetries: (FixedPart + TrialPart) * fixed, Span: b.Span}
+	fixed := 0.0
+	if m.hasShare(now, b.Span) {
+		fixed = b.FixedRetries / float64(m.Members)
+	}
+	c := WindowConfig{RetryRatio: b.RetryRatio, FixedRetries: (FixedPart + TrialPart + StartPart) * fixed, Span: b.Span}
 	if trials {
 		c.FixedRetries = FixedPart * fixed
 	}
