--- a/retry/retry.go
+++ b/retry/retry.go
@@ -20,6 +20,13 @@
 //	d := p.Decide(now, retry.Failure{Attempt: 1, Ran: domain.NotRun, Deadline: deadline})
 //	if d == retry.Allowed { ... }
 //
+//	budget := retry.FleetBudget{RetryRatio: 0.2, FixedRetries: 80, Span: 10 * time.Second}
+//	terms := budget.Terms(now, member, false)         // member: this process in the fleet
+//	var w retry.Window
+//	w.RequestAccepted(now, terms)                     // for each request of the service
+//	g := w.Grant(now, terms)                          // after a failed attempt, if g.Held()
+//	_, ok := w.Send(now, terms, g)                    // when the retry is sent
+//
 //	a := retry.Attempts{Repeatable: true, Limit: 2}   // the sends of one request
 //	a.Sent()
 //	a.Ended(domain.Unknown)
