direct: a prefill that was not sent leaves the attempt its retry

Found by reading the diff: after the first attempt of a request had failed, a prefill whose engine accepted no connection dropped the retry that was granted to the next run. It stayed granted for good, so that the entry's allowance fell by one each time, and the run was not charged. TestUnsentPrefillLeavesTheAttemptItsRetry failed before.

--- a/direct/budget.go
+++ b/direct/budget.go
@@ -143,8 +143,12 @@
 	return ok
 }
 
-// postponeRetry undoes sendRetry for an attempt that was not sent.
+// postponeRetry undoes sendRetry for an attempt that was not sent. The prefill before an attempt has
+// no charge of this kind, and leaves the attempt its own.
 func (s *Server) postponeRetry(r *request, a *attempt) {
+	if !a.retry.Held() {
+		return
+	}
 	r.retry, a.retry = s.retryBudget(r.service.Name).window.Postpone(a.retry), retry.Reservation{}
 }
 
--- a/direct/plain_test.go
+++ b/direct/plain_test.go
@@ -25,3 +25,19 @@
 	require.Zero(t, s.attemptTimeout(r))
 	require.Zero(t, s.streamHeaderTimeout(r))
 }
+
+// Guards against a retry that stays granted for good, and an attempt that is not charged, after the
+// prefill before it was not sent.
+func TestUnsentPrefillLeavesTheAttemptItsRetry(t *testing.T) {
+	s := &Server{Settings: conf.Direct{FirstStart: true, RetryBudget: conf.RetryBudget{FixedRetries: 10 * minMembersAssumed, Window: 10 * time.Second}}}
+	s.init()
+	r := &request{service: &paths.Service{Name: "model"}}
+	require.True(t, s.grantRetry(r, retryLost))
+	s.postponeRetry(r, &attempt{})
+	require.True(t, r.retry.Held())
+	run := &attempt{}
+	require.True(t, s.sendRetry(r, run))
+	require.True(t, run.retry.Held())
+	s.postponeRetry(r, run)
+	require.True(t, r.retry.Held(), "the run was not sent either")
+}
