origin, direct: what a stream's version hangs on outlives all entries

Cause, by the entries' lines: grounds uncertain for each. Both grounds of a decision, the record of the version that began the stream and how long an entry has followed the registry, are what only processes know that may all die at once. Ruled out: peers not asked (asked 3, answered 3), several versions (one in the registry).

Change: a ledger in the store lists the versions at which streams of a service may have begun; no resumable stream begins at one that is not there. While a service has several, the records of its streams go to the store in eight shards, beside the way of the first event. Both are read after the resumption came, shared among those that wait. The 30 s remain only without a complete ledger, as the age up to which a stream can be resumed. What may become known gets a Retry-After, what can't is refused without one.

--- a/direct/assign.go
+++ b/direct/assign.go
@@ -96,7 +96,7 @@
 		}
 		total++
 		c := u.Stats.Candidate(now)
-		if !r.mayUse(m, &software) || !u.Eligibility(now).Eligible() || c.CoolingDown || c.FailureRate > assignMaxFailureRate || l.OnlyResponsive && !c.Responsive {
+		if !r.mayUse(m, &software) || !s.mayBegin(r, m) || !u.Eligibility(now).Eligible() || c.CoolingDown || c.FailureRate > assignMaxFailureRate || l.OnlyResponsive && !c.Responsive {
 			skip = append(skip, m.ID)
 		}
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -12,7 +12,8 @@
 // (prefill.go), answered whole (plain.go) or event by event (stream.go), and ended once,
 // with an answer or a refusal (end.go). Entries notify each other of role changes by notices
 // (notice.go), and tell each other of requests that crash upstreams (crash.go, evidence.go) and of
-// the software versions that began streams (origins.go).
+// the software versions that began streams (origins.go), of which the store keeps what must outlive all
+// entries (ledger.go, shards.go).
 // One entry changes the roles of engines (roles.go), and some relay the platform's store to
 // the others (relays.go). Each entry keeps a record in the store (register.go), which relays
 // serve to the others (records.go).
@@ -111,6 +112,7 @@
 	hostLoads        hostLoads
 	shares           fleetShares
 	origins          origin.Records
+	stored           storedOrigins
 	slotPools        slotPools
 	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
 	// prompts of all entries that this one tracks.
@@ -177,6 +179,10 @@
 	loops.Go(serving, "shares", s.reportShares)
 	loops.Go(serving, "crash evidence", s.exchangeEvidence)
 	loops.Go(serving, "origins of streams", s.fetchOrigins)
+	loops.Go(serving, "ledger of versions", s.keepLedger)
+	for n := range origin.Shards {
+		loops.Go(serving, shardKey(n), func(ctx context.Context) error { return s.keepShard(ctx, n) })
+	}
 	if peerServer != nil {
 		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
 	}
@@ -239,6 +245,12 @@
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
 	s.drainStarted, s.rolesLeaseFreed, s.configured = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
 	s.recordLost, s.discovered = make(chan struct{}, 1), make(chan struct{})
+	s.stored.ledgerDue = make(chan struct{}, 1)
+	for n := range s.stored.shardsDue {
+		s.stored.shardsDue[n] = make(chan struct{}, 1)
+	}
+	s.stored.upstreamsKnown, s.stored.tried = make(chan struct{}), make(chan struct{})
+	s.stored.book.FirstStart = s.Settings.FirstStart
 	s.startTime, s.startBoottime = time.Now(), lease.Boottime()
 	s.quotas.shared.Start = time.Now()
 	s.quotas.isolated.Start = s.quotas.shared.Start
@@ -304,6 +316,7 @@
 	if !changed {
 		return
 	}
+	s.recordRoutes(now, c)
 	s.configuredOnce.Do(func() { close(s.configured) })
 	s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found), "by", by)
 	if len(found) > 0 {
@@ -316,7 +329,15 @@
 	return &feed.Feed[roster.Server]{
 		Name: feedUpstreams, Source: relaySource(s, feedUpstreams, s.Upstreams, &s.peers.upstreams), Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
 		StaleStart: true, BatchDelay: s.batchDelay,
-		OnList: s.roster.SetAll, OnChange: s.roster.Apply, OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
+		OnList: func(now time.Time, all []feed.Item[roster.Server]) {
+			s.roster.SetAll(now, all)
+			s.onRegistryChanged(now)
+		},
+		OnChange: func(now time.Time, changes []feed.Change[roster.Server]) {
+			s.roster.Apply(now, changes)
+			s.onRegistryChanged(now)
+		},
+		OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
 	}
 }
 
@@ -324,7 +345,7 @@
 func (s *Server) readyHandler() http.Handler {
 	m := http.NewServeMux()
 	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if s.draining.Load() || s.config.Current() == nil || !s.roster.Loaded() {
+		if s.draining.Load() || s.config.Current() == nil || !s.roster.Loaded() || !s.ledgerTried() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
--- a/direct/end.go
+++ b/direct/end.go
@@ -34,7 +34,7 @@
 	}
 	refusal := domain.Refusal{RequestID: r.id, Reason: f.reason, Ran: f.ran, Detail: f.detail}
 	status := statusOf(f)
-	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+	if !f.permanent && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
 		retryAfter := f.retryAfter
 		if !f.retryPlanned {
 			retryAfter = max(retryAfter, minRetryAfter)
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -142,6 +142,7 @@
 			})
 		}
 		calls.Wait()
+		s.signalShard(record) // an owner that does not answer was found out by now
 		return nil
 	})
 	return enough
@@ -169,14 +170,35 @@
 
 // originPeers returns the other entries in the order in which they are to have the record of a stream.
 func (s *Server) originPeers(id domain.RequestID) []*relay.Peer {
-	peers := s.peers.fleet.KnownPeers()
-	relay.RendezvousSort("stream/"+string(id), peers, func(p *relay.Peer) domain.Host { return p.Name })
+	var peers []*relay.Peer
+	for _, o := range s.shardOrder(origin.KeyOf(id).Shard()) {
+		if o.Peer != nil {
+			peers = append(peers, o.Peer)
+		}
+	}
 	return peers
 }
 
+// shardOrder returns all entries in the order in which they are to have the records of a shard. The first
+// one that answers writes them to the store.
+func (s *Server) shardOrder(n int) []relay.Owner {
+	order := []relay.Owner{{}}
+	for _, p := range s.peers.fleet.KnownPeers() {
+		order = append(order, relay.Owner{Peer: p})
+	}
+	relay.RendezvousSort(shardKey(n), order, func(o relay.Owner) domain.Host {
+		if o.Peer == nil {
+			return s.Settings.Name
+		}
+		return o.Peer.Name
+	})
+	return order
+}
+
 // handleOrigin records the origin of a stream that another entry serves.
 func (s *Server) handleOrigin(record origin.Record) (struct{}, bool) {
 	s.origins.Add(time.Now(), record)
+	s.signalShard(record)
 	return struct{}{}, true
 }
 
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -65,6 +65,7 @@
 	m.HandleFunc("POST "+originPath, checkedHandler(s, checkOrigin, s.handleOrigin))
 	m.HandleFunc("POST "+originFindPath, ownerHandler(s, s.handleOriginQuery))
 	m.HandleFunc("POST "+originsPath, ownerHandler(s, s.handleOrigins))
+	m.HandleFunc("POST "+ledgerPath, ownerHandler(s, s.handleLedger))
 	m.HandleFunc("GET "+alivePath, func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	m.HandleFunc("POST "+quotaPath, ownerHandler(s, s.handleQuota))
 	m.HandleFunc("POST "+trialsPath, ownerHandler(s, s.handleTrial))
@@ -87,7 +88,7 @@
 // elsewhere before it ends. What it knows of streams it still tells.
 func (s *Server) refuseWhileDraining(h http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		asked := r.URL.Path == originFindPath || r.URL.Path == originsPath
+		asked := r.URL.Path == originFindPath || r.URL.Path == originsPath || r.URL.Path == ledgerPath
 		if s.draining.Load() && !asked {
 			w.Header().Set("Connection", "close")
 			w.WriteHeader(http.StatusServiceUnavailable)
--- a/direct/place.go
+++ b/direct/place.go
@@ -79,7 +79,7 @@
 	candidates, members := make([]route.Candidate, 0, len(upstreams)), make([]*roster.Upstream, 0, len(upstreams))
 	for _, u := range upstreams {
 		m := u.Server()
-		if m.Role != role || !r.mayUse(m, among.software) || !u.Eligibility(now).Eligible() {
+		if m.Role != role || !r.mayUse(m, among.software) || !s.mayBegin(r, m) || !u.Eligibility(now).Eligible() {
 			continue
 		}
 		c := u.Stats.Candidate(now)
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -210,7 +210,7 @@
 func (s *Server) hasOther(r *request, role domain.Role, except roster.Start) bool {
 	for _, u := range s.roster.Upstreams(r.service.Name) {
 		m, now := u.Server(), time.Now()
-		if m.Role == role && m.Key() != except.Key() && r.mayUse(m, r.software) && u.Eligibility(now).Eligible() && u.Stats.RateLimitWait(now) == 0 {
+		if m.Role == role && m.Key() != except.Key() && r.mayUse(m, r.software) && s.mayBegin(r, m) && u.Eligibility(now).Eligible() && u.Stats.RateLimitWait(now) == 0 {
 			return true
 		}
 	}
--- a/direct/register.go
+++ b/direct/register.go
@@ -100,6 +100,8 @@
 // onStoreRestored signals that the store was restored from an older copy.
 func (s *Server) onStoreRestored(time.Time) {
 	s.Meter.Inc("jacinthworks_store_copies_total", nil)
+	signal(s.stored.ledgerDue)
+	s.signalAllShards()
 	select {
 	case s.recordLost <- struct{}{}:
 	default: // already signalled
--- a/direct/request.go
+++ b/direct/request.go
@@ -100,6 +100,9 @@
 	unsent bool
 	// final means that another attempt would not succeed either.
 	final bool
+	// permanent means that no later request would succeed either, so that the caller is not told when to
+	// return.
+	permanent bool
 	// retryGranted means that another attempt needs no charge to the retry budget.
 	retryGranted bool
 }
@@ -161,6 +164,7 @@
 		return f
 	}
 	r.setDeadline()
+	s.awaitLedger(h.Context(), r)
 	name := route.Pick(r.random)
 	if r.route.Kind == paths.Stream && r.isResumption() {
 		var f *failure
--- a/direct/resume.go
+++ b/direct/resume.go
@@ -10,8 +10,8 @@
 )
 
 const (
-	// originWindow is how long ago a stream without a record may have begun. routeWindows is the
-	// same in multiples of the route's timeout, if that is longer.
+	// originWindow is how long ago a stream that is resumed may have begun on a route with a short or no
+	// timeout. routeWindows is the same in multiples of the route's timeout, if that is longer.
 	originWindow = 30 * time.Second
 	routeWindows = 2
 )
@@ -34,14 +34,14 @@
 	started := time.Now()
 	d, asked, answered := s.findOrigin(ctx, r, picked)
 	s.Log.Info("stream resumed by its caller", "request", r.id, "resumes", r.info.Resumes, "last_event", r.info.LastEvent, "grounds", d.Grounds,
-		"service", d.Service, "software", d.Software, "asked", asked, "answered", answered, "took", time.Since(started))
+		"service", d.Service, "software", d.Software, "wait", d.Wait, "asked", asked, "answered", answered, "took", time.Since(started))
 	s.Meter.Inc("jacinthworks_streams_resumed_total", meter.Labels{"service", string(picked), "grounds", string(d.Grounds)})
 	switch {
 	case !d.Known():
-		return "", &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "the software version that began the stream is not known", final: true}
+		return "", unknownOrigin(r, d)
 	case d.Service == "":
 	case !r.route.LeadsTo(d.Service):
-		return "", &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "the route no longer leads to the service that began the stream", final: true}
+		return "", &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "the route no longer leads to the service that began the stream", final: true, permanent: true}
 	default:
 		picked = d.Service
 	}
@@ -49,10 +49,22 @@
 	return picked, nil
 }
 
+// unknownOrigin refuses a request that resumes a stream of which the version is not known. If it may be known
+// within the caller's time, the caller learns when.
+func unknownOrigin(r *request, d origin.Decision) *failure {
+	f := &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "the software version that began the stream is not known", final: true}
+	if d.Wait > 0 && d.Wait < r.timeLeft() {
+		f.detail, f.retryAfter = "the software version that began the stream is not known yet", d.Wait
+	} else {
+		f.permanent = true
+	}
+	return f
+}
+
 // findOrigin decides at which software version a stream may continue, by what this entry knows or, if
-// it has no record of a stream that the caller names, what a few others know.
+// it has no record of a stream that the caller names, what a few others and the store know.
 func (s *Server) findOrigin(ctx context.Context, r *request, picked domain.Service) (d origin.Decision, asked, answered int) {
-	query := originQuery{Request: r.info.Resumes, Service: picked, Window: max(originWindow, routeWindows*r.route.Timeout)}
+	query := originQuery{Request: r.info.Resumes, Service: picked, Window: resumableFor(r.route.Timeout)}
 	resumption := origin.Resumption{Named: r.info.Resumes != "", Window: query.Window}
 	own, _ := s.handleOriginQuery(query)
 	if own.Origin != nil || !resumption.Named {
@@ -61,5 +73,9 @@
 	peers := s.originPeers(query.Request)
 	peers = peers[:min(len(peers), originSearch)]
 	views := s.askPeersForOrigin(ctx, peers, query)
-	return resumption.Decide(own, views...), len(peers), len(views)
+	if d = resumption.Decide(own, views...); d.Grounds != origin.Recorded && d.Grounds != origin.Conflict {
+		resumption.Stored = s.storedView(ctx, query)
+		d = resumption.Decide(own, views...)
+	}
+	return d, len(peers), len(views)
 }
--- /dev/null
+++ b/origin/book.go
@@ -0,0 +1,335 @@
+package origin
+
+import (
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"jacinthworks/domain"
+)
+
+const (
+	// addDelay is the time from a service's second version being seen to its being added to the ledger. By
+	// then the streams that run are recorded in the store, as several versions require.
+	addDelay = time.Second
+	// forgetAfter is how long after the last upstream of a version an entry forgets that the ledger lists it,
+	// and reads again before it uses the version. pruneAfter is how long after it the version is removed
+	// from the ledger: later, by more than the age of what an entry knows of the registry.
+	forgetAfter = time.Minute
+	pruneAfter  = 2 * time.Minute
+)
+
+// Book is one entry's copy of the ledger. It decides at which versions streams may begin, and what
+// is to be written to the store; its owner makes the calls. The zero value is ready to use; it
+// must not be copied. It is safe for concurrent use.
+//
+// The load pattern is the death of all entries at once, followed by the resumption of all their
+// streams at processes that know nothing. Without a ledger they would have to refuse every stream
+// until it is too old to be resumed.
+type Book struct {
+	// FirstStart means that the fleet starts for the first time, so that no stream can have begun before
+	// there was a ledger.
+	FirstStart bool
+
+	mu     sync.Mutex // leaf lock: no other lock is acquired while it is held
+	read   bool
+	readAt time.Time
+	// era is the store's era, stored the ledger as the store has it, and isStored false if it has none or an
+	// invalid one. known is what this entry knows beyond it.
+	era      uint64
+	stored   Ledger
+	isStored bool
+	known    Ledger
+	// incompleteSince is since when all versions that are used are in the ledger; zero if
+	// they always were.
+	incompleteSince time.Time
+	observedSince   time.Time
+	seen            map[Origin]*presence
+	// listed holds the versions that are in the stored ledger and have an upstream.
+	listed atomic.Pointer[map[Origin]bool]
+	// several holds the services that may have streams of several versions.
+	several atomic.Pointer[map[domain.Service]bool]
+}
+
+// presence is when upstreams of a version were seen.
+type presence struct {
+	first, last time.Time
+	// live means that there is one now.
+	live bool
+	// listed means that the stored ledger was seen to list the version while there was an upstream of it.
+	listed bool
+}
+
+// Conditions are the circumstances under which a ledger is written.
+type Conditions struct {
+	// Resumable is how long after its beginning a stream can be resumed, and Resumption how long after
+	// it broke.
+	Resumable, Resumption time.Duration
+	// Started is when this process started.
+	Started time.Time
+	// Prune means that this entry removes versions that are no longer used. One entry does.
+	Prune bool
+}
+
+// Observe records which versions have upstreams, and reports whether streams must not begin at
+// one of them yet.
+func (b *Book) Observe(now time.Time, live map[Origin]bool) (missing bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.observedSince.IsZero() {
+		b.observedSince = now
+	}
+	if b.seen == nil {
+		b.seen = make(map[Origin]*presence)
+	}
+	for o := range live {
+		p := b.seen[o]
+		if p == nil || !p.live && now.Sub(p.last) >= forgetAfter {
+			p = &presence{first: now}
+			b.seen[o] = p
+		}
+		p.live, p.last = true, now
+	}
+	for o, p := range b.seen {
+		if p.live && !live[o] {
+			p.live = false
+		}
+		if !p.live && now.Sub(p.last) >= pruneAfter {
+			delete(b.seen, o)
+		}
+	}
+	return b.publish(now)
+}
+
+// Adopt takes over a ledger that was read from the store in the given era. ok is false if there was none
+// or an invalid one; absent means that there was none.
+func (b *Book) Adopt(now time.Time, era uint64, stored Ledger, ok, absent bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	trusted := ok && stored.Era == era
+	switch {
+	case b.read && trusted && b.era == era:
+		b.known = stored
+		if !stored.Incomplete {
+			b.incompleteSince = time.Time{}
+		}
+	case b.read:
+		b.known = b.known.union(stored)
+	default:
+		b.known = stored
+		if !(trusted && !stored.Incomplete || absent && b.FirstStart && len(b.stored.Versions) == 0) {
+			b.incompleteSince = now
+		}
+	}
+	b.read, b.readAt, b.era, b.stored, b.isStored = true, now, era, stored, trusted
+	b.publish(now)
+}
+
+// Wrote records that the store has the ledger.
+func (b *Book) Wrote(now time.Time, l Ledger) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.stored, b.known, b.isStored = l, l, true
+	b.publish(now)
+}
+
+// Plan returns the ledger that is to be written in place of the last one read, and whether there is anything to
+// write. again is the time until something else may have to be written; zero is none.
+func (b *Book) Plan(now time.Time, c Conditions) (next Ledger, write bool, again time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.read {
+		return Ledger{}, false, 0
+	}
+	next = b.known
+	for o, p := range b.seen {
+		if !p.live || next.Has(o) {
+			continue
+		}
+		if wait := b.addWait(now, o, p, c); wait > 0 {
+			again = soonest(again, wait)
+			continue
+		}
+		next = next.with(o)
+	}
+	if c.Prune && now.Sub(b.observedSince) >= pruneAfter {
+		for o := range b.known.all {
+			if b.seen[o] == nil {
+				next = next.without(o)
+			}
+		}
+	}
+	if left := b.incompleteFor(now, c.Resumable); left > 0 {
+		again = soonest(again, left)
+	}
+	next.Era, next.Incomplete = b.era, b.incompleteFor(now, c.Resumable) > 0
+	if next.Versions == nil {
+		next.Versions = make(map[domain.Service][]domain.Software)
+	}
+	return next, !b.isStored || !next.equal(b.stored), again
+}
+
+// addWait is the time until a version may be added to the ledger. b.mu must be held.
+//
+// An unknown stream can be resumed while its service has one version. If all entries have died and
+// another version comes before all streams were resumed, those left would be refused; so the
+// first version remains the only one for as long, if it has upstreams.
+func (b *Book) addWait(now time.Time, o Origin, p *presence, c Conditions) time.Duration {
+	listed := b.known.Versions[o.Service]
+	if len(listed) == 0 {
+		return 0
+	}
+	until := p.first.Add(addDelay)
+	if first := b.seen[Origin{o.Service, listed[0]}]; len(listed) == 1 && first != nil && first.live && !b.FirstStart {
+		until = latest(until, c.Started.Add(c.Resumption))
+	}
+	return until.Sub(now)
+}
+
+// incompleteFor is the time until the ledger is complete. b.mu must be held.
+func (b *Book) incompleteFor(now time.Time, resumable time.Duration) time.Duration {
+	if b.incompleteSince.IsZero() {
+		return 0
+	}
+	left := resumable - now.Sub(b.incompleteSince)
+	if left <= 0 {
+		b.incompleteSince = time.Time{}
+	}
+	return max(left, 0)
+}
+
+// publish sets what Listed and Several return, and reports whether a version with upstreams is not
+// listed. b.mu must be held.
+func (b *Book) publish(now time.Time) (missing bool) {
+	listed := make(map[Origin]bool)
+	versions := make(map[domain.Service]map[domain.Software]bool)
+	count := func(o Origin) {
+		if versions[o.Service] == nil {
+			versions[o.Service] = make(map[domain.Software]bool)
+		}
+		versions[o.Service][o.Software] = true
+	}
+	for o := range b.known.all {
+		count(o)
+	}
+	for o, p := range b.seen {
+		count(o)
+		// The reading must be no older than the presence: a version without upstreams may have been
+		// removed from the ledger since.
+		if b.isStored {
+			p.listed = b.stored.Has(o) && (p.listed || p.live && !b.readAt.Before(p.first))
+		}
+		if !p.live && now.Sub(p.last) >= forgetAfter {
+			p.listed = false
+		}
+		if p.listed {
+			listed[o] = true
+		}
+		missing = missing || p.live && !p.listed
+	}
+	several := make(map[domain.Service]bool)
+	for s, all := range versions {
+		if len(all) > 1 {
+			several[s] = true
+		}
+	}
+	b.listed.Store(&listed)
+	b.several.Store(&several)
+	return missing
+}
+
+// Listed reports whether streams may begin at the version: the ledger in the store lists it.
+func (b *Book) Listed(o Origin) bool {
+	all := b.listed.Load()
+	return all != nil && (*all)[o]
+}
+
+// ListsAny reports whether streams may begin at some version of the service.
+func (b *Book) ListsAny(s domain.Service) bool {
+	all := b.listed.Load()
+	if all == nil {
+		return false
+	}
+	for o := range *all {
+		if o.Service == s {
+			return true
+		}
+	}
+	return false
+}
+
+// Several reports whether the service may have streams of several versions.
+func (b *Book) Several(s domain.Service) bool {
+	all := b.several.Load()
+	return all != nil && (*all)[s]
+}
+
+// AnySeveral reports whether any service may have streams of several versions.
+func (b *Book) AnySeveral() bool {
+	all := b.several.Load()
+	return all != nil && len(*all) > 0
+}
+
+// Copy is a book for an entry that does not read the store itself.
+type Copy struct {
+	// Ledger is the ledger as it was read, and Listed what Book.Listed reports of it.
+	Ledger Ledger `json:"ledger"`
+	Listed Ledger `json:"listed"`
+}
+
+// Copy returns a copy, and whether the ledger was ever read.
+func (b *Book) Copy() (c Copy, read bool) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if all := b.listed.Load(); all != nil {
+		for o := range *all {
+			c.Listed = c.Listed.with(o)
+		}
+	}
+	c.Ledger = b.known
+	return c, b.read
+}
+
+// AdoptCopy takes over what another entry has read. Its listed versions may be used; whether the ledger is
+// complete now, only a reading tells.
+func (b *Book) AdoptCopy(now time.Time, c Copy) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.isStored {
+		b.stored = Ledger{}
+	}
+	b.stored, b.isStored, b.readAt = b.stored.union(c.Listed), true, now
+	b.known = b.known.union(c.Ledger).union(c.Listed)
+	b.publish(now)
+}
+
+// IsRead reports whether the ledger was ever read.
+func (b *Book) IsRead() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.read
+}
+
+// Versions returns the versions of a service at which streams may have begun, and the time until the list is
+// complete; zero if it is. The caller has just read the ledger.
+func (b *Book) Versions(now time.Time, s domain.Service, resumable time.Duration) (all []domain.Software, completeIn time.Duration) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.known.Versions[s], b.incompleteFor(now, resumable)
+}
+
+// soonest returns the shorter of two times, of which a zero one is none.
+func soonest(a, b time.Duration) time.Duration {
+	if a == 0 {
+		return b
+	}
+	return min(a, b)
+}
+
+// latest returns the later of two times.
+func latest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return b
+	}
+	return a
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -4,9 +4,14 @@
 // not compatible: a stream may continue only at the version that began it. The caller may resume it
 // at any entry, also after the one that served the first event has failed.
 //
-// The load pattern is the failure of an entry or an upstream, all of whose streams are resumed within
-// moments at the other entries, some of which have just started. Without records each entry would
-// choose by the versions that it happens to see, and join parts of two versions or refuse them all.
+// The load pattern is the failure of an entry, an upstream or all entries at once, all of whose streams
+// are resumed within moments at entries some or all of which have just started. Without records each
+// entry would choose by the versions that it happens to see, and join parts of two versions or refuse
+// them all.
+//
+// What processes know ends with the last of them, so the store has two kinds of records. The Ledger
+// lists the versions at which streams of a service may have begun; no stream begins at another one.
+// While a service has several, the Shards of the store have the versions of its newest streams.
 //
 // # Usage
 //
@@ -15,8 +20,14 @@
 //	records.Add(now, origin.Record{Request: id, Origin: o, Life: life}) // before the first event is passed on
 //	found, ok := records.Find(now, id)
 //
-//	d := origin.Resumption{Named: true, Window: window}.Decide(own, others...)
-//	if !d.Known() {} // refuse: no version is known
+//	var book origin.Book
+//	book.Observe(now, live)                 // versions with upstreams, at each change of the registry
+//	book.Adopt(now, era, ledger, true, false) // as read from the store
+//	next, write, again := book.Plan(now, conditions)
+//	book.Listed(o)                          // a stream may begin there
+//
+//	d := origin.Resumption{Named: true, Window: window, Stored: stored}.Decide(own, others...)
+//	if !d.Known() {} // refuse: no version is known, or not yet for d.Wait
 package origin
 
 import (
@@ -54,11 +65,15 @@
 	Recorded Grounds = "recorded"
 	// OnlyVersion: the service has had one version for as long as the stream can be old.
 	OnlyVersion Grounds = "only_version"
-	// SeveralVersions: the service has had several, and no entry has a record.
+	// Stored: the store has a record of the stream.
+	Stored Grounds = "stored"
+	// OnlyListed: the ledger in the store lists one version.
+	OnlyListed Grounds = "only_listed"
+	// SeveralVersions: the service has had several, and there is no record.
 	SeveralVersions Grounds = "several_versions"
-	// Uncertain: one version is known, and no entry can rule out another.
+	// Uncertain: at most one version is known, and another one can't be ruled out.
 	Uncertain Grounds = "uncertain"
-	// Conflict: the records of two entries differ.
+	// Conflict: two records differ.
 	Conflict Grounds = "conflict"
 )
 
@@ -68,10 +83,30 @@
 	Software domain.Software
 	// Service is the service that began the stream; empty if that is not recorded.
 	Service domain.Service
+	// Wait is the time until a version may be known; zero is never.
+	Wait time.Duration
 }
 
 // Known reports whether a version is known.
-func (d Decision) Known() bool { return d.Grounds == Recorded || d.Grounds == OnlyVersion }
+func (d Decision) Known() bool {
+	switch d.Grounds {
+	case Recorded, OnlyVersion, Stored, OnlyListed:
+		return true
+	}
+	return false
+}
+
+// StoredView is what the store knows of a stream and its service, read after the caller's request came.
+type StoredView struct {
+	// Err is why it was not read.
+	Err error
+	// Versions are those at which the service's streams may have begun. CompleteIn is the time until the
+	// list is complete; zero if it is.
+	Versions   []domain.Software
+	CompleteIn time.Duration
+	// Origins are the records of the stream.
+	Origins []Origin
+}
 
 // Resumption is a request that resumes a stream.
 type Resumption struct {
@@ -80,40 +115,94 @@
 	Named bool
 	// Window is how long ago the stream may have begun.
 	Window time.Duration
+	// Stored is what the store knows; nil if it was not asked.
+	Stored *StoredView
 }
 
-// Decide decides by what this entry and those that it asked know.
+// storeRetry is the time after which the store is worth reading again.
+const storeRetry = time.Second
+
+// Decide decides by what this entry, those that it asked and the store know.
 //
-// Without a record a version counts as the only one if no entry knows another. If the caller names
-// the request that began the stream, its record was lost. One entry must then have followed the
-// registry for the whole window and follow it now: one that has just started, or is partitioned from
-// the registry, may have missed a version.
+// Without a record a version counts as the only one if the ledger in the store is complete and lists
+// no other. Without a complete ledger, no entry may know another version, and one must have followed the
+// registry for the whole window and follow it now: one that has just started, or is partitioned from the
+// registry, may have missed a version.
 func (q Resumption) Decide(own View, others ...View) Decision {
 	views := append([]View{own}, others...)
-	var versions []domain.Software
-	var found *Origin
-	certain := false
-	for _, v := range views {
-		if v.Origin != nil {
-			if found != nil && *found != *v.Origin {
-				return Decision{Grounds: Conflict}
-			}
-			found = v.Origin
+	if d, recorded := q.record(views); recorded {
+		return d
+	}
+	if q.Stored != nil && q.Stored.Err == nil && q.Stored.CompleteIn == 0 {
+		switch len(q.Stored.Versions) {
+		case 0:
+			return Decision{Grounds: Uncertain}
+		case 1:
+			return Decision{Grounds: OnlyListed, Software: q.Stored.Versions[0]}
 		}
-		for _, s := range v.Versions {
+		return Decision{Grounds: SeveralVersions}
+	}
+	var versions []domain.Software
+	add := func(all []domain.Software) {
+		for _, s := range all {
 			if !slices.Contains(versions, s) {
 				versions = append(versions, s)
 			}
 		}
-		certain = certain || v.Current && v.Since >= q.Window
+	}
+	followed := time.Duration(0)
+	for _, v := range views {
+		add(v.Versions)
+		if v.Current {
+			followed = max(followed, v.Since)
+		}
+	}
+	if q.Stored != nil {
+		add(q.Stored.Versions)
 	}
 	switch {
-	case found != nil:
-		return Decision{Grounds: Recorded, Software: found.Software, Service: found.Service}
 	case len(versions) > 1:
-		return Decision{Grounds: SeveralVersions}
-	case len(versions) == 0 || q.Named && !certain:
-		return Decision{Grounds: Uncertain}
+		return Decision{Grounds: SeveralVersions, Wait: q.untilRead()}
+	case len(versions) == 1 && (!q.Named || followed >= q.Window):
+		return Decision{Grounds: OnlyVersion, Software: versions[0]}
+	}
+	wait := q.untilRead()
+	if q.Stored != nil && q.Stored.Err == nil {
+		wait = soonest(wait, q.Stored.CompleteIn)
+	}
+	if own.Current {
+		wait = soonest(wait, max(q.Window-own.Since, 0))
+	}
+	return Decision{Grounds: Uncertain, Wait: wait}
+}
+
+// record decides by the records of the stream, if there are any.
+func (q Resumption) record(views []View) (d Decision, recorded bool) {
+	var found []Origin
+	grounds := Stored
+	for _, v := range views {
+		if v.Origin != nil {
+			found, grounds = append(found, *v.Origin), Recorded
+		}
+	}
+	if q.Stored != nil {
+		found = append(found, q.Stored.Origins...)
+	}
+	for _, o := range found {
+		if o != found[0] {
+			return Decision{Grounds: Conflict}, true
+		}
+	}
+	if len(found) == 0 {
+		return Decision{}, false
+	}
+	return Decision{Grounds: grounds, Software: found[0].Software, Service: found[0].Service}, true
+}
+
+// untilRead is the time until the store may be read, if it was not.
+func (q Resumption) untilRead() time.Duration {
+	if q.Stored != nil && q.Stored.Err != nil {
+		return storeRetry
 	}
-	return Decision{Grounds: OnlyVersion, Software: versions[0]}
+	return 0
 }
--- a/origin/origin_test.go
+++ b/origin/origin_test.go
@@ -1,6 +1,7 @@
 package origin
 
 import (
+	"errors"
 	"fmt"
 	"testing"
 	"time"
@@ -27,17 +28,17 @@
 		others []View
 		want   Decision
 	}{
-		"own record":                         {true, recorded("v1"), nil, Decision{Recorded, "v1", "lm"}},
-		"record of another, registry lost":   {true, view(time.Second, false, "v2"), []View{recorded("v1")}, Decision{Recorded, "v1", "lm"}},
-		"two records that agree":             {true, recorded("v1"), []View{recorded("v1")}, Decision{Recorded, "v1", "lm"}},
+		"own record":                         {true, recorded("v1"), nil, Decision{Recorded, "v1", "lm", 0}},
+		"record of another, registry lost":   {true, view(time.Second, false, "v2"), []View{recorded("v1")}, Decision{Recorded, "v1", "lm", 0}},
+		"two records that agree":             {true, recorded("v1"), []View{recorded("v1")}, Decision{Recorded, "v1", "lm", 0}},
 		"two records that differ":            {true, recorded("v1"), []View{recorded("v2")}, Decision{Grounds: Conflict}},
-		"one version for long":               {true, view(window, true, "v1"), nil, Decision{OnlyVersion, "v1", ""}},
-		"just started":                       {true, view(time.Second, true, "v1"), nil, Decision{Grounds: Uncertain}},
-		"just started, another one for long": {true, view(time.Second, true, "v1"), []View{view(time.Hour, true, "v1")}, Decision{OnlyVersion, "v1", ""}},
+		"one version for long":               {true, view(window, true, "v1"), nil, Decision{OnlyVersion, "v1", "", 0}},
+		"just started":                       {true, view(time.Second, true, "v1"), nil, Decision{Grounds: Uncertain, Wait: window - time.Second}},
+		"just started, another one for long": {true, view(time.Second, true, "v1"), []View{view(time.Hour, true, "v1")}, Decision{OnlyVersion, "v1", "", 0}},
 		"registry lost":                      {true, view(time.Hour, false, "v1"), nil, Decision{Grounds: Uncertain}},
 		"another one knows more":             {true, view(time.Hour, true, "v1"), []View{view(time.Hour, true, "v1", "v2")}, Decision{Grounds: SeveralVersions}},
 		"no version":                         {false, view(time.Hour, true), nil, Decision{Grounds: Uncertain}},
-		"not named, just started":            {false, view(0, false, "v1"), nil, Decision{OnlyVersion, "v1", ""}},
+		"not named, just started":            {false, view(0, false, "v1"), nil, Decision{OnlyVersion, "v1", "", 0}},
 		"not named, several":                 {false, view(time.Hour, true, "v1", "v2"), nil, Decision{Grounds: SeveralVersions}},
 	} {
 		require.Equal(t, c.want, Resumption{Named: c.named, Window: window}.Decide(c.own, c.others...), name)
@@ -70,3 +71,30 @@
 	require.Len(t, r.records, MaxRecords)
 	require.Len(t, r.Newest(now, 3), 3)
 }
+
+// Guards against a decision without grounds after all entries have died, and against a caller that waits
+// for what can't become known.
+func TestDecideByTheStore(t *testing.T) {
+	new := view(time.Second, true, "v1", "v2")
+	one := Origin{Service: "lm", Software: "v1"}
+	failed := errors.New("store: no answer")
+	for name, c := range map[string]struct {
+		own    View
+		stored StoredView
+		want   Decision
+	}{
+		"one listed":                        {new, StoredView{Versions: []domain.Software{"v1"}}, Decision{OnlyListed, "v1", "", 0}},
+		"one listed, without a name":        {new, StoredView{Versions: []domain.Software{""}}, Decision{OnlyListed, "", "", 0}},
+		"several and a record":              {new, StoredView{Versions: []domain.Software{"v1", "v2"}, Origins: []Origin{one}}, Decision{Stored, "v1", "lm", 0}},
+		"several and no record":             {new, StoredView{Versions: []domain.Software{"v1", "v2"}}, Decision{Grounds: SeveralVersions}},
+		"records differ":                    {recorded("v2"), StoredView{Origins: []Origin{one}}, Decision{Grounds: Conflict}},
+		"none listed":                       {new, StoredView{}, Decision{Grounds: Uncertain}},
+		"incomplete":                        {view(time.Second, true, "v1"), StoredView{Versions: []domain.Software{"v1"}, CompleteIn: 9 * time.Second}, Decision{Grounds: Uncertain, Wait: 9 * time.Second}},
+		"incomplete, but followed for long": {view(window, true, "v1"), StoredView{Versions: []domain.Software{"v1"}, CompleteIn: 9 * time.Second}, Decision{OnlyVersion, "v1", "", 0}},
+		"store away":                        {view(time.Second, true, "v1"), StoredView{Err: failed}, Decision{Grounds: Uncertain, Wait: storeRetry}},
+		"store away, several versions":      {new, StoredView{Err: failed}, Decision{Grounds: SeveralVersions, Wait: storeRetry}},
+		"records not read":                  {new, StoredView{Versions: []domain.Software{"v1", "v2"}, Err: failed}, Decision{Grounds: SeveralVersions, Wait: storeRetry}},
+	} {
+		require.Equal(t, c.want, Resumption{Named: true, Window: window, Stored: &c.stored}.Decide(c.own), name)
+	}
+}
--- a/roster/versions.go
+++ b/roster/versions.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"maps"
 	"slices"
 	"time"
 
@@ -39,6 +40,20 @@
 	return h
 }
 
+// All returns all members.
+func (r *Directory) All() []*Upstream {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Values(r.members))
+}
+
+// Current reports whether the registry is loaded and heard now.
+func (r *Directory) Current() bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.loaded && !r.registryDown
+}
+
 func (h *History) add(v domain.Software) {
 	if !slices.Contains(h.Versions, v) {
 		h.Versions = append(h.Versions, v)
