direct: a stream is passed on only from the start of its upstream that the registry lists

Cause: which start answers is known from the registry only, which lags. The upstream states its start in its state. A connection leads to one start, so one call confirms all streams on connections dialed before it. It is made before the first event of an attempt is passed on or counted, and shared among the streams that wait; another start is taken out until the registry lists it. An upstream that states no start is taken as before.

--- a/direct/stream.go
+++ b/direct/stream.go
@@ -212,6 +212,10 @@
 		}
 		lastRead = time.Now()
 		if n > 0 && firstAfter == 0 {
+			// Before the splitter has the events: the next attempt must not continue after them.
+			if f := s.confirmInstance(ctx, r, a, reply); f != nil {
+				return f
+			}
 			firstAfter, a.gotEvents = time.Since(a.startedAt), true
 			s.queues.For(r.service.Name).RecordFirstEvent(time.Since(allocatedAt))
 		}
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -28,6 +28,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/feed"
+	"jacinthworks/fresh"
 	"jacinthworks/send"
 )
 
@@ -69,6 +70,8 @@
 	Client *send.Client
 	// Stats holds what this process observed in the upstream's responses.
 	Stats Stats
+	// InstanceReads shares the calls that find out which instance answers.
+	InstanceReads fresh.Reader[struct{}]
 
 	mu         sync.Mutex // leaf lock: no other lock is acquired while it is held
 	server     Server
@@ -78,6 +81,8 @@
 	// should be complete; pendingRole is empty if there is no change.
 	pendingRole   domain.Role
 	pendingRoleAt time.Time
+	// confirmedAt is when the instance was last known to be the one that answers.
+	confirmedAt time.Time
 	// restarted is closed once a later instance of the upstream has replaced this one.
 	restarted chan struct{}
 }
@@ -128,6 +133,23 @@
 	return u.restartedChan()
 }
 
+// ConfirmInstance records that at the given time the instance was the one that answers.
+func (u *Upstream) ConfirmInstance(at time.Time) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if at.After(u.confirmedAt) {
+		u.confirmedAt = at
+	}
+}
+
+// ConfirmedSince reports whether the instance was known to be the one that answers at some time after
+// the given one. What arrives on a connection that was dialed then, and still works, is from the instance.
+func (u *Upstream) ConfirmedSince(dialed time.Time) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.confirmedAt.After(dialed)
+}
+
 // markRestarted closes the channel of Restarted.
 func (u *Upstream) markRestarted() {
 	u.mu.Lock()
--- a/send/conn.go
+++ b/send/conn.go
@@ -35,6 +35,8 @@
 	idleSince   time.Time
 	idleTimeout time.Duration
 	exchanges   int // completed exchanges
+	// dialedAt is when the dial ended.
+	dialedAt time.Time
 	// bytesWritten counts the bytes of the current request that the kernel accepted.
 	bytesWritten atomic.Int64
 	// bytesRead counts the bytes read over all exchanges.
@@ -53,7 +55,7 @@
 	if err != nil {
 		return nil, errors.Wrap(err, "send: dial")
 	}
-	k := &conn{Conn: c}
+	k := &conn{Conn: c, dialedAt: time.Now()}
 	k.reader = bufio.NewReaderSize(k, 8<<10)
 	return k, nil
 }
--- a/send/reply.go
+++ b/send/reply.go
@@ -60,6 +60,8 @@
 	EventStream bool
 	// NewConn reports whether the connection was dialed for this request.
 	NewConn bool
+	// DialedAt is when the connection was dialed.
+	DialedAt time.Time
 
 	body          io.ReadCloser
 	client        *Client
--- a/send/send.go
+++ b/send/send.go
@@ -130,8 +130,8 @@
 	}
 	watchdog.watch(k)
 	p := &Response{
-		NewConn: k.exchanges == 0,
-		body:    nil, client: c, ctx: ctx, cancel: cancel, watchdog: watchdog, readTimeout: readTimeout, conn: k,
+		NewConn: k.exchanges == 0, DialedAt: k.dialedAt,
+		body: nil, client: c, ctx: ctx, cancel: cancel, watchdog: watchdog, readTimeout: readTimeout, conn: k,
 		stopAfterFunc: context.AfterFunc(ctx, func() { _ = k.Close() }),
 	}
 	response, err := p.exchange(r)
