--- a/test/fleet.go
+++ b/test/fleet.go
@@ -34,9 +34,11 @@
 	entries    []*entryHost
 	periods    []disruptionPeriod
 	calls      []fleetCall
-	leaves     []leaveRecord
-	configs    []configRecord
-	limits     []limitPeriod
+	// resumptions says of each stream that a caller resumed until it went on or could not whether it did.
+	resumptions []bool
+	leaves      []leaveRecord
+	configs     []configRecord
+	limits      []limitPeriod
 
 	fleetOptions
 	// deadlyBegun is set once callers send deadly streams.
@@ -51,6 +53,9 @@
 	versions bool
 	// deadly means that engines crash on the deadly part.
 	deadly bool
+	// fleetKills means that all entries are killed while slow streams run, whose callers resume them, and
+	// onlyFleetKills that nothing else happens.
+	fleetKills, onlyFleetKills bool
 }
 
 // serverSlot is a server name and the server that runs under it now. Each start gets an id of
@@ -211,6 +216,9 @@
 		e.Address = "" // a proxy would accept connections in place of a crashed engine
 	}
 	s.current = fake.NewServer(f.store, e)
+	if f.fleetKills && stage == "decode" {
+		s.current.SetEventInterval(slowEventInterval)
+	}
 	if f.deadly && stage == "decode" {
 		s.current.CrashOnPart(deadlyPart, func() { f.restartCrashed(name) })
 	}
@@ -221,7 +229,11 @@
 
 // writeSettings writes the settings of an entry host and returns the path.
 func (f *fleet) writeSettings(h *entryHost) (string, error) {
-	return f.w.writeSettings(h.name, fmt.Sprintf(
+	firstStart := ""
+	if f.fleetKills && len(h.incarnations) == 0 {
+		firstStart = "first_start = true\n"
+	}
+	return f.w.writeSettings(h.name, firstStart+fmt.Sprintf(
 		"name = %q\nzone = \"here\"\nlisten = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\nrelay_from = 2\nplatform = %q\nstop_within = %q\n"+
 			"watch_wait = \"2s\"\n[repeats]\nratio = 0.2\nfixed = %d\nspan = \"5s\"\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
 		h.name, h.proxy.address(), fleetStopTimeout, h.repeats))
--- a/test/fleet_calls.go
+++ b/test/fleet_calls.go
@@ -76,6 +76,9 @@
 		if f.versions {
 			kinds = append(slices.Clone(kinds), singleKind)
 		}
+		if f.fleetKills {
+			kinds = append(kinds, singleKind, singleKind, singleKind)
+		}
 		kind, givesUp := pick(r, kinds), r.IntN(fleetAbandonEvery) == 0
 		if givesUp && r.IntN(2) == 0 {
 			kind = longKind
--- a/test/fleet_judge.go
+++ b/test/fleet_judge.go
@@ -63,6 +63,7 @@
 	f.judgeLeaving(&found, ran)
 	f.judgeVersions(&found)
 	f.judgeSoftware(&found)
+	f.judgeResumptions(&found)
 	f.judgeDeadlyPart(&found, ran)
 	f.judgeLimits(&found)
 	f.judgeAnnouncements(&found)
@@ -95,6 +96,13 @@
 			counts[fmt.Sprintf("refused with %d", c.response.Status)]++
 		}
 	}
+	for _, wentOn := range f.resumptions {
+		if wentOn {
+			counts["streams resumed"]++
+		} else {
+			counts["streams lost"]++
+		}
+	}
 	return fmt.Sprint(counts)
 }
 
--- a/test/fleet_plan.go
+++ b/test/fleet_plan.go
@@ -43,6 +43,9 @@
 	// firstPartSeed is the first seed whose plan has streams with a part in their prompts that crashes
 	// engines.
 	firstPartSeed = 500
+	// firstFleetKillSeed is the first seed whose plan kills all entries twice while streams run, with
+	// callers that resume their streams until they go on or can't. One plan in four has no other trouble.
+	firstFleetKillSeed = 600
 	// fleetLimitMin is the minimum duration of a rate limit; the maximum is twice as long.
 	fleetLimitMin = 4 * time.Second
 )
@@ -89,11 +92,11 @@
 		// The versions are written in ascending order.
 		s.disruptions[len(s.disruptions)-1].start = fleetQuietTime + time.Duration(n)*fleetFaultTime/fleetConfigVersions
 	}
-	if seed >= firstLimitSeed {
+	if seed >= firstLimitSeed && !s.onlyFleetKills() {
 		s.addRateLimit(rand.New(rand.NewPCG(seed, 11)))
 		s.addStoreRestores(rand.New(rand.NewPCG(seed, 12)))
 	}
-	if seed >= firstAnnouncementSeed {
+	if seed >= firstAnnouncementSeed && !s.onlyFleetKills() {
 		s.addAnnouncements(rand.New(rand.NewPCG(seed, 13)))
 	}
 	if seed >= firstResumeSeed && seed%4 != 0 {
@@ -102,6 +105,12 @@
 	if seed >= firstPartSeed && seed%4 != 0 {
 		s.addDeadlyPart(rand.New(rand.NewPCG(seed, 15)))
 	}
+	if seed >= firstFleetKillSeed {
+		s.addFleetKills(rand.New(rand.NewPCG(seed, 16)))
+		if s.onlyFleetKills() {
+			return s
+		}
+	}
 	for range 1 + r.IntN(2) {
 		s.addDisruption(r, drawPlannedWork(r))
 	}
@@ -290,7 +299,7 @@
 // Run executes the plan under traffic and judges it. The error lists all findings; tally is the
 // number of calls by outcome.
 func (s FleetSoak) Run(binaries Binaries, dir string) (tally string, err error) {
-	f, err := newFleet(binaries, dir, fleetOptions{eras: s.Seed >= firstLimitSeed, versions: s.Seed >= firstResumeSeed, deadly: s.deadlyCallers > 0})
+	f, err := newFleet(binaries, dir, fleetOptions{eras: s.Seed >= firstLimitSeed, versions: s.Seed >= firstResumeSeed, deadly: s.deadlyCallers > 0, fleetKills: s.Seed >= firstFleetKillSeed, onlyFleetKills: s.onlyFleetKills()})
 	defer f.close()
 	if err != nil {
 		return "", errors.Wrap(err, "fleet")
--- a/test/fleet_resume.go
+++ b/test/fleet_resume.go
@@ -10,8 +10,10 @@
 	"slices"
 	"strings"
 	"sync"
+	"time"
 
 	"jacinthworks/events"
+	"jacinthworks/group"
 	"jacinthworks/platform/fake"
 )
 
@@ -71,17 +73,79 @@
 func (f *fleet) resumeBroken(ctx context.Context, broken fleetCall, r *rand.Rand) {
 	var s events.Splitter
 	s.Add([]byte(broken.response.Body))
-	h := f.pickReadyEntry(r)
-	if s.LastEventID == "" || s.LastEventID == fmt.Sprint(fake.EventCount) || h == nil || ctx.Err() != nil {
+	if s.LastEventID == "" || s.LastEventID == fmt.Sprint(fake.EventCount) {
 		return
 	}
-	l := h.current()
-	request := broken
-	request.id, request.kind, request.resumes, request.lastEvent = broken.id+"-resumed", resumedKind, broken.id, s.LastEventID
-	request.entry, request.incarnation, request.response = h.index, l.number, fake.Response{}
-	c := &fake.Caller{EntryAddr: l.listen}
-	defer c.Close()
-	f.sendCall(c, request, false, r)
+	tries := 1
+	if f.fleetKills {
+		tries = maxResumptions
+	}
+	for n := range tries {
+		h := f.pickReadyEntry(r)
+		if ctx.Err() != nil || h == nil && !f.fleetKills {
+			return
+		}
+		if h == nil {
+			group.Sleep(ctx, fleetRestartDelay)
+			continue
+		}
+		l := h.current()
+		request := broken
+		request.id, request.kind, request.resumes, request.lastEvent = fmt.Sprint(broken.id, "-resumed", strings.Repeat("+", n)), resumedKind, broken.id, s.LastEventID
+		request.entry, request.incarnation, request.response = h.index, l.number, fake.Response{}
+		c := &fake.Caller{EntryAddr: l.listen}
+		request = f.sendCall(c, request, false, r)
+		c.Close()
+		events := s.LastEventID
+		s.Add([]byte(request.response.Body))
+		if request.response.Stamped && (request.response.Err == nil || s.LastEventID != events) {
+			f.recordResumption(true)
+			return
+		}
+		group.Sleep(ctx, resumptionPause)
+	}
+	f.recordResumption(false)
+}
+
+const (
+	// maxResumptions is how often a caller resumes a stream after the entries were killed, with resumptionPause
+	// in between.
+	maxResumptions  = 8
+	resumptionPause = 300 * time.Millisecond
+	// slowEventInterval is the time between two events where all entries are killed while streams run.
+	slowEventInterval = 60 * time.Millisecond
+	// minResumptions is the least number of resumed streams of which a share is judged.
+	minResumptions = 12
+)
+
+// addFleetKills adds two kills of all entries.
+func (s *FleetSoak) addFleetKills(r *rand.Rand) {
+	for range 2 {
+		s.addDisruption(r, disruption{name: "kill all entries", entry: everyEntry, begin: func(f *fleet) error { return f.killAll() }})
+	}
+}
+
+// onlyFleetKills reports whether the plan has no trouble but kills of all entries.
+func (s *FleetSoak) onlyFleetKills() bool { return s.Seed >= firstFleetKillSeed && s.Seed%4 == 0 }
+
+func (f *fleet) recordResumption(wentOn bool) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.resumptions = append(f.resumptions, wentOn)
+}
+
+// judgeResumptions checks that most streams go on that their callers resume after all entries were killed.
+// f.mu must be held.
+func (f *fleet) judgeResumptions(found *findings) {
+	wentOn := 0
+	for _, b := range f.resumptions {
+		if b {
+			wentOn++
+		}
+	}
+	if n := len(f.resumptions); f.onlyFleetKills && n >= minResumptions && wentOn < (n+1)/2 {
+		found.add("%d of %d streams went on that their callers resumed", wentOn, n)
+	}
 }
 
 // judgeSoftware checks that no stream continues at another software version than that of the last run
