--- a/Makefile
+++ b/Makefile
@@ -67,6 +67,12 @@
 		go test -count=1 -timeout $$(( 2 * $(SECONDS) + 240 ))s ./test -run 'SoakFreshSeeds' -v -args -soak $(SECONDS) -fleet-soak $(SECONDS); \
 	fi
 
+ENTRIES ?= 4
+VERSIONS ?= one
+.PHONY: deaths
+deaths: ## share of streams that go on after ENTRIES entries died at once, with VERSIONS: one, two or release
+	go test -count=1 ./test -run StreamsThroughDeathOfAllEntries -v -args -death-entries $(ENTRIES) -death-versions $(VERSIONS)
+
 GOPLS_VERSION = v0.23.0 # newest release that builds with the toolchain of go.mod
 .PHONY: tools
 tools: ## gopls, for renames; not part of the check
--- a/direct/ledger.go
+++ b/direct/ledger.go
@@ -3,13 +3,14 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"math/rand/v2"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jacinthworks/domain"
 	"jacinthworks/epoch"
 	"jacinthworks/group"
@@ -46,8 +47,12 @@
 	maxLedgerWrites = 3
 )
 
-// storedOrigins reads the records of streams in the store.
+// storedOrigins is what this entry knows of the records of streams in the store, and when it has to read or
+// write them.
 type storedOrigins struct {
+	// callMu is held during each call for the ledger, so that the book learns their outcomes in their order. No
+	// other lock is acquired while it is held, but the book's own.
+	callMu sync.Mutex
 	book   origin.Book
 	routes atomic.Pointer[resumableRoutes]
 	// upstreamsKnown is closed once the registry was listed.
@@ -226,29 +231,41 @@
 		if !write {
 			return again, nil
 		}
-		value, err := json.Marshal(next)
-		if err != nil {
-			return 0, err
-		}
-		ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
-		_, err = s.Records.Put(ctx, ledgerName, value, at)
-		cancel()
-		switch {
-		case err == nil:
-			s.stored.book.Wrote(time.Now(), next)
+		err = s.writeLedger(ctx, next, at)
+		if err == nil {
 			s.observeVersions(time.Now())
-			s.Log.Info("ledger of versions written", "versions", next.Versions, "incomplete", next.Incomplete, "era", next.Era)
-			s.Meter.Inc("jacinthworks_stored_origins_total", meter.Labels{"record", "ledger", "outcome", "written"})
 			return again, nil
-		case !errors.Is(err, infra.ErrConflict):
+		}
+		if !errors.Is(err, infra.ErrConflict) {
 			return 0, err
 		}
 	}
 	return ledgerMissingInterval, nil
 }
 
+// writeLedger writes the ledger if the store has the given version of it.
+func (s *Server) writeLedger(ctx context.Context, l origin.Ledger, at infra.Version) error {
+	value, err := json.Marshal(l)
+	if err != nil {
+		return errors.Wrap(err, "direct: encoding the ledger of versions")
+	}
+	s.stored.callMu.Lock()
+	defer s.stored.callMu.Unlock()
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	if _, err := s.Records.Put(ctx, ledgerName, value, at); err != nil {
+		return err
+	}
+	s.stored.book.Wrote(time.Now(), l)
+	s.Log.Info("ledger of versions written", "versions", l.Versions, "incomplete", l.Incomplete, "era", l.Era)
+	s.Meter.Inc("jacinthworks_stored_origins_total", meter.Labels{"record", "ledger", "outcome", "written"})
+	return nil
+}
+
 // readLedger reads the ledger, and returns the version at which it can be written.
 func (s *Server) readLedger(ctx context.Context) (infra.Version, error) {
+	s.stored.callMu.Lock()
+	defer s.stored.callMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
 	o, err := s.Records.Get(ctx, ledgerName)
--- a/direct/shards.go
+++ b/direct/shards.go
@@ -3,10 +3,11 @@
 import (
 	"context"
 	"encoding/json"
-	"errors"
 	"strconv"
 	"time"
 
+	"github.com/pkg/errors"
+
 	"jacinthworks/fresh"
 	"jacinthworks/group"
 	"jacinthworks/infra"
@@ -107,7 +108,7 @@
 		}
 		value, err := json.Marshal(shard)
 		if err != nil {
-			return err
+			return errors.Wrap(err, "direct: encoding records of streams")
 		}
 		at, err := s.Records.Put(ctx, shardPrefix+strconv.Itoa(n), value, held.at)
 		held.at, held.known = at, err == nil
--- a/origin/book.go
+++ b/origin/book.go
@@ -108,11 +108,8 @@
 	defer b.mu.Unlock()
 	trusted := ok && stored.Era == era
 	switch {
-	case b.read && trusted && b.era == era:
-		b.known = stored
-		if !stored.Incomplete {
-			b.incompleteSince = time.Time{}
-		}
+	case b.read && trusted && b.era == era && !stored.Incomplete:
+		b.known, b.incompleteSince = stored, time.Time{}
 	case b.read:
 		b.known = b.known.union(stored)
 	default:
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -56,6 +57,8 @@
 	// fleetKills means that all entries are killed while slow streams run, whose callers resume them, and
 	// onlyFleetKills that nothing else happens.
 	fleetKills, onlyFleetKills bool
+	// entryCount is the number of entries, if not fleetEntries.
+	entryCount int
 }
 
 // serverSlot is a server name and the server that runs under it now. Each start gets an id of
@@ -139,7 +142,7 @@
 	for n := range fleetConfigVersions {
 		f.startServer(generationName(n), generationName(n), "")
 	}
-	for n := range fleetEntries {
+	for n := range cmp.Or(f.entryCount, fleetEntries) {
 		h := &entryHost{name: fmt.Sprintf("entry-%d", n+1), index: n, repeats: 40}
 		f.entries = append(f.entries, h)
 		r, err := f.w.proxyFor(h.name+">store", h.name)
