--- a/test/fleet.go
+++ b/test/fleet.go
@@ -6,11 +6,13 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -28,6 +30,8 @@
 type fleet struct {
 	w     *world
 	store *fake.Store
+	// run is in the ids of servers, so that those of fleets that run at once differ.
+	run string
 
 	mu         sync.Mutex
 	servers    map[string]*serverSlot
@@ -127,7 +131,7 @@
 
 // newFleet starts the store, the servers and the entries, and waits until all entries are ready.
 func newFleet(binaries Binaries, dir string, options fleetOptions) (*fleet, error) {
-	f := &fleet{w: newWorld(binaries, dir), store: fake.NewStore(), servers: make(map[string]*serverSlot), fleetOptions: options}
+	f := &fleet{w: newWorld(binaries, dir), store: fake.NewStore(), servers: make(map[string]*serverSlot), run: strconv.FormatUint(rand.Uint64(), 36), fleetOptions: options}
 	f.store.SetStaleReadLag(time.Second)
 	if f.eras {
 		f.store.EnableEras()
@@ -204,7 +208,7 @@
 		f.servers[name] = s
 	}
 	s.startCount++
-	id := fmt.Sprintf("%s.%d", name, s.startCount)
+	id := fmt.Sprintf("%s.%d-%s", name, s.startCount, f.run)
 	r, err := newProxy("")
 	if err != nil {
 		panic(err) // no port is free
@@ -219,13 +223,13 @@
 		e.Address = "" // a proxy would accept connections in place of a crashed engine
 	}
 	s.current = fake.NewServer(f.store, e)
-	if f.fleetKills && stage == "decode" {
-		s.current.SetEventInterval(slowEventInterval)
-	}
 	if f.deadly && stage == "decode" {
 		s.current.CrashOnPart(deadlyPart, func() { f.restartCrashed(name) })
 	}
 	s.current.SetEventInterval(fleetEventInterval)
+	if f.fleetKills && stage == "decode" {
+		s.current.SetEventInterval(slowEventInterval)
+	}
 	r.setTarget(s.current.Addr())
 	f.allServers = append(f.allServers, s.current)
 }
--- a/test/fleet_test.go
+++ b/test/fleet_test.go
@@ -26,7 +26,9 @@
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			t.Parallel()
 			s := NewFleetSoak(seed)
-			tally, err := s.Run(built, t.TempDir())
+			dir, err := planDir(t, seed)
+			require.NoError(t, err)
+			tally, err := s.Run(built, dir)
 			require.NoError(t, err, s.String())
 			t.Log(tally)
 		})
@@ -52,13 +54,11 @@
 }
 
 func soakFleet(t *testing.T, seed uint64) {
-	s, dir := NewFleetSoak(seed), t.TempDir()
-	if *fleetLogs != "" {
-		dir = filepath.Join(*fleetLogs, fmt.Sprint(seed))
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			t.Error(err)
-			return
-		}
+	s := NewFleetSoak(seed)
+	dir, err := planDir(t, seed)
+	if err != nil {
+		t.Error(err)
+		return
 	}
 	tally, err := s.Run(built, dir)
 	t.Logf("%s\n%s", s, tally)
@@ -69,3 +69,12 @@
 		_ = os.RemoveAll(dir) // the plan has no findings
 	}
 }
+
+// planDir returns the directory for the logs of a plan.
+func planDir(t *testing.T, seed uint64) (string, error) {
+	if *fleetLogs == "" {
+		return t.TempDir(), nil
+	}
+	dir := filepath.Join(*fleetLogs, fmt.Sprint(seed))
+	return dir, os.MkdirAll(dir, 0o700)
+}
