origin: a version stays in the ledger for as long as its streams can be resumed

A version left the ledger two minutes after its last upstream, and a ledger became complete for all routes by the timeout of one: on a service with routes of many minutes an unknown stream would have gone on at another version. Found in reading; TestVersionStaysInTheLedgerWhileItsStreamsCanBeResumed failed before.

--- a/direct/ledger.go
+++ b/direct/ledger.go
@@ -90,7 +90,7 @@
 		live[origin.Origin{Service: m.Service, Software: m.Software}] = true
 	}
 	before := s.stored.book.AnySeveral()
-	missing = s.stored.book.Observe(now, live)
+	missing = s.stored.book.Observe(now, live, resumableFor(s.longestTimeout()))
 	if !before && s.stored.book.AnySeveral() {
 		s.signalAllShards()
 	}
@@ -294,12 +294,17 @@
 	return o.Version, nil
 }
 
-// ledgerConditions returns the circumstances under which the ledger is written.
-func (s *Server) ledgerConditions() origin.Conditions {
-	longest := defaultTimeout
+// longestTimeout is the longest timeout of the routes of resumable streams.
+func (s *Server) longestTimeout() time.Duration {
 	if a := s.stored.routes.Load(); a != nil && a.timeout > 0 {
-		longest = a.timeout
+		return a.timeout
 	}
+	return defaultTimeout
+}
+
+// ledgerConditions returns the circumstances under which the ledger is written.
+func (s *Server) ledgerConditions() origin.Conditions {
+	longest := s.longestTimeout()
 	return origin.Conditions{
 		Resumable: resumableFor(longest), Resumption: longest, Started: s.startTime,
 		Prune: s.keepsLedger() && s.roster.Current(),
--- a/direct/shards.go
+++ b/direct/shards.go
@@ -114,7 +114,7 @@
 			}
 			held.at, held.known = at, true
 		}
-		shard, dropped := s.origins.Shard(time.Now(), n, s.ledgerConditions().Resumable, s.stored.book.Several)
+		shard, dropped := s.origins.Shard(time.Now(), n, resumableFor(s.longestTimeout()), s.stored.book.Several)
 		if len(shard.Groups) == 0 {
 			return nil
 		}
@@ -149,7 +149,7 @@
 	if err != nil {
 		return 0, err
 	}
-	s.origins.Merge(time.Now(), s.decodeShard(o.Value, n), s.ledgerConditions().Resumable)
+	s.origins.Merge(time.Now(), s.decodeShard(o.Value, n), resumableFor(s.longestTimeout()))
 	return o.Version, nil
 }
 
--- a/origin/book.go
+++ b/origin/book.go
@@ -14,7 +14,7 @@
 	addDelay = time.Second
 	// forgetAfter is how long after the last upstream of a version an entry forgets that the ledger lists it,
 	// and reads again before it uses the version. pruneAfter is how long after it the version is removed
-	// from the ledger: later, by more than the age of what an entry knows of the registry.
+	// from the ledger at the earliest: later, by more than the age of what an entry knows of the registry.
 	forgetAfter = time.Minute
 	pruneAfter  = 2 * time.Minute
 )
@@ -71,9 +71,13 @@
 	Prune bool
 }
 
+// keepFor is how long after its last upstream a version is listed: until no stream can be resumed that
+// began there.
+func keepFor(resumable time.Duration) time.Duration { return max(pruneAfter, resumable) }
+
 // Observe records which versions have upstreams, and reports whether streams must not begin at
-// one of them yet.
-func (b *Book) Observe(now time.Time, live map[Origin]bool) (missing bool) {
+// one of them yet. resumable is how long after its beginning a stream can be resumed.
+func (b *Book) Observe(now time.Time, live map[Origin]bool, resumable time.Duration) (missing bool) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if b.observedSince.IsZero() {
@@ -94,7 +98,7 @@
 		if p.live && !live[o] {
 			p.live = false
 		}
-		if !p.live && now.Sub(p.last) >= pruneAfter {
+		if !p.live && now.Sub(p.last) >= keepFor(resumable) {
 			delete(b.seen, o)
 		}
 	}
@@ -149,17 +153,19 @@
 		}
 		next = next.with(o)
 	}
-	if c.Prune && now.Sub(b.observedSince) >= pruneAfter {
+	if c.Prune && now.Sub(b.observedSince) >= keepFor(c.Resumable) {
 		for o := range b.known.all {
 			if b.seen[o] == nil {
 				next = next.without(o)
 			}
 		}
 	}
-	if left := b.incompleteFor(now, c.Resumable); left > 0 {
-		again = soonest(again, left)
+	left := b.incompleteFor(now, c.Resumable)
+	again = soonest(left, again)
+	if left == 0 {
+		b.incompleteSince = time.Time{}
 	}
-	next.Era, next.Incomplete = b.era, b.incompleteFor(now, c.Resumable) > 0
+	next.Era, next.Incomplete = b.era, left > 0
 	if next.Versions == nil {
 		next.Versions = make(map[domain.Service][]domain.Software)
 	}
@@ -188,11 +194,7 @@
 	if b.incompleteSince.IsZero() {
 		return 0
 	}
-	left := resumable - now.Sub(b.incompleteSince)
-	if left <= 0 {
-		b.incompleteSince = time.Time{}
-	}
-	return max(left, 0)
+	return max(resumable-now.Sub(b.incompleteSince), 0)
 }
 
 // publish sets what Listed and Several return, and reports whether a version with upstreams is not
@@ -317,8 +319,8 @@
 
 // soonest returns the shorter of two times, of which a zero one is none.
 func soonest(a, b time.Duration) time.Duration {
-	if a == 0 {
-		return b
+	if a == 0 || b == 0 {
+		return max(a, b)
 	}
 	return min(a, b)
 }
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -24,11 +24,13 @@
 	start  time.Time
 	era    uint64
 	stored *Ledger
+	// resumable is how long after its beginning a stream can be resumed.
+	resumable time.Duration
 }
 
 func newBookTest(t *testing.T, firstStart bool, stored *Ledger) *bookTest {
 	now := time.Now()
-	return &bookTest{Book: &Book{FirstStart: firstStart}, t: t, now: now, start: now, stored: stored}
+	return &bookTest{Book: &Book{FirstStart: firstStart}, t: t, now: now, start: now, stored: stored, resumable: 30 * time.Second}
 }
 
 // sync reads the ledger, and writes it if that is planned.
@@ -38,13 +40,13 @@
 	for _, o := range live {
 		observed[o] = true
 	}
-	b.Observe(b.now, observed)
+	b.Observe(b.now, observed, b.resumable)
 	if b.stored == nil {
 		b.Adopt(b.now, b.era, Ledger{}, false, true)
 	} else {
 		b.Adopt(b.now, b.era, *b.stored, true, false)
 	}
-	next, write, _ := b.Plan(b.now, Conditions{Resumable: 30 * time.Second, Resumption: 14 * time.Second, Started: b.start, Prune: prune})
+	next, write, _ := b.Plan(b.now, Conditions{Resumable: b.resumable, Resumption: 14 * time.Second, Started: b.start, Prune: prune})
 	if write {
 		b.stored = &next
 		b.Wrote(b.now, next)
@@ -63,14 +65,14 @@
 // all entries.
 func TestVersionIsUsedOnlyOnceItIsInTheLedger(t *testing.T) {
 	b := newBookTest(t, true, nil)
-	require.True(t, b.Observe(b.now, map[Origin]bool{first: true}))
+	require.True(t, b.Observe(b.now, map[Origin]bool{first: true}, b.resumable))
 	require.False(t, b.Listed(first))
 	require.True(t, b.sync(false, first))
 	require.True(t, b.Listed(first))
 	require.Zero(t, b.completeIn(), "a fleet that starts for the first time has no earlier streams")
 	require.False(t, b.sync(false, first), "nothing is written twice")
 
-	b.Observe(b.now, map[Origin]bool{first: true, second: true})
+	b.Observe(b.now, map[Origin]bool{first: true, second: true}, b.resumable)
 	require.True(t, b.Several("lm"), "streams are recorded before the version is used")
 	require.False(t, b.sync(false, first, second))
 	require.False(t, b.Listed(second))
@@ -110,16 +112,32 @@
 	for b.pass(0); b.now.Sub(b.start) < pruneAfter+2*addDelay; b.pass(10 * time.Second) {
 		b.sync(true, second)
 		other.now = b.now
-		other.Observe(other.now, map[Origin]bool{second: true})
+		other.Observe(other.now, map[Origin]bool{second: true}, other.resumable)
 		require.False(t, other.Listed(first) && !b.stored.Has(first))
 	}
 	b.sync(true, second)
 	require.Equal(t, []domain.Software{"v2"}, b.stored.Versions["lm"])
 	require.False(t, b.Several("lm"))
-	require.True(t, other.Observe(b.now, map[Origin]bool{first: true, second: true}))
+	require.True(t, other.Observe(b.now, map[Origin]bool{first: true, second: true}, other.resumable))
 	require.False(t, other.Listed(first), "it has to be read again")
 }
 
+// Guards against a version that leaves the ledger while streams that began there can be resumed.
+func TestVersionStaysInTheLedgerWhileItsStreamsCanBeResumed(t *testing.T) {
+	b := newBookTest(t, true, nil)
+	b.resumable = time.Hour
+	b.sync(true, first)
+	b.sync(true, first, second)
+	b.pass(addDelay)
+	b.sync(true, first, second)
+	b.pass(59 * time.Minute)
+	b.sync(true, second)
+	require.True(t, b.stored.Has(first))
+	b.pass(2 * time.Minute)
+	b.sync(true, second)
+	require.False(t, b.stored.Has(first))
+}
+
 // Guards against trust in a ledger that was restored from an older copy and lacks a version.
 func TestLedgerOfAnotherEraIsCompletedByAnEntryThatKnowsMore(t *testing.T) {
 	old := Ledger{Versions: map[domain.Service][]domain.Software{"lm": {"v1"}}}
@@ -152,7 +170,7 @@
 		require.Error(t, err, value)
 	}
 	b := newBookTest(t, true, nil)
-	b.Observe(b.now, map[Origin]bool{first: true})
+	b.Observe(b.now, map[Origin]bool{first: true}, b.resumable)
 	b.Adopt(b.now, 0, Ledger{}, false, false)
 	_, left := b.Versions(b.now, "lm", 30*time.Second)
 	require.Positive(t, left, "an earlier ledger may have listed more")
