--- a/direct/resume.go
+++ b/direct/resume.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/infra"
 	"jacinthworks/meter"
 	"jacinthworks/origin"
 )
@@ -79,3 +80,32 @@
 	}
 	return d, len(peers), len(views)
 }
+
+// storedView reads from the store what it knows of a stream and its service.
+func (s *Server) storedView(ctx context.Context, query originQuery) *origin.StoredView {
+	if !s.usesLedger() {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
+	defer cancel()
+	v := &origin.StoredView{}
+	if _, v.Err = s.stored.ledgerReads.Read(ctx, func() (infra.Version, error) { return s.readLedger(s.backgroundCtx) }); v.Err != nil {
+		return v
+	}
+	v.Versions, v.CompleteIn = s.stored.book.Versions(time.Now(), query.Service, query.Window)
+	if len(v.Versions) < 2 && v.CompleteIn == 0 {
+		return v
+	}
+	n := origin.KeyOf(query.Request).Shard()
+	var shard origin.Shard
+	if shard, v.Err = s.stored.shardReads[n].Read(ctx, func() (origin.Shard, error) { return s.readShard(s.backgroundCtx, n) }); v.Err == nil {
+		v.Origins = shard.Find(query.Request)
+	}
+	return v
+}
+
+// resumableFor is how long after its beginning a stream can be resumed: its caller may wait for the
+// whole timeout of the route, and then as long for the rest.
+func resumableFor(timeout time.Duration) time.Duration {
+	return max(originWindow, routeWindows*timeout)
+}
--- a/origin/book.go
+++ b/origin/book.go
@@ -105,24 +105,34 @@
 	return b.publish(now)
 }
 
-// Adopt takes over a ledger that was read from the store in the given era. ok is false if there was none
-// or an invalid one; absent means that there was none.
-func (b *Book) Adopt(now time.Time, era uint64, stored Ledger, ok, absent bool) {
+// Reading is what the store answered to a reading of the ledger.
+type Reading struct {
+	// Era is the store's era.
+	Era uint64
+	// Ledger is the ledger, if Valid. Absent means that there is none.
+	Ledger        Ledger
+	Valid, Absent bool
+}
+
+// Adopt takes over what was read from the store.
+func (b *Book) Adopt(now time.Time, r Reading) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	trusted := ok && stored.Era == era
+	trusted := r.Valid && r.Ledger.Era == r.Era
+	complete := trusted && !r.Ledger.Incomplete
 	switch {
-	case b.read && trusted && b.era == era && !stored.Incomplete:
-		b.known, b.incompleteSince = stored, time.Time{}
-	case b.read:
-		b.known = b.known.union(stored)
+	case b.read && complete && b.era == r.Era:
+		b.known, b.incompleteSince = r.Ledger, time.Time{}
+	case b.read: // what this entry has known since before outlives a restored, lost or foreign record
+		b.known = b.known.union(r.Ledger)
 	default:
-		b.known = stored
-		if !(trusted && !stored.Incomplete || absent && b.FirstStart && len(b.stored.Versions) == 0) {
+		b.known = r.Ledger
+		isFirst := r.Absent && b.FirstStart && len(b.stored.Versions) == 0
+		if !complete && !isFirst {
 			b.incompleteSince = now
 		}
 	}
-	b.read, b.readAt, b.era, b.stored, b.isStored = true, now, era, stored, trusted
+	b.read, b.readAt, b.era, b.stored, b.isStored = true, now, r.Era, r.Ledger, trusted
 	b.publish(now)
 }
 
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -42,9 +42,9 @@
 	}
 	b.Observe(b.now, observed, b.resumable)
 	if b.stored == nil {
-		b.Adopt(b.now, b.era, Ledger{}, false, true)
+		b.Adopt(b.now, Reading{Era: b.era, Absent: true})
 	} else {
-		b.Adopt(b.now, b.era, *b.stored, true, false)
+		b.Adopt(b.now, Reading{Era: b.era, Ledger: *b.stored, Valid: true})
 	}
 	next, write, _ := b.Plan(b.now, Conditions{Resumable: b.resumable, Resumption: 14 * time.Second, Started: b.start, Prune: prune})
 	if write {
@@ -171,7 +171,7 @@
 	}
 	b := newBookTest(t, true, nil)
 	b.Observe(b.now, map[Origin]bool{first: true}, b.resumable)
-	b.Adopt(b.now, 0, Ledger{}, false, false)
+	b.Adopt(b.now, Reading{})
 	_, left := b.Versions(b.now, "lm", 30*time.Second)
 	require.Positive(t, left, "an earlier ledger may have listed more")
 	next, write, _ := b.Plan(b.now, Conditions{Resumable: 30 * time.Second})
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -21,8 +21,8 @@
 //	found, ok := records.Find(now, id)
 //
 //	var book origin.Book
-//	book.Observe(now, live)                 // versions with upstreams, at each change of the registry
-//	book.Adopt(now, era, ledger, true, false) // as read from the store
+//	book.Observe(now, live, resumable)      // versions with upstreams, at each change of the registry
+//	book.Adopt(now, reading)                // from the store
 //	next, write, again := book.Plan(now, conditions)
 //	book.Listed(o)                          // a stream may begin there
 //
