--- a/direct/shards.go
+++ b/direct/shards.go
@@ -43,6 +43,9 @@
 
 // keepShard writes the records of a shard that are new while a service has several versions.
 func (s *Server) keepShard(ctx context.Context, n int) error {
+	if !s.usesLedger() {
+		return nil
+	}
 	for {
 		select {
 		case <-ctx.Done():
