direct: a stream whose upstream leaves the registry before its first event is passed on

The check of an upstream's start took one that was removed from the registry as planned for gone, and dropped a stream that it completes: 502 in TestStreamOfARemovedUpstreamIsPassedOn before. Only one that a later start has replaced is dropped now.

--- a/direct/instance.go
+++ b/direct/instance.go
@@ -25,8 +25,11 @@
 	_, err := u.InstanceReads.Read(ctx, func() (struct{}, error) {
 		began := time.Now()
 		err := s.probeInstance(s.backgroundCtx, u, a.start)
-		if err == nil {
+		switch {
+		case err == nil:
 			u.ConfirmInstance(began)
+		case errors.Is(err, errRemoved) && !u.HasRestarted():
+			err = nil // it leaves, and completes what it has begun
 		}
 		return struct{}{}, err
 	})
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -133,6 +133,16 @@
 	return u.restartedChan()
 }
 
+// HasRestarted reports whether the instance was replaced by a later one.
+func (u *Upstream) HasRestarted() bool {
+	select {
+	case <-u.Restarted():
+		return true
+	default:
+		return false
+	}
+}
+
 // ConfirmInstance records that at the given time the instance was the one that answers.
 func (u *Upstream) ConfirmInstance(at time.Time) {
 	u.mu.Lock()
