--- a/review/standins-2/caller.go
+++ b/review/standins-2/caller.go
@@ -108,6 +108,27 @@
 
 var errNotSent = errors.New("not sent")
 
+// splitConfiguration is a later version of the operator's configuration, with routes that are new: a
+// streaming one to the plain service, and one that is split between both services.
+func splitConfiguration(version int) map[string]any {
+	c := configuration(version, 14000)
+	stream := func(name, prefix string, to map[string]any) map[string]any {
+		r := map[string]any{
+			"name": name, "host": host, "pathPrefix": prefix, "kind": "streaming", "timeoutMs": 14000, "targetLatencyMs": 900, "priority": 1,
+			"maxAttempts": 1, "stickySessions": true, "resumable": false, "targetGapMs": 300,
+		}
+		for k, v := range to {
+			r[k] = v
+		}
+		return r
+	}
+	c["routes"] = append(c["routes"].([]any),
+		stream("r-moved", "/moved/", map[string]any{"service": "app"}),
+		stream("r-split", "/split/", map[string]any{"split": []any{map[string]any{"service": "lm", "weight": 90}, map[string]any{"service": "app", "weight": 10}}}),
+	)
+	return c
+}
+
 // configuration is the operator's, with a streaming route, a resumable one, an idempotent and a
 // non-idempotent one.
 func configuration(version int, timeoutMS int) map[string]any {
--- a/review/standins-2/server.go
+++ b/review/standins-2/server.go
@@ -215,6 +215,10 @@
 func plainBody(serverID, id string) string { return "answer of " + serverID + " to " + id + "\n" }
 
 func (s *server) servePlain(w http.ResponseWriter, r *http.Request, body string) {
+	if strings.HasPrefix(r.URL.Path, "/moved/") || strings.HasPrefix(r.URL.Path, "/split/") {
+		s.decode(w, r, body)
+		return
+	}
 	s.fleet.recordRun(s, r, body)
 	s.mu.Lock()
 	s.running++
