--- a/review/standins-2/case_orders.go
+++ b/review/standins-2/case_orders.go
@@ -63,6 +63,7 @@
 		time.Sleep(time.Until(begin.Add(time.Duration(n+1) * 25 * time.Millisecond)))
 	}
 	all.Wait()
+	recordCalls(p, f, c.calls)
 	answered := 0
 	for _, q := range c.calls {
 		if q.status == 200 && q.whole {
--- a/review/standins-2/case_split.go
+++ b/review/standins-2/case_split.go
@@ -63,6 +63,7 @@
 		time.Sleep(50 * time.Millisecond)
 	}
 	all.Wait()
+	recordCalls(p, f, c.calls)
 	return judgeSplit(p, f, c.calls), nil
 }
 
--- a/review/standins-2/deployment.go
+++ b/review/standins-2/deployment.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -55,14 +56,17 @@
 	return d, err
 }
 
-// freePort returns a loopback address that nothing listens on.
+// freePort returns a loopback address that nothing listens on. Its port is below those that the system gives to
+// outgoing connections, so that none takes it before the entry listens.
 func freePort() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		panic(err)
+	for {
+		l, err := net.Listen("tcp", fmt.Sprintf("127.0.0.1:%d", 20000+rand.IntN(12000)))
+		if err != nil {
+			continue
+		}
+		defer l.Close()
+		return l.Addr().String()
 	}
-	defer l.Close()
-	return l.Addr().String()
 }
 
 // add prepares an entry. The fields are those that DEPLOY.md names, with figures of a site file.
