direct: each kind of route is served at each kind of service; a panic in a handler is logged, counted and answered

Other requests at a service whose engines all have a role got 503 no_upstream.

Cause: how an upstream is obtained was tied to the kind of the route. Streams allocated memory by a description of the service's engines that is nil for plain services; other requests were placed among upstreams without a role. net/http recovered the panic and logged it at level debug.

Change: the way to an upstream follows from the service (prepare.go), the way the answer is passed on from the route. paths.Engine is a value. A panic is logged with its stack, counted, and answered if nothing was sent. The tests of platform and the soak without sides fail on a panic; that soak sends streams to plain servers.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -217,7 +217,7 @@
 		return nil
 	}
 	p := &allocation{upstream: u, cost: roster.Cost{MemoryTokens: r.expectedTokens()}, allocatedAt: time.Now(), permit: granted}
-	if r.engine().HoldLife > 0 && !s.reserveMemory(ctx, r, p, m) {
+	if r.service.Engine.HoldLife > 0 && !s.reserveMemory(ctx, r, p, m) {
 		s.releasePermit(granted)
 		return nil
 	}
@@ -230,7 +230,7 @@
 func (s *Server) reserveMemory(ctx context.Context, r *request, p *allocation, m margin) bool {
 	u := p.upstream
 	tokens := r.info.PromptTokens + max(int(reservedOutputPart*float64(r.expectedTokens()-r.info.PromptTokens)), minOutputTokens)
-	headroom, required := 0, int(m.part*float64(r.engine().KVTokens))
+	headroom, required := 0, int(m.part*float64(r.service.Engine.KVTokens))
 	if !r.responseBegun {
 		headroom = s.queues.For(r.service.Name).Headroom(time.Now(), tokens)
 	}
@@ -252,7 +252,7 @@
 // request only.
 func (s *Server) requestReservation(ctx context.Context, r *request, u *roster.Upstream, tokens int, excludeOnly bool) Reservation {
 	started := time.Now()
-	reservation, err := s.callReserve(ctx, u, tokens, r.engine().HoldLife)
+	reservation, err := s.callReserve(ctx, u, tokens, r.service.Engine.HoldLife)
 	switch {
 	case errors.Is(err, errNotAccepting):
 		return ""
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -43,6 +43,10 @@
 	slot slotGrant
 	// stated is what the response stated.
 	stated ResponseInfo
+	// allocatedAt is when the attempt's memory was allocated, zero for a plain server, and prefilled
+	// the prompt that was prefilled for it, if any.
+	allocatedAt time.Time
+	prefilled   *prefillResult
 	// reply is the response, once its header has arrived.
 	reply *send.Response
 	// gotEvents means that part of a streamed response has arrived.
@@ -96,10 +100,10 @@
 	if a.info.Stage.RunsRequest() {
 		r.attempts.Sent()
 	}
-	if r.route.Kind != paths.Stream {
-		s.countStarted(r)
-	}
 	if !a.loadCounted {
+		if a.info.Stage.RunsRequest() {
+			s.countStarted(r)
+		}
 		a.upstream.Stats.RequestStarted(a.cost)
 	}
 	s.crashes.RequestStarted(s.evidenceTime(), a.start.Key(), r, r.work)
--- a/direct/budget.go
+++ b/direct/budget.go
@@ -114,7 +114,7 @@
 	trials := false
 	if c != nil {
 		if service := c.Service(v); service != nil {
-			trials = service.Engine != nil
+			trials = service.HasEngines()
 		}
 	}
 	return s.fleetBudget().Terms(now, s.retryMember(now), trials)
--- a/direct/change.go
+++ b/direct/change.go
@@ -97,7 +97,7 @@
 		}
 		duration := roleChangeMargin
 		if c := s.config.Current(); c != nil {
-			if v := c.Service(u.Server().Service); v != nil && v.Engine != nil {
+			if v := c.Service(u.Server().Service); v != nil {
 				duration += v.Engine.SwitchTime
 			}
 		}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -164,7 +164,7 @@
 		ConnState:         idle.ConnState,
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	balancer := &http.Server{Handler: s.readyHandler(), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
+	balancer := &http.Server{Handler: s.reportPanics("ready", s.readyHandler()), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
 
 	var loops group.Group
 	s.startFeeds(serving, &loops)
@@ -187,7 +187,9 @@
 		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
 	}
 	if s.Settings.MetricsListen.IsValid() {
-		loops.Go(serving, "metrics", func(ctx context.Context) error { return s.Meter.Serve(ctx, s.Settings.MetricsListen, s.views()) })
+		loops.Go(serving, "metrics", func(ctx context.Context) error {
+			return s.Meter.Serve(ctx, s.Settings.MetricsListen, s.metricsHandler())
+		})
 	}
 	s.Log.Info("started", "listen", callers.Addr().String(), "ready", ready.Addr().String(), "zone", s.Settings.Zone)
 	if s.OnListen != nil {
--- a/direct/end.go
+++ b/direct/end.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"jacinthworks/conns"
 	"jacinthworks/domain"
 	"jacinthworks/meter"
 )
@@ -55,6 +56,36 @@
 	}
 }
 
+// endPanicked ends a request whose handler has panicked with a value; nil is no panic. Its current send,
+// if any, may have run.
+func (s *Server) endPanicked(r *request, value any) {
+	switch value {
+	case nil:
+		return
+	case http.ErrAbortHandler:
+		panic(value)
+	}
+	conns.LogPanic(s.Log, value, "request", r.id, "method", r.method, "path", r.target)
+	s.countPanic("callers")
+	f := &failure{ran: domain.NotRun, reason: domain.ReasonInternal, detail: "the entry failed"}
+	if r.attempts.Sends() > 0 {
+		f.ran = domain.Unknown
+	}
+	s.refuse(r, f)
+}
+
+// PanicsTotal is the name of the counter of panics in handlers.
+const PanicsTotal = "jacinthworks_handler_panics_total"
+
+func (s *Server) countPanic(listener string) {
+	s.Meter.Inc(PanicsTotal, meter.Labels{"listener", listener})
+}
+
+// reportPanics has the panics of a handler logged and counted.
+func (s *Server) reportPanics(listener string, h http.Handler) http.Handler {
+	return &conns.PanicHandler{Handler: h, Log: s.Log, OnPanic: func() { s.countPanic(listener) }}
+}
+
 // abort ends the caller's connection under an incomplete response. It does not return.
 //
 // A caller of HTTP/1.0 knows no chunks, and takes a connection that is closed in order for the end of
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -54,7 +54,7 @@
 	relative := make(map[domain.Service]roles.RelativeTimes)
 	if c := s.config.Current(); c != nil {
 		for i := range c.Services {
-			if v := &c.Services[i]; v.Engine != nil && s.speedsOn(v.Name) {
+			if v := &c.Services[i]; v.HasEngines() && s.speedsOn(v.Name) {
 				relative[v.Name] = s.relativeTimes(v.Name)
 			}
 		}
@@ -100,8 +100,8 @@
 // recordAllocated records in the load profile of its service a stream that has its
 // allocation.
 func (s *Server) recordAllocated(r *request) {
-	e := r.engine()
-	if e == nil || e.KVTokens <= 0 {
+	e := r.service.Engine
+	if e.KVTokens <= 0 {
 		return
 	}
 	answer := r.expectedTokens() - r.info.PromptTokens
@@ -141,10 +141,10 @@
 		return
 	}
 	p.events += bytes.Count(b, []byte("\n\n"))
-	if p.events < paceSampleEvents || r.engine() == nil {
+	if p.events < paceSampleEvents || !r.service.HasEngines() {
 		return
 	}
-	tokens, took := p.events*max(r.engine().TokensPerEvent, 1), now.Sub(p.startedAt)
+	tokens, took := p.events*max(r.service.Engine.TokensPerEvent, 1), now.Sub(p.startedAt)
 	s.profiles.Update(r.service.Name, func(x *roles.Profile) { x.RecordAnswerAt(now, domain.Host(a.start.ID), tokens, took) })
 	m := a.upstream.Server()
 	s.recordSpeed(m.Service, m.Role, a.start, speed.Observation{Units: p.events, Took: took, Load: otherRequests(now, a.upstream), HostLoad: recentHostLoad(now, a.upstream)})
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -78,7 +78,7 @@
 	m.HandleFunc("POST "+slotEndPath, ownerHandler(s, s.handleSlotEnd))
 	m.HandleFunc("POST "+sharesPath, checkedHandler(s, s.checkShares, s.handleShares))
 	return &http.Server{
-		Handler:           s.refuseWhileDraining(m),
+		Handler:           s.reportPanics("peers", s.refuseWhileDraining(m)),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}, l, nil
--- a/direct/place.go
+++ b/direct/place.go
@@ -7,7 +7,6 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/meter"
-	"jacinthworks/paths"
 	"jacinthworks/roster"
 	"jacinthworks/route"
 )
@@ -84,9 +83,7 @@
 		}
 		c := u.Stats.Candidate(now)
 		c.Name, c.SameZone, c.Slots = string(m.ID), m.Zone == among.preferredZone, m.Slots
-		if e := r.service.Engine; e != nil {
-			c.MemoryTokens = e.KVTokens
-		}
+		c.MemoryTokens = r.service.Engine.KVTokens
 		if bySpeed {
 			if role == domain.RolePrefill {
 				c.UnitTime = cmp.Or(s.promptTokenTime(now, m), c.UnitTime)
@@ -125,9 +122,6 @@
 	}, fields...)...)
 }
 
-// engine describes the service's engines; nil for a plain service.
-func (r *request) engine() *paths.Engine { return r.service.Engine }
-
 // expectedTokens is the KV memory that the request is likely to need on an engine, in
 // tokens. The limit on the answer is usually several times the answer.
 func (r *request) expectedTokens() int {
@@ -140,7 +134,7 @@
 
 // expectedEvents is the number of events that the answer is likely to have.
 func (r *request) expectedEvents() int {
-	return max(1, (r.expectedTokens()-r.info.PromptTokens)/max(r.engine().TokensPerEvent, 1))
+	return max(1, r.service.Engine.AnswerEvents(r.expectedTokens()-r.info.PromptTokens))
 }
 
 // longAnswerFactor is the length of a long answer relative to the expected one: callers'
@@ -150,7 +144,7 @@
 // maxEvents is the number of events of a long answer, at most what the caller allows.
 func (r *request) maxEvents() int {
 	long := longAnswerFactor * r.expectedEvents()
-	if limit := r.info.MaxOutputTokens / max(r.engine().TokensPerEvent, 1); limit > 0 {
+	if limit := r.service.Engine.AnswerEvents(r.info.MaxOutputTokens); limit > 0 {
 		long = min(long, limit)
 	}
 	return long
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -10,9 +10,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/roster"
-	"jacinthworks/route"
 	"jacinthworks/send"
-	"jacinthworks/slots"
 	"jacinthworks/speed"
 )
 
@@ -31,24 +29,7 @@
 // servePlain serves a request whose answer is passed on whole.
 func (s *Server) servePlain(ctx context.Context, r *request) *failure {
 	for {
-		p, slot, f := s.placePlain(ctx, r)
-		if f != nil {
-			return f
-		}
-		if p.upstream == nil {
-			s.logPlacement(r, "", p)
-			return s.noUpstreamFailure(r, "")
-		}
-		a := &attempt{upstream: p.upstream, slot: slot}
-		permitted, wait, ok := s.acquirePermit(ctx, r, p.upstream, s.maxLimitWait(r, p.upstream))
-		if !ok {
-			s.endAttemptSlot(a, slots.Gone, 0)
-			r.excludeLimited(p.upstream, wait)
-			continue
-		}
-		s.logPlacement(r, "", p, permitted.logFields()...)
-		a.headerTimeout, a.permit = s.attemptTimeout(r), permitted
-		f = s.attemptPlain(ctx, r, a)
+		f := s.plainOnce(ctx, r)
 		if f == nil {
 			return nil
 		}
@@ -58,17 +39,6 @@
 	}
 }
 
-// placePlain chooses an upstream for the next attempt: the one at which the owner of the service's
-// slots grants a slot, or one by this entry's own view.
-func (s *Server) placePlain(ctx context.Context, r *request) (placement, slotGrant, *failure) {
-	if s.usesSlots(r.service) {
-		if p, slot, f := s.assignSlot(ctx, r); f != nil || p.upstream != nil {
-			return p, slot, f
-		}
-	}
-	return s.place(r, pool{preferredZone: s.Settings.Zone}, route.Request{Units: 1, FailureCost: r.failCost(), CrossZoneCost: crossZoneCallCost}), slotGrant{}, nil
-}
-
 // noUpstreamFailure is the refusal if no upstream of a role is left to try.
 func (s *Server) noUpstreamFailure(r *request, role domain.Role) *failure {
 	f := &failure{ran: r.attempts.Ran(), reason: domain.ReasonNoRoom, final: true}
@@ -136,10 +106,16 @@
 	return r.attempts.CanRepeat() && s.retryAvailable(r)
 }
 
-// attemptPlain makes one attempt and passes its response on.
-func (s *Server) attemptPlain(ctx context.Context, r *request, a *attempt) *failure {
+// plainOnce makes one attempt and passes its response on.
+func (s *Server) plainOnce(ctx context.Context, r *request) *failure {
+	a, f := s.prepareAttempt(ctx, r)
+	if f != nil {
+		return f
+	}
+	a.headerTimeout = s.attemptTimeout(r)
 	reply, f := s.sendAttempt(ctx, r, a)
 	if f != nil {
+		s.freeHandle(r, a.prefilled)
 		return f
 	}
 	defer reply.Close()
@@ -154,7 +130,7 @@
 		}
 	}
 	took, now := time.Since(a.startedAt), time.Now()
-	if succeeded {
+	if succeeded && !r.service.HasEngines() {
 		s.recordSpeed(r.service.Name, "", a.start, speed.Observation{Units: 1, Took: took, Load: otherRequests(now, a.upstream), HostLoad: recentHostLoad(now, a.upstream)})
 	}
 	return s.passBuffered(ctx, r, a, bufferedResponse{Response: reply, head: head, complete: complete}, took)
@@ -194,7 +170,7 @@
 // another attempt is granted in its place; otherwise it returns nil, and the response is
 // passed on.
 func (s *Server) retryFailedResponse(ctx context.Context, r *request, a *attempt) *failure {
-	if !r.attempts.CanRepeat() || ctx.Err() != nil || !s.hasOther(r, "", a.start) {
+	if !r.attempts.CanRepeat() || ctx.Err() != nil || !s.hasOther(r, s.answerRole(r), a.start) {
 		return nil
 	}
 	f := &failure{ran: domain.DidRun, reason: domain.ReasonUpstream, detail: "the upstream answered with a failure", retryGranted: true}
--- a/direct/request.go
+++ b/direct/request.go
@@ -111,6 +111,7 @@
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
 	r := &request{accepted: time.Now(), w: conns.NewDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: newRandom()}
 	r.deadline = r.accepted.Add(defaultTimeout)
+	defer func() { s.endPanicked(r, recover()) }()
 	if s.draining.Load() {
 		w.Header().Set("Connection", "close")
 	}
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -130,7 +130,7 @@
 	samples, entries := s.fleetMix(ctx)
 	for i := range c.Services {
 		v := &c.Services[i]
-		if v.Engine == nil || v.Engine.SwitchTime <= 0 {
+		if v.Engine.SwitchTime <= 0 {
 			continue
 		}
 		pool := s.activeEngines(v.Name)
--- a/direct/slots.go
+++ b/direct/slots.go
@@ -14,7 +14,6 @@
 	"jacinthworks/conf"
 	"jacinthworks/domain"
 	"jacinthworks/meter"
-	"jacinthworks/paths"
 	"jacinthworks/relay"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
@@ -182,18 +181,6 @@
 // slotsKey is the key by which the owner of a service's slots is determined.
 func slotsKey(v domain.Service) string { return "slots/" + string(v) }
 
-// usesSlots reports whether the owner of the service's slots is asked for each attempt.
-func (s *Server) usesSlots(v *paths.Service) bool {
-	if v.Engine != nil {
-		return false
-	}
-	total := 0
-	for _, m := range s.slotServers(v.Name) {
-		total += m.Slots
-	}
-	return s.slotsOn(total, s.competingEntries(time.Now()))
-}
-
 // slotServers returns the plain upstreams of a service that accept calls.
 func (s *Server) slotServers(v domain.Service) (all []slots.Server) {
 	now := time.Now()
@@ -372,7 +359,7 @@
 	case c == nil || !s.roster.Loaded() || s.liveSettings.Load().HardLoad.Slots == conf.Off:
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
-	case c.Service(call.Service) == nil || c.Service(call.Service).Engine != nil:
+	case c.Service(call.Service) == nil || c.Service(call.Service).HasEngines():
 		s.rejectMessage(slotPath)
 		http.Error(w, "no plain service of this name", http.StatusBadRequest)
 		return
--- a/direct/slots_test.go
+++ b/direct/slots_test.go
@@ -22,7 +22,7 @@
 func newSlotOwner() *Server {
 	s := &Server{}
 	s.init()
-	s.config.Update(time.Now(), &paths.Config{Version: 1, Services: []paths.Service{{Name: "cards"}, {Name: "model", Engine: &paths.Engine{}}}})
+	s.config.Update(time.Now(), &paths.Config{Version: 1, Services: []paths.Service{{Name: "cards"}, {Name: "model", Engine: paths.Engine{TokensPerEvent: 1}}}})
 	s.roster.SetAll(time.Now(), []feed.Item[roster.Server]{{Name: "i-1", Value: roster.Server{
 		Start: roster.Start{ID: "i-1"}, Service: "cards", Addr: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 2,
 	}}})
--- a/direct/speeds_test.go
+++ b/direct/speeds_test.go
@@ -38,7 +38,7 @@
 	s.liveSettings.Store(&live)
 	s.roster.Log = s.Log
 	s.peers.fleet.Self = "self"
-	s.config.Update(time.Now(), &paths.Config{Version: 1, Services: []paths.Service{{Name: "model", Engine: &paths.Engine{KVTokens: 30000}}}})
+	s.config.Update(time.Now(), &paths.Config{Version: 1, Services: []paths.Service{{Name: "model", Engine: paths.Engine{KVTokens: 30000}}}})
 	var all []feed.Item[roster.Server]
 	for n := range engines {
 		all = append(all, engineItem(role, engineStart(n)))
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -44,66 +44,21 @@
 
 // streamOnce makes one attempt at the rest of a stream.
 func (s *Server) streamOnce(ctx context.Context, r *request, e *events.Splitter) *failure {
-	role := s.answerRole(r)
-	allocated, f := s.allocate(ctx, r, role)
+	a, f := s.prepareAttempt(ctx, r)
 	if f != nil {
 		return f
 	}
-	s.recordAllocated(r)
-	s.countStarted(r)
-	var prefilled *prefillResult
-	if role == domain.RoleDecode && r.info.PromptTokens >= minPrefillPrompt {
-		prefilled, f = s.prefill(ctx, r, allocated)
-		if f != nil {
-			s.release(r, allocated)
-			return f
-		}
-		if prefilled == nil {
-			s.waitDecodeTurn(ctx, r, allocated)
-		}
-	}
-	if allocated, f = s.revalidate(ctx, r, role, allocated); f != nil {
-		s.freeHandle(r, prefilled)
-		return f
-	}
-	if prefilled != nil && prefilled.upstream.Server().Software != allocated.upstream.Server().Software {
-		s.freeHandle(r, prefilled)
-		prefilled = nil
-	}
-	a := &attempt{upstream: allocated.upstream, cost: allocated.cost, loadCounted: true, headerTimeout: s.streamHeaderTimeout(r), permit: allocated.permit}
-	a.info.LastEvent, a.info.Reservation = e.LastEventID, allocated.reservation
-	if prefilled != nil {
-		a.info.Stage, a.info.Source = StageDecode, prefilled.handle
-	}
-	if ctx.Err() != nil {
-		s.release(r, allocated)
-		s.freeHandle(r, prefilled)
-		return &failure{ran: domain.NotRun, reason: domain.ReasonOf(ctx), detail: "ended before an upstream had it"}
-	}
+	a.headerTimeout, a.info.LastEvent = s.streamHeaderTimeout(r), e.LastEventID
 	reply, f := s.sendAttempt(ctx, r, a)
 	if f != nil {
-		s.freeHandle(r, prefilled)
+		s.freeHandle(r, a.prefilled)
 		return f
 	}
 	defer reply.Close()
 	if reply.Status != http.StatusOK || r.responseBegun && !reply.EventStream {
 		return s.passNonStream(ctx, r, a, reply)
 	}
-	return s.passEvents(ctx, r, a, reply, e, allocated.allocatedAt)
-}
-
-// answerRole is the role of the upstream that generates the answer: decode if the service
-// has decode engines, otherwise the role that does all stages.
-func (s *Server) answerRole(r *request) domain.Role {
-	if r.engine() == nil {
-		return ""
-	}
-	for _, u := range s.roster.Upstreams(r.service.Name) {
-		if u.Server().Role == domain.RoleDecode {
-			return domain.RoleDecode
-		}
-	}
-	return ""
+	return s.passEvents(ctx, r, a, reply, e)
 }
 
 // streamHeaderTimeout bounds the wait for the header of a stream if another attempt can
@@ -192,7 +147,7 @@
 }
 
 // passEvents passes the events of an answer on as they come.
-func (s *Server) passEvents(ctx context.Context, r *request, a *attempt, reply *send.Response, e *events.Splitter, allocatedAt time.Time) *failure {
+func (s *Server) passEvents(ctx context.Context, r *request, a *attempt, reply *send.Response, e *events.Splitter) *failure {
 	reply.SetReadTimeout(r.timeLeft() + readTimeoutMargin)
 	p := s.startStallProbe(r, a, reply)
 	defer p.stop()
@@ -217,7 +172,9 @@
 				return f
 			}
 			firstAfter, a.gotEvents = time.Since(a.startedAt), true
-			s.queues.For(r.service.Name).RecordFirstEvent(time.Since(allocatedAt))
+			if !a.allocatedAt.IsZero() {
+				s.queues.For(r.service.Name).RecordFirstEvent(time.Since(a.allocatedAt))
+			}
 		}
 		if n > 0 {
 			pace.add(s, r, a, buffer[:n])
--- a/direct/views.go
+++ b/direct/views.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/meter"
 	"jacinthworks/roster"
 )
 
@@ -113,12 +114,13 @@
 // round keeps two decimals, which is more than the estimates bear.
 func round(x float64) float64 { return math.Round(100*x) / 100 }
 
-// views returns the handlers of the views for operators.
-func (s *Server) views() map[string]http.Handler {
-	return map[string]http.Handler{
-		"GET " + UpstreamsPath: viewHandler(s, func(now time.Time) any { return s.upstreamViews(now) }),
-		"GET " + ServicesPath:  viewHandler(s, func(now time.Time) any { return s.serviceViews(now) }),
-	}
+// metricsHandler serves the metrics and the views for operators.
+func (s *Server) metricsHandler() http.Handler {
+	m := http.NewServeMux()
+	m.Handle("GET "+meter.Path, s.Meter)
+	m.Handle("GET "+UpstreamsPath, viewHandler(s, func(now time.Time) any { return s.upstreamViews(now) }))
+	m.Handle("GET "+ServicesPath, viewHandler(s, func(now time.Time) any { return s.serviceViews(now) }))
+	return s.reportPanics("metrics", m)
 }
 
 func viewHandler(s *Server, view func(now time.Time) any) http.Handler {
--- a/direct/views_test.go
+++ b/direct/views_test.go
@@ -18,10 +18,7 @@
 	s := newSpeedServer(domain.RoleDecode, 3)
 	recordSpeeds(s, domain.RoleDecode, 3, time.Now())
 	s.roster.Upstream(engineStart(1).ID).Stats.MarkLeaving(time.Now())
-	m := http.NewServeMux()
-	for pattern, view := range s.views() {
-		m.Handle(pattern, view)
-	}
+	m := s.metricsHandler()
 	w := httptest.NewRecorder()
 	m.ServeHTTP(w, httptest.NewRequest(http.MethodGet, UpstreamsPath, nil))
 	require.Equal(t, http.StatusOK, w.Code)
--- a/domain/domain.go
+++ b/domain/domain.go
@@ -98,6 +98,7 @@
 	ReasonCrashes     Reason = "request_crashes_upstreams"
 	ReasonDeadline    Reason = "deadline_passed"
 	ReasonCallerGone  Reason = "caller_gone"
+	ReasonInternal    Reason = "internal_error"
 )
 
 // Status returns the HTTP status of a response with this reason.
@@ -123,6 +124,8 @@
 		return 504
 	case ReasonCallerGone:
 		return 499
+	case ReasonInternal:
+		return 500
 	}
 	return 503
 }
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -51,6 +51,7 @@
 	add("table_version", int64(e.tables.Version()))
 	add("sides_connected", int64(len(e.sides.Connected())))
 	add("entries_connected", int64(len(e.entries.Connected())))
+	add("handler_panics", e.panics.Load())
 	v.Set("memstats", expvar.Get("memstats"))
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	fmt.Fprintln(w, v.String())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -11,6 +11,7 @@
 import (
 	"context"
 	"crypto/tls"
+	"encoding/json"
 	"net"
 	"net/http"
 	"net/netip"
@@ -21,6 +22,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/conf"
+	"jacinthworks/conns"
 	"jacinthworks/domain"
 	"jacinthworks/group"
 	"jacinthworks/infra"
@@ -65,6 +67,7 @@
 	// serves requests; draining is set once it refuses new requests.
 	leaving       atomic.Bool
 	draining      atomic.Bool
+	panics        atomic.Int64 // panics in handlers
 	started       time.Time
 	startupDone   atomic.Bool
 	background    group.Group
@@ -194,7 +197,7 @@
 func (e *Entry) server(h http.Handler) *http.Server {
 	l := e.Settings.Limits
 	return &http.Server{
-		Handler:           h,
+		Handler:           &conns.PanicHandler{Handler: h, Log: e.Log, OnPanic: func() { e.panics.Add(1) }, Respond: respondPanicked},
 		ReadHeaderTimeout: l.HeaderTimeout,
 		ReadTimeout:       l.ReadTimeout,
 		IdleTimeout:       l.IdleTimeout,
@@ -202,6 +205,14 @@
 	}
 }
 
+// respondPanicked answers a request whose handler has panicked. How far it got is not known.
+func respondPanicked(w http.ResponseWriter) {
+	refusal := domain.Refusal{RequestID: domain.RequestID(w.Header().Get(headerID)), Reason: domain.ReasonInternal, Ran: domain.Unknown, Detail: "the entry failed"}
+	w.Header().Set("Content-Type", "application/problem+json")
+	w.WriteHeader(refusal.Reason.Status())
+	_ = json.NewEncoder(w).Encode(refusal.Problem()) // the caller detects a broken connection itself
+}
+
 func (e *Entry) logTaskErrors(context.Context) error {
 	for end := range e.background.Exits() {
 		if end.Err != nil {
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -6,7 +6,8 @@
 //	var m meter.Registry
 //	m.Inc("jacinthworks_requests_total", meter.Labels{"route", name, "outcome", outcome})
 //	m.Observe("jacinthworks_request_seconds", meter.Labels{"kind", kind}, elapsed)
-//	err := m.Serve(ctx, addr, views) // GET /metrics, and the views
+//	mux.Handle("GET "+meter.Path, &m)
+//	err := m.Serve(ctx, addr, mux)
 package meter
 
 import (
@@ -87,15 +88,13 @@
 // readTimeout bounds the time for reading the header of a request for metrics.
 const readTimeout = 5 * time.Second
 
-// Serve serves GET /metrics, and the given views by their patterns, until ctx is done. It
-// returns an error if it cannot serve on the address.
-func (s *Registry) Serve(ctx context.Context, addr netip.AddrPort, views map[string]http.Handler) error {
-	m := http.NewServeMux()
-	m.Handle("GET /metrics", s)
-	for pattern, view := range views {
-		m.Handle(pattern, view)
-	}
-	h := &http.Server{Addr: addr.String(), Handler: m, ReadHeaderTimeout: readTimeout}
+// Path is the path at which the metrics are served.
+const Path = "/metrics"
+
+// Serve serves a handler, which has the metrics at Path, until ctx is done. It returns an error if it
+// cannot serve on the address.
+func (s *Registry) Serve(ctx context.Context, addr netip.AddrPort, handler http.Handler) error {
+	h := &http.Server{Addr: addr.String(), Handler: handler, ReadHeaderTimeout: readTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() }) // a reader of metrics retries
 	defer stop()
 	if err := h.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -101,9 +101,10 @@
 	return r.Shares[len(r.Shares)-1].Service
 }
 
-// Engine describes the engines of a service whose upstreams are model engines.
+// Engine describes the engines of a service whose upstreams are model engines. The zero value
+// stands for application servers: they keep no KV cache, take no reservations and have no roles.
 type Engine struct {
-	// TokensPerEvent is the number of tokens per event of an answer; zero means one.
+	// TokensPerEvent is the number of tokens per event of an answer, at least 1 for an engine.
 	TokensPerEvent int
 	// KVTokens is the capacity of an engine's KV cache in tokens.
 	KVTokens int
@@ -120,10 +121,17 @@
 	// MaxConnections is the number of connections that an upstream accepts from all clients
 	// together; zero is no limit.
 	MaxConnections int
-	// Engine is nil for services whose upstreams are application servers.
-	Engine *Engine
+	// Engine is the zero value for services whose upstreams are application servers.
+	Engine Engine
 }
 
+// HasEngines reports whether the upstreams of the service are model engines.
+func (s *Service) HasEngines() bool { return s.Engine != Engine{} }
+
+// AnswerEvents returns the number of events in which an engine sends an answer of the given number
+// of tokens.
+func (e Engine) AnswerEvents(tokens int) int { return tokens / max(e.TokensPerEvent, 1) }
+
 // Limits bound the size of callers' requests and the times of their connections.
 type Limits struct {
 	// MaxBody is the maximum size of a request body in bytes.
--- a/side/metrics.go
+++ b/side/metrics.go
@@ -9,6 +9,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/conns"
 )
 
 // serveMetrics serves the side's metrics at /debug/vars of admin_listen, in
@@ -19,7 +21,7 @@
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		fmt.Fprintln(w, s.metrics().String())
 	})
-	server := &http.Server{Handler: mux, ReadHeaderTimeout: s.Settings.Limits.WithDefaults().HeaderTimeout}
+	server := &http.Server{Handler: &conns.PanicHandler{Handler: mux, Log: s.Log}, ReadHeaderTimeout: s.Settings.Limits.WithDefaults().HeaderTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -20,6 +20,7 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/conns"
 	"jacinthworks/group"
 	"jacinthworks/platform/fake"
 	"jacinthworks/test/started"
@@ -104,6 +105,7 @@
 	acceptCounts map[string]int
 	endCounts    map[string]int
 	killed       bool
+	panics       int // panics in handlers, by the log
 	// stopRequestedAt is when the process received SIGTERM, exitedAt when it exited.
 	stopRequestedAt, exitedAt time.Time
 }
@@ -194,6 +196,7 @@
 		fake.Route{Prefix: fake.LongPrefix, Kind: "streaming", Service: "model", Attempts: 1},
 		fake.Route{Prefix: "/resumed/", Kind: "streaming", Service: "model", Attempts: 2, Resumable: true},
 		fake.Route{Prefix: "/" + singleKind + "/", Kind: "streaming", Service: "model", Attempts: 1, Resumable: true},
+		fake.Route{Prefix: "/" + plainStreamKind + "/", Kind: "streaming", Service: "cards", Attempts: 2, Resumable: true},
 		fake.Route{Prefix: "/probe/", Kind: "idempotent", Service: generationName(n), Attempts: 1},
 	))
 }
@@ -320,6 +323,8 @@
 			close(l.started)
 		case "accepted":
 			l.acceptCounts[n.Request]++
+		case conns.PanicMessage:
+			l.panics++
 		case "answered", "refused", "caller_gone":
 			l.endCounts[n.Request]++
 		}
--- a/test/fleet_calls.go
+++ b/test/fleet_calls.go
@@ -38,13 +38,16 @@
 
 // fleetKinds are the kinds of requests whose answers are read to the end. longKind is a stream that its
 // caller always abandons.
-var fleetKinds = []string{"once", "again", "stream", "resumed"}
+var fleetKinds = []string{"once", "again", "stream", "resumed", plainStreamKind}
+
+// plainStreamKind is a stream of plain servers that may be resumed.
+const plainStreamKind = "plain-stream"
 
 const longKind = "long"
 
 // isStream reports whether calls of a kind are answered with a stream.
 func isStream(kind string) bool {
-	return slices.Contains([]string{"stream", "resumed", singleKind, resumedKind, longKind, deadlyKind}, kind)
+	return slices.Contains([]string{"stream", "resumed", plainStreamKind, singleKind, resumedKind, longKind, deadlyKind}, kind)
 }
 
 // runCaller sends requests until ctx ends. It keeps a connection for as long as the entry allows,
--- a/test/fleet_judge.go
+++ b/test/fleet_judge.go
@@ -336,6 +336,9 @@
 			if took := l.exitedAt.Sub(l.stopRequestedAt); !l.stopRequestedAt.IsZero() && !l.exitedAt.IsZero() && !affected && took > fleetStopTimeout+judgeSlack {
 				found.add("%s took %v to stop", h.name, took)
 			}
+			if l.panics > 0 {
+				found.add("%d handlers of %s panicked", l.panics, h.name)
+			}
 			for id, n := range l.acceptCounts {
 				if ends := l.endCounts[id]; !l.killed && hasExited(l) && ends != n || ends > n {
 					found.add("%s at %s was accepted %d times and ended %d times", id, h.name, n, ends)
