feed, conf: one default wait of watches, below the time within which a change must be in force

Cause: a watch sent into the silence is never answered, and was given up only after the default of watch_wait, 10 s, and 0.8 s. Package feed has a default of its own, 2 s, with the bound in its comment; tests and soak ran with that.

Change: one default of 1 s. The soak no longer sets watch_wait. TestParseDirect expected the former default of 10 s; it is as strict with the new one.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/feed"
 	"jacinthworks/quota"
 )
 
@@ -66,7 +67,7 @@
 	Platform netip.AddrPort
 	// StopTimeout bounds a graceful stop; default 8s.
 	StopTimeout time.Duration
-	// WatchTimeout is how long a watch request to the store waits; default 10s.
+	// WatchTimeout is how long a watch request to the store waits; default feed.DefaultWatchTimeout.
 	WatchTimeout time.Duration
 	// FirstStart says that the whole system starts for the first time, on a new store;
 	// default false.
@@ -162,7 +163,7 @@
 	}
 	orDefault(&d.HostCores, 1)
 	orDefault(&d.StopTimeout, 8*time.Second)
-	orDefault(&d.WatchTimeout, 10*time.Second)
+	orDefault(&d.WatchTimeout, feed.DefaultWatchTimeout)
 	return d
 }
 
--- a/conf/direct_test.go
+++ b/conf/direct_test.go
@@ -28,7 +28,7 @@
 	require.NoError(t, err)
 	require.Equal(t, conf.RetryBudget{RetryRatio: 0.2, FixedRetries: 54, Window: 10 * time.Second}, d.RetryBudget)
 	require.Equal(t, 8*time.Second, d.StopTimeout)
-	require.Equal(t, 10*time.Second, d.WatchTimeout)
+	require.Equal(t, time.Second, d.WatchTimeout)
 	require.False(t, d.FirstStart)
 	first, err := conf.ParseDirect("direct.toml", []byte("first_start = true\n"+directFile))
 	require.NoError(t, err)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -159,8 +159,9 @@
 const (
 	// DefaultWatchTimeout is how long a watch waits. A connection may stop delivering
 	// messages without being closed, which is noticed only when a watch gets no answer in
-	// time; so this timeout and answerMargin bound how old a copy can get unnoticed.
-	DefaultWatchTimeout = 2 * time.Second
+	// time; so this timeout and answerMargin bound how old a copy can get unnoticed. Their
+	// sum must stay below the two seconds within which a change must be in force.
+	DefaultWatchTimeout = time.Second
 	// answerMargin is how long an answer may take beyond the time for which a watch
 	// waits.
 	answerMargin = 800 * time.Millisecond
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -245,7 +245,7 @@
 	}
 	return f.w.writeSettings(h.name, firstStart+fmt.Sprintf(
 		"name = %q\nzone = \"here\"\nlisten = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\nrelay_from = 2\nplatform = %q\nstop_within = %q\n"+
-			"watch_wait = \"2s\"\n[repeats]\nratio = 0.2\nfixed = %d\nspan = \"5s\"\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
+			"[repeats]\nratio = 0.2\nfixed = %d\nspan = \"5s\"\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
 		h.name, h.proxy.address(), fleetStopTimeout, h.repeats))
 }
 
