test: the fleet soak finds processes that exit by themselves, and races with RACE=1

A process that exited by itself was seen only by calls that broke off without a fault, and a race not at all, since the programs were built without the race detector. The judge now requires that a process exits only if it was stopped, and in order, and that its output has no last words of the runtime. RACE=1 builds the programs under test with the race detector.

--- a/test/cluster.go
+++ b/test/cluster.go
@@ -17,13 +17,20 @@
 func Build(dir string) (Binaries, error) {
 	b := Binaries{Router: filepath.Join(dir, "jacinthworks"), Fakes: filepath.Join(dir, "fakes")}
 	for out, from := range map[string]string{b.Router: "jacinthworks", b.Fakes: "jacinthworks/fakes"} {
-		if text, err := exec.Command("go", "build", "-o", out, from).CombinedOutput(); err != nil {
+		args := []string{"build", "-o", out, from}
+		if os.Getenv(raceVariable) != "" {
+			args = []string{"build", "-race", "-o", out, from}
+		}
+		if text, err := exec.Command("go", args...).CombinedOutput(); err != nil {
 			return b, errors.Errorf("test: build %s: %s", from, text)
 		}
 	}
 	return b, nil
 }
 
+// raceVariable is the environment variable that has the programs built with the race detector.
+const raceVariable = "RACE"
+
 // Cluster is a world for programs that measure. Its processes connect to each other without
 // proxies and log at the level of a deployment.
 type Cluster struct{ w *world }
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -106,6 +106,8 @@
 	endCounts    map[string]int
 	killed       bool
 	panics       int // panics in handlers, by the log
+	// logPath is the file of the process's log and standard error, exitState how it exited.
+	logPath, exitState string
 	// stopRequestedAt is when the process received SIGTERM, exitedAt when it exited.
 	stopRequestedAt, exitedAt time.Time
 }
@@ -261,7 +263,8 @@
 		acceptCounts: make(map[string]int), endCounts: make(map[string]int),
 	}
 	h.mu.Unlock()
-	log, err := os.Create(filepath.Join(f.w.dir, fmt.Sprintf("%s.%d.log", h.name, l.number)))
+	l.logPath = filepath.Join(f.w.dir, fmt.Sprintf("%s.%d.log", h.name, l.number))
+	log, err := os.Create(l.logPath)
 	if err != nil {
 		return err
 	}
@@ -280,7 +283,7 @@
 		l.readLog(io.TeeReader(out, log))
 		_ = l.command.Wait()
 		l.mu.Lock()
-		l.exitedAt = time.Now()
+		l.exitedAt, l.exitState = time.Now(), l.command.ProcessState.String()
 		l.mu.Unlock()
 	}()
 	select {
@@ -417,6 +420,9 @@
 		incarnations := h.incarnations
 		h.mu.Unlock()
 		for _, l := range incarnations {
+			l.mu.Lock()
+			l.killed = true
+			l.mu.Unlock()
 			_ = l.command.Process.Signal(syscall.SIGCONT)
 			_ = l.command.Process.Kill()
 			<-l.done
--- a/test/fleet_judge.go
+++ b/test/fleet_judge.go
@@ -1,9 +1,11 @@
 package test
 
 import (
+	"bytes"
 	"cmp"
 	"fmt"
 	"net/http"
+	"os"
 	"slices"
 	"strconv"
 	"strings"
@@ -326,8 +328,14 @@
 	}
 }
 
-// judgeProcesses checks that a process exits in time after SIGTERM, and that its log has one end
-// for each request that it accepted.
+// cleanExit is the state of a process that stopped in order.
+const cleanExit = "exit status 0"
+
+// lastWords are what the runtime writes to standard error when it finds a race or ends the process.
+var lastWords = []string{"WARNING: DATA RACE", "panic: ", "fatal error: "}
+
+// judgeProcesses checks that no process exits unless it was stopped, that it exits in time and in
+// order after SIGTERM, and that its log has one end for each request that it accepted.
 func (f *fleet) judgeProcesses(found *findings) {
 	for _, h := range f.entries {
 		for _, l := range h.incarnations {
@@ -339,6 +347,14 @@
 			if l.panics > 0 {
 				found.add("%d handlers of %s panicked", l.panics, h.name)
 			}
+			if hasExited(l) && !l.killed && (l.stopRequestedAt.IsZero() || l.exitState != cleanExit) {
+				found.add("%s exited by itself, or not in order: %s", h.name, l.exitState)
+			}
+			for _, words := range lastWords {
+				if text, err := os.ReadFile(l.logPath); err != nil || bytes.Contains(text, []byte(words)) {
+					found.add("%q in the log of %s, or no log: %v", words, h.name, err)
+				}
+			}
 			for id, n := range l.acceptCounts {
 				if ends := l.endCounts[id]; !l.killed && hasExited(l) && ends != n || ends > n {
 					found.add("%s at %s was accepted %d times and ended %d times", id, h.name, n, ends)
