direct: a signal to read the settings ends no process that starts or stops

SIGHUP was handled once the settings had been read, and no longer while the last log lines were written. It is now handled from the first line of the command to the exit, and a second SIGTERM during the exit changes nothing either.

The test failed before: the process was gone before it had read its settings (the writer of the settings got a broken pipe). It passes now.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -18,6 +18,9 @@
 var cmdDirect = command{name: "direct", help: "serve callers on an entry host, with direct connections to registered upstreams", run: runDirect}
 
 func runDirect(ctx context.Context, args []string, out, errs io.Writer) int {
+	// First of all, since SIGHUP ends a process that does not handle it. It stays handled to the exit.
+	reloads := make(chan os.Signal, 1)
+	signal.Notify(reloads, syscall.SIGHUP)
 	d, a, code, done := readSettings(args, "direct", conf.ParseDirect, out, errs)
 	if done {
 		return code
@@ -26,9 +29,6 @@
 	go lines.Run()
 	defer lines.Close()
 	store := &platform.Store{Addr: d.Platform}
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	defer signal.Stop(reloads)
 	s := &direct.Server{
 		Settings:      d,
 		Log:           newLog(d.Log, "direct", d.Name, lines),
--- a/main.go
+++ b/main.go
@@ -18,10 +18,9 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	// The signals stay handled to the exit: a second one must not end a process that is about to exit in order.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	os.Exit(dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
 func dispatch(ctx context.Context, args []string, out, errs io.Writer) int {
--- /dev/null
+++ b/test/process_test.go
@@ -0,0 +1,165 @@
+package test
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+
+	"jacinthworks/platform/fake"
+	"jacinthworks/test/started"
+)
+
+// entryProcess is one process of `direct` beside a fake store with a plain server.
+type entryProcess struct {
+	t              *testing.T
+	store          *fake.Store
+	server         *fake.Server
+	listen, ready  netip.AddrPort
+	peers, metrics netip.AddrPort
+	settings, log  string // paths
+	command        *exec.Cmd
+	done           chan struct{}
+}
+
+// newEntryProcess starts the fakes and chooses addresses. It does not write the settings.
+func newEntryProcess(t *testing.T) *entryProcess {
+	p := &entryProcess{t: t, store: fake.NewStore(), done: make(chan struct{})}
+	t.Cleanup(p.store.Close)
+	p.store.Put("config", "main", fake.Configuration(1, []string{"cards"}, fake.Route{Prefix: "/again/", Kind: "idempotent", Service: "cards", Attempts: 2}))
+	p.server = fake.NewServer(p.store, fake.Entry{ID: "app-1", Service: "cards", Zone: "here", Slots: 4000})
+	t.Cleanup(p.server.Close)
+	dir := t.TempDir()
+	p.settings, p.log = filepath.Join(dir, "settings.toml"), filepath.Join(dir, "log")
+	// An address of its own, with ports that no outgoing connection takes, as on a host of its own.
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + rand.N(250)), byte(rand.N(250)), byte(1 + rand.N(250))})
+	for n, a := range []*netip.AddrPort{&p.listen, &p.ready, &p.peers, &p.metrics} {
+		*a = netip.AddrPortFrom(ip, uint16(8140+n))
+	}
+	return p
+}
+
+// text returns the settings, with lines of the first table.
+func (p *entryProcess) text(lines ...string) string {
+	return fmt.Sprintf("name = \"entry-1\"\nzone = \"here\"\nlisten = %q\nready_listen = %q\npeer_listen = %q\nmetrics_listen = %q\nplatform = %q\nstop_within = \"3s\"\n%s\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
+		p.listen, p.ready, p.peers, p.metrics, p.store.Addr(), strings.Join(lines, "\n"))
+}
+
+func (p *entryProcess) writeSettings(text string) {
+	require.NoError(p.t, os.WriteFile(p.settings, []byte(text), 0o600))
+}
+
+// start starts the process with its output in the log, or in the given files.
+func (p *entryProcess) start(output ...*os.File) {
+	p.startCommand(exec.Command(built.Router, "direct", "--settings", p.settings), output...)
+}
+
+func (p *entryProcess) startCommand(command *exec.Cmd, output ...*os.File) {
+	p.command = command
+	log, err := os.OpenFile(p.log, os.O_CREATE|os.O_WRONLY|os.O_APPEND, 0o600)
+	require.NoError(p.t, err)
+	defer func() { _ = log.Close() }()
+	command.Stdout, command.Stderr = log, log
+	if len(output) > 0 {
+		command.Stdout, command.Stderr = output[0], output[0]
+	}
+	require.NoError(p.t, started.Start("entry", command))
+	go func() { _ = command.Wait(); close(p.done) }()
+	p.t.Cleanup(func() { _ = command.Process.Kill(); <-p.done })
+}
+
+func (p *entryProcess) signal(s os.Signal) { require.NoError(p.t, p.command.Process.Signal(s)) }
+
+// health returns the status of the health check, and its body or why it has none.
+func (p *entryProcess) health() (status int, body string) {
+	c := http.Client{Timeout: time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
+	answer, err := c.Get("http://" + p.ready.String() + "/ready")
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = answer.Body.Close() }()
+	text := make([]byte, 4096)
+	n, _ := answer.Body.Read(text)
+	return answer.StatusCode, string(text[:n])
+}
+
+// requireReady waits until the process is ready.
+func (p *entryProcess) requireReady() {
+	p.t.Helper()
+	for until := time.Now().Add(WaitTimeout); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
+		if status, _ := p.health(); status == http.StatusOK {
+			return
+		}
+		select {
+		case <-p.done:
+			p.t.Fatalf("the process exited: %s\n%s", p.command.ProcessState, p.logText())
+		default:
+		}
+	}
+	p.t.Fatalf("the process did not become ready\n%s", p.logText())
+}
+
+func (p *entryProcess) logText() string {
+	text, err := os.ReadFile(p.log)
+	require.NoError(p.t, err)
+	return string(text)
+}
+
+// requireServes sends a request and requires an answer of the server.
+func (p *entryProcess) requireServes(id string) {
+	p.t.Helper()
+	c := &fake.Caller{EntryAddr: p.listen}
+	defer c.Close()
+	g, _ := c.Do(p.t.Context(), fake.Request{ID: id, Method: "GET", Target: "/again/" + id, Timeout: 3 * time.Second})
+	require.NoError(p.t, g.Err)
+	require.Equal(p.t, http.StatusOK, g.Status, g.Body)
+}
+
+// requireExit waits until the process exits, and requires the state.
+func (p *entryProcess) requireExit(state string) {
+	p.t.Helper()
+	select {
+	case <-p.done:
+		require.Equal(p.t, state, p.command.ProcessState.String(), p.logText())
+	case <-time.After(WaitTimeout):
+		p.t.Fatalf("the process did not exit\n%s", p.logText())
+	}
+}
+
+// Guards against a process that a signal to read its settings ends while it starts or stops.
+func TestReloadSignalEndsNoProcessThatStartsOrStops(t *testing.T) {
+	t.Parallel()
+	p := newEntryProcess(t)
+	require.NoError(t, syscall.Mkfifo(p.settings, 0o600))
+	p.start()
+	to, err := os.OpenFile(p.settings, os.O_WRONLY, 0) // returns once the process reads
+	require.NoError(t, err)
+	p.signal(syscall.SIGHUP)
+	time.Sleep(100 * time.Millisecond)
+	_, err = to.WriteString(p.text())
+	require.NoError(t, err)
+	require.NoError(t, os.Remove(p.settings))
+	p.writeSettings(p.text())
+	require.NoError(t, to.Close())
+	p.requireReady()
+	p.signal(syscall.SIGTERM)
+	p.signal(syscall.SIGTERM)
+	for exited := false; !exited; {
+		select {
+		case <-p.done:
+			exited = true
+		case <-time.After(time.Millisecond):
+			_ = p.command.Process.Signal(syscall.SIGHUP) // it may have exited
+		}
+	}
+	require.Equal(t, cleanExit, p.command.ProcessState.String(), p.logText())
+}
