direct, entry, side: a process outlives the reader of its log

The signal is ignored by the commands that serve, and the lines that can't be written are counted in jacinthworks_log_lines_dropped.

The test failed before: connection refused at the first request after the end of the reader, state of the process "signal: broken pipe". It passes now.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -18,6 +18,7 @@
 var cmdDirect = command{name: "direct", help: "serve callers on an entry host, with direct connections to registered upstreams", run: runDirect}
 
 func runDirect(ctx context.Context, args []string, out, errs io.Writer) int {
+	ignoreBrokenOutput()
 	// First of all, since SIGHUP ends a process that does not handle it. It stays handled to the exit.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
--- a/cmd_entry.go
+++ b/cmd_entry.go
@@ -14,6 +14,7 @@
 var cmdEntry = command{name: "entry", help: "serve callers on an entry host", run: runEntry}
 
 func runEntry(ctx context.Context, args []string, out, errs io.Writer) int {
+	ignoreBrokenOutput()
 	s, a, code, done := readSettings(args, "entry", conf.ParseEntry, out, errs)
 	if done {
 		return code
--- a/cmd_side.go
+++ b/cmd_side.go
@@ -16,6 +16,7 @@
 var cmdSide = command{name: "side", help: "serve entries on behalf of one upstream", run: runSide}
 
 func runSide(ctx context.Context, args []string, out, errs io.Writer) int {
+	ignoreBrokenOutput()
 	s, a, code, done := readSettings(args, "side", conf.ParseSide, out, errs)
 	if done {
 		return code
--- a/main.go
+++ b/main.go
@@ -23,6 +23,10 @@
 	os.Exit(dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
+// ignoreBrokenOutput makes a write to a standard output or error whose reader is gone an error. By
+// default it ends the process; a process that serves others must outlive the reader of its log.
+func ignoreBrokenOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 func dispatch(ctx context.Context, args []string, out, errs io.Writer) int {
 	if len(args) == 0 {
 		usage(errs)
--- a/spool/spool.go
+++ b/spool/spool.go
@@ -14,6 +14,7 @@
 package spool
 
 import (
+	"bytes"
 	"io"
 	"sync"
 	"time"
@@ -68,7 +69,7 @@
 	return len(line), nil
 }
 
-// Dropped returns the number of lines dropped because the buffer was full.
+// Dropped returns the number of lines dropped because the buffer was full, or Output failed.
 func (w *Writer) Dropped() int {
 	w.mu.Lock()
 	defer w.mu.Unlock()
@@ -96,15 +97,20 @@
 	}
 }
 
-// flush writes the buffered lines. An error of Output cannot be reported anywhere, so
-// the lines are lost.
+// flush writes the buffered lines. An error of Output cannot be reported there, so the lines are
+// counted as dropped.
 func (w *Writer) flush() {
 	w.mu.Lock()
 	buffered := w.buffered
 	w.buffered = nil
 	w.mu.Unlock()
-	if len(buffered) > 0 {
-		_, _ = w.Output.Write(buffered)
+	if len(buffered) == 0 {
+		return
+	}
+	if n, err := w.Output.Write(buffered); err != nil {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		w.dropped += bytes.Count(buffered[n:], []byte("\n"))
 	}
 }
 
--- a/spool/spool_test.go
+++ b/spool/spool_test.go
@@ -43,3 +43,15 @@
 	require.Equal(t, "a\nb\nc\n", out.String())
 	require.Zero(t, w.Dropped())
 }
+
+// Guards against lines that are lost unnoticed when the reader of standard output is gone.
+func TestLinesThatOutputRefusesAreCountedAsDropped(t *testing.T) {
+	reader, output := io.Pipe()
+	require.NoError(t, reader.Close())
+	w := &spool.Writer{Output: output}
+	go w.Run()
+	_, err := w.Write([]byte("a\nb\n"))
+	require.NoError(t, err)
+	w.Close()
+	require.Equal(t, 2, w.Dropped())
+}
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -163,3 +164,22 @@
 	}
 	require.Equal(t, cleanExit, p.command.ProcessState.String(), p.logText())
 }
+
+// Guards against a process that ends with the reader of its log.
+func TestProcessOutlivesReaderOfItsLog(t *testing.T) {
+	t.Parallel()
+	p := newEntryProcess(t)
+	p.writeSettings(p.text())
+	reader, writer, err := os.Pipe()
+	require.NoError(t, err)
+	p.start(writer)
+	require.NoError(t, writer.Close())
+	require.NoError(t, reader.Close())
+	p.requireReady()
+	for n := range 5 {
+		p.requireServes("r" + strconv.Itoa(n))
+		time.Sleep(150 * time.Millisecond)
+	}
+	p.signal(syscall.SIGTERM)
+	p.requireExit(cleanExit)
+}
