direct: a start waits for an address that is still in use

A process ended with exit code 3 at once if one of its addresses was in use: by a former process that still stops, or by an outgoing connection. The metrics address failed for good, without a line before the end of the process.

TestStartWaitsForAddressInUse failed before on callers, ready and peers with exit status 3 within 1 s, on metrics with none after 20 s. It passes now.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -141,17 +141,17 @@
 // Run serves until ctx ends, then drains and returns.
 func (s *Server) Run(ctx context.Context) error {
 	s.init()
-	callers, err := net.Listen("tcp", s.Settings.Listen.String())
+	callers, err := conns.Listen(ctx, s.Log, "listen", s.Settings.Listen)
 	if err != nil {
-		return errors.Wrap(err, "direct: opening the listen address")
+		return s.listenFailure(ctx, err)
 	}
-	ready, err := net.Listen("tcp", s.Settings.ReadyListen.String())
+	ready, err := conns.Listen(ctx, s.Log, "ready_listen", s.Settings.ReadyListen)
 	if err != nil {
-		return errors.Wrap(err, "direct: opening the ready_listen address")
+		return s.listenFailure(ctx, err)
 	}
-	peerServer, peerListener, err := s.listenPeers()
+	peerServer, peerListener, err := s.listenPeers(ctx)
 	if err != nil {
-		return err
+		return s.listenFailure(ctx, err)
 	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
@@ -188,7 +188,11 @@
 	}
 	if s.Settings.MetricsListen.IsValid() {
 		loops.Go(serving, "metrics", func(ctx context.Context) error {
-			return s.Meter.Serve(ctx, s.Settings.MetricsListen, s.metricsHandler())
+			l, err := conns.Listen(ctx, s.Log, "metrics_listen", s.Settings.MetricsListen)
+			if err != nil {
+				return err
+			}
+			return s.Meter.Serve(ctx, l, s.metricsHandler())
 		})
 	}
 	s.Log.Info("started", "listen", callers.Addr().String(), "ready", ready.Addr().String(), "zone", s.Settings.Zone)
@@ -210,6 +214,15 @@
 	return nil
 }
 
+// listenFailure is the outcome of Run if an address can't be opened; nil if the process was stopped meanwhile.
+func (s *Server) listenFailure(ctx context.Context, err error) error {
+	if ctx.Err() == nil {
+		return err
+	}
+	s.Log.Info("stopped while an address was not opened", "err", err)
+	return nil
+}
+
 // startFeeds starts following the platform's store. If other entries can be asked for its
 // contents, the start does not wait for the records of the entries.
 func (s *Server) startFeeds(ctx context.Context, loops *group.Group) {
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
+	"jacinthworks/conns"
 	"jacinthworks/feed"
 	"jacinthworks/paths"
 	"jacinthworks/relay"
@@ -41,13 +41,13 @@
 }
 
 // listenPeers opens the listener for the other entries; nil if the settings have none.
-func (s *Server) listenPeers() (*http.Server, net.Listener, error) {
+func (s *Server) listenPeers(ctx context.Context) (*http.Server, net.Listener, error) {
 	if !s.Settings.PeerListen.IsValid() {
 		return nil, nil, nil
 	}
-	l, err := net.Listen("tcp", s.Settings.PeerListen.String())
+	l, err := conns.Listen(ctx, s.Log, "peer_listen", s.Settings.PeerListen)
 	if err != nil {
-		return nil, nil, errors.Wrap(err, "direct: opening the peer_listen address")
+		return nil, nil, err
 	}
 	// The settings may leave the port to the operating system.
 	s.Settings.PeerListen = l.Addr().(*net.TCPAddr).AddrPort()
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -7,13 +7,13 @@
 //	m.Inc("jacinthworks_requests_total", meter.Labels{"route", name, "outcome", outcome})
 //	m.Observe("jacinthworks_request_seconds", meter.Labels{"kind", kind}, elapsed)
 //	mux.Handle("GET "+meter.Path, &m)
-//	err := m.Serve(ctx, addr, mux)
+//	err := m.Serve(ctx, listener, mux)
 package meter
 
 import (
 	"context"
+	"net"
 	"net/http"
-	"net/netip"
 	"strconv"
 	"strings"
 	"sync"
@@ -91,13 +91,13 @@
 // Path is the path at which the metrics are served.
 const Path = "/metrics"
 
-// Serve serves a handler, which has the metrics at Path, until ctx is done. It returns an error if it
-// cannot serve on the address.
-func (s *Registry) Serve(ctx context.Context, addr netip.AddrPort, handler http.Handler) error {
-	h := &http.Server{Addr: addr.String(), Handler: handler, ReadHeaderTimeout: readTimeout}
+// Serve serves a handler, which has the metrics at Path, until ctx is done. It returns an error if the
+// listener fails.
+func (s *Registry) Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout}
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() }) // a reader of metrics retries
 	defer stop()
-	if err := h.ListenAndServe(); !errors.Is(err, http.ErrServerClosed) {
+	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 		return errors.Wrap(err, "meter: serve metrics")
 	}
 	return nil
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -183,3 +184,34 @@
 	p.signal(syscall.SIGTERM)
 	p.requireExit(cleanExit)
 }
+
+// Guards against a process that ends because a former one, or an outgoing connection, still has its port.
+func TestStartWaitsForAddressInUse(t *testing.T) {
+	t.Parallel()
+	for name, address := range map[string]func(*entryProcess) netip.AddrPort{
+		"callers": func(p *entryProcess) netip.AddrPort { return p.listen },
+		"ready":   func(p *entryProcess) netip.AddrPort { return p.ready },
+		"peers":   func(p *entryProcess) netip.AddrPort { return p.peers },
+		"metrics": func(p *entryProcess) netip.AddrPort { return p.metrics },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newEntryProcess(t)
+			p.writeSettings(p.text())
+			l, err := net.Listen("tcp", address(p).String())
+			require.NoError(t, err)
+			p.start()
+			time.Sleep(time.Second)
+			require.NoError(t, l.Close())
+			p.requireReady()
+			p.requireServes("r")
+			require.Eventually(t, func() bool {
+				answer, err := http.Get("http://" + p.metrics.String() + "/metrics")
+				if err == nil {
+					_ = answer.Body.Close()
+				}
+				return err == nil
+			}, WaitTimeout, 20*time.Millisecond, "no metrics")
+		})
+	}
+}
