direct: a start waits for settings that are being written

TestStartWaitsForSettingsBeingWritten failed before with exit status 2 (missing) and 1 (half). It passes now. TestProcessServesAgainAfterDescriptorsRanOut passed before too: descriptors that run out end no process.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -22,7 +22,7 @@
 	// First of all, since SIGHUP ends a process that does not handle it. It stays handled to the exit.
 	reloads := make(chan os.Signal, 1)
 	signal.Notify(reloads, syscall.SIGHUP)
-	d, a, code, done := readSettings(args, "direct", conf.ParseDirect, out, errs)
+	d, a, code, done := awaitSettings(ctx, args, "direct", conf.ParseDirect, out, errs)
 	if done {
 		return code
 	}
@@ -42,13 +42,7 @@
 		Relays:        platform.Relays(store),
 		Notices:       platform.Notices(store),
 		ReloadSignals: reloads,
-		Reload: func() (conf.Direct, error) {
-			text, err := os.ReadFile(a.Settings)
-			if err != nil {
-				return conf.Direct{}, err
-			}
-			return conf.ParseDirect(a.Settings, text)
-		},
+		Reload:        func() (conf.Direct, error) { return parseFile(a.Settings, conf.ParseDirect) },
 	}
 	store.OnCall = func(verb, kind, outcome string) {
 		s.Meter.Inc("jacinthworks_store_calls_total", meter.Labels{"call", verb, "kind", kind, "outcome", outcome})
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -215,3 +215,46 @@
 		})
 	}
 }
+
+// Guards against a process that ends because its settings file is being written while it starts.
+func TestStartWaitsForSettingsBeingWritten(t *testing.T) {
+	t.Parallel()
+	for name, text := range map[string]func(whole string) string{
+		"missing": func(string) string { return "" },
+		"half":    func(whole string) string { return whole[:len(whole)/2] },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newEntryProcess(t)
+			if part := text(p.text()); part != "" {
+				p.writeSettings(part)
+			}
+			p.start()
+			time.Sleep(500 * time.Millisecond)
+			p.writeSettings(p.text())
+			p.requireReady()
+		})
+	}
+}
+
+// Guards against a process that ends, or accepts no more connections, when its descriptors run out.
+func TestProcessServesAgainAfterDescriptorsRanOut(t *testing.T) {
+	t.Parallel()
+	p := newEntryProcess(t)
+	p.writeSettings(p.text())
+	p.startCommand(exec.Command("/bin/sh", "-c", `ulimit -n 60; exec "$0" direct --settings "$1"`, built.Router, p.settings))
+	p.requireReady()
+	var open []net.Conn
+	for range 100 {
+		c, err := net.Dial("tcp", p.listen.String())
+		require.NoError(t, err)
+		open = append(open, c)
+	}
+	time.Sleep(2 * time.Second)
+	for _, c := range open {
+		require.NoError(t, c.Close())
+	}
+	time.Sleep(2 * time.Second)
+	p.requireReady()
+	p.requireServes("r")
+}
