--- a/main.go
+++ b/main.go
@@ -18,12 +18,15 @@
 )
 
 func main() {
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
-	code := dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr)
-	stop()
-	os.Exit(code)
+	// The signals stay handled to the exit: a second one must not end a process that is about to exit in order.
+	ctx, _ := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	os.Exit(dispatch(ctx, os.Args[1:], os.Stdout, os.Stderr))
 }
 
+// ignoreBrokenOutput makes a write to a standard output or error whose reader is gone an error. By
+// default it ends the process; a process that serves others must outlive the reader of its log.
+func ignoreBrokenOutput() { signal.Ignore(syscall.SIGPIPE) }
+
 func dispatch(ctx context.Context, args []string, out, errs io.Writer) int {
 	if len(args) == 0 {
 		usage(errs)
