--- a/direct/direct.go
+++ b/direct/direct.go
@@ -295,7 +295,7 @@
 func (s *Server) configFeed() *feed.Feed[*paths.Config] {
 	return &feed.Feed[*paths.Config]{
 		Name: feedConfigs, Source: relaySource(s, feedConfigs, s.Configs, &s.peers.configs), Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
-		BatchDelay: s.batchDelay, OnRestore: s.onStoreRestored,
+		BatchDelay: s.batchDelay, OnRestore: s.onStoreRestored, OnUndecodable: s.countUndecodable(feedConfigs),
 		OnList: func(now time.Time, all []feed.Item[*paths.Config]) {
 			for _, c := range feed.Values(all) {
 				s.offerConfig(now, c, feedConfigs)
@@ -311,6 +311,11 @@
 	}
 }
 
+// countUndecodable returns a function that counts an item of a feed that could not be decoded.
+func (s *Server) countUndecodable(feed string) func() {
+	return func() { s.Meter.Inc("jacinthworks_items_undecodable_total", meter.Labels{"feed", feed}) }
+}
+
 // offerConfig puts a configuration in force if it is newer than the current one. by names
 // the feed or the entry that it came from.
 func (s *Server) offerConfig(now time.Time, c *paths.Config, by string) {
@@ -340,6 +345,7 @@
 			s.onRegistryChanged(now)
 		},
 		OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
+		OnUndecodable: s.countUndecodable(feedUpstreams),
 	}
 }
 
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -37,6 +37,7 @@
 func (s *Server) noticeFeed() *feed.Feed[Notice] {
 	return &feed.Feed[Notice]{
 		Name: feedNotices, Source: relaySource(s, feedNotices, s.Notices, &s.peers.notices), Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
+		OnUndecodable: s.countUndecodable(feedNotices),
 		OnList: func(now time.Time, all []feed.Item[Notice]) {
 			for _, n := range feed.Values(all) {
 				s.recordOrders(n)
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -19,6 +19,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync/atomic"
 	"time"
 
@@ -80,16 +81,24 @@
 	if len(p.items) == 0 || page.Revision < p.revision {
 		p.revision = page.Revision
 	}
+	before := len(p.items)
 	p.items = append(p.items, page.Items...)
-	return !page.More || len(page.Items) == 0, nil
+	last = !page.More || len(page.Items) == 0
+	if !last && lastName(p.items[before:]) == "" {
+		p.items = p.items[:before]
+		return false, errors.Wrap(ErrMalformed, noProgress)
+	}
+	return last, nil
 }
 
 // afterName returns the name after which the next page begins: the last non-empty name
 // among the items.
-func (p *Pager[T]) afterName() string {
-	for n := len(p.items) - 1; n >= 0; n-- {
-		if p.items[n].Name != "" {
-			return p.items[n].Name
+func (p *Pager[T]) afterName() string { return lastName(p.items) }
+
+func lastName[T any](items []Item[T]) string {
+	for _, i := range slices.Backward(items) {
+		if i.Name != "" {
+			return i.Name
 		}
 	}
 	return ""
@@ -144,6 +153,16 @@
 // source was restored from an older snapshot, and the collection must be listed.
 var ErrEraChanged = errors.New("feed: source has another era than the revision")
 
+// ErrTooLarge is the error of a watch whose answer is larger than what this process reads: the
+// collection must be listed, since a list has pages, and each item only once.
+var ErrTooLarge = errors.New("feed: answer exceeds the limit")
+
+// ErrMalformed is the error of an answer that can't be decoded.
+var ErrMalformed = errors.New("feed: answer can't be decoded")
+
+// noProgress is the cause of the error of a list whose next page would be the same one again.
+const noProgress = "feed: no item of a page has a name to continue from"
+
 // Source provides a collection.
 type Source[T any] interface {
 	// List returns a page of the items: those after the given name, or the first ones
@@ -216,6 +235,8 @@
 	// OnRestore, if set, is called just before OnList when the list is of a new era:
 	// items may be older than in the copy, or missing.
 	OnRestore func(now time.Time)
+	// OnUndecodable, if set, is called for each version of an item that can't be decoded.
+	OnUndecodable func()
 
 	lastAnswer   atomic.Pointer[time.Time]
 	revision     Revision
@@ -259,6 +280,10 @@
 		case errors.Is(err, ErrCompacted):
 			f.Log.Info("history compacted, listing the collection again", "feed", f.Name, "revision", f.revision.String())
 			f.listed = false
+		case errors.Is(err, ErrTooLarge) && f.listed:
+			f.Log.Info("answer to a watch too large, listing the collection again", "feed", f.Name, "revision", f.revision.String())
+			f.listed = false
+			group.Sleep(ctx, minRetryDelay/2+rand.N(minRetryDelay))
 		case errors.Is(err, ErrEraChanged):
 			f.listed = false
 			group.Sleep(ctx, rand.N(maxEraDelay))
@@ -372,6 +397,9 @@
 			f.undecodable = make(map[string]undecodableVersion)
 		}
 		f.undecodable[i.Name] = undecodableVersion{i.Revision, true}
+		if f.OnUndecodable != nil {
+			f.OnUndecodable()
+		}
 		f.Log.Warn("item not decodable, skipped", "feed", f.Name, "name", i.Name, "revision", i.Revision.String(), "err", i.DecodeErr)
 	}
 }
@@ -392,13 +420,27 @@
 	return now
 }
 
+// lossReason returns why a source counts as lost: one that answers what can't be decoded needs other
+// measures than one that is not reached.
+func lossReason(err error) string {
+	switch {
+	case errors.Is(err, ErrMalformed):
+		return "answer_not_decodable"
+	case errors.Is(err, ErrTooLarge):
+		return "answer_too_large"
+	case errors.Is(err, ErrRateLimited):
+		return "rate_limited"
+	}
+	return "call_failed"
+}
+
 // handleError records a failed call, calls OnDisconnect if the source answered before,
 // and sleeps for the retry delay. The delay has jitter, so that processes that lost the
 // source together do not reconnect together.
 func (f *Feed[T]) handleError(ctx context.Context, err error) {
 	if !f.disconnected {
 		f.disconnected = true
-		f.Log.Warn("lost", "feed", f.Name, "revision", f.revision.String(), "err", err)
+		f.Log.Warn("lost", "feed", f.Name, "revision", f.revision.String(), "why", lossReason(err), "err", err)
 		if f.OnDisconnect != nil {
 			f.OnDisconnect(time.Now())
 		}
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -1,7 +1,9 @@
 package feed_test
 
 import (
+	"bytes"
 	"context"
+	"strings"
 	"sync"
 	"testing"
 	"time"
@@ -28,6 +30,10 @@
 	staleNames    []string
 	staleRevision feed.Revision
 	lists         map[bool]int
+	// watchErr, if set, is the error of the next watch; unnamed makes lists return only items without
+	// a name, and more to come.
+	watchErr error
+	unnamed  bool
 	// pageSize bounds the items of a page; after each page one call is refused.
 	pageSize, refuseCalls int
 }
@@ -54,6 +60,9 @@
 	}
 	var p feed.Page[string]
 	p.Revision = revision
+	if s.unnamed {
+		return feed.Page[string]{Items: []feed.Item[string]{{DecodeErr: errDown}}, Revision: revision, More: true}, nil
+	}
 	for _, n := range names {
 		if n <= after {
 			continue
@@ -73,7 +82,12 @@
 func (s *source) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[string], feed.Revision, error) {
 	s.mu.Lock()
 	s.watchWaits = append(s.watchWaits, wait)
+	watchErr := s.watchErr
+	s.watchErr = nil
 	s.mu.Unlock()
+	if watchErr != nil {
+		return nil, 0, watchErr
+	}
 	deadline := time.After(wait)
 	for {
 		s.mu.Lock()
@@ -236,3 +250,47 @@
 	require.NoError(t, <-ended)
 	require.Equal(t, 5, s.lists[false], "each page is listed once")
 }
+
+// Guards against a watch that is repeated for ever since its answer is larger than what is read.
+func TestFeedListsAgainWhenAnswerIsTooLarge(t *testing.T) {
+	s := &source{revision: 5, names: []string{"a"}, changed: make(chan struct{}, 1), watchErr: feed.ErrTooLarge}
+	_, h := startFeed(t, s)
+	require.Len(t, <-h.listed, 1)
+	require.Len(t, <-h.listed, 1)
+	require.Empty(t, h.disconnected, "the source answers")
+}
+
+// Guards against a list that reads the same page for ever and keeps each copy, since no item of the page
+// has a name to continue from.
+func TestListWithoutNamesFails(t *testing.T) {
+	s := &source{revision: 5, unnamed: true}
+	_, err := feed.ListAll(t.Context(), s, false)
+	require.ErrorIs(t, err, feed.ErrMalformed)
+}
+
+// Guards against an item that can't be decoded and that on call doesn't see, or sees again and again,
+// and against a lost feed whose cause its line doesn't tell.
+func TestFeedReportsWhatItCannotDecode(t *testing.T) {
+	var lines bytes.Buffer
+	s := &source{revision: 5, names: []string{"a"}, changed: make(chan struct{}, 1)}
+	count, lost := 0, make(chan struct{})
+	f := &feed.Feed[string]{
+		Name: "test", Source: s, Log: hclog.New(&hclog.LoggerOptions{Output: &lines}), WatchTimeout: time.Minute,
+		OnList:        func(time.Time, []feed.Item[string]) {},
+		OnChange:      func(time.Time, []feed.Change[string]) { s.mu.Lock(); s.watchErr = feed.ErrMalformed; s.mu.Unlock() },
+		OnUndecodable: func() { count++ },
+		OnDisconnect:  func(time.Time) { close(lost) },
+	}
+	for _, revision := range []feed.Revision{6, 6, 7} {
+		s.changes = append(s.changes, feed.Change[string]{Item: feed.Item[string]{Name: "odd", Revision: revision, DecodeErr: errDown}})
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	<-lost
+	cancel()
+	require.NoError(t, <-ended)
+	require.Equal(t, 2, count, "two versions")
+	require.Equal(t, 2, strings.Count(lines.String(), "item not decodable"))
+	require.Contains(t, lines.String(), "why=answer_not_decodable")
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -233,7 +233,7 @@
 	defer cancel()
 	changes, at, err := s.Origin.Watch(watchCtx, after, wait)
 	switch {
-	case errors.Is(err, feed.ErrEraChanged):
+	case errors.Is(err, feed.ErrEraChanged), errors.Is(err, feed.ErrTooLarge):
 		return nil, 0, err // the source answers, and the caller lists it next
 	case err != nil:
 		s.Replica.MarkSourceLost(boottime())
