relay: members without names do not make a list of entries' records an error

Callers saw: nothing; each entry reads the records of the entries from the store in place of a relay while two odd records have no name. Cause: a list from a relay that has a member twice is refused whole, and members whose names can't be read all have the empty name. Change: of members with the same name only the first is passed on. Before: TestMembersWithoutNamesHideNoOthers failed: 'list contains "" twice or as deleted'. After: passes.

--- a/relay/encoding.go
+++ b/relay/encoding.go
@@ -44,11 +44,16 @@
 )
 
 // Encode returns the encoding in which relays pass on members of a collection: gob, compressed if
-// it is long.
+// it is long. Of members with the same name, or without one, the first is passed on: Decode refuses a
+// list that has a member twice.
 func Encode[T any](items []feed.Item[T]) ([]byte, error) {
 	changes := make([]feed.Change[T], 0, len(items))
+	seen := make(map[string]bool, len(items))
 	for _, i := range items {
-		changes = append(changes, feed.Change[T]{Item: i})
+		if !seen[i.Name] {
+			seen[i.Name] = true
+			changes = append(changes, feed.Change[T]{Item: i})
+		}
 	}
 	return encode(changes)
 }
--- a/relay/encoding_test.go
+++ b/relay/encoding_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"testing"
 
+	"github.com/pkg/errors"
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/feed"
@@ -44,3 +45,16 @@
 		require.ElementsMatch(t, all, got)
 	}
 }
+
+// Guards against members whose names can't be read and that make the whole list an error at the process
+// that gets it.
+func TestMembersWithoutNamesHideNoOthers(t *testing.T) {
+	odd := feed.Item[string]{DecodeErr: errors.New("no name")}
+	sound := feed.Item[string]{Name: "upstream-1", Value: "10.0.0.1:8080"}
+	body, err := Encode([]feed.Item[string]{odd, odd, sound})
+	require.NoError(t, err)
+	got, err := Decode[string](body)
+	require.NoError(t, err)
+	require.Len(t, got, 2)
+	require.Contains(t, got, sound)
+}
