retry: evidence that no process can have recorded does not push out that of others

Callers saw (not seen, shown by the test): requests that crash upstreams are not blocked after another writer has written a notice with times far ahead: as the newest it pushes out the deaths, survivals and sound parts of all others, and never expires. A time in the last half microsecond of the year 9999 is rounded to the year 10000, which has no JSON form, so that an entry can pass on no evidence at all. Long names fill the 4 MB that a message may have. Cause: evidence from notices and messages was merged as it came. Change: elements with times more than EvidenceTTL ahead, or with names of more than 512 bytes, are left out, and what is beyond the bounds of a record; each element is judged alone. Before: TestImplausibleEvidenceHidesNoOther failed with the odd deaths of the year 10000 in place of the sound one. After: passes.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -76,7 +76,7 @@
 		return
 	}
 	if by == s.Settings.Name {
-		s.crashes.Restore(evidence)
+		s.crashes.Restore(evidence.Plausible(now))
 	}
 	if !s.crashes.Ledger.Merge(now, evidence) {
 		return
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -201,6 +201,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
+	r = r.Plausible(now)
 	l.recordTold(r.SoundParts)
 	r = r.Since(wireTime(now.Add(-EvidenceTTL)))
 	if l.record.covers(r) {
