direct: a panic or the end of one loop ends neither the process nor its work; why it is not ready and exits

Nothing said why an entry was not ready, and an exit left no line in the log.

Loops run under group.Supervise: a panic or error is logged with its stack, counted (jacinthworks_loop_failures_total) and the loop runs again after 0.1 to 5 s; a feed lists anew, and a listener is opened again. A panic of a call that a request or a loop waits for is raised there (group.Call). The health check's body and the log say why the entry is not ready, with the last error of the source, and "exiting" says the cause and the exit code on each way out.

The tests of package platform and the fleet soak now fail on each such failure, as they did when the process ended. Loops of entries and sides without this still end their process by a panic.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -8,8 +8,12 @@
 	"os/signal"
 	"syscall"
 
+	"github.com/hashicorp/go-hclog"
+	"github.com/pkg/errors"
+
 	"jacinthworks/conf"
 	"jacinthworks/direct"
+	"jacinthworks/group"
 	"jacinthworks/meter"
 	"jacinthworks/platform"
 	"jacinthworks/spool"
@@ -49,9 +53,24 @@
 		s.Log.Debug("store called", "call", verb, "kind", kind, "outcome", outcome)
 	}
 	s.Meter.Gauge("jacinthworks_log_lines_dropped", nil, func() float64 { return float64(lines.Dropped()) })
-	if err := s.Run(ctx); err != nil {
+	err := group.Catch(ctx, s.Run)
+	return logExit(s.Log, err, context.Cause(ctx), errs)
+}
+
+// logExit logs why the process exits, and returns its exit code. stopped is why it was asked to stop; nil if
+// it was not.
+func logExit(log hclog.Logger, err, stopped error, errs io.Writer) int {
+	var p *group.PanicError
+	switch {
+	case errors.As(err, &p):
+		log.Error("exiting", "cause", "panic", "err", err, "stack", p.Stack, "code", exitPanicked)
+		fmt.Fprintf(errs, "jacinthworks: %v\n%s\n", err, p.Stack)
+		return exitPanicked
+	case err != nil:
+		log.Error("exiting", "cause", "failed", "err", err, "code", exitUnreachable)
 		fmt.Fprintln(errs, "jacinthworks:", err)
 		return exitUnreachable
 	}
+	log.Info("exiting", "cause", "stopped", "by", stopped, "code", exitOK)
 	return exitOK
 }
--- a/commands.go
+++ b/commands.go
@@ -7,11 +7,13 @@
 
 // The exit codes of all commands. exitRefused also stands for other failures and for
 // changes found by `table diff`, exitUnreachable also for an edit of unknown outcome.
+// exitPanicked is that of a process whose main work panicked.
 const (
 	exitOK          = 0
 	exitRefused     = 1
 	exitUsage       = 2
 	exitUnreachable = 3
+	exitPanicked    = 4
 )
 
 // command is a subcommand of jacinthworks. Its run function parses the arguments, writes to
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -31,7 +31,6 @@
 	"time"
 
 	"github.com/hashicorp/go-hclog"
-	"github.com/pkg/errors"
 
 	"jacinthworks/assign"
 	"jacinthworks/conf"
@@ -121,6 +120,8 @@
 	// to the goroutine that plans roles.
 	speedsMergedAt time.Time
 	ownRecord      ownRecord
+	sourceErrors   sourceErrors
+	readiness      readiness
 	draining       atomic.Bool
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
 	// of roles was released.
@@ -128,7 +129,8 @@
 	rolesLeaseFreed chan struct{}
 	// discovered is closed when the search for the records of the entries at the start is
 	// over.
-	discovered chan struct{}
+	discovered     chan struct{}
+	discoveredOnce sync.Once
 	// recordLost signals that the store may lack this entry's record.
 	recordLost chan struct{}
 	// configured is closed when the first configuration is in force.
@@ -166,34 +168,29 @@
 	}
 	balancer := &http.Server{Handler: s.reportPanics("ready", s.readyHandler()), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
 
-	var loops group.Group
+	loops := group.Group{OnFailure: s.logLoopFailure}
 	s.startFeeds(serving, &loops)
-	loops.Go(serving, "background work", s.logBackground)
-	loops.Go(serving, "idle connections", idle.Run)
-	loops.Go(serving, "settings", s.reload)
-	loops.Go(serving, "roles", s.planRoles)
-	loops.Go(serving, "speeds of upstreams", s.exchangeSpeeds)
-	loops.Go(serving, "callers", func(context.Context) error { return serveOn(public, callers) })
-	loops.Go(serving, "balancer", func(context.Context) error { return serveOn(balancer, ready) })
-	loops.Go(serving, "entry probes", s.watchPeers)
-	loops.Go(serving, "shares", s.reportShares)
-	loops.Go(serving, "crash evidence", s.exchangeEvidence)
-	loops.Go(serving, "origins of streams", s.fetchOrigins)
-	loops.Go(serving, "ledger of versions", s.keepLedger)
+	loops.Supervise(serving, "background work", s.logBackground)
+	loops.Supervise(serving, "idle connections", idle.Run)
+	loops.Supervise(serving, "settings", s.reload)
+	loops.Supervise(serving, "readiness", s.watchReadiness)
+	loops.Supervise(serving, "roles", s.planRoles)
+	loops.Supervise(serving, "speeds of upstreams", s.exchangeSpeeds)
+	loops.Supervise(serving, "callers", s.serveOn(public, callers, "listen"))
+	loops.Supervise(serving, "balancer", s.serveOn(balancer, ready, "ready_listen"))
+	loops.Supervise(serving, "entry probes", s.watchPeers)
+	loops.Supervise(serving, "shares", s.reportShares)
+	loops.Supervise(serving, "crash evidence", s.exchangeEvidence)
+	loops.Supervise(serving, "origins of streams", s.fetchOrigins)
+	loops.Supervise(serving, "ledger of versions", s.keepLedger)
 	for n := range origin.Shards {
-		loops.Go(serving, shardKey(n), func(ctx context.Context) error { return s.keepShard(ctx, n) })
+		loops.Supervise(serving, shardKey(n), func(ctx context.Context) error { return s.keepShard(ctx, n) })
 	}
 	if peerServer != nil {
-		loops.Go(serving, "other entries", servePeers(peerServer, peerListener))
+		loops.Supervise(serving, "other entries", s.serveOn(peerServer, peerListener, "peer_listen"))
 	}
 	if s.Settings.MetricsListen.IsValid() {
-		loops.Go(serving, "metrics", func(ctx context.Context) error {
-			l, err := conns.Listen(ctx, s.Log, "metrics_listen", s.Settings.MetricsListen)
-			if err != nil {
-				return err
-			}
-			return s.Meter.Serve(ctx, l, s.metricsHandler())
-		})
+		loops.Supervise(serving, "metrics", s.serveMetrics(s.Settings.MetricsListen))
 	}
 	s.Log.Info("started", "listen", callers.Addr().String(), "ready", ready.Addr().String(), "zone", s.Settings.Zone)
 	if s.OnListen != nil {
@@ -207,8 +204,11 @@
 	}
 	stop()
 	s.backgroundWork.Close()
-	for _, end := range loops.Wait() {
-		s.Log.Warn("ended with an error", "goroutine", end.Name, "err", end.Err)
+	loops.Close()
+	for end := range loops.Exits() {
+		if end.Err != nil {
+			s.Log.Warn("ended with an error", "goroutine", end.Name, "err", end.Err)
+		}
 	}
 	s.Log.Info("stopped")
 	return nil
@@ -227,19 +227,19 @@
 // contents, the start does not wait for the records of the entries.
 func (s *Server) startFeeds(ctx context.Context, loops *group.Group) {
 	if s.seedRelays(ctx) {
-		loops.Go(ctx, "relays", s.discoverRelays)
+		loops.Supervise(ctx, "relays", s.discoverRelays)
 	} else if err := s.discoverRelaysOnce(ctx, memberReadTimeout); err == nil {
-		close(s.discovered)
+		s.setDiscovered()
 	} else {
-		loops.Go(ctx, "relays", s.discoverRelaysLater)
+		loops.Supervise(ctx, "relays", s.discoverRelaysLater)
 	}
-	loops.Go(ctx, "configuration", s.configFeed().Run)
-	loops.Go(ctx, "upstreams", s.serverFeed().Run)
+	loops.Supervise(ctx, "configuration", s.configFeed().Run)
+	loops.Supervise(ctx, "upstreams", s.serverFeed().Run)
 	if s.Members != nil {
-		loops.Go(ctx, "entries", s.register)
+		loops.Supervise(ctx, "entries", s.register)
 	}
 	if s.Notices != nil {
-		loops.Go(ctx, "notices", s.noticeFeed().Run)
+		loops.Supervise(ctx, "notices", s.noticeFeed().Run)
 	}
 }
 
@@ -276,38 +276,20 @@
 	s.liveSettings.Store(&live)
 }
 
-func serveOn(h *http.Server, l net.Listener) error {
-	err := h.Serve(l)
-	if errors.Is(err, http.ErrServerClosed) {
-		return nil
-	}
-	return errors.Wrap(err, "direct: serving HTTP")
-}
-
-// logBackground logs the errors of background work.
-func (s *Server) logBackground(context.Context) error {
-	for end := range s.backgroundWork.Exits() {
-		if end.Err != nil {
-			s.Log.Debug("background work failed", "name", end.Name, "err", end.Err)
-		}
-	}
-	return nil
-}
-
 // background runs fn in a goroutine that may outlive the request it works for, for at most
 // the given time. name appears in the log line of its error.
 func (s *Server) background(name string, within time.Duration, fn func(context.Context) error) {
 	s.backgroundWork.Go(s.backgroundCtx, name, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, within)
 		defer cancel()
-		return fn(ctx)
+		return group.Catch(ctx, fn)
 	})
 }
 
 // configFeed returns the feed of the configuration.
 func (s *Server) configFeed() *feed.Feed[*paths.Config] {
 	return &feed.Feed[*paths.Config]{
-		Name: feedConfigs, Source: relaySource(s, feedConfigs, s.Configs, &s.peers.configs), Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
+		Name: feedConfigs, Source: observedSource[*paths.Config]{relaySource(s, feedConfigs, s.Configs, &s.peers.configs), &s.sourceErrors.configs}, Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
 		BatchDelay: s.batchDelay, OnRestore: s.onStoreRestored,
 		OnList: func(now time.Time, all []feed.Item[*paths.Config]) {
 			for _, c := range feed.Values(all) {
@@ -342,7 +324,7 @@
 // serverFeed returns the feed of the registry of upstreams.
 func (s *Server) serverFeed() *feed.Feed[roster.Server] {
 	return &feed.Feed[roster.Server]{
-		Name: feedUpstreams, Source: relaySource(s, feedUpstreams, s.Upstreams, &s.peers.upstreams), Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
+		Name: feedUpstreams, Source: observedSource[roster.Server]{relaySource(s, feedUpstreams, s.Upstreams, &s.peers.upstreams), &s.sourceErrors.upstreams}, Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
 		StaleStart: true, BatchDelay: s.batchDelay,
 		OnList: func(now time.Time, all []feed.Item[roster.Server]) {
 			s.roster.SetAll(now, all)
@@ -356,19 +338,6 @@
 	}
 }
 
-// readyHandler answers the health checks of the platform's load balancer.
-func (s *Server) readyHandler() http.Handler {
-	m := http.NewServeMux()
-	m.HandleFunc("GET /ready", func(w http.ResponseWriter, _ *http.Request) {
-		if s.draining.Load() || s.config.Current() == nil || !s.roster.Loaded() || !s.ledgerTried() {
-			w.WriteHeader(http.StatusServiceUnavailable)
-			return
-		}
-		w.WriteHeader(http.StatusOK)
-	})
-	return m
-}
-
 // newRandom returns a random source for one request.
 func newRandom() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
 
--- a/direct/engines.go
+++ b/direct/engines.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/domain"
+	"jacinthworks/group"
 	"jacinthworks/paths"
 	"jacinthworks/roles"
 	"jacinthworks/roster"
@@ -69,35 +70,36 @@
 func (s *Server) pollEngines(ctx context.Context, engines []*roster.Upstream, last lastStates) []engineState {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
-	answers := make(chan *engineState, len(engines))
-	for _, u := range engines {
-		go func() { // ends with a value in answers, all of which are read below
+	var calls group.Group
+	answers := make([]*engineState, len(engines))
+	for n, u := range engines {
+		calls.Call(ctx, "state of an engine", func(ctx context.Context) error {
 			m := u.Server()
 			if state, known := last[m.Key()]; known && !u.Eligibility(time.Now()).Eligible() {
-				answers <- &engineState{upstream: u, server: m, state: state}
-				return
+				answers[n] = &engineState{upstream: u, server: m, state: state}
+				return nil
 			}
 			state, err := s.fetchState(ctx, u)
 			if err != nil {
 				s.Log.Debug("no state received from engine", "upstream", m.ID, "err", err)
-				answers <- nil
-				return
+				return nil
 			}
 			// The engine restarted under the same id, and the registry does not list the
 			// new start yet. An order computed from the state of the earlier start would
 			// reach the later one.
 			if reported := (roster.Start{ID: m.ID, Born: state.StartedAt}); !reported.Same(m.Start) {
 				s.Log.Info("engine restarted, its reported state is ignored", "upstream", m.ID, "born", state.StartedAt, "known", m.Born)
-				answers <- nil
-				return
+				return nil
 			}
 			s.recordAnnouncement("", u, ResponseInfo{Leaving: state.Leaving})
-			answers <- &engineState{upstream: u, server: m, state: state}
-		}()
+			answers[n] = &engineState{upstream: u, server: m, state: state}
+			return nil
+		})
 	}
+	calls.Wait()
 	var all []engineState
-	for range engines {
-		if e := <-answers; e != nil {
+	for _, e := range answers {
+		if e != nil {
 			all = append(all, *e)
 		}
 	}
--- a/direct/ledger.go
+++ b/direct/ledger.go
@@ -54,7 +54,8 @@
 	// ledgerDue signals that the ledger is to be read.
 	ledgerDue chan struct{}
 	// tried is closed once the ledger was read, or could not be.
-	tried chan struct{}
+	tried     chan struct{}
+	triedOnce sync.Once
 	// shardsDue signals for each shard that records of streams are to be written.
 	shardsDue     [origin.Shards]chan struct{}
 	shardVersions [origin.Shards]shardVersion
@@ -72,10 +73,13 @@
 	}
 }
 
+// setTried records that the ledger was read, or could not be.
+func (o *storedOrigins) setTried() { o.triedOnce.Do(func() { close(o.tried) }) }
+
 // keepLedger reads the ledger when it is due, and writes what is missing.
 func (s *Server) keepLedger(ctx context.Context) error {
 	if !s.usesLedger() {
-		close(s.stored.tried)
+		s.stored.setTried()
 		return nil
 	}
 	for _, known := range []<-chan struct{}{s.configured, s.stored.upstreamsKnown} {
@@ -91,7 +95,7 @@
 		missing := s.observeVersions(time.Now())
 		again = s.updateLedger(ctx, due, missing, n%ledgerPeerTries == 0)
 		if n == 0 {
-			close(s.stored.tried)
+			s.stored.setTried()
 		}
 	}
 	return nil
--- a/direct/mix.go
+++ b/direct/mix.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/group"
 	"jacinthworks/relay"
 	"jacinthworks/roles"
 	"jacinthworks/roster"
@@ -68,20 +69,22 @@
 	ctx, cancel := context.WithTimeout(ctx, mixTimeout)
 	defer cancel()
 	others := s.peers.fleet.OtherPeers(maxMixPeers)
-	answers := make(chan map[domain.Service]roles.Sample, len(others))
-	for _, p := range others {
-		go func() { // ends with a value in answers, all of which are read below
+	var calls group.Group
+	answers := make([]map[domain.Service]roles.Sample, len(others))
+	for n, p := range others {
+		calls.Call(ctx, string(p.Name), func(ctx context.Context) error {
 			all, err := fetchMix(ctx, p)
 			if err != nil {
 				s.Log.Debug("no measurements of requests received from entry", "entry", p.Name, "err", err)
 			}
-			answers <- all
-		}()
+			answers[n] = all
+			return nil
+		})
 	}
 	s.refreshFleetSpeeds(ctx)
 	sum = s.mixSamples()
-	for range others {
-		all := <-answers
+	calls.Wait()
+	for _, all := range answers {
 		if all != nil {
 			answered++
 		}
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -70,7 +70,7 @@
 	var mu sync.Mutex // guards views
 	var views []origin.View
 	for _, p := range peers {
-		calls.Go(ctx, string(p.Name), func(ctx context.Context) error {
+		calls.Call(ctx, string(p.Name), func(ctx context.Context) error {
 			var v origin.View
 			if err := callPeer(ctx, p, http.MethodPost, originFindPath, ownerTimeout, query, &v); err != nil {
 				s.Log.Debug("entry not asked for the origin of a stream", "entry", p.Name, "err", err)
@@ -137,7 +137,7 @@
 		var mu sync.Mutex // guards stored
 		stored := make(map[domain.Host]bool)
 		for range min(originReplicas, len(peers)) {
-			calls.Go(ctx, "record", func(ctx context.Context) error {
+			calls.Call(ctx, "record", func(ctx context.Context) error {
 				for n := next.Add(1); int(n) <= len(peers) && ctx.Err() == nil; n = next.Add(1) {
 					if !s.sendOrigin(ctx, peers[n-1], originMessage{Record: record}) {
 						continue
--- a/direct/peer_config.go
+++ b/direct/peer_config.go
@@ -54,7 +54,7 @@
 	others := randomSample(s.peers.fleet.OtherPeers(len(known)), maxConfigPeers)
 	var calls group.Group
 	for _, p := range others {
-		calls.Go(ctx, "configuration of "+string(p.Name), func(ctx context.Context) error {
+		calls.Call(ctx, "configuration of "+string(p.Name), func(ctx context.Context) error {
 			c, err := fetchConfig(ctx, p)
 			if err != nil {
 				s.Log.Debug("no configuration received from entry", "entry", p.Name, "err", err)
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -141,8 +141,3 @@
 	}
 	return min(time.Duration(s.members.count(time.Now()))*batchDelayPerEntry, maxBatchDelay)
 }
-
-// servePeers serves the other entries until the server is closed.
-func servePeers(h *http.Server, l net.Listener) func(context.Context) error {
-	return func(context.Context) error { return serveOn(h, l) }
-}
--- a/direct/reach.go
+++ b/direct/reach.go
@@ -151,7 +151,7 @@
 	var calls group.Group
 	answers := make([]reachResult, len(all))
 	for i, p := range all {
-		calls.Go(ctx, string(p.Name), func(ctx context.Context) error {
+		calls.Call(ctx, string(p.Name), func(ctx context.Context) error {
 			answers[i].err = callPeer(ctx, p, http.MethodPost, reachPath, ownerTimeout, call, &answers[i].reachResponse)
 			return nil
 		})
@@ -169,7 +169,7 @@
 		if !slices.Contains(c.Entries, p.Name) {
 			continue
 		}
-		calls.Go(s.backgroundCtx, string(p.Name), func(ctx context.Context) error {
+		calls.Call(s.backgroundCtx, string(p.Name), func(ctx context.Context) error {
 			if err := callPeer(ctx, p, http.MethodGet, alivePath, indirectProbeTimeout, nil, nil); err != nil {
 				return nil // reported by its absence from the response
 			}
--- a/direct/relays.go
+++ b/direct/relays.go
@@ -122,7 +122,7 @@
 	if err := s.discoverRelaysOnce(ctx, seedReadTimeout); err != nil {
 		return s.discoverRelaysLater(ctx)
 	}
-	close(s.discovered)
+	s.setDiscovered()
 	return nil
 }
 
@@ -150,6 +150,9 @@
 	return nil
 }
 
+// setDiscovered ends the search for the records of the entries at the start.
+func (s *Server) setDiscovered() { s.discoveredOnce.Do(func() { close(s.discovered) }) }
+
 func (s *Server) readMembersAtStart(ctx context.Context, within time.Duration) ([]feed.Item[Member], error) {
 	ctx, cancel := context.WithTimeout(ctx, within)
 	defer cancel()
@@ -168,7 +171,7 @@
 // but know of no other entry for some seconds. Each would enforce quotas by its own count,
 // and refuse accounts that are far below their quotas.
 func (s *Server) discoverRelaysLater(ctx context.Context) error {
-	close(s.discovered)
+	s.setDiscovered()
 	select {
 	case <-s.configured:
 		if _, err := s.readMembersAtStart(ctx, memberReadTimeout); err != nil {
--- a/direct/speeds.go
+++ b/direct/speeds.go
@@ -240,18 +240,21 @@
 // fetchAllSpeeds asks the given entries at once, and returns the estimates of those that
 // answered.
 func (s *Server) fetchAllSpeeds(ctx context.Context, from []*relay.Peer) (all []peerSpeeds) {
-	answers := make(chan peerSpeeds, len(from))
-	for _, p := range from {
-		go func() { // ends with a value in answers, all of which are read below
+	var calls group.Group
+	answers := make([]peerSpeeds, len(from))
+	for n, p := range from {
+		calls.Call(ctx, string(p.Name), func(ctx context.Context) error {
 			found, err := s.fetchSpeeds(ctx, p)
 			if err != nil {
 				s.Log.Debug("no speeds of upstreams received from entry", "entry", p.Name, "err", err)
 			}
-			answers <- found
-		}()
+			answers[n] = found
+			return nil
+		})
 	}
-	for range from {
-		if found := <-answers; found != nil {
+	calls.Wait()
+	for _, found := range answers {
+		if found != nil {
 			all = append(all, found)
 		}
 	}
--- a/fanout/fanout.go
+++ b/fanout/fanout.go
@@ -43,7 +43,7 @@
 	var mu sync.Mutex // guards failed
 	var calls group.Group
 	for _, part := range Split(to, width) {
-		calls.Go(ctx, "pass on", func(ctx context.Context) error {
+		calls.Call(ctx, "pass on", func(ctx context.Context) error {
 			for n, first := range part {
 				if call(ctx, first, part[n+1:]) == nil {
 					return nil
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -251,6 +251,7 @@
 
 // Run lists and watches the collection until ctx ends, then returns nil.
 func (f *Feed[T]) Run(ctx context.Context) error {
+	f.listed, f.pager = false, Pager[T]{} // Run may be called again after a panic within a change
 	for ctx.Err() == nil {
 		err := f.step(ctx)
 		switch {
--- a/group/group.go
+++ b/group/group.go
@@ -11,6 +11,9 @@
 //		log.Info("ended", "name", exit.Name, "err", exit.Err)
 //	}
 //
+// Go lets a panic end the process. Supervise runs a loop again after a panic or an error, and
+// Call passes a panic on to the goroutine that waits.
+//
 // A Group that starts a goroutine per connection or per request needs a reader of Exits for
 // as long as it is used: a goroutine blocks while its exit cannot be delivered, which makes
 // a forgotten goroutine visible in a test.
@@ -19,6 +22,7 @@
 import (
 	"context"
 	"sync"
+	"time"
 )
 
 // Exit reports how one goroutine ended.
@@ -32,6 +36,10 @@
 // Group starts goroutines and sends their exits to the owner. The zero value is ready to
 // use. A Group must not be copied.
 type Group struct {
+	// OnFailure, if set before the first goroutine, is called for each failure of a supervised function,
+	// with the pause until it runs again.
+	OnFailure func(failed Exit, pause time.Duration)
+
 	mu      sync.Mutex
 	running int
 	closed  bool
@@ -80,8 +88,8 @@
 	}
 }
 
-// Wait closes the group, reads all exits and returns those with an error. Use it only if no
-// other goroutine reads Exits.
+// Wait closes the group, reads all exits and returns those with an error. It panics if a
+// goroutine that Call started did. Use it only if no other goroutine reads Exits.
 func (g *Group) Wait() []Exit {
 	g.Close()
 	var failed []Exit
@@ -90,6 +98,9 @@
 			failed = append(failed, e)
 		}
 	}
+	for _, e := range failed {
+		Rethrow(e.Err)
+	}
 	return failed
 }
 
--- a/relay/first.go
+++ b/relay/first.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/group"
 )
 
 // HedgeDelay is how long Hedge waits for an answer before it also asks the next process. It is
@@ -39,8 +41,12 @@
 		p := peers[started]
 		started, pending = started+1, pending+1
 		go func() {
-			answer, err := call(ctx, p)
-			results <- result{answer, err}
+			var r result
+			r.err = group.Catch(ctx, func(ctx context.Context) (err error) {
+				r.answer, err = call(ctx, p)
+				return err
+			})
+			results <- r
 		}()
 		timer.Reset(delay)
 	}
@@ -57,6 +63,7 @@
 			if pending--; e.err == nil {
 				return e.answer, nil
 			}
+			group.Rethrow(e.err)
 			lastErr = e.err
 			startNext()
 		case <-ctx.Done():
--- a/test/fleet_judge.go
+++ b/test/fleet_judge.go
@@ -13,6 +13,7 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/direct"
 	"jacinthworks/group"
 	"jacinthworks/platform/fake"
 )
@@ -331,8 +332,9 @@
 // cleanExit is the state of a process that stopped in order.
 const cleanExit = "exit status 0"
 
-// lastWords are what the runtime writes to standard error when it finds a race or ends the process.
-var lastWords = []string{"WARNING: DATA RACE", "panic: ", "fatal error: "}
+// lastWords are what the runtime writes to standard error when it finds a race or ends the process, and
+// what the log has of a loop that panicked or ended.
+var lastWords = []string{"WARNING: DATA RACE", "panic: ", "fatal error: ", direct.LoopFailureMessage, direct.BackgroundPanicMessage}
 
 // judgeProcesses checks that no process exits unless it was stopped, that it exits in time and in
 // order after SIGTERM, and that its log has one end for each request that it accepted.
--- a/test/process_test.go
+++ b/test/process_test.go
@@ -258,3 +258,32 @@
 	p.requireReady()
 	p.requireServes("r")
 }
+
+// Guards against a process that is not ready, or exits, without a reason that on call can read.
+func TestProcessSaysWhyItIsNotReadyAndWhyItExits(t *testing.T) {
+	t.Parallel()
+	p := newEntryProcess(t)
+	p.store.SetDown(true)
+	p.writeSettings(p.text())
+	p.start()
+	reads := func(text string) func() bool {
+		return func() bool { _, body := p.health(); return strings.Contains(body, text) }
+	}
+	require.Eventually(t, reads("not ready: no configuration: "), WaitTimeout, 20*time.Millisecond)
+	require.Eventually(t, reads("503"), WaitTimeout, 20*time.Millisecond, "the error of the store")
+	p.store.SetDown(false)
+	p.requireReady()
+	p.signal(syscall.SIGTERM)
+	require.Eventually(t, reads("not ready: draining"), WaitTimeout, 20*time.Millisecond)
+	p.requireExit(cleanExit)
+	for _, line := range []string{`"why":"no configuration"`, `"@message":"ready"`, `"why":"draining"`, `"@message":"exiting"`, `"by":"terminated signal received"`} {
+		require.Contains(t, p.logText(), line)
+	}
+
+	p = newEntryProcess(t)
+	p.writeSettings(strings.Replace(p.text(), p.listen.String(), "192.0.2.1:80", 1)) // no address of this host
+	p.start()
+	p.requireExit("exit status 3")
+	require.Contains(t, p.logText(), `"@message":"address not opened yet"`)
+	require.Contains(t, p.logText(), `"cause":"failed"`)
+}
