--- a/test/process_test.go
+++ b/test/process_test.go
@@ -1,6 +1,7 @@
 package test
 
 import (
+	"context"
 	"fmt"
 	"math/rand/v2"
 	"net"
@@ -17,6 +18,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthworks/group"
 	"jacinthworks/platform/fake"
 	"jacinthworks/test/started"
 )
@@ -26,6 +28,8 @@
 	t              *testing.T
 	store          *fake.Store
 	server         *fake.Server
+	name           string
+	platform       netip.AddrPort // of the store, or of a proxy in front of it
 	listen, ready  netip.AddrPort
 	peers, metrics netip.AddrPort
 	settings, log  string // paths
@@ -35,11 +39,17 @@
 
 // newEntryProcess starts the fakes and chooses addresses. It does not write the settings.
 func newEntryProcess(t *testing.T) *entryProcess {
-	p := &entryProcess{t: t, store: fake.NewStore(), done: make(chan struct{})}
-	t.Cleanup(p.store.Close)
-	p.store.Put("config", "main", fake.Configuration(1, []string{"cards"}, fake.Route{Prefix: "/again/", Kind: "idempotent", Service: "cards", Attempts: 2}))
-	p.server = fake.NewServer(p.store, fake.Entry{ID: "app-1", Service: "cards", Zone: "here", Slots: 4000})
-	t.Cleanup(p.server.Close)
+	store := fake.NewStore()
+	t.Cleanup(store.Close)
+	store.Put("config", "main", fake.Configuration(1, []string{"cards"}, fake.Route{Prefix: "/again/", Kind: "idempotent", Service: "cards", Attempts: 2}))
+	server := fake.NewServer(store, fake.Entry{ID: "app-1", Service: "cards", Zone: "here", Slots: 4000})
+	t.Cleanup(server.Close)
+	return newEntryProcessAt(t, "entry-1", store, server)
+}
+
+// newEntryProcessAt is newEntryProcess for a process beside others.
+func newEntryProcessAt(t *testing.T, name string, store *fake.Store, server *fake.Server) *entryProcess {
+	p := &entryProcess{t: t, name: name, store: store, platform: store.Addr(), server: server, done: make(chan struct{})}
 	dir := t.TempDir()
 	p.settings, p.log = filepath.Join(dir, "settings.toml"), filepath.Join(dir, "log")
 	// An address of its own, with ports that no outgoing connection takes, as on a host of its own.
@@ -52,8 +62,8 @@
 
 // text returns the settings, with lines of the first table.
 func (p *entryProcess) text(lines ...string) string {
-	return fmt.Sprintf("name = \"entry-1\"\nzone = \"here\"\nlisten = %q\nready_listen = %q\npeer_listen = %q\nmetrics_listen = %q\nplatform = %q\nstop_within = \"3s\"\n%s\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
-		p.listen, p.ready, p.peers, p.metrics, p.store.Addr(), strings.Join(lines, "\n"))
+	return fmt.Sprintf("name = %q\nzone = \"here\"\nlisten = %q\nready_listen = %q\npeer_listen = %q\nmetrics_listen = %q\nplatform = %q\nstop_within = \"3s\"\n%s\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
+		p.name, p.listen, p.ready, p.peers, p.metrics, p.platform, strings.Join(lines, "\n"))
 }
 
 func (p *entryProcess) writeSettings(text string) {
@@ -287,3 +297,49 @@
 	require.Contains(t, p.logText(), `"@message":"address not opened yet"`)
 	require.Contains(t, p.logText(), `"cause":"failed"`)
 }
+
+// Guards against an entry that ends, or never becomes ready, because the store does not answer while all
+// entries start.
+func TestAllEntriesStartWhileStoreDoesNotAnswer(t *testing.T) {
+	t.Parallel()
+	for name, fault := range map[string]struct{ begin, end func(*fake.Store, *proxy) }{
+		"refuses": {begin: func(s *fake.Store, _ *proxy) { s.SetDown(true) }, end: func(s *fake.Store, _ *proxy) { s.SetDown(false) }},
+		"slow":    {begin: func(s *fake.Store, _ *proxy) { s.SetLatency(2 * time.Second) }, end: func(s *fake.Store, _ *proxy) { s.SetLatency(0) }},
+		"cut":     {begin: func(_ *fake.Store, r *proxy) { r.sever("") }, end: func(_ *fake.Store, r *proxy) { r.heal() }},
+		"silent":  {begin: func(_ *fake.Store, r *proxy) { r.hold(towardsClient) }, end: func(_ *fake.Store, r *proxy) { r.heal() }},
+		"mute":    {begin: func(_ *fake.Store, r *proxy) { r.silence("") }, end: func(_ *fake.Store, r *proxy) { r.heal() }},
+		"loses":   {begin: func(s *fake.Store, _ *proxy) { s.DropResponses(8) }, end: func(*fake.Store, *proxy) {}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			first := newEntryProcess(t)
+			store := first.store
+			r, err := newProxy("")
+			require.NoError(t, err)
+			var background group.Group
+			ctx, cancel := context.WithCancel(t.Context())
+			t.Cleanup(func() { cancel(); background.Wait() })
+			background.Go(ctx, "proxy", r.run)
+			r.setTarget(store.Addr())
+			fault.begin(store, r)
+			all := []*entryProcess{first}
+			for n := range 3 {
+				all = append(all, newEntryProcessAt(t, "entry-"+strconv.Itoa(n+2), store, first.server))
+			}
+			for _, p := range all {
+				p.platform = r.address()
+				p.writeSettings(p.text("first_start = true", fmt.Sprintf("seeds = [%q, %q]", all[0].peers, all[1].peers)))
+				p.start()
+			}
+			time.Sleep(3 * time.Second)
+			fault.end(store, r)
+			healed := time.Now()
+			for n, p := range all {
+				p.requireReady()
+				p.requireServes("r" + strconv.Itoa(n))
+			}
+			t.Logf("all ready and serving %v after the fault", time.Since(healed))
+			require.Less(t, time.Since(healed), recoveryTimeout)
+		})
+	}
+}
