direct, relay: an entry of another fleet at a reused address is not believed

A process that ends frees its address. An entry went on asking it for the contents of the store, and believed whatever answered in the same protocol: the entry of another fleet, often with the same name. Seen in a fleet soak beside other tests (: an entry of three counted 68 entries, asked entry-13 and entry-19, and had version 3 of another store); it needs several fleets on one machine, as real processes have.

Entries state their fleet in calls and responses, by default the address of their store, and neither ask nor answer those that state another.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"regexp"
 	"time"
 
 	"jacinthworks/domain"
@@ -54,6 +55,8 @@
 	// PeerListen is the listen address for other entries, which read the state that
 	// this entry has received; optional.
 	PeerListen netip.AddrPort
+	// Fleet identifies the entries that belong together; empty means the address of the store.
+	Fleet string
 	// Seeds are PeerListen addresses of some entries, to which this entry sends
 	// requests when it starts; optional, and possibly out of date.
 	Seeds []netip.AddrPort
@@ -85,6 +88,14 @@
 	Limits         Limits
 }
 
+// FleetID identifies the fleet of this entry; empty if neither Fleet nor Platform is set.
+func (d Direct) FleetID() string {
+	if d.Fleet == "" && d.Platform.IsValid() {
+		return d.Platform.String()
+	}
+	return d.Fleet
+}
+
 // RetryBudget bounds the number of retries that all entries together send for a service in
 // every window: a fraction of the service's requests in the window, plus a fixed number.
 type RetryBudget struct {
@@ -154,6 +165,7 @@
 		ReadyListen:     r.listenAddr("ready_listen", true),
 		MetricsListen:   r.listenAddr("metrics_listen", false),
 		PeerListen:      r.listenAddr("peer_listen", false),
+		Fleet:           r.token("fleet"),
 		Seeds:           r.addrPorts("seeds"),
 		HostCores:       r.number("cores"),
 		MemoryLimit:     r.integer("memory") * megabyte,
@@ -174,6 +186,18 @@
 	return d
 }
 
+// headerToken is what may stand in a header field: visible ASCII characters.
+var headerToken = regexp.MustCompile(`^[!-~]{1,255}$`)
+
+// token reads an optional text that is sent as a header field.
+func (r *reader) token(path string) string {
+	s := r.text(path)
+	if s != "" && !headerToken.MatchString(s) {
+		r.add(path, "must be 1 to 255 visible ASCII characters without spaces: %q", s)
+	}
+	return s
+}
+
 func (r *reader) retryBudget() RetryBudget {
 	r.table("repeats")
 	p := RetryBudget{RetryRatio: r.number("repeats.ratio"), FixedRetries: r.number("repeats.fixed"), Window: r.duration("repeats.span")}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -106,6 +106,7 @@
 	limits           limits
 	ownerProber      pacer.Prober[domain.Host]
 	unknownFields    meter.SeenNames
+	otherFleets      meter.SeenNames
 	malformedFields  meter.SeenNames
 	unresponsive     relay.Unresponsive
 	trackers         assign.Trackers
@@ -265,6 +266,7 @@
 	s.roster.Log = s.Log
 	s.peers.fleet.Self, s.peers.fleet.MinMembers = s.Settings.Name, s.Settings.RelayMinEntries
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
+	s.peers.fleet.ID = s.Settings.FleetID()
 	s.drainStarted, s.rolesLeaseFreed, s.configured = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
 	s.recordLost, s.discovered = make(chan struct{}, 1), make(chan struct{})
 	s.stored.ledgerDue = make(chan struct{}, 1)
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -78,12 +78,20 @@
 	m.HandleFunc("POST "+slotEndPath, ownerHandler(s, s.handleSlotEnd))
 	m.HandleFunc("POST "+sharesPath, checkedHandler(s, s.checkShares, s.handleShares))
 	return &http.Server{
-		Handler:           s.reportPanics("peers", s.refuseWhileDraining(m)),
+		Handler:           relay.CheckFleet(s.Settings.FleetID(), s.reportOtherFleet, s.reportPanics("peers", s.refuseWhileDraining(m))),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}, l, nil
 }
 
+// reportOtherFleet reports a call of an entry of another fleet, which was refused.
+func (s *Server) reportOtherFleet(h *http.Request, other string) {
+	s.Meter.Inc("jacinthworks_other_fleet_calls_total", nil)
+	if s.otherFleets.Add(other) {
+		s.Log.Warn("call of an entry of another fleet refused", "fleet", s.Settings.FleetID(), "other", other, "from", h.RemoteAddr, "path", h.URL.Path)
+	}
+}
+
 // refuseWhileDraining answers 503 while this process drains, so that the others go
 // elsewhere before it ends. What it knows of streams it still tells.
 func (s *Server) refuseWhileDraining(h http.Handler) http.Handler {
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -157,6 +157,8 @@
 type Peer struct {
 	Member
 	client *send.Client
+	// fleet is Fleet.ID.
+	fleet string
 	// call replaces calls through client, if set.
 	call func(ctx context.Context, r send.Request) (*response, error)
 
@@ -180,11 +182,6 @@
 	p.failures++
 }
 
-// Do sends an HTTP request to the peer and returns its response.
-func (p *Peer) Do(ctx context.Context, r send.Request) (*send.Response, error) {
-	return p.client.Do(ctx, r)
-}
-
 // recordSuccess records that the peer answered, and ends its backoff.
 func (p *Peer) recordSuccess() {
 	p.mu.Lock()
@@ -197,6 +194,8 @@
 // directly. A Fleet must not be copied. It is safe for concurrent use.
 type Fleet struct {
 	Self domain.Host
+	// ID, if set, identifies the fleet: calls to processes that state another one fail.
+	ID string
 	// Seeds are addresses of processes to ask until the members are known; some may be out
 	// of date. SelfAddr is the address of this process.
 	Seeds    []netip.AddrPort
@@ -310,7 +309,7 @@
 
 // newPeer returns a new peer with its own client.
 func (f *Fleet) newPeer(m Member) *Peer {
-	p := &Peer{Member: m, client: &send.Client{Addr: m.Addr, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout}}
+	p := &Peer{Member: m, fleet: f.ID, client: &send.Client{Addr: m.Addr, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout}}
 	if f.onNewPeer != nil {
 		f.onNewPeer(p)
 	}
--- a/relay/poll.go
+++ b/relay/poll.go
@@ -217,7 +217,7 @@
 	if p.call != nil {
 		return p.call(ctx, r)
 	}
-	reply, err := p.client.Do(ctx, r)
+	reply, err := p.Do(ctx, r)
 	if err != nil {
 		return nil, err
 	}
--- a/test/fleet.go
+++ b/test/fleet.go
@@ -246,9 +246,9 @@
 		firstStart = "first_start = true\n"
 	}
 	return f.w.writeSettings(h.name, firstStart+fmt.Sprintf(
-		"name = %q\nzone = \"here\"\nlisten = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\nrelay_from = 2\nplatform = %q\nstop_within = %q\n"+
+		"name = %q\nfleet = %q\nzone = \"here\"\nlisten = \"127.0.0.1:0\"\nready_listen = \"127.0.0.1:0\"\npeer_listen = \"127.0.0.1:0\"\nrelay_from = 2\nplatform = %q\nstop_within = %q\n"+
 			"[repeats]\nratio = 0.2\nfixed = %d\nspan = \"5s\"\n[log]\nlevel = \"info\"\nformat = \"json\"\n",
-		h.name, h.proxy.address(), fleetStopTimeout, h.repeats))
+		h.name, f.run, h.proxy.address(), fleetStopTimeout, h.repeats))
 }
 
 // start starts an entry process on a host and waits until it listens.
