--- a/conf/direct.go
+++ b/conf/direct.go
@@ -168,7 +168,7 @@
 		Fleet:           r.token("fleet"),
 		Seeds:           r.addrPorts("seeds"),
 		HostCores:       r.number("cores"),
-		MemoryLimit:     r.integer("memory") * megabyte,
+		MemoryLimit:     int64(r.number("memory") * megabyte),
 		RelayMinEntries: int(r.integer("relay_from")),
 		Platform:        r.dialAddr("platform"),
 		StopTimeout:     r.duration("stop_within"),
--- a/conf/direct_test.go
+++ b/conf/direct_test.go
@@ -64,3 +64,12 @@
 		require.ErrorContains(t, err, part)
 	}
 }
+
+// Guards against a process that does not start because the platform states its memory as a fraction.
+func TestMemoryMayBeFraction(t *testing.T) {
+	for text, want := range map[string]int64{"134": 134_000_000, "134.0": 134_000_000, "133.5": 133_500_000} {
+		d, err := conf.ParseDirect("direct.toml", []byte("memory = "+text+"\n"+directFile))
+		require.NoError(t, err)
+		require.Equal(t, want, d.MemoryLimit)
+	}
+}
