--- a/conf/direct.go
+++ b/conf/direct.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"net/netip"
+	"regexp"
 	"time"
 
 	"jacinthworks/domain"
@@ -21,6 +22,7 @@
 //	peer_listen = "10.1.0.38:7380"
 //	seeds = ["10.1.0.17:7380", "10.2.0.8:7380"]
 //	cores = 0.304
+//	memory = 134
 //	relay_from = 12
 //	platform = "10.200.1.7:8142"
 //	stop_within = "8s"
@@ -53,12 +55,16 @@
 	// PeerListen is the listen address for other entries, which read the state that
 	// this entry has received; optional.
 	PeerListen netip.AddrPort
+	// Fleet identifies the entries that belong together; empty means the address of the store.
+	Fleet string
 	// Seeds are PeerListen addresses of some entries, to which this entry sends
 	// requests when it starts; optional, and possibly out of date.
 	Seeds []netip.AddrPort
 	// HostCores is the processor capacity of the host in cores. The hosts with the most
 	// cores watch the platform for the other hosts. Default 1.
 	HostCores float64
+	// MemoryLimit is the memory that the process may use, in bytes; zero is no limit.
+	MemoryLimit int64
 	// RelayMinEntries is the smallest number of entries with which only some of them, the
 	// relays, watch the platform for all entries. Zero, which parsing doesn't
 	// replace, means the default of package relay, 12.
@@ -82,6 +88,14 @@
 	Limits         Limits
 }
 
+// FleetID identifies the fleet of this entry; empty if neither Fleet nor Platform is set.
+func (d Direct) FleetID() string {
+	if d.Fleet == "" && d.Platform.IsValid() {
+		return d.Platform.String()
+	}
+	return d.Fleet
+}
+
 // RetryBudget bounds the number of retries that all entries together send for a service in
 // every window: a fraction of the service's requests in the window, plus a fixed number.
 type RetryBudget struct {
@@ -125,6 +139,9 @@
 	Priorities Mode
 }
 
+// megabyte is the unit of the setting memory, in bytes.
+const megabyte = 1000 * 1000
+
 // ParseDirect reads the settings of `direct`; file is the file name for findings. The
 // error is check.Findings.
 func ParseDirect(file string, text []byte) (Direct, error) {
@@ -148,8 +165,10 @@
 		ReadyListen:     r.listenAddr("ready_listen", true),
 		MetricsListen:   r.listenAddr("metrics_listen", false),
 		PeerListen:      r.listenAddr("peer_listen", false),
+		Fleet:           r.token("fleet"),
 		Seeds:           r.addrPorts("seeds"),
 		HostCores:       r.number("cores"),
+		MemoryLimit:     int64(r.number("memory") * megabyte),
 		RelayMinEntries: int(r.integer("relay_from")),
 		Platform:        r.dialAddr("platform"),
 		StopTimeout:     r.duration("stop_within"),
@@ -167,6 +186,18 @@
 	return d
 }
 
+// headerToken is what may stand in a header field: visible ASCII characters.
+var headerToken = regexp.MustCompile(`^[!-~]{1,255}$`)
+
+// token reads an optional text that is sent as a header field.
+func (r *reader) token(path string) string {
+	s := r.text(path)
+	if s != "" && !headerToken.MatchString(s) {
+		r.add(path, "must be 1 to 255 visible ASCII characters without spaces: %q", s)
+	}
+	return s
+}
+
 func (r *reader) retryBudget() RetryBudget {
 	r.table("repeats")
 	p := RetryBudget{RetryRatio: r.number("repeats.ratio"), FixedRetries: r.number("repeats.fixed"), Window: r.duration("repeats.span")}
