feed, relay: an answer is as old as the call, not as the reading of it

A process that was suspended, or whose connection had stalled, reads answers that were made long before. The feed and the replica that relays serve counted them as confirmed when they were read: a relay that was suspended for 10 s told other entries at the thaw that nothing had changed since.

An answer to a watch now confirms the copy up to when the call was sent, or, without changes, to the end of its wait, before which it is not made; a list up to when its first page was asked for. The clock counts suspension. Feed.OnConfirm tells it to the owner of the copy. A relay shortens the watch after an answer that left its copy old, so that it stays within MaxAge.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -11,9 +11,9 @@
 //	}
 //	err := f.Run(ctx)
 //
-// The copy is as old as the source's last answer, whose age AnswerAge returns. OnDisconnect and
-// OnReconnect mark the start and the end of the time during which the source does not
-// answer.
+// OnConfirm tells up to when the copy has all changes of the source. OnDisconnect and OnReconnect mark
+// the start and the end of the time during which the source does not answer; a source that is silent
+// counts as answering until a call has failed, so that they do not tell how old the copy is.
 package feed
 
 import (
@@ -27,6 +27,7 @@
 
 	"jacinthworks/epoch"
 	"jacinthworks/group"
+	"jacinthworks/lease"
 )
 
 // Revision orders the changes of a collection, including a source that was restored from
@@ -151,10 +152,29 @@
 	List(ctx context.Context, after string, stale bool) (Page[T], error)
 	// Watch waits at most the given time for changes after the revision. It returns the
 	// changes and the revision to continue from. No change within the time is not an
-	// error.
+	// error: the answer then comes when the time has passed.
 	Watch(ctx context.Context, after Revision, wait time.Duration) ([]Change[T], Revision, error)
 }
 
+// Confirmer is a Source that passes on answers which others have received from the source.
+type Confirmer interface {
+	// ConfirmedAt returns the time, by lease.Boottime, up to which the last answer has all changes; zero
+	// if that is not known.
+	ConfirmedAt() time.Time
+}
+
+// ConfirmedAt returns the time up to which the answer to a watch has all changes of the source, by the clock of sent
+// and received.
+//
+// An answer may be read long after it was made, such as by a process that was suspended meanwhile. So it counts
+// from when the call was sent, and one without changes from the end of the wait, before which it is not made.
+func ConfirmedAt(sent, received time.Time, wait time.Duration, changes int) time.Time {
+	if until := sent.Add(wait); changes == 0 && !received.Before(until) {
+		return until
+	}
+	return sent
+}
+
 // Timeouts and delays of a Feed.
 const (
 	// DefaultWatchTimeout is how long a watch waits. A connection may stop delivering
@@ -199,6 +219,8 @@
 	// towards that limit. A list after lost history is never stale, since it must contain
 	// the changes that the watch missed.
 	StaleStart bool
+	// Now is the clock of OnConfirm; nil means lease.Boottime.
+	Now func() time.Time
 	// BatchDelay, if set, returns the delay between changes and the next watch, in
 	// which further changes accumulate. A delay below minBatchDelay counts as
 	// minBatchDelay.
@@ -209,6 +231,9 @@
 	// changes.
 	OnList   func(now time.Time, all []Item[T])
 	OnChange func(now time.Time, changes []Change[T])
+	// OnConfirm, if set, is called after each answer that confirms the copy, once its changes were passed on.
+	// The copy has all changes up to the given time.
+	OnConfirm func(at time.Time)
 	// OnDisconnect and OnReconnect, if set, are called when the source stops answering
 	// and when it answers again.
 	OnDisconnect func(now time.Time)
@@ -221,6 +246,7 @@
 	revision     Revision
 	listed       bool
 	pager        Pager[T]
+	listSentAt   time.Time // when the first page was asked for, by lease.Boottime
 	disconnected bool
 	retryDelay   time.Duration
 	// rateLimitErrors counts the ErrRateLimited errors since the source last answered.
@@ -276,6 +302,9 @@
 		ctx, cancel := context.WithTimeout(ctx, listTimeout)
 		defer cancel()
 		stale := f.StaleStart && f.revision == 0
+		if len(f.pager.items) == 0 {
+			f.listSentAt = f.now()
+		}
 		last, err := f.pager.Next(ctx, f.Source, stale)
 		if err != nil {
 			return err
@@ -291,6 +320,9 @@
 			f.logUndecodable(i)
 		}
 		f.OnList(now, all.items)
+		if !stale {
+			f.confirm(f.listSentAt)
+		}
 		return nil
 	}
 	wait := f.WatchTimeout
@@ -304,7 +336,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
 	defer cancel()
+	sent := f.now()
 	changes, revision, err := f.Source.Watch(ctx, f.revision, wait)
+	received := f.now()
 	if err != nil {
 		f.relistAfterTimeout(ctx)
 		return err
@@ -316,11 +350,31 @@
 			f.logUndecodable(c.Item)
 		}
 		f.OnChange(now, changes)
+	}
+	f.confirm(ConfirmedAt(sent, received, wait, len(changes)))
+	if len(changes) > 0 {
 		group.Sleep(ctx, f.batchDelay())
 	}
 	return nil
 }
 
+func (f *Feed[T]) now() time.Time {
+	if f.Now != nil {
+		return f.Now()
+	}
+	return lease.Boottime()
+}
+
+// confirm reports up to when the copy has all changes: at, or what the source states.
+func (f *Feed[T]) confirm(at time.Time) {
+	if c, relays := f.Source.(Confirmer); relays {
+		at = c.ConfirmedAt()
+	}
+	if f.OnConfirm != nil && !at.IsZero() {
+		f.OnConfirm(at)
+	}
+}
+
 // setListed records the revision of a complete list, and calls OnRestore if it is of a
 // new era.
 func (f *Feed[T]) setListed(now time.Time, revision Revision) {
--- a/feed/watch_test.go
+++ b/feed/watch_test.go
@@ -131,3 +131,56 @@
 		require.Equal(t, 50, all, "every change is reported")
 	})
 }
+
+// Guards against a copy that seems as young as the moment in which an answer was read: a process that was suspended reads
+// answers that were made long before.
+func TestFeedConfirmsOnlyUpToWhenTheAnswerWasMade(t *testing.T) {
+	const wait = time.Second
+	sent := time.Unix(100, 0)
+	for name, c := range map[string]struct {
+		received time.Duration
+		changes  int
+		want     time.Duration
+	}{
+		"no change":                      {wait, 0, wait},
+		"no change, read late":           {time.Minute, 0, wait},
+		"no change, before the wait":     {wait / 2, 0, 0},
+		"changes":                        {wait / 2, 3, 0},
+		"changes, read late":             {time.Minute, 3, 0},
+		"changes, just before the wait":  {wait - 1, 1, 0},
+		"no change, answered a bit late": {wait + 300*time.Millisecond, 0, wait},
+	} {
+		require.Equal(t, sent.Add(c.want), feed.ConfirmedAt(sent, sent.Add(c.received), wait, c.changes), name)
+	}
+
+	// The clock passes a minute in each call, as in a suspension.
+	var mu sync.Mutex
+	now := sent
+	s := &source{revision: 1, names: []string{"a"}, changed: make(chan struct{}, 1)}
+	confirmed := make(chan time.Time, 10)
+	f := &feed.Feed[string]{
+		Name: "test", Source: s, Log: hclog.NewNullLogger(), WatchTimeout: 20 * time.Millisecond,
+		OnList: func(time.Time, []feed.Item[string]) {}, OnChange: func(time.Time, []feed.Change[string]) {},
+		OnConfirm: func(at time.Time) { confirmed <- at },
+		Now: func() time.Time {
+			mu.Lock()
+			defer mu.Unlock()
+			now = now.Add(time.Minute)
+			return now
+		},
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 1)
+	go func() { ended <- f.Run(ctx) }()
+	require.Equal(t, sent.Add(time.Minute), <-confirmed, "when the list was asked for")
+	require.Equal(t, sent.Add(2*time.Minute+f.WatchTimeout), <-confirmed, "the wait after the watch was sent")
+	cancel()
+	for {
+		select {
+		case <-confirmed:
+		case err := <-ended:
+			require.NoError(t, err)
+			return
+		}
+	}
+}
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -41,8 +41,8 @@
 )
 
 const (
-	// relayWatchTimeout is how long a relay's watch of the source waits for a change. Each
-	// answer, with or without changes, confirms that the relay is fresh.
+	// relayWatchTimeout is how long a relay's watch of the source waits for a change, less the age
+	// of its copy. Each answer, with or without changes, confirms that the relay is fresh.
 	relayWatchTimeout = time.Second
 	// MaxAge is the maximum age of the last answer from the source with which a relay answers
 	// other processes. It allows for one watch and for a source that takes most of a second
@@ -111,13 +111,18 @@
 	}
 	// Other processes list at a relay, so its own list must not be old.
 	stale = stale && !plan.isRelay
+	sent := boottime()
 	p, err := s.Origin.List(ctx, after, stale)
 	if err == nil {
-		s.Replica.ApplyListPage(boottime(), after == "", stale, p)
+		s.Replica.ApplyListPage(sent, after == "", stale, p)
 	}
 	return p, err
 }
 
+// ConfirmedAt returns the time up to which the last answer has all changes of the source; zero if that is not
+// known. It makes Source a feed.Confirmer.
+func (s Source[T]) ConfirmedAt() time.Time { return s.Replica.ConfirmedAt() }
+
 // listFromRelays lists the collection at the relays. It retries for refusedRetryTime while relays
 // refuse connections. The bool reports whether a relay answered.
 func (s Source[T]) listFromRelays(ctx context.Context) (feed.Page[T], bool) {
@@ -171,7 +176,7 @@
 	}
 	if plan.isRelay {
 		s.Replica.setSender(s.Log, s.Name, "", true, "is a relay")
-		return s.watchOrigin(ctx, after, min(wait, s.Replica.sourceWatchTimeout()))
+		return s.watchOrigin(ctx, after, min(wait, s.Replica.sourceWatchTimeout(boottime())))
 	}
 	changes, at, err := s.pollRelays(ctx, after, wait)
 	retryUntil := plan.retryUntil(boottime())
@@ -231,7 +236,9 @@
 func (s Source[T]) watchOrigin(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
 	watchCtx, cancel := context.WithTimeout(ctx, wait+sourceGrace)
 	defer cancel()
+	sent := boottime()
 	changes, at, err := s.Origin.Watch(watchCtx, after, wait)
+	received := boottime()
 	switch {
 	case errors.Is(err, feed.ErrEraChanged):
 		return nil, 0, err // the source answers, and the caller lists it next
@@ -239,6 +246,6 @@
 		s.Replica.MarkSourceLost(boottime())
 		return nil, 0, err
 	}
-	s.Replica.ApplyWatch(boottime(), after, changes, at)
+	s.Replica.ApplyWatch(feed.ConfirmedAt(sent, received, wait, len(changes)), after, changes, at)
 	return changes, at, nil
 }
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -434,3 +434,42 @@
 		_, _ = decode[string](body)
 	})
 }
+
+// suspendedSource is a source whose answers are read long after they were made.
+type suspendedSource struct {
+	feed.Source[int]
+	suspend func()
+}
+
+func (s suspendedSource) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[int], feed.Revision, error) {
+	changes, at, err := s.Source.Watch(ctx, after, wait)
+	s.suspend()
+	return changes, at, err
+}
+
+// Guards against a relay that was suspended and serves an answer of the source from before as confirmed just now.
+func TestSuspendedRelayServesNoAnswerFromBeforeTheSuspension(t *testing.T) {
+	for name, change := range map[string]bool{"no change": false, "a change": true} {
+		t.Run(name, func(t *testing.T) {
+			var suspended atomic.Int64
+			real := boottime
+			boottime = func() time.Time { return real().Add(time.Duration(suspended.Load())) }
+			t.Cleanup(func() { boottime = real })
+			o := newOrigin()
+			s := Source[int]{
+				Name: "numbers", Replica: &Replica[int]{}, Fleet: &Fleet{Self: "a"}, Log: hclog.NewNullLogger(),
+				Origin: suspendedSource{o, func() { suspended.Add(int64(10 * time.Second)) }},
+			}
+			_, err := s.List(t.Context(), "", false)
+			require.NoError(t, err)
+			if change {
+				o.put("a")
+			}
+			_, at, err := s.Watch(t.Context(), 5, 20*time.Millisecond)
+			require.NoError(t, err)
+			_, _, _, err = s.Replica.ChangesSince(boottime(), at)
+			require.ErrorIs(t, err, ErrStale)
+			require.Greater(t, boottime().Sub(s.ConfirmedAt()), 9*time.Second)
+		})
+	}
+}
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -34,8 +34,8 @@
 	listed, complete bool
 	// pages holds the pages of a list in progress.
 	pages listing[T]
-	// confirmedAt is when the source last answered this process, or the relay from which this
-	// process got the answer; zero while the source does not answer.
+	// confirmedAt is the time up to which the copy has all changes, by the last answer of the source to this
+	// process or to the relay from which this process got the answer; zero while the source does not answer.
 	confirmedAt time.Time
 	// direct is set if the source answered this process, not a relay.
 	direct bool
@@ -71,18 +71,18 @@
 type listing[T any] struct {
 	items    map[string]feed.Item[T]
 	revision feed.Revision
-	// startedAt is when the first page was applied; stale is set if a page may be old.
+	// startedAt is when the first page was asked for; stale is set if a page may be old.
 	startedAt time.Time
 	stale     bool
 }
 
-// ApplyListPage applies a page of a list of the source. first reports whether it is the first page
-// of a list, stale whether the page may be old. With the last page, the list replaces the copy.
-func (h *Replica[T]) ApplyListPage(now time.Time, first, stale bool, p feed.Page[T]) {
+// ApplyListPage applies a page of a list of the source that was asked for at sent. first reports whether it is the
+// first page of a list, stale whether the page may be old. With the last page, the list replaces the copy.
+func (h *Replica[T]) ApplyListPage(sent time.Time, first, stale bool, p feed.Page[T]) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if first || h.pages.items == nil {
-		h.pages = listing[T]{items: make(map[string]feed.Item[T], len(p.Items)), revision: p.Revision, startedAt: now}
+		h.pages = listing[T]{items: make(map[string]feed.Item[T], len(p.Items)), revision: p.Revision, startedAt: sent}
 	}
 	h.pages.revision = min(h.pages.revision, p.Revision)
 	h.pages.stale = h.pages.stale || stale
@@ -181,11 +181,11 @@
 	}
 }
 
-// ApplyWatch applies an answer of the source to a watch after a revision.
-func (h *Replica[T]) ApplyWatch(now time.Time, after feed.Revision, changes []feed.Change[T], at feed.Revision) {
+// ApplyWatch applies an answer of the source to a watch after a revision, which has all changes up to confirmedAt.
+func (h *Replica[T]) ApplyWatch(confirmedAt time.Time, after feed.Revision, changes []feed.Change[T], at feed.Revision) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.confirmedAt, h.direct, h.failedAt = now, true, time.Time{}
+	h.confirmedAt, h.direct, h.failedAt = confirmedAt, true, time.Time{}
 	h.apply(after, changes, at)
 }
 
@@ -328,6 +328,14 @@
 	return result, nil
 }
 
+// ConfirmedAt returns the time up to which the copy has all changes of the source; zero while the source
+// does not answer.
+func (h *Replica[T]) ConfirmedAt() time.Time {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.confirmedAt
+}
+
 // Revision returns the newest revision of the replica, or zero if it has none.
 func (h *Replica[T]) Revision() feed.Revision {
 	h.mu.Lock()
@@ -335,14 +343,15 @@
 	return h.revision
 }
 
-// sourceWatchTimeout returns how long a relay's next watch of the source waits for a change.
-func (h *Replica[T]) sourceWatchTimeout() time.Duration {
+// sourceWatchTimeout returns how long a relay's next watch of the source waits for a change: less after an
+// answer that left the copy old, so that the next one comes within MaxAge.
+func (h *Replica[T]) sourceWatchTimeout(now time.Time) time.Duration {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	if !h.direct {
 		return firstWatchTimeout
 	}
-	return relayWatchTimeout
+	return min(relayWatchTimeout, max(firstWatchTimeout, relayWatchTimeout-now.Sub(h.confirmedAt)))
 }
 
 // mayAskSource reports whether this process may call the source while no relay is fresh: at most
--- a/relay/replica_test.go
+++ b/relay/replica_test.go
@@ -267,3 +267,27 @@
 		}
 	})
 }
+
+// Guards against a relay that is not fresh in ordinary operation, because a change left its copy as old as the watch which
+// brought it.
+func TestRelayStaysFreshAfterALateChange(t *testing.T) {
+	var h Replica[int]
+	h.ApplyListPage(start, true, false, emptyPage(10))
+	now := start
+	for n := range 50 {
+		wait := h.sourceWatchTimeout(now)
+		sent, changes := now, []feed.Change[int](nil)
+		now = sent.Add(wait)
+		if n%2 == 0 {
+			changes = []feed.Change[int]{putChange("a", feed.Revision(11+n))}
+		}
+		_, _, _, err := h.ChangesSince(now, 10)
+		require.NoError(t, err, "before answer %d", n)
+		h.ApplyWatch(feed.ConfirmedAt(sent, now, wait, len(changes)), feed.Revision(10+n), changes, feed.Revision(11+n))
+		if len(changes) > 0 {
+			now = now.Add(100 * time.Millisecond) // further changes accumulate
+		}
+		_, _, _, err = h.ChangesSince(now, 10)
+		require.NoError(t, err, "after answer %d", n)
+	}
+}
