origin, roster, direct: a version is the only one by a confirmed registry, not by one that has not failed yet

The entry counted its view of the registry as current until a watch had failed, up to 1.8 s, and other entries began streams at a second version 1 s after they had seen it.

A view now states from when to when it has all changes of the registry, by lease.Boottime: a list, a gap between two confirmations or the deletion of an unknown entry begins it anew. It decides only if it reaches to origin.MaxAge before the request came; a version is added to the ledger, and so used, addDelay = MaxAge + clockMargin after it was seen. Both are derived in origin/book.go. The request's time is what counts: no later stream is asked about, so that a decision stays true if the entry stands still before it acts. Entries tell one another ages, which count from the call. The own view is read again after the calls to others, and has the versions of the ledger that are known. Callers that name no stream get an answer by the ledger if the view is too old.

The same cause in the ledger: its times were of a clock that stops in a suspension, so that a version could count as listed that had been removed meanwhile; a copy from another entry counted from its reading; and the entry that removes versions went by a registry that had not failed yet, so that it could remove one that it had not heard of and that was in use. It removes none by an older view than MaxAge, nor within the time of a resumption from when it found one listed. A version that leaves before it is listed waits again.

The line 'stream resumed by its caller' has registry_age.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -255,7 +255,7 @@
 		s.Meter = &meter.Registry{}
 	}
 	s.Settings.Limits = s.Settings.Limits.WithDefaults()
-	s.roster.Log = s.Log
+	s.roster.Log, s.roster.MaxGap = s.Log, origin.MaxGap
 	s.peers.fleet.Self, s.peers.fleet.MinMembers = s.Settings.Name, s.Settings.RelayMinEntries
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
 	s.drainStarted, s.rolesLeaseFreed, s.configured = make(chan struct{}), make(chan struct{}, 1), make(chan struct{})
@@ -331,7 +331,7 @@
 	if !changed {
 		return
 	}
-	s.recordRoutes(now, c)
+	s.recordRoutes(c)
 	s.configuredOnce.Do(func() { close(s.configured) })
 	s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found), "by", by)
 	if len(found) > 0 {
@@ -346,13 +346,13 @@
 		StaleStart: true, BatchDelay: s.batchDelay,
 		OnList: func(now time.Time, all []feed.Item[roster.Server]) {
 			s.roster.SetAll(now, all)
-			s.onRegistryChanged(now)
+			s.onRegistryChanged()
 		},
 		OnChange: func(now time.Time, changes []feed.Change[roster.Server]) {
 			s.roster.Apply(now, changes)
-			s.onRegistryChanged(now)
+			s.onRegistryChanged()
 		},
-		OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
+		OnConfirm: s.roster.RegistryConfirmed, OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
 	}
 }
 
--- a/direct/ledger.go
+++ b/direct/ledger.go
@@ -11,6 +11,7 @@
 
 	"jacinthworks/group"
 	"jacinthworks/infra"
+	"jacinthworks/lease"
 	"jacinthworks/origin"
 )
 
@@ -88,7 +89,7 @@
 	again := time.Duration(0)
 	for n := 0; ctx.Err() == nil; n++ {
 		due := n == 0 || s.waitLedger(ctx, again) || again > 0
-		missing := s.observeVersions(time.Now())
+		missing := s.observeVersions()
 		again = s.updateLedger(ctx, due, missing, n%ledgerPeerTries == 0)
 		if n == 0 {
 			close(s.stored.tried)
@@ -121,7 +122,7 @@
 		return due && s.stored.book.IsRead()
 	}
 	relayed := s.askPeersForLedger(ctx)
-	if !s.observeVersions(time.Now()) {
+	if !s.observeVersions() {
 		return false
 	}
 	return always || !relayed
@@ -133,7 +134,7 @@
 	if again > 0 {
 		wait = min(wait, max(again, ledgerTimeout/10))
 	}
-	if s.observeVersions(time.Now()) {
+	if s.observeVersions() {
 		wait = min(wait, ledgerMissingInterval)
 	}
 	t := time.NewTimer(wait)
@@ -158,14 +159,14 @@
 		if err != nil {
 			return 0, err
 		}
-		s.observeVersions(time.Now())
-		next, write, again := s.stored.book.Plan(time.Now(), s.ledgerConditions())
+		s.observeVersions()
+		next, write, again := s.stored.book.Plan(lease.Boottime(), s.ledgerConditions())
 		if !write {
 			return again, nil
 		}
 		err = s.writeLedger(ctx, next, at)
 		if err == nil {
-			s.observeVersions(time.Now())
+			s.observeVersions()
 			return again, nil
 		}
 		if !errors.Is(err, infra.ErrConflict) {
@@ -179,8 +180,8 @@
 func (s *Server) ledgerConditions() origin.Conditions {
 	longest := s.longestTimeout()
 	return origin.Conditions{
-		Resumable: resumableFor(longest), Resumption: longest, Started: s.startTime,
-		Prune: s.keepsLedger() && s.roster.Current(),
+		Resumable: resumableFor(longest), Resumption: longest, Started: s.startBoottime,
+		Prune: s.keepsLedger(), Confirmed: s.roster.Confirmed().Until,
 	}
 }
 
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -4,12 +4,14 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"jacinthworks/domain"
 	"jacinthworks/group"
+	"jacinthworks/lease"
 	"jacinthworks/origin"
 	"jacinthworks/relay"
 )
@@ -72,10 +74,12 @@
 	for _, p := range peers {
 		calls.Go(ctx, string(p.Name), func(ctx context.Context) error {
 			var v origin.View
+			sent := lease.Boottime()
 			if err := callPeer(ctx, p, http.MethodPost, originFindPath, ownerTimeout, query, &v); err != nil {
 				s.Log.Debug("entry not asked for the origin of a stream", "entry", p.Name, "err", err)
 				return err
 			}
+			v.Date(sent, lease.Boottime())
 			mu.Lock()
 			defer mu.Unlock()
 			views = append(views, v)
@@ -89,16 +93,28 @@
 	return views
 }
 
-// handleOriginQuery answers a query by what this entry knows. It returns false before the registry is
+// handleOriginQuery answers a query of another entry by what this one knows. It returns false before the registry is
 // loaded.
 func (s *Server) handleOriginQuery(q originQuery) (origin.View, bool) {
+	v := s.originView(q)
+	v.State(lease.Boottime())
+	return v, s.roster.Loaded()
+}
+
+// originView is what this entry knows of a stream, and of the service that may have begun it.
+func (s *Server) originView(q originQuery) origin.View {
 	now := time.Now()
 	h := s.roster.History(now, q.Service, q.Window)
-	v := origin.View{Versions: h.Versions, Since: h.Since, Current: h.Current}
+	v := origin.View{Versions: h.Versions, Since: h.Since, Until: h.Until}
+	for _, software := range s.stored.book.Used(q.Service) {
+		if !slices.Contains(v.Versions, software) {
+			v.Versions = append(v.Versions, software)
+		}
+	}
 	if o, ok := s.origins.Find(now, q.Request); ok && q.Request != "" {
 		v.Origin = &o
 	}
-	return v, s.roster.Loaded()
+	return v
 }
 
 // recordOrigin records, here and at a few other entries, at which software version a stream began. It
--- a/direct/request.go
+++ b/direct/request.go
@@ -24,6 +24,8 @@
 	info     RequestInfo
 	id       domain.RequestID
 	accepted time.Time
+	// received is when the request came, by lease.Boottime.
+	received time.Time
 	// firstSent is when the caller first sent the request, as far as known.
 	firstSent time.Time
 	// account is the caller's account, or the caller's address if it has none.
@@ -109,7 +111,7 @@
 
 // serve handles one request from its header to its end.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
-	r := &request{accepted: time.Now(), w: conns.NewDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: newRandom()}
+	r := &request{accepted: time.Now(), received: lease.Boottime(), w: conns.NewDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: newRandom()}
 	r.deadline = r.accepted.Add(defaultTimeout)
 	defer func() { s.endPanicked(r, recover()) }()
 	if s.draining.Load() {
--- a/direct/resume.go
+++ b/direct/resume.go
@@ -6,6 +6,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/infra"
+	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/origin"
 )
@@ -35,7 +36,7 @@
 	started := time.Now()
 	d, asked, answered := s.findOrigin(ctx, r, picked)
 	s.Log.Info("stream resumed by its caller", "request", r.id, "resumes", r.info.Resumes, "last_event", r.info.LastEvent, "grounds", d.Grounds,
-		"service", d.Service, "software", d.Software, "wait", d.Wait, "asked", asked, "answered", answered, "took", time.Since(started))
+		"service", d.Service, "software", d.Software, "wait", d.Wait, "registry_age", registryAge(d), "asked", asked, "answered", answered, "took", time.Since(started))
 	s.Meter.Inc("jacinthworks_streams_resumed_total", meter.Labels{"service", string(picked), "grounds", string(d.Grounds)})
 	switch {
 	case !d.Known():
@@ -50,6 +51,14 @@
 	return picked, nil
 }
 
+// registryAge is how old the newest confirmation of the registry was that a decision rests on; "none" if it rests on none.
+func registryAge(d origin.Decision) string {
+	if d.Age == nil {
+		return "none"
+	}
+	return d.Age.String()
+}
+
 // unknownOrigin refuses a request that resumes a stream of which the version is not known. If it may be known
 // within the caller's time, the caller learns when.
 func unknownOrigin(r *request, d origin.Decision) *failure {
@@ -66,17 +75,21 @@
 // it has no record of a stream that the caller names, what a few others and the store know.
 func (s *Server) findOrigin(ctx context.Context, r *request, picked domain.Service) (d origin.Decision, asked, answered int) {
 	query := originQuery{Request: r.info.Resumes, Service: picked, Window: resumableFor(r.route.Timeout)}
-	resumption := origin.Resumption{Named: r.info.Resumes != "", Window: query.Window}
-	own, _ := s.handleOriginQuery(query)
-	if own.Origin != nil || !resumption.Named {
+	resumption := origin.Resumption{Named: r.info.Resumes != "", Window: query.Window, Received: r.received}
+	own := s.originView(query)
+	if own.Origin != nil || !resumption.Named && own.Knows(r.received, 0) {
 		return resumption.Decide(own), 0, 0
 	}
+	if !resumption.Named {
+		resumption.Stored = s.storedView(ctx, query)
+		return resumption.Decide(s.originView(query)), 0, 0
+	}
 	peers := s.originPeers(query.Request)
 	peers = peers[:min(len(peers), originSearch)]
 	views := s.askPeersForOrigin(ctx, peers, query)
 	if d = resumption.Decide(own, views...); d.Grounds != origin.Recorded && d.Grounds != origin.Conflict {
 		resumption.Stored = s.storedView(ctx, query)
-		d = resumption.Decide(own, views...)
+		d = resumption.Decide(s.originView(query), views...) // it may have learned more meanwhile
 	}
 	return d, len(peers), len(views)
 }
@@ -92,7 +105,7 @@
 	if _, v.Err = s.stored.ledgerReads.Read(ctx, func() (infra.Version, error) { return s.readLedger(s.backgroundCtx) }); v.Err != nil {
 		return v
 	}
-	v.Versions, v.CompleteIn = s.stored.book.Versions(time.Now(), query.Service, query.Window)
+	v.Versions, v.CompleteIn = s.stored.book.Versions(lease.Boottime(), query.Service, query.Window)
 	if len(v.Versions) < 2 && v.CompleteIn == 0 {
 		return v
 	}
--- a/direct/versions.go
+++ b/direct/versions.go
@@ -6,6 +6,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/group"
+	"jacinthworks/lease"
 	"jacinthworks/origin"
 	"jacinthworks/paths"
 	"jacinthworks/roster"
@@ -16,7 +17,7 @@
 
 // observeVersions tells the ledger which versions have upstreams. It is called after each change of
 // the registry.
-func (s *Server) observeVersions(now time.Time) (missing bool) {
+func (s *Server) observeVersions() (missing bool) {
 	if !s.usesLedger() {
 		return false
 	}
@@ -30,7 +31,7 @@
 		live[origin.Origin{Service: m.Service, Software: m.Software}] = true
 	}
 	before := s.stored.book.AnySeveral()
-	missing = s.stored.book.Observe(now, live, resumableFor(s.longestTimeout()))
+	missing = s.stored.book.Observe(lease.Boottime(), live, resumableFor(s.longestTimeout()))
 	if !before && s.stored.book.AnySeveral() {
 		s.signalAllShards()
 	}
@@ -45,7 +46,7 @@
 }
 
 // recordRoutes records what a new configuration says of resumable streams.
-func (s *Server) recordRoutes(now time.Time, c *paths.Config) {
+func (s *Server) recordRoutes(c *paths.Config) {
 	a := resumableRoutes{services: make(map[domain.Service]bool)}
 	for _, r := range c.Routes {
 		if !r.Resumable {
@@ -57,7 +58,7 @@
 		a.timeout = max(a.timeout, r.Timeout)
 	}
 	s.stored.routes.Store(&a)
-	s.onRegistryChanged(now)
+	s.onRegistryChanged()
 }
 
 // longestTimeout is the longest timeout of the routes of resumable streams.
@@ -69,11 +70,11 @@
 }
 
 // onRegistryChanged has the ledger read if a version with upstreams is missing there.
-func (s *Server) onRegistryChanged(now time.Time) {
+func (s *Server) onRegistryChanged() {
 	if s.roster.Loaded() {
 		s.stored.upstreamsKnownOnce.Do(func() { close(s.stored.upstreamsKnown) })
 	}
-	if s.observeVersions(now) {
+	if s.observeVersions() {
 		signal(s.stored.ledgerDue)
 	}
 }
--- a/origin/book.go
+++ b/origin/book.go
@@ -1,17 +1,32 @@
 package origin
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/feed"
 )
 
 const (
-	// addDelay is the time from a service's second version being seen to its being added to the ledger. By
-	// then the streams that run are recorded in the store, as several versions require.
-	addDelay = time.Second
+	// MaxAge is the age of the newest confirmation of the registry by which an entry still decides on its own
+	// view which versions there are: one watch, and the time for its answer.
+	MaxAge = feed.DefaultWatchTimeout + answerTime
+	// MaxGap is the time between two confirmations of the registry within which an entry still has seen all versions:
+	// a watch that is answered late with changes, and the next one. What changed twice in it under one id is not seen,
+	// nor has it been listed for long.
+	MaxGap = 2 * MaxAge
+	// answerTime allows for the call, and clockMargin for clocks that do not run alike.
+	answerTime  = 400 * time.Millisecond
+	clockMargin = 100 * time.Millisecond
+	// addDelay is the time from a service's second version being seen to its being added to the ledger, and so to the
+	// first stream that may begin there. It is longer than MaxAge: an entry that lacks the version has no confirmation
+	// young enough to decide by once there are such streams. By then the streams that run are also recorded in the
+	// store, as several versions require.
+	addDelay = MaxAge + clockMargin
 	// forgetAfter is how long after the last upstream of a version an entry forgets that the ledger lists it,
 	// and reads again before it uses the version. pruneAfter is how long after it the version is removed
 	// from the ledger at the earliest: later, by more than the age of what an entry knows of the registry.
@@ -20,7 +35,8 @@
 )
 
 // Book is one entry's copy of the ledger. It decides at which versions streams may begin, and what
-// is to be written to the store; its owner makes the calls. The zero value is ready to use; it
+// is to be written to the store; its owner makes the calls. All times are of a clock that includes the time
+// for which the host was suspended, such as lease.Boottime. The zero value is ready to use; it
 // must not be copied. It is safe for concurrent use.
 //
 // The load pattern is the death of all entries at once, followed by the resumption of all their
@@ -45,10 +61,14 @@
 	incompleteSince time.Time
 	observedSince   time.Time
 	seen            map[Origin]*presence
+	// listedSince is since when the ledger was read to list a version.
+	listedSince map[Origin]time.Time
 	// listed holds the versions that are in the stored ledger and have an upstream.
 	listed atomic.Pointer[map[Origin]bool]
 	// several holds the services that may have streams of several versions.
 	several atomic.Pointer[map[domain.Service]bool]
+	// used holds the versions of each service that have upstreams, had some lately or are known to be listed.
+	used atomic.Pointer[map[domain.Service][]domain.Software]
 }
 
 // presence is when upstreams of a version were seen.
@@ -67,8 +87,10 @@
 	Resumable, Resumption time.Duration
 	// Started is when this process started.
 	Started time.Time
-	// Prune means that this entry removes versions that are no longer used. One entry does.
-	Prune bool
+	// Prune means that this entry removes versions that are no longer used. One entry does. Confirmed is up to
+	// when it has all changes of the registry: it removes none by an older view, which may lack a version's upstreams.
+	Prune     bool
+	Confirmed time.Time
 }
 
 // keepFor is how long after its last upstream a version is listed: until no stream can be resumed that
@@ -88,7 +110,8 @@
 	}
 	for o := range live {
 		p := b.seen[o]
-		if p == nil || !p.live && now.Sub(p.last) >= forgetAfter {
+		// A version that was not added to the ledger and comes back is as new to other entries.
+		if p == nil || !p.live && (now.Sub(p.last) >= forgetAfter || !p.listed) {
 			p = &presence{first: now}
 			b.seen[o] = p
 		}
@@ -107,6 +130,8 @@
 
 // Reading is what the store answered to a reading of the ledger.
 type Reading struct {
+	// Sent is when the call was sent; zero is the time of adoption.
+	Sent time.Time
 	// Era is the store's era.
 	Era uint64
 	// Ledger is the ledger, if Valid. Absent means that there is none.
@@ -132,15 +157,35 @@
 			b.incompleteSince = now
 		}
 	}
-	b.read, b.readAt, b.era, b.stored, b.isStored = true, now, r.Era, r.Ledger, trusted
+	b.read, b.readAt, b.era, b.stored, b.isStored = true, r.Sent, r.Era, r.Ledger, trusted
+	if r.Sent.IsZero() {
+		b.readAt = now
+	}
+	b.noteListed(now)
 	b.publish(now)
 }
 
+// noteListed records since when versions are listed. b.mu must be held.
+//
+// An entry that has missed changes of the registry may find a version in the ledger that it never saw an upstream
+// of. Removed at once, the version would be missing while its streams can be resumed.
+func (b *Book) noteListed(now time.Time) {
+	since := make(map[Origin]time.Time)
+	for o := range b.stored.all {
+		since[o] = now
+		if before, known := b.listedSince[o]; known {
+			since[o] = before
+		}
+	}
+	b.listedSince = since
+}
+
 // Wrote records that the store has the ledger.
 func (b *Book) Wrote(now time.Time, l Ledger) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.stored, b.known, b.isStored = l, l, true
+	b.noteListed(now)
 	b.publish(now)
 }
 
@@ -163,9 +208,9 @@
 		}
 		next = next.with(o)
 	}
-	if c.Prune && now.Sub(b.observedSince) >= keepFor(c.Resumable) {
+	if keep := keepFor(c.Resumable); c.Prune && now.Sub(c.Confirmed) <= MaxAge && now.Sub(b.observedSince) >= keep {
 		for o := range b.known.all {
-			if b.seen[o] == nil {
+			if b.seen[o] == nil && now.Sub(b.listedSince[o]) >= keep {
 				next = next.without(o)
 			}
 		}
@@ -237,13 +282,16 @@
 		missing = missing || p.live && !p.listed
 	}
 	several := make(map[domain.Service]bool)
+	used := make(map[domain.Service][]domain.Software)
 	for s, all := range versions {
+		used[s] = slices.Sorted(maps.Keys(all))
 		if len(all) > 1 {
 			several[s] = true
 		}
 	}
 	b.listed.Store(&listed)
 	b.several.Store(&several)
+	b.used.Store(&used)
 	return missing
 }
 
@@ -273,6 +321,16 @@
 	return all != nil && (*all)[s]
 }
 
+// Used returns the versions of a service that have upstreams, had some lately or are known to be listed. The caller
+// must not modify the slice.
+func (b *Book) Used(s domain.Service) []domain.Software {
+	all := b.used.Load()
+	if all == nil {
+		return nil
+	}
+	return (*all)[s]
+}
+
 // AnySeveral reports whether any service may have streams of several versions.
 func (b *Book) AnySeveral() bool {
 	all := b.several.Load()
@@ -299,15 +357,15 @@
 	return c, b.read
 }
 
-// AdoptCopy takes over what another entry has read. Its listed versions may be used; whether the ledger is
-// complete now, only a reading tells.
-func (b *Book) AdoptCopy(now time.Time, c Copy) {
+// AdoptCopy takes over what another entry has read and was asked for at sent. Its listed versions may be used; whether
+// the ledger is complete now, only a reading tells.
+func (b *Book) AdoptCopy(now, sent time.Time, c Copy) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if !b.isStored {
 		b.stored = Ledger{}
 	}
-	b.stored, b.isStored, b.readAt = b.stored.union(c.Listed), true, now
+	b.stored, b.isStored, b.readAt = b.stored.union(c.Listed), true, sent
 	b.known = b.known.union(c.Ledger).union(c.Listed)
 	b.publish(now)
 }
--- a/origin/book_test.go
+++ b/origin/book_test.go
@@ -46,7 +46,7 @@
 	} else {
 		b.Adopt(b.now, Reading{Era: b.era, Ledger: *b.stored, Valid: true})
 	}
-	next, write, _ := b.Plan(b.now, Conditions{Resumable: b.resumable, Resumption: 14 * time.Second, Started: b.start, Prune: prune})
+	next, write, _ := b.Plan(b.now, Conditions{Resumable: b.resumable, Resumption: 14 * time.Second, Started: b.start, Prune: prune, Confirmed: b.now})
 	if write {
 		b.stored = &next
 		b.Wrote(b.now, next)
@@ -224,3 +224,55 @@
 	s, _ = r.Shard(now.Add(31*time.Second), number, 30*time.Second, include)
 	require.Empty(t, s.Groups)
 }
+
+// Guards against a version that is removed from the ledger while its streams can be resumed: by an entry that has not heard of
+// its upstreams for some time, or that finds in the ledger what came and left unseen.
+func TestVersionIsNotRemovedByAnOldView(t *testing.T) {
+	both := Ledger{Versions: map[domain.Service][]domain.Software{"lm": {"v1", "v2"}}}
+	stored := Ledger{Versions: map[domain.Service][]domain.Software{"lm": {"v1"}}}
+	b := newBookTest(t, false, &stored)
+	b.sync(true, first)
+	b.pass(time.Hour)
+	b.Observe(b.now, map[Origin]bool{first: true}, b.resumable)
+	b.stored = &both // another entry has added the version meanwhile
+	b.Adopt(b.now, Reading{Ledger: both, Valid: true})
+	conditions := Conditions{Resumable: b.resumable, Prune: true, Confirmed: b.now.Add(-MaxAge - 1)}
+	_, write, _ := b.Plan(b.now, conditions)
+	require.False(t, write, "the view is too old")
+	require.False(t, b.sync(true, first), "it was in use a moment ago")
+	b.pass(pruneAfter)
+	conditions.Confirmed = b.now.Add(-MaxAge - 1)
+	b.Observe(b.now, map[Origin]bool{first: true}, b.resumable)
+	_, write, _ = b.Plan(b.now, conditions)
+	require.False(t, write, "the view is too old")
+	require.True(t, b.sync(true, first))
+	require.False(t, b.stored.Has(second))
+}
+
+// Guards against a second version that is used at once when its upstreams come back, while other entries have yet to
+// hear of them.
+func TestVersionThatWasNeverListedWaitsAgainWhenItComesBack(t *testing.T) {
+	b := newBookTest(t, true, nil)
+	b.sync(false, first)
+	b.sync(false, first, second)
+	b.pass(addDelay / 2)
+	b.sync(false, first)
+	b.pass(window)
+	require.False(t, b.sync(false, first, second), "other entries may not know of it yet")
+	b.pass(addDelay)
+	require.True(t, b.sync(false, first, second))
+}
+
+// Guards against a version that is used by a copy of the ledger which is older than the entry's own suspension.
+func TestCopyOfTheLedgerIsAsOldAsTheCall(t *testing.T) {
+	b := newBookTest(t, false, nil)
+	sent := b.now
+	b.pass(time.Hour)
+	b.Observe(b.now, map[Origin]bool{first: true}, b.resumable)
+	listed := Ledger{Versions: map[domain.Service][]domain.Software{"lm": {"v1"}}}
+	b.AdoptCopy(b.now, sent, Copy{Ledger: listed, Listed: listed})
+	require.False(t, b.Listed(first), "it may have been removed since")
+	b.AdoptCopy(b.now, b.now, Copy{Ledger: listed, Listed: listed})
+	require.True(t, b.Listed(first))
+	require.Equal(t, []domain.Software{"v1"}, b.Used("lm"))
+}
--- a/origin/origin.go
+++ b/origin/origin.go
@@ -50,10 +50,43 @@
 	// Versions are the versions of the service's upstreams in the last Window, those of removed
 	// upstreams included.
 	Versions []domain.Software `json:"versions,omitempty"`
-	// Since is for how long the entry has followed the registry, and Current means that it hears of
-	// changes now.
-	Since   time.Duration `json:"since"`
-	Current bool          `json:"current"`
+	// Since and Until bound the time of which the entry has all changes of the registry, by the clock of
+	// the entry that decides; Until is zero if there is none.
+	Since time.Time `json:"-"`
+	Until time.Time `json:"-"`
+	// Ages are Since and Until as one entry states them to another; nil if there are none, also from an entry of
+	// an earlier release.
+	Ages *Ages `json:"ages,omitempty"`
+}
+
+// Ages are the times of a View, before that of the statement. Hosts have no common clock.
+type Ages struct {
+	Since time.Duration `json:"since"`
+	Until time.Duration `json:"until"`
+}
+
+// State sets the ages for another entry.
+func (v *View) State(now time.Time) {
+	if !v.Until.IsZero() {
+		v.Ages = &Ages{Since: now.Sub(v.Since), Until: now.Sub(v.Until)}
+	}
+}
+
+// Date sets the times of a view that another entry stated in answer to a call, so that it never seems to know of
+// more time than it does.
+func (v *View) Date(sent, received time.Time) {
+	if v.Ages != nil {
+		v.Since, v.Until = received.Add(-v.Ages.Since), sent.Add(-v.Ages.Until)
+	}
+}
+
+// Knows reports whether the view has all versions at which a stream may have begun that was resumed at the given
+// time, at most window after it began.
+//
+// The time is that of the request and not of the decision: no stream that began later is asked about, so that what is
+// decided stays true however long the entry stands still before it acts.
+func (v View) Knows(resumed time.Time, window time.Duration) bool {
+	return !v.Until.IsZero() && !v.Since.After(resumed.Add(-window)) && resumed.Sub(v.Until) <= MaxAge
 }
 
 // Grounds is why a stream may continue at a version, or why none is known.
@@ -85,6 +118,9 @@
 	Service domain.Service
 	// Wait is the time until a version may be known; zero is never.
 	Wait time.Duration
+	// Age is the age of the newest confirmation of the registry in the views that it rests on, when the request came;
+	// negative if that came later, nil if it rests on none.
+	Age *time.Duration
 }
 
 // Known reports whether a version is known.
@@ -115,6 +151,8 @@
 	Named bool
 	// Window is how long ago the stream may have begun.
 	Window time.Duration
+	// Received is when the request came, by the clock of the views.
+	Received time.Time
 	// Stored is what the store knows; nil if it was not asked.
 	Stored *StoredView
 }
@@ -126,8 +164,8 @@
 //
 // Without a record a version counts as the only one if the ledger in the store is complete and lists
 // no other. Without a complete ledger, no entry may know another version, and one must have followed the
-// registry for the whole window and follow it now: one that has just started, or is partitioned from the
-// registry, may have missed a version.
+// registry for the whole window, up to MaxAge before the request: one that has just started, or does not hear
+// the registry, may have missed a version.
 func (q Resumption) Decide(own View, others ...View) Decision {
 	views := append([]View{own}, others...)
 	if d, recorded := q.record(views); recorded {
@@ -150,11 +188,13 @@
 			}
 		}
 	}
-	followed := time.Duration(0)
+	known := false
+	var age *time.Duration
 	for _, v := range views {
 		add(v.Versions)
-		if v.Current {
-			followed = max(followed, v.Since)
+		known = known || v.Knows(q.Received, q.Window)
+		if a := q.Received.Sub(v.Until); !v.Until.IsZero() && (age == nil || a < *age) {
+			age = &a
 		}
 	}
 	if q.Stored != nil {
@@ -162,18 +202,18 @@
 	}
 	switch {
 	case len(versions) > 1:
-		return Decision{Grounds: SeveralVersions, Wait: q.untilRead()}
-	case len(versions) == 1 && (!q.Named || followed >= q.Window):
-		return Decision{Grounds: OnlyVersion, Software: versions[0]}
+		return Decision{Grounds: SeveralVersions, Wait: q.untilRead(), Age: age}
+	case len(versions) == 1 && (!q.Named || known):
+		return Decision{Grounds: OnlyVersion, Software: versions[0], Age: age}
 	}
 	wait := q.untilRead()
 	if q.Stored != nil && q.Stored.Err == nil {
 		wait = soonest(wait, q.Stored.CompleteIn)
 	}
-	if own.Current {
-		wait = soonest(wait, max(q.Window-own.Since, 0))
+	if !own.Until.IsZero() && q.Received.Sub(own.Until) <= MaxAge {
+		wait = soonest(wait, max(own.Since.Add(q.Window).Sub(q.Received), 0))
 	}
-	return Decision{Grounds: Uncertain, Wait: wait}
+	return Decision{Grounds: Uncertain, Wait: wait, Age: age}
 }
 
 // record decides by the records of the stream, if there are any.
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,8 +5,9 @@
 // # Usage
 //
 //	r := roster.Directory{Log: log}
-//	r.SetAll(now, items) // this and the next three are the callbacks of a feed
+//	r.SetAll(now, items) // this and the next four are the callbacks of a feed
 //	r.Apply(now, changes)
+//	r.RegistryConfirmed(confirmedAt)
 //	r.RegistryLost(now)
 //	r.RegistryRecovered(now)
 //	for _, u := range r.Upstreams("marketplace-app") { ... }
@@ -179,10 +180,12 @@
 	return u.restarted
 }
 
-// Directory holds the upstreams listed in the registry. Set Log before first use. A Directory must
+// Directory holds the upstreams listed in the registry. Set Log and MaxGap before first use. A Directory must
 // not be copied. It is safe for concurrent use. Lock order: Directory, then Upstream.
 type Directory struct {
 	Log hclog.Logger
+	// MaxGap is the time between two confirmations of the registry in which no change is missed that matters.
+	MaxGap time.Duration
 
 	mu      sync.Mutex
 	members map[ID]*Upstream
@@ -195,7 +198,10 @@
 	registryDown bool
 	recoveredAt  time.Time
 	loaded       bool
-	loadedAt     time.Time // when the registry was first listed
+	// confirmation states which changes of the registry the directory has. mayHaveMissed is set until the
+	// next one if some may be missing.
+	confirmation  Confirmation
+	mayHaveMissed bool
 	// restored is set from RegistryRestored until the next SetAll, whose list comes from an older
 	// snapshot of the registry.
 	restored bool
@@ -243,9 +249,7 @@
 func (r *Directory) SetAll(now time.Time, all []feed.Item[Server]) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.loaded {
-		r.loaded, r.loadedAt = true, now
-	}
+	r.loaded, r.mayHaveMissed = true, true
 	listed := make(map[ID]bool, len(all))
 	for _, i := range all {
 		listed[ID(i.Name)] = true
@@ -269,6 +273,7 @@
 	defer r.mu.Unlock()
 	for _, c := range changes {
 		if c.Deleted {
+			r.mayHaveMissed = r.mayHaveMissed || r.members[ID(c.Name)] == nil // it came and left since the last answer
 			r.handleMissing(now, ID(c.Name))
 			continue
 		}
--- a/roster/versions.go
+++ b/roster/versions.go
@@ -11,23 +11,26 @@
 // maxPastVersions bounds the software versions without a member that are remembered of a service.
 const maxPastVersions = 64
 
+// Confirmation states which changes of the registry the directory has, by the clock of feed.Feed.OnConfirm. The zero
+// value states none.
+type Confirmation struct {
+	// Since is from when on the directory has all changes, and Until up to when. Of what changed between
+	// two confirmations only the outcome is known.
+	Since, Until time.Time
+}
+
 // History is what the directory can tell of the past of a service.
 type History struct {
 	// Versions are the software versions of the service's members and of those removed lately.
 	Versions []domain.Software
-	// Since is for how long the registry has been followed, and Current means that it is heard now.
-	Since   time.Duration
-	Current bool
+	Confirmation
 }
 
 // History returns the versions of a service in the given time before now.
 func (r *Directory) History(now time.Time, service domain.Service, window time.Duration) History {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	h := History{Current: r.loaded && !r.registryDown}
-	if r.loaded {
-		h.Since = now.Sub(r.loadedAt)
-	}
+	h := History{Confirmation: r.confirmation}
 	for _, u := range r.byService[service] {
 		h.add(u.Server().Software)
 	}
@@ -47,11 +50,27 @@
 	return slices.Collect(maps.Values(r.members))
 }
 
-// Current reports whether the registry is loaded and heard now.
-func (r *Directory) Current() bool {
+// RegistryConfirmed records that the directory has all changes of the registry up to the given time, by the clock of
+// feed.Feed.OnConfirm. Changes may have been missed if it was listed since the last confirmation, if an unknown entry
+// was deleted, or if the last confirmation is more than MaxGap older.
+func (r *Directory) RegistryConfirmed(at time.Time) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	c := &r.confirmation
+	if r.mayHaveMissed || at.Sub(c.Until) > r.MaxGap {
+		*c = Confirmation{Since: at, Until: at}
+	}
+	r.mayHaveMissed = false
+	if at.After(c.Until) {
+		c.Until = at
+	}
+}
+
+// Confirmed returns which changes of the registry the directory has.
+func (r *Directory) Confirmed() Confirmation {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	return r.loaded && !r.registryDown
+	return r.confirmation
 }
 
 func (h *History) add(v domain.Software) {
