direct, roster: a stream waits shortly for its software version to start again

A stream bound to a version can't go elsewhere, and a refusal costs its caller a try.

If an upstream of the version has crashed within 5 s (found by a check, or by a connection that is not accepted), the stream waits up to 2 s, and at most a third of its time, for one that may be used. A version that left as planned is still refused at once. The log line 'stream waited for an upstream of its software version' tells each wait.

Failed before: go test ./platform -run TestResumedStreamWaitsForARestartOfItsSoftwareVersion: 4 of 8 arrived; passes.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -258,6 +258,9 @@
 		return ""
 	case err != nil:
 		u.Stats.RecordFailure(time.Now())
+		if send.StageOf(err) == send.NotSent && ctx.Err() == nil {
+			s.roster.RecordCrash(time.Now(), u)
+		}
 		if m := u.Server(); send.StageOf(err) == send.Canceled && !s.hasOther(r, m.Role, m.Start) {
 			// The last engine is slow and not gone: excluded, it would end the request, and a
 			// stream that has begun would break, although the next call may find memory.
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -197,6 +197,7 @@
 		s.postponeRetry(r, a)
 		if ctx.Err() == nil {
 			a.upstream.Stats.RecordDialFailure(time.Now())
+			s.roster.RecordCrash(time.Now(), a.upstream)
 		}
 	case send.TimedOut:
 		f.reason = domain.ReasonUpstream
--- a/direct/crash.go
+++ b/direct/crash.go
@@ -187,6 +187,7 @@
 	d.Upstream, d.Incarnation = domain.Host(f.start.ID), incarnationOf(f.start)
 	s.Log.Info("upstream died", "upstream", f.start.ID, "born", f.start.Born, "request", f.request, "work", f.work, "parts", f.parts, "after", f.how, "running", len(d.Running), "prompts", len(d.Prompts), "err", cause)
 	s.countEvidence("died")
+	s.roster.RecordCrash(time.Now(), f.upstream)
 	if s.crashes.RecordDeath(d) {
 		s.announceCrashes()
 	}
--- a/direct/prepare.go
+++ b/direct/prepare.go
@@ -26,6 +26,9 @@
 func (s *Server) prepareEngine(ctx context.Context, r *request) (*attempt, *failure) {
 	role := s.answerRole(r)
 	allocated, f := s.allocate(ctx, r, role)
+	if f != nil && f.reason == domain.ReasonNoUpstream && s.awaitVersion(ctx, r, role) {
+		allocated, f = s.allocate(ctx, r, role)
+	}
 	if f != nil {
 		return nil, f
 	}
@@ -68,6 +71,7 @@
 
 // preparePlain obtains a plain server whose rate limit allows the request.
 func (s *Server) preparePlain(ctx context.Context, r *request) (*attempt, *failure) {
+	waited := false
 	for {
 		p, slot, f := s.placePlain(ctx, r)
 		if f != nil {
@@ -75,7 +79,12 @@
 		}
 		if p.upstream == nil {
 			s.logPlacement(r, "", p)
-			return nil, s.noUpstreamFailure(r, "")
+			f := s.noUpstreamFailure(r, "")
+			if !waited && f.reason == domain.ReasonNoUpstream && s.awaitVersion(ctx, r, "") {
+				waited = true
+				continue
+			}
+			return nil, f
 		}
 		a := &attempt{upstream: p.upstream, slot: slot}
 		permitted, wait, ok := s.acquirePermit(ctx, r, p.upstream, s.maxLimitWait(r, p.upstream))
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -209,6 +209,8 @@
 	removed map[InstanceKey]removedInstance
 	// pastVersions holds when a member of a service last had a software version.
 	pastVersions map[domain.Service]map[domain.Software]time.Time
+	// crashes holds when a member of a pool last crashed.
+	crashes map[Pool]time.Time
 	// overridden holds the entries of a restored registry that are treated as draining, until they
 	// are written again or overrideTTL has passed.
 	overridden map[ID]overriddenEntry
