roster: members stay while the registry has not been heard since the end of their grace period

After an outage of the registry, upstreams that it no longer lists are kept for 2 s, in which they register again. If it fell silent once more in that time, an entry removed them all at its end, since no watch had failed yet, and had no upstream until the silence was over.

They are removed once the registry was confirmed after the end of the grace period. The two tests of the removal state a confirmation now, as the feed does.

Failed before, passes: go test ./roster -run SilentAgain: expected [a b], actual none.

--- a/roster/restore_test.go
+++ b/roster/restore_test.go
@@ -25,7 +25,8 @@
 // Guards against requests to upstreams that have shut down, and against the removal of upstreams
 // that registered later, after the registry was restored from an older snapshot.
 func TestRestoredRegistryKeepsDrainingStateAndMissingMembers(t *testing.T) {
-	r := Directory{Log: hclog.NewNullLogger()}
+	boot := time.Unix(1000, 0) // now, by the clock of confirmations
+	r := Directory{Log: hclog.NewNullLogger(), Now: func() time.Time { return boot }}
 	now := time.Now().Add(-overrideTTL - time.Second)
 	r.SetAll(now, []feed.Item[Server]{entryOf("stays", false), entryOf("leaves", false), entryOf("left", false), entryOf("new", false)})
 	r.Apply(now, []feed.Change[Server]{{Item: entryOf("leaves", true)}, {Item: entryOf("left", true)}, {Item: entryOf("left", true), Deleted: true}})
@@ -46,6 +47,7 @@
 	require.False(t, drainingByID(&r)["left"])
 
 	// A member still missing after the grace period is removed; later lists are applied unchanged.
+	r.RegistryConfirmed(boot)
 	r.mu.Lock()
 	r.removeExpired(restored.Add(ReregisterGrace + time.Second))
 	r.mu.Unlock()
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -30,6 +30,7 @@
 	"jacinthworks/domain"
 	"jacinthworks/feed"
 	"jacinthworks/fresh"
+	"jacinthworks/lease"
 	"jacinthworks/send"
 )
 
@@ -184,6 +185,8 @@
 // not be copied. It is safe for concurrent use. Lock order: Directory, then Upstream.
 type Directory struct {
 	Log hclog.Logger
+	// Now is the clock of RegistryConfirmed; nil means lease.Boottime.
+	Now func() time.Time
 	// MaxGap is the time between two confirmations of the registry in which no change is missed that matters.
 	MaxGap time.Duration
 
@@ -415,15 +418,24 @@
 	}
 }
 
-// removeExpired removes the unconfirmed members whose grace period has passed.
+func (r *Directory) now() time.Time {
+	if r.Now != nil {
+		return r.Now()
+	}
+	return lease.Boottime()
+}
+
+// removeExpired removes the unconfirmed members that had not registered again when the registry was last confirmed, if that
+// was after their grace period. A registry that is silent again would otherwise cost the directory all of them.
 func (r *Directory) removeExpired(now time.Time) {
 	r.acceptOverridden(now)
 	if len(r.unconfirmed) == 0 || r.registryDown {
 		return
 	}
+	confirmed := now.Add(-r.now().Sub(r.confirmation.Until))
 	before := len(r.members)
 	for id, until := range r.unconfirmed {
-		if now.After(until) {
+		if confirmed.After(until) {
 			r.remove(id, "not registered again after the registry outage")
 		}
 	}
--- a/roster/roster_test.go
+++ b/roster/roster_test.go
@@ -36,8 +36,9 @@
 // Running servers register again within two seconds and stay in use until then; a server that does
 // not register again is removed.
 func TestExpiredEntriesAreKeptForGraceAfterOutage(t *testing.T) {
-	r := &Directory{Log: hclog.NewNullLogger()}
 	now := time.Now()
+	boot := time.Unix(1000, 0) // now, by the clock of confirmations
+	r := &Directory{Log: hclog.NewNullLogger(), Now: func() time.Time { return boot }}
 	r.SetAll(now, []feed.Item[Server]{item("a", false), item("b", false), item("leaving", true)})
 	r.RegistryLost(now)
 	recovered := now.Add(time.Minute)
@@ -45,12 +46,36 @@
 	r.SetAll(recovered, nil)
 	require.Equal(t, []ID{"a", "b"}, ids(r), "a draining member is removed at once")
 	r.Apply(recovered.Add(time.Second), []feed.Change[Server]{{Item: item("a", false)}})
+	r.RegistryConfirmed(boot)
 	r.mu.Lock()
 	r.removeExpired(recovered.Add(ReregisterGrace + time.Millisecond))
 	r.mu.Unlock()
 	require.Equal(t, []ID{"a"}, ids(r))
 }
 
+// Guards against the loss of all running servers when the registry falls silent again before they have registered: no watch
+// has failed yet when their grace period ends.
+func TestExpiredEntriesAreKeptWhileTheRegistryIsSilentAgain(t *testing.T) {
+	now := time.Now()
+	boot := time.Unix(1000, 0) // now, by the clock of confirmations
+	r := &Directory{Log: hclog.NewNullLogger(), Now: func() time.Time { return boot }}
+	r.SetAll(now, []feed.Item[Server]{item("a", false), item("b", false)})
+	r.RegistryLost(now)
+	r.RegistryRecovered(now)
+	r.SetAll(now, nil)
+	r.RegistryConfirmed(boot)
+	boot = boot.Add(2 * ReregisterGrace)
+	r.mu.Lock()
+	r.removeExpired(now.Add(2 * ReregisterGrace))
+	r.mu.Unlock()
+	require.Equal(t, []ID{"a", "b"}, ids(r), "the registry was confirmed before the end of the grace period only")
+	r.RegistryConfirmed(boot)
+	r.mu.Lock()
+	r.removeExpired(now.Add(2 * ReregisterGrace))
+	r.mu.Unlock()
+	require.Empty(t, ids(r))
+}
+
 func TestDeletedOrReplacedUpstreamIsRemovedAtOnce(t *testing.T) {
 	r := &Directory{Log: hclog.NewNullLogger()}
 	now := time.Now()
