entry, table: the age of the table counts the time of a suspension

An entry of the own way accepts requests only under a table that was confirmed within stale_after. Both the confirmation and the question were of time.Now, whose monotonic part stops while the host is suspended: at the thaw a table from minutes ago counted as fresh until a call had shown a newer one. Found by reading, in the search for the cause of the stream versions.

Both are of lease.Boottime now.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -77,7 +77,7 @@
 func (e *Entry) state() wire.EntryState {
 	return wire.EntryState{
 		Host: e.Settings.Name, Zone: e.Settings.Zone, TableVersion: uint64(e.tables.Version()), InForceSince: e.tables.InForceSince(),
-		Draining: e.draining.Load() || e.leaving.Load(), Stale: !e.tableFresh(time.Now()), InFlight: int(e.recorder.Counts().Open),
+		Draining: e.draining.Load() || e.leaving.Load(), Stale: !e.tableFresh(), InFlight: int(e.recorder.Counts().Open),
 	}
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -37,7 +37,7 @@
 
 // serveReady handles the readiness probe of the platform's balancer.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
-	if e.leaving.Load() || e.draining.Load() || !e.tableFresh(time.Now()) || !e.startupComplete(time.Now()) {
+	if e.leaving.Load() || e.draining.Load() || !e.tableFresh() || !e.startupComplete(time.Now()) {
 		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
@@ -144,7 +144,7 @@
 	// While this entry is cut off from the platform and the other entries, an edit may come
 	// into force, and its rows may be outdated. Refusing new requests is sufficient: an edit
 	// is accepted only once other entries have it.
-	if !e.tableFresh(time.Now()) {
+	if !e.tableFresh() {
 		return &failure{ran: domain.NotRun, reason: domain.ReasonStale, detail: "this entry hears neither the platform nor another entry", retryAfter: time.Second}
 	}
 	if f := e.findRow(r); f != nil {
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -10,6 +10,7 @@
 	"jacinthworks/editor"
 	"jacinthworks/group"
 	"jacinthworks/infra"
+	"jacinthworks/lease"
 	"jacinthworks/peers"
 	"jacinthworks/table"
 	"jacinthworks/wire"
@@ -27,6 +28,10 @@
 	replicateTimeout = time.Second // bounds the push of a newly written table to the other entries
 )
 
+// boottime is the clock that measures the age of the table: one that includes the time for which the host was suspended.
+// Tests replace it.
+var boottime = lease.Boottime
+
 // services returns the services in the table.
 func (e *Entry) services() []domain.Service {
 	var all []domain.Service
@@ -46,14 +51,14 @@
 
 // tableFresh reports whether the table was confirmed within stale_after, which new work
 // requires.
-func (e *Entry) tableFresh(now time.Time) bool {
-	return e.tables.Fresh(now, e.Settings.Timings.MaxTableAge)
+func (e *Entry) tableFresh() bool {
+	return e.tables.Fresh(boottime(), e.Settings.Timings.MaxTableAge)
 }
 
 // watchTable applies each new version of the operators' table that the platform returns.
 func (e *Entry) watchTable(ctx context.Context) error {
 	for ctx.Err() == nil {
-		asked := time.Now()
+		asked := boottime()
 		o, err := e.Objects.Watch(ctx, editor.DefaultObjectName, infra.Version(e.tables.Version()), watchTimeout)
 		if err == nil {
 			err = e.applyObject(o, asked)
@@ -104,7 +109,7 @@
 func (e *Entry) confirmWithPeer(ctx context.Context, s *peers.Link) bool {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime()
 	var got wire.Table
 	err := s.Call(ctx, wire.MethodTable, wire.TableRequest{HaveVersion: uint64(e.tables.Version())}, &got)
 	if err != nil {
@@ -125,7 +130,7 @@
 func (e *Entry) confirmWithPlatform(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
-	asked := time.Now()
+	asked := boottime()
 	have := infra.Version(e.tables.Version())
 	o, err := e.Objects.Watch(ctx, editor.DefaultObjectName, have, 0)
 	switch {
@@ -172,7 +177,7 @@
 	if err != nil {
 		return errors.Wrap(err, "entry: table")
 	}
-	e.updateTable(t, time.Now(), e.Settings.Name)
+	e.updateTable(t, boottime(), e.Settings.Name)
 	others := e.entries.Connected()
 	if len(others) == 0 {
 		return nil
