--- a/direct/resume.go
+++ b/direct/resume.go
@@ -36,7 +36,7 @@
 	started := time.Now()
 	d, asked, answered := s.findOrigin(ctx, r, picked)
 	s.Log.Info("stream resumed by its caller", "request", r.id, "resumes", r.info.Resumes, "last_event", r.info.LastEvent, "grounds", d.Grounds,
-		"service", d.Service, "software", d.Software, "wait", d.Wait, "registry_age", registryAge(d), "asked", asked, "answered", answered, "took", time.Since(started))
+		"service", d.Service, "software", d.Software, "wait", d.Wait, "registry_age", s.registryAge(r, d), "asked", asked, "answered", answered, "took", time.Since(started))
 	s.Meter.Inc("jacinthworks_streams_resumed_total", meter.Labels{"service", string(picked), "grounds", string(d.Grounds)})
 	switch {
 	case !d.Known():
@@ -51,12 +51,16 @@
 	return picked, nil
 }
 
-// registryAge is how old the newest confirmation of the registry was that a decision rests on; "none" if it rests on none.
-func registryAge(d origin.Decision) string {
-	if d.Age == nil {
-		return "none"
+// registryAge is how old the newest confirmation of the registry was when the request came, among the views that the decision
+// rests on, or of this entry if it rests on none; empty if there was none.
+func (s *Server) registryAge(r *request, d origin.Decision) string {
+	if d.Age != nil {
+		return d.Age.String()
 	}
-	return d.Age.String()
+	if until := s.roster.Confirmed().Until; !until.IsZero() {
+		return r.received.Sub(until).String()
+	}
+	return ""
 }
 
 // unknownOrigin refuses a request that resumes a stream of which the version is not known. If it may be known
