--- a/direct/direct.go
+++ b/direct/direct.go
@@ -263,7 +263,7 @@
 	s.Settings.Limits = s.Settings.Limits.WithDefaults()
 	s.memory.Limit = memory.ForCallers(s.Settings.MemoryLimit)
 	s.registerMemory()
-	s.roster.Log = s.Log
+	s.roster.Log, s.roster.MaxGap = s.Log, origin.MaxGap
 	s.peers.fleet.Self, s.peers.fleet.MinMembers = s.Settings.Name, s.Settings.RelayMinEntries
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
 	s.peers.fleet.ID = s.Settings.FleetID()
@@ -298,7 +298,7 @@
 // configFeed returns the feed of the configuration.
 func (s *Server) configFeed() *feed.Feed[*paths.Config] {
 	return &feed.Feed[*paths.Config]{
-		Name: feedConfigs, Source: observedSource[*paths.Config]{relaySource(s, feedConfigs, s.Configs, &s.peers.configs), &s.sourceErrors.configs}, Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
+		Name: feedConfigs, Source: relaySource(s, feedConfigs, s.Configs, &s.peers.configs), OnCall: s.sourceErrors.configs.record, Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
 		BatchDelay: s.batchDelay, OnRestore: s.onStoreRestored, OnUndecodable: s.countUndecodable(feedConfigs),
 		OnList: func(now time.Time, all []feed.Item[*paths.Config]) {
 			for _, c := range feed.Values(all) {
@@ -327,7 +327,7 @@
 	if !changed {
 		return
 	}
-	s.recordRoutes(now, c)
+	s.recordRoutes(c)
 	s.configuredOnce.Do(func() { close(s.configured) })
 	s.Log.Info("configuration in force", "version", c.Version, "routes", len(c.Routes), "services", len(c.Services), "findings", len(found), "by", by)
 	if len(found) > 0 {
@@ -338,17 +338,17 @@
 // serverFeed returns the feed of the registry of upstreams.
 func (s *Server) serverFeed() *feed.Feed[roster.Server] {
 	return &feed.Feed[roster.Server]{
-		Name: feedUpstreams, Source: observedSource[roster.Server]{relaySource(s, feedUpstreams, s.Upstreams, &s.peers.upstreams), &s.sourceErrors.upstreams}, Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
+		Name: feedUpstreams, Source: relaySource(s, feedUpstreams, s.Upstreams, &s.peers.upstreams), OnCall: s.sourceErrors.upstreams.record, Log: s.Log, WatchTimeout: s.Settings.WatchTimeout,
 		StaleStart: true, BatchDelay: s.batchDelay,
 		OnList: func(now time.Time, all []feed.Item[roster.Server]) {
 			s.roster.SetAll(now, all)
-			s.onRegistryChanged(now)
+			s.onRegistryChanged()
 		},
 		OnChange: func(now time.Time, changes []feed.Change[roster.Server]) {
 			s.roster.Apply(now, changes)
-			s.onRegistryChanged(now)
+			s.onRegistryChanged()
 		},
-		OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
+		OnConfirm: s.roster.RegistryConfirmed, OnDisconnect: s.roster.RegistryLost, OnReconnect: s.roster.RegistryRecovered, OnRestore: s.roster.RegistryRestored,
 		OnUndecodable: s.countUndecodable(feedUpstreams),
 	}
 }
--- a/direct/ready.go
+++ b/direct/ready.go
@@ -7,8 +7,6 @@
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"jacinthworks/feed"
 )
 
 // readinessInterval is the time between two looks at whether this entry is ready, for the log.
@@ -37,26 +35,6 @@
 	}
 }
 
-// observedSource records the error of the last call of a source.
-type observedSource[T any] struct {
-	feed.Source[T]
-	last *lastError
-}
-
-// List calls List of the source.
-func (o observedSource[T]) List(ctx context.Context, after string, stale bool) (feed.Page[T], error) {
-	p, err := o.Source.List(ctx, after, stale)
-	o.last.record(err)
-	return p, err
-}
-
-// Watch calls Watch of the source.
-func (o observedSource[T]) Watch(ctx context.Context, after feed.Revision, wait time.Duration) ([]feed.Change[T], feed.Revision, error) {
-	changes, revision, err := o.Source.Watch(ctx, after, wait)
-	o.last.record(err)
-	return changes, revision, err
-}
-
 // notReady returns why this entry is not ready, and the last error of what it waits for; both are empty if it
 // is ready.
 func (s *Server) notReady() (why, detail string) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -5,8 +5,9 @@
 // # Usage
 //
 //	r := roster.Directory{Log: log}
-//	r.SetAll(now, items) // this and the next three are the callbacks of a feed
+//	r.SetAll(now, items) // this and the next four are the callbacks of a feed
 //	r.Apply(now, changes)
+//	r.RegistryConfirmed(confirmedAt)
 //	r.RegistryLost(now)
 //	r.RegistryRecovered(now)
 //	for _, u := range r.Upstreams("marketplace-app") { ... }
@@ -29,6 +30,7 @@
 	"jacinthworks/domain"
 	"jacinthworks/feed"
 	"jacinthworks/fresh"
+	"jacinthworks/lease"
 	"jacinthworks/send"
 )
 
@@ -179,10 +181,14 @@
 	return u.restarted
 }
 
-// Directory holds the upstreams listed in the registry. Set Log before first use. A Directory must
+// Directory holds the upstreams listed in the registry. Set Log and MaxGap before first use. A Directory must
 // not be copied. It is safe for concurrent use. Lock order: Directory, then Upstream.
 type Directory struct {
 	Log hclog.Logger
+	// Now is the clock of RegistryConfirmed; nil means lease.Boottime.
+	Now func() time.Time
+	// MaxGap is the time between two confirmations of the registry in which no change is missed that matters.
+	MaxGap time.Duration
 
 	mu      sync.Mutex
 	members map[ID]*Upstream
@@ -195,7 +201,10 @@
 	registryDown bool
 	recoveredAt  time.Time
 	loaded       bool
-	loadedAt     time.Time // when the registry was first listed
+	// confirmation states which changes of the registry the directory has. mayHaveMissed is set until the
+	// next one if some may be missing.
+	confirmation  Confirmation
+	mayHaveMissed bool
 	// restored is set from RegistryRestored until the next SetAll, whose list comes from an older
 	// snapshot of the registry.
 	restored bool
@@ -203,6 +212,8 @@
 	removed map[InstanceKey]removedInstance
 	// pastVersions holds when a member of a service last had a software version.
 	pastVersions map[domain.Service]map[domain.Software]time.Time
+	// crashes holds when a member of a pool last crashed.
+	crashes map[Pool]time.Time
 	// overridden holds the entries of a restored registry that are treated as draining, until they
 	// are written again or overrideTTL has passed.
 	overridden map[ID]overriddenEntry
@@ -243,9 +254,7 @@
 func (r *Directory) SetAll(now time.Time, all []feed.Item[Server]) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if !r.loaded {
-		r.loaded, r.loadedAt = true, now
-	}
+	r.loaded, r.mayHaveMissed = true, true
 	listed := make(map[ID]bool, len(all))
 	for _, i := range all {
 		listed[ID(i.Name)] = true
@@ -269,6 +278,7 @@
 	defer r.mu.Unlock()
 	for _, c := range changes {
 		if c.Deleted {
+			r.mayHaveMissed = r.mayHaveMissed || r.members[ID(c.Name)] == nil // it came and left since the last answer
 			r.handleMissing(now, ID(c.Name))
 			continue
 		}
@@ -408,15 +418,24 @@
 	}
 }
 
-// removeExpired removes the unconfirmed members whose grace period has passed.
+func (r *Directory) now() time.Time {
+	if r.Now != nil {
+		return r.Now()
+	}
+	return lease.Boottime()
+}
+
+// removeExpired removes the unconfirmed members that had not registered again when the registry was last confirmed, if that
+// was after their grace period. A registry that is silent again would otherwise cost the directory all of them.
 func (r *Directory) removeExpired(now time.Time) {
 	r.acceptOverridden(now)
 	if len(r.unconfirmed) == 0 || r.registryDown {
 		return
 	}
+	confirmed := now.Add(-r.now().Sub(r.confirmation.Until))
 	before := len(r.members)
 	for id, until := range r.unconfirmed {
-		if now.After(until) {
+		if confirmed.After(until) {
 			r.remove(id, "not registered again after the registry outage")
 		}
 	}
