direct: check the lease just before each order to an engine, and renew it between them

After two such orders the lease no longer covered the next one; after five another entry held it and ordered the same engines, and the former holder still gave the rest of its plan.

Each order is now checked against the lease when it is sent: the term of its token must be the present one, and the lease must last OrderTimeout longer than that moment. The lease is renewed between the orders if that is due, so that a plan with unanswered orders is not dropped. What the lease does not cover is not given, and logged.

TestOrdersOfALongPlanAreGivenUnderTheLease and TestOrderOfAnEarlierTermIsNotCovered failed before (the order outlived the lease; the old term counted). TestSecondOrderOfAnExchange... now loses the lease after the first order, where it was lost from the start: an order is no longer given without it, and what the test asks of the second one is the same.

--- a/direct/roles.go
+++ b/direct/roles.go
@@ -160,22 +160,30 @@
 		}
 		p.Timing.ExchangeRatio = speeds[v.Name].exchangeRatio()
 		orders := p.Plan(time.Now(), demand, k.Issue)
-		changes := s.giveOrders(orders, states, k.Holds, func(o roles.Order) OrderOutcome { return s.sendRoleOrder(ctx, k, states, o) })
+		changes := s.giveOrders(orders, states,
+			func(o roles.Order) bool { return leaseCovers(ctx, k, o.Fence) },
+			func(o roles.Order) OrderOutcome { return s.sendRoleOrder(ctx, k, states, o) })
 		if len(changes) > 0 {
 			s.announceChanges(ctx, changes)
 		}
 	}
 }
 
-// giveOrders gives the orders in turn and returns the changes that may follow from them. The
-// second order of an exchange is given only if the first was accepted and the lease is still
-// held: otherwise a pool would lose an engine and gain none, or the next holder would plan with
-// engines that an order of this one still moves.
-func (s *Server) giveOrders(orders []roles.Order, states []engineState, holds func() bool, send func(roles.Order) OrderOutcome) (changes []RoleChange) {
+// giveOrders gives the orders in turn and returns the changes that may follow from them. covered reports
+// whether the lease covers an order, and is asked just before each: an order without an answer
+// takes orderTimeout, so that a plan may take longer than the lease, and its next holder gives orders to the same
+// engines. The second order of an exchange is given only if the first was accepted: otherwise a pool would lose an
+// engine and gain none.
+func (s *Server) giveOrders(orders []roles.Order, states []engineState, covered func(roles.Order) bool, send func(roles.Order) OrderOutcome) (changes []RoleChange) {
 	outcome := OrderAccepted
 	for i, o := range orders {
-		if o.Exchange && i > 0 && (outcome != OrderAccepted || !holds()) {
-			s.Log.Info("exchange of roles not completed", "upstream", o.Host, "from", o.From, "to", o.To, "first", outcome, "held", holds())
+		if o.Exchange && i > 0 && outcome != OrderAccepted {
+			s.Log.Info("exchange of roles not completed", "upstream", o.Host, "from", o.From, "to", o.To, "first", outcome)
+			return changes
+		}
+		if !covered(o) {
+			s.Log.Info("role orders not given, the lease does not cover them", "upstream", o.Host, "from", o.From, "to", o.To, "fence", o.Fence,
+				"exchange", o.Exchange, "given", i, "of", len(orders))
 			return changes
 		}
 		outcome = send(o)
@@ -194,6 +202,15 @@
 	return changes
 }
 
+// leaseCovers renews the lease if that is due, and reports whether it covers an order with the token.
+func leaseCovers(ctx context.Context, k *lease.Keeper, token fence.Token) bool {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	for ctx.Err() == nil && k.Step(ctx) <= 0 {
+	}
+	return k.Covers(token)
+}
+
 // minPlanInterval is the least time between two polls of the engines: their reported states
 // are no newer.
 const minPlanInterval = 200 * time.Millisecond
--- a/direct/roles_load_test.go
+++ b/direct/roles_load_test.go
@@ -263,7 +263,7 @@
 		s := &Server{Log: hclog.NewNullLogger()}
 		var sent []domain.Host
 		changes := s.giveOrders([]roles.Order{{Host: "slow", Exchange: true}, {Host: "fast", Exchange: true}}, nil,
-			func() bool { return c.held },
+			func(roles.Order) bool { return c.held || len(sent) == 0 },
 			func(o roles.Order) OrderOutcome {
 				sent = append(sent, o.Host)
 				return c.first
--- a/direct/roles_test.go
+++ b/direct/roles_test.go
@@ -1,14 +1,19 @@
 package direct
 
 import (
+	"context"
 	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/domain"
+	"jacinthworks/fence"
+	"jacinthworks/infra"
+	"jacinthworks/lease"
 	"jacinthworks/relay"
 	"jacinthworks/roles"
 )
@@ -74,3 +79,86 @@
 	require.False(t, noDemand(roles.View{Demand: map[roles.Pool]float64{decode: 0.1}}))
 	require.Equal(t, planInterval, planDelay(time.Now(), map[domain.Service]*roles.Planner{"m": {}}))
 }
+
+// leaseRecord is the record of a lease in memory, of which writes can be made to fail.
+type leaseRecord struct {
+	value   []byte
+	version infra.Version
+	down    bool
+}
+
+func (r *leaseRecord) Get(context.Context, string) (infra.Object, error) {
+	if r.version == 0 {
+		return infra.Object{}, infra.ErrNotFound
+	}
+	return infra.Object{Version: r.version, Value: r.value}, nil
+}
+
+func (r *leaseRecord) Put(_ context.Context, _ string, value []byte, at infra.Version) (infra.Version, error) {
+	switch {
+	case r.down:
+		return 0, infra.ErrNoReply
+	case at != r.version:
+		return 0, infra.ErrConflict
+	}
+	r.value, r.version = value, r.version+1
+	return r.version, nil
+}
+
+// Guards against orders that are given without the lease: engines leave the orders of a plan unanswered, so that the
+// plan takes longer than the lease, and the former holder goes on beside its successor.
+func TestOrdersOfALongPlanAreGivenUnderTheLease(t *testing.T) {
+	for name, c := range map[string]struct {
+		storeDown bool
+		given     int
+	}{"renewed": {false, 8}, "not renewed": {true, 2}} {
+		t.Run(name, func(t *testing.T) {
+			record, now := &leaseRecord{}, time.Unix(1000, 0)
+			keeper := func(host domain.Host) *lease.Keeper {
+				return &lease.Keeper{Records: record, Name: rolesLease, Now: func() time.Time { return now }, Guard: fence.Guard{Holder: host, Incarnation: 1, FreshStore: true}}
+			}
+			holder, successor := keeper("front-1"), keeper("front-2")
+			for !holder.Holds() {
+				holder.Step(t.Context())
+			}
+			successor.Step(t.Context())
+			var plan []roles.Order
+			for n := range 8 {
+				token, err := holder.Issue(now)
+				require.NoError(t, err)
+				plan = append(plan, roles.Order{Host: domain.Host(fmt.Sprint("engine-", n)), Fence: token})
+			}
+			record.down = c.storeDown
+			given := 0
+			s := &Server{Log: hclog.NewNullLogger()}
+			s.giveOrders(plan, nil, func(o roles.Order) bool { return leaseCovers(t.Context(), holder, o.Fence) },
+				func(o roles.Order) OrderOutcome {
+					require.False(t, successor.Holds(), "another entry gives orders")
+					given++
+					now = now.Add(orderTimeout)
+					require.NoError(t, holder.Complete(o.Fence), "the order outlived the lease")
+					for range 3 {
+						successor.Step(t.Context())
+					}
+					return orderUnknown
+				})
+			require.Equal(t, c.given, given)
+		})
+	}
+}
+
+// Guards against an order that was planned in an earlier term of the lease: another entry may have ordered the same
+// engines in between.
+func TestOrderOfAnEarlierTermIsNotCovered(t *testing.T) {
+	now := time.Unix(1000, 0)
+	k := &lease.Keeper{Records: &leaseRecord{}, Now: func() time.Time { return now }, Guard: fence.Guard{Holder: "front-1", FreshStore: true}}
+	for !k.Holds() {
+		k.Step(t.Context())
+	}
+	token, err := k.Issue(now)
+	require.NoError(t, err)
+	require.True(t, leaseCovers(t.Context(), k, token))
+	now = now.Add(2 * fence.TTL)
+	require.False(t, leaseCovers(t.Context(), k, token))
+	require.True(t, k.Holds(), "a new term")
+}
--- a/fence/fence.go
+++ b/fence/fence.go
@@ -30,6 +30,7 @@
 //	case fence.WaitUntil:  // call Next again at a.Until
 //	}
 //	token, err := g.Issue(now)         // before an order, which carries the token
+//	if !g.Covers(now, token) { ... }   // before an order that is sent later than it was issued
 //	err = g.Complete(now, token)       // after it
 package fence
 
@@ -322,6 +323,12 @@
 	return token, nil
 }
 
+// Covers reports whether an order with a token that was issued before may be sent now: the
+// holder's term has not changed since, and the lease lasts until the order has certainly arrived.
+func (g *Guard) Covers(now time.Time, token Token) bool {
+	return token.Term() == g.term && g.Holds(now)
+}
+
 // Complete records that the engine has accepted the order, or that the order certainly had
 // no effect. It returns ErrOverrun if the lease may have expired before that.
 func (g *Guard) Complete(now time.Time, token Token) error {
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -8,6 +8,7 @@
 //
 //	wait := k.Step(ctx)                 // or one action at a time, for a process
 //	token, err := k.Issue(time.Time{})  // that keeps the lease
+//	if !k.Covers(token) { ... }         // before an order that is sent later than it was issued
 //	err = k.Complete(token)
 //
 // A Keeper must be used by one goroutine only.
@@ -70,6 +71,9 @@
 // from another clock than the lease's.
 func (k *Keeper) Issue(time.Time) (fence.Token, error) { return k.Guard.Issue(k.now()) }
 
+// Covers reports whether an order with the token, which was issued before, may be sent now.
+func (k *Keeper) Covers(token fence.Token) bool { return k.Guard.Covers(k.now(), token) }
+
 // Complete records that an order was accepted, or that it certainly had no effect; see
 // fence.Guard.Complete.
 func (k *Keeper) Complete(token fence.Token) error { return k.Guard.Complete(k.now(), token) }
