direct: a stream that its caller resumes goes before requests that have not begun

Of 752 resumed streams 132 went on; 251 were refused with "the target can no longer be met", within 30 ms (median 7), and 349 as no upstream of their version was left. All but 3 had grounds.

Cause: only a stream whose caller still has the connection counted as begun. The request with which a caller resumes one began, by the caller's time left, longer ago than the target for the first event, so it was taken for a late one: it had to find a fifth of an engine's memory free beyond its own and was refused at once, after none to six engines had been asked.

A request bound to a version now counts as begun: first in the queue, up to 1.5 s, no margin, and told to return after 0.5 s.

TestStreamsThatHaveBegunDoNotHoldThe- TurnOfOthers guards the queue, which is new.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -80,6 +80,9 @@
 	if m.refuse != nil {
 		return nil, m.refuse(r)
 	}
+	if r.software != nil {
+		l = s.queues.Begun(r.service.Name, *r.software)
+	}
 	if refusal := l.Acquire(ctx, i, until); refusal != nil {
 		return nil, s.queueFailure(ctx, r, refusal)
 	}
@@ -129,7 +132,7 @@
 	if late {
 		m.part = lateReservePart
 	}
-	if r.responseBegun {
+	if r.begun() {
 		return m
 	}
 	now := time.Now()
@@ -168,7 +171,11 @@
 // queueFailure turns a refusal of the queue into the failure of the request.
 func (s *Server) queueFailure(ctx context.Context, r *request, q *queue.Refusal) *failure {
 	f := &failure{ran: domain.NotRun, reason: q.Reason, detail: string(q.Detail), final: true}
-	f.retryAfter = max(q.RetryAfter, s.queues.For(r.service.Name).RetryAfter.Delay(time.Now()))
+	// A stream that has begun is told to come back soon, as it goes before those that have not.
+	f.retryAfter = minRetryAfter
+	if !r.begun() {
+		f.retryAfter = max(q.RetryAfter, s.queues.For(r.service.Name).RetryAfter.Delay(time.Now()))
+	}
 	if ctx.Err() != nil {
 		f.reason = domain.ReasonOf(ctx)
 	}
@@ -231,7 +238,7 @@
 	u := p.upstream
 	tokens := r.info.PromptTokens + max(int(reservedOutputPart*float64(r.expectedTokens()-r.info.PromptTokens)), minOutputTokens)
 	headroom, required := 0, int(m.part*float64(r.service.Engine.KVTokens))
-	if !r.responseBegun {
+	if !r.begun() {
 		headroom = s.queues.For(r.service.Name).Headroom(time.Now(), tokens)
 	}
 	if additional := max(headroom, required); additional > 0 {
@@ -312,7 +319,7 @@
 func (s *Server) release(r *request, p *allocation) {
 	p.upstream.Stats.RequestEnded(p.cost)
 	s.releasePermit(p.permit)
-	s.queues.For(r.service.Name).SignalFree()
+	s.queues.SignalFree(r.service.Name)
 	if p.reservation != "" {
 		s.releaseReservation(r, p.upstream, p.reservation)
 	}
--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -255,7 +255,7 @@
 	a.upstream.Stats.RequestEnded(a.cost)
 	s.crashes.RequestEnded(a.start.Key(), r)
 	if a.loadCounted {
-		s.queues.For(r.service.Name).SignalFree()
+		s.queues.SignalFree(r.service.Name)
 	}
 }
 
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -50,7 +50,7 @@
 func (s *Server) releaseUnsent(r *request, a *attempt) {
 	if a.loadCounted {
 		a.upstream.Stats.RequestEnded(a.cost)
-		s.queues.For(r.service.Name).SignalFree()
+		s.queues.SignalFree(r.service.Name)
 	}
 	if a.info.Reservation != "" {
 		s.releaseReservation(r, a.upstream, a.info.Reservation)
--- a/direct/queue_item.go
+++ b/direct/queue_item.go
@@ -47,8 +47,9 @@
 		FirstTokenDeadline: r.firstSent.Add(r.targetLatency()), Deadline: r.deadline, FirstTokenLatency: firstEventLatency, TotalLatency: firstEventLatency,
 	}
 	// A stream to be resumed must not be refused as if it had not begun: its caller would
-	// get an answer that is cut in the middle.
-	if r.responseBegun {
+	// get an answer that is cut in the middle. This holds too if the caller resumes it, whose
+	// request is later than the target since the stream began long before.
+	if r.begun() {
 		i.Priority, i.FirstTokenDeadline = queue.PriorityCount-1, time.Time{}
 		i.Deadline = time.Now().Add(resumeMaxWait + i.TotalLatency)
 		return i, i.Deadline.Add(-i.TotalLatency), false
--- a/direct/request.go
+++ b/direct/request.go
@@ -234,6 +234,9 @@
 	return !r.excluded[m.Key()] && (software == nil || m.Software == *software)
 }
 
+// begun reports whether the caller has the beginning of the answer, from this or from an earlier request.
+func (r *request) begun() bool { return r.responseBegun || r.software != nil }
+
 // timeLeft is the time to the request's deadline.
 func (r *request) timeLeft() time.Duration { return time.Until(r.deadline) }
 
--- a/search/queue.go
+++ b/search/queue.go
@@ -24,6 +24,8 @@
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"jacinthworks/delay"
 	"jacinthworks/domain"
 	"jacinthworks/queue"
@@ -64,11 +66,17 @@
 	queues map[queueKey]*Queue
 }
 
+// queueKey is a service and which of its queues; begun is the lane of a software version, counted from one.
 type queueKey struct {
 	service domain.Service
 	late    bool
+	begun   int
 }
 
+// begunLanes is the number of queues among which the software versions of a service are divided, so that queues
+// don't become more with each release.
+const begunLanes = 8
+
 // For returns the queue of a service.
 func (q *Queues) For(s domain.Service) *Queue { return q.get(queueKey{service: s}) }
 
@@ -76,6 +84,25 @@
 // is separate, so that none of them holds the turn while another request waits for it.
 func (q *Queues) Late(s domain.Service) *Queue { return q.get(queueKey{service: s, late: true}) }
 
+// Begun returns the queue of a service's streams that have begun at a software version and may go on only there. It
+// is separate, so that none of them, while the upstreams of its version are full, holds the turn of requests that
+// others have room for.
+func (q *Queues) Begun(s domain.Service, v domain.Software) *Queue {
+	return q.get(queueKey{service: s, begun: 1 + int(xxhash.Sum64String(string(v))%begunLanes)})
+}
+
+// SignalFree signals the requests that hold the turns of a service's queues that capacity may have been freed, those whose
+// streams have begun first.
+func (q *Queues) SignalFree(s domain.Service) {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	for lane := begunLanes; lane >= 0; lane-- {
+		if found := q.queues[queueKey{service: s, begun: lane}]; found != nil {
+			found.signalFree()
+		}
+	}
+}
+
 func (q *Queues) get(k queueKey) *Queue {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -256,8 +283,7 @@
 	}
 }
 
-// SignalFree signals the request that holds the turn that capacity may have been freed.
-func (q *Queue) SignalFree() {
+func (q *Queue) signalFree() {
 	select {
 	case q.freed <- struct{}{}:
 	default:
--- a/search/queue_test.go
+++ b/search/queue_test.go
@@ -91,3 +91,21 @@
 	spread := 1 + delay.MaxJitterFraction
 	require.LessOrEqual(t, q.RetryAfter.Delay(now.Add(20*time.Second)), time.Duration(spread*float64(delay.MinDelay)), "ten seconds without refusals end the overload")
 }
+
+// Guards against streams that have begun and wait for the few engines of their version: they held the turn, and requests
+// that any engine may serve waited behind them.
+func TestStreamsThatHaveBegunDoNotHoldTheTurnOfOthers(t *testing.T) {
+	var queues Queues
+	begun, until := itemExpiringAfter("begun", time.Minute)
+	require.Nil(t, queues.Begun("model", "v1").Acquire(t.Context(), begun, until))
+	other, until := itemExpiringAfter("other", time.Minute)
+	require.Nil(t, queues.For("model").Acquire(t.Context(), other, until))
+	queues.SignalFree("model")
+	for _, q := range []*Queue{queues.Begun("model", "v1"), queues.For("model")} {
+		select {
+		case <-q.FreedSignal():
+		default:
+			t.Fatal("the request that holds the turn was not told of freed capacity")
+		}
+	}
+}
