clock: the clock that counts suspension stands apart from the lease

feed takes it, and with package lease came net into the packages of decisions (TestDecisionPackagesDoNotImportNetwork failed on the merge).

--- a/direct/budget.go
+++ b/direct/budget.go
@@ -4,8 +4,8 @@
 	"sync"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
-	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/retry"
 )
@@ -101,7 +101,7 @@
 			"allowed":  func(u retry.Usage) float64 { return u.Allowed },
 		} {
 			s.Meter.Gauge("jacinthworks_retry_budget", meter.Labels{"service", string(v), "what", what}, func() float64 {
-				return value(b.window.Usage(lease.Boottime(), s.retryTerms(v)))
+				return value(b.window.Usage(clock.Boottime(), s.retryTerms(v)))
 			})
 		}
 	}
@@ -110,7 +110,7 @@
 
 // retryTerms returns the bounds on this entry's retries of a service.
 func (s *Server) retryTerms(v domain.Service) retry.WindowConfig {
-	now, c := lease.Boottime(), s.config.Current()
+	now, c := clock.Boottime(), s.config.Current()
 	trials := false
 	if c != nil {
 		if service := c.Service(v); service != nil {
@@ -124,7 +124,7 @@
 // left for it. The attempt counts when it is sent.
 func (s *Server) grantRetry(r *request, cause retryCause) bool {
 	s.dropRetry(r)
-	r.retry = s.retryBudget(r.service.Name).window.Grant(lease.Boottime(), s.retryTerms(r.service.Name))
+	r.retry = s.retryBudget(r.service.Name).window.Grant(clock.Boottime(), s.retryTerms(r.service.Name))
 	s.recordRetry(r, cause, r.retry.Held())
 	return r.retry.Held()
 }
@@ -135,7 +135,7 @@
 	if !r.retry.Held() {
 		return true
 	}
-	a.retry, ok = s.retryBudget(r.service.Name).window.Send(lease.Boottime(), s.retryTerms(r.service.Name), r.retry)
+	a.retry, ok = s.retryBudget(r.service.Name).window.Send(clock.Boottime(), s.retryTerms(r.service.Name), r.retry)
 	r.retry = retry.Grant{}
 	if !ok {
 		s.recordRetry(r, retryExpired, false)
@@ -160,7 +160,7 @@
 
 // retryAvailable reports whether a retry of the request would be granted now.
 func (s *Server) retryAvailable(r *request) bool {
-	return s.retryBudget(r.service.Name).window.Available(lease.Boottime(), s.retryTerms(r.service.Name))
+	return s.retryBudget(r.service.Name).window.Available(clock.Boottime(), s.retryTerms(r.service.Name))
 }
 
 // recordRetry logs and counts a retry that was charged, or denied.
@@ -172,7 +172,7 @@
 	s.Meter.Inc("jacinthworks_retries_total", meter.Labels{"service", string(v), "cause", string(cause), "outcome", outcome})
 	now, b, terms := time.Now(), s.retryBudget(v), s.retryTerms(v)
 	if charged, denied, due := b.count(now, cause, granted); due {
-		u := b.window.Usage(lease.Boottime(), terms)
+		u := b.window.Usage(clock.Boottime(), terms)
 		s.Log.Info("retry budget", "service", v, "charged", charged, "denied", denied, "requests", u.Requests, "retries", u.Retries, "allowed", round(u.Allowed),
 			"fixed", round(terms.FixedRetries), "entries", s.members.count(now), "up", now.Sub(s.startTime), "request", r.id)
 	}
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -33,6 +33,7 @@
 	"github.com/hashicorp/go-hclog"
 
 	"jacinthworks/assign"
+	"jacinthworks/clock"
 	"jacinthworks/conf"
 	"jacinthworks/conns"
 	"jacinthworks/delay"
@@ -83,7 +84,7 @@
 	config       paths.Holder
 	roster       roster.Directory
 	crashes      retry.Crashes[roster.InstanceKey, *request]
-	// startTime and startBoottime are the times of day and of lease.Boottime at the start.
+	// startTime and startBoottime are the times of day and of clock.Boottime at the start.
 	startTime, startBoottime time.Time
 	// soundPending means that a message of parts that proved sound is about to be sent.
 	soundPending atomic.Bool
@@ -275,7 +276,7 @@
 	}
 	s.stored.upstreamsKnown, s.stored.tried = make(chan struct{}), make(chan struct{})
 	s.stored.book.FirstStart = s.Settings.FirstStart
-	s.startTime, s.startBoottime = time.Now(), lease.Boottime()
+	s.startTime, s.startBoottime = time.Now(), clock.Boottime()
 	s.quotas.shared.Start = time.Now()
 	s.quotas.isolated.Start = s.quotas.shared.Start
 	if s.Settings.FirstStart || !s.Settings.PeerListen.IsValid() {
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -13,10 +13,10 @@
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/fanout"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 	"jacinthworks/relay"
 	"jacinthworks/retry"
 	"jacinthworks/send"
@@ -136,7 +136,7 @@
 	wait := evidenceStartInterval
 	for ; ctx.Err() == nil; group.Sleep(ctx, wait) {
 		wait = min(2*wait, evidenceInterval)
-		from := randomSample(slices.Concat(s.otherPeers(), s.peers.fleet.RelayPeers(lease.Boottime())), 1)
+		from := randomSample(slices.Concat(s.otherPeers(), s.peers.fleet.RelayPeers(clock.Boottime())), 1)
 		if len(from) == 0 {
 			continue
 		}
--- a/direct/ledger.go
+++ b/direct/ledger.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/group"
 	"jacinthworks/infra"
-	"jacinthworks/lease"
 	"jacinthworks/origin"
 )
 
@@ -164,7 +164,7 @@
 			return 0, err
 		}
 		s.observeVersions()
-		next, write, again := s.stored.book.Plan(lease.Boottime(), s.ledgerConditions())
+		next, write, again := s.stored.book.Plan(clock.Boottime(), s.ledgerConditions())
 		if !write {
 			return again, nil
 		}
--- a/direct/ledger_calls.go
+++ b/direct/ledger_calls.go
@@ -8,10 +8,10 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/epoch"
 	"jacinthworks/group"
 	"jacinthworks/infra"
-	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/origin"
 )
@@ -29,7 +29,7 @@
 	if _, err := s.Records.Put(ctx, ledgerName, value, at); err != nil {
 		return err
 	}
-	s.stored.book.Wrote(lease.Boottime(), l)
+	s.stored.book.Wrote(clock.Boottime(), l)
 	s.Log.Info("ledger of versions written", "versions", l.Versions, "incomplete", l.Incomplete, "era", l.Era)
 	s.Meter.Inc("jacinthworks_stored_origins_total", meter.Labels{"record", "ledger", "outcome", "written"})
 	return nil
@@ -41,7 +41,7 @@
 	defer s.stored.callMu.Unlock()
 	ctx, cancel := context.WithTimeout(ctx, ledgerTimeout)
 	defer cancel()
-	sent := lease.Boottime()
+	sent := clock.Boottime()
 	o, err := s.Records.Get(ctx, ledgerName)
 	absent := errors.Is(err, infra.ErrNotFound)
 	if err != nil && !absent {
@@ -62,7 +62,7 @@
 		s.Log.Info("ledger of versions is of another era of the store", "era", era, "ledger_era", l.Era, "versions", l.Versions)
 		s.Meter.Inc("jacinthworks_stored_origins_total", meter.Labels{"record", "ledger", "outcome", "other_era"})
 	}
-	s.stored.book.Adopt(lease.Boottime(), origin.Reading{Sent: sent, Era: era, Ledger: l, Valid: valid, Absent: absent})
+	s.stored.book.Adopt(clock.Boottime(), origin.Reading{Sent: sent, Era: era, Ledger: l, Valid: valid, Absent: absent})
 	return o.Version, nil
 }
 
@@ -79,13 +79,13 @@
 	for began := time.Now(); ctx.Err() == nil; group.Sleep(ctx, ledgerPeerWait/10) {
 		for _, p := range peers[:min(len(peers), originSources)] {
 			var c origin.Copy
-			sent := lease.Boottime()
+			sent := clock.Boottime()
 			if err := callPeer(ctx, p, http.MethodPost, ledgerPath, ownerTimeout, struct{}{}, &c); err != nil {
 				s.Log.Debug("ledger of versions not received", "entry", p.Name, "err", err)
 				continue
 			}
 			read = true
-			s.stored.book.AdoptCopy(lease.Boottime(), sent, c)
+			s.stored.book.AdoptCopy(clock.Boottime(), sent, c)
 			if !s.observeVersions() {
 				return true
 			}
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 	"jacinthworks/origin"
 	"jacinthworks/relay"
 )
@@ -74,12 +74,12 @@
 	for _, p := range peers {
 		calls.Call(ctx, string(p.Name), func(ctx context.Context) error {
 			var v origin.View
-			sent := lease.Boottime()
+			sent := clock.Boottime()
 			if err := callPeer(ctx, p, http.MethodPost, originFindPath, ownerTimeout, query, &v); err != nil {
 				s.Log.Debug("entry not asked for the origin of a stream", "entry", p.Name, "err", err)
 				return err
 			}
-			v.Date(sent, lease.Boottime())
+			v.Date(sent, clock.Boottime())
 			mu.Lock()
 			defer mu.Unlock()
 			views = append(views, v)
@@ -97,7 +97,7 @@
 // loaded.
 func (s *Server) handleOriginQuery(q originQuery) (origin.View, bool) {
 	v := s.originView(q)
-	v.State(lease.Boottime())
+	v.State(clock.Boottime())
 	return v, s.roster.Loaded()
 }
 
--- a/direct/parts.go
+++ b/direct/parts.go
@@ -8,8 +8,8 @@
 	"slices"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 	"jacinthworks/relay"
 	"jacinthworks/retry"
 )
@@ -30,7 +30,7 @@
 // runs steadily since. Evidence of several entries is ordered by it, also after the time of day of
 // one of them has been set.
 func (s *Server) evidenceTime() time.Time {
-	return s.startTime.Add(lease.Boottime().Sub(s.startBoottime)).Round(0)
+	return s.startTime.Add(clock.Boottime().Sub(s.startBoottime)).Round(0)
 }
 
 // isBlockedByPart reports whether a request is blocked by a part of its prompt. At times one
--- a/direct/prefill.go
+++ b/direct/prefill.go
@@ -6,9 +6,9 @@
 	"net/http"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/route"
@@ -141,7 +141,7 @@
 // decode engine then reads the prompt.
 func (s *Server) reservePrefill(ctx context.Context, r *request) (prefillCharge, bool) {
 	c := prefillCharge{again: r.prefills > 0}
-	c.reserved = s.retryBudget(r.service.Name).window.Reserve(lease.Boottime(), s.retryTerms(r.service.Name))
+	c.reserved = s.retryBudget(r.service.Name).window.Reserve(clock.Boottime(), s.retryTerms(r.service.Name))
 	switch {
 	case c.reserved.Held():
 		c.onlyResponsive = c.again && !s.retryAvailable(r)
@@ -159,7 +159,7 @@
 		return c, false
 	}
 	// An entry that has just started has no answer of any engine yet.
-	c.trial, c.onlyResponsive = granted, lease.Boottime().Sub(s.startBoottime) > s.fleetBudget().Span
+	c.trial, c.onlyResponsive = granted, clock.Boottime().Sub(s.startBoottime) > s.fleetBudget().Span
 	return c, true
 }
 
--- a/direct/records.go
+++ b/direct/records.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/feed"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 	"jacinthworks/relay"
 	"jacinthworks/send"
 )
@@ -53,7 +53,7 @@
 func (c *entryRecordCache) encoded(ctx context.Context, from feed.Source[Member]) ([]byte, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	now := lease.Boottime()
+	now := clock.Boottime()
 	if !c.readAt.IsZero() && now.Sub(c.readAt) <= entryRecordsMaxAge {
 		return c.body, c.err
 	}
@@ -90,7 +90,7 @@
 func (s *Server) readEntryRecords(ctx context.Context) ([]feed.Item[Member], error) {
 	started := time.Now()
 	for {
-		all, err := relay.Hedge(ctx, relay.HedgeDelay, s.peers.fleet.RelayPeers(lease.Boottime()), fetchEntryRecords)
+		all, err := relay.Hedge(ctx, relay.HedgeDelay, s.peers.fleet.RelayPeers(clock.Boottime()), fetchEntryRecords)
 		if err == nil {
 			return all, nil
 		}
--- a/direct/request.go
+++ b/direct/request.go
@@ -10,9 +10,9 @@
 	"net/netip"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/conns"
 	"jacinthworks/domain"
-	"jacinthworks/lease"
 	"jacinthworks/memory"
 	"jacinthworks/paths"
 	"jacinthworks/retry"
@@ -26,7 +26,7 @@
 	info     RequestInfo
 	id       domain.RequestID
 	accepted time.Time
-	// received is when the request came, by lease.Boottime.
+	// received is when the request came, by clock.Boottime.
 	received time.Time
 	// firstSent is when the caller first sent the request, as far as known.
 	firstSent time.Time
@@ -116,7 +116,7 @@
 
 // serve handles one request from its header to its end.
 func (s *Server) serve(w http.ResponseWriter, h *http.Request) {
-	r := &request{accepted: time.Now(), received: lease.Boottime(), w: conns.NewDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: newRandom()}
+	r := &request{accepted: time.Now(), received: clock.Boottime(), w: conns.NewDeadlineWriter(w, s.Settings.Limits.WriteTimeout), random: newRandom()}
 	r.deadline = r.accepted.Add(defaultTimeout)
 	defer s.releaseMemory(r)
 	defer func() { s.endPanicked(r, recover()) }()
@@ -197,7 +197,7 @@
 	if f := s.charge(h.Context(), r); f != nil {
 		return f
 	}
-	s.retryBudget(name).window.RequestAccepted(lease.Boottime(), s.retryTerms(name))
+	s.retryBudget(name).window.RequestAccepted(clock.Boottime(), s.retryTerms(name))
 	s.Log.Info("accepted", "request", r.id, "route", route.Name, "service", name, "version", c.Version, "prompt", r.info.PromptTokens, "tokens", r.expectedTokens(), "left", r.timeLeft(),
 		"parts", r.info.PromptParts, "resumes", r.info.Resumes, "last_event", r.info.LastEvent)
 	return nil
--- a/direct/resume.go
+++ b/direct/resume.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/infra"
-	"jacinthworks/lease"
 	"jacinthworks/meter"
 	"jacinthworks/origin"
 )
@@ -109,7 +109,7 @@
 	if _, v.Err = s.stored.ledgerReads.Read(ctx, func() (infra.Version, error) { return s.readLedger(s.backgroundCtx) }); v.Err != nil {
 		return v
 	}
-	v.Versions, v.CompleteIn = s.stored.book.Versions(lease.Boottime(), query.Service, query.Window)
+	v.Versions, v.CompleteIn = s.stored.book.Versions(clock.Boottime(), query.Service, query.Window)
 	if len(v.Versions) < 2 && v.CompleteIn == 0 {
 		return v
 	}
--- a/direct/trials.go
+++ b/direct/trials.go
@@ -9,9 +9,9 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/infra"
-	"jacinthworks/lease"
 	"jacinthworks/retry"
 )
 
@@ -120,7 +120,7 @@
 // applyTrial grants or takes back a trial of a service that this entry owns. Only the first owner
 // grants any: a later one can't know what the first has granted.
 func (s *Server) applyTrial(call trialRequest, first bool) trialResponse {
-	now, pool := lease.Boottime(), s.trials.of(call.Service)
+	now, pool := clock.Boottime(), s.trials.of(call.Service)
 	if call.Return != 0 {
 		pool.window.ReturnTicket(call.Return)
 		return trialResponse{}
--- a/direct/versions.go
+++ b/direct/versions.go
@@ -4,9 +4,9 @@
 	"context"
 	"time"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 	"jacinthworks/origin"
 	"jacinthworks/paths"
 	"jacinthworks/roster"
@@ -31,7 +31,7 @@
 		live[origin.Origin{Service: m.Service, Software: m.Software}] = true
 	}
 	before := s.stored.book.AnySeveral()
-	missing = s.stored.book.Observe(lease.Boottime(), live, resumableFor(s.longestTimeout()))
+	missing = s.stored.book.Observe(clock.Boottime(), live, resumableFor(s.longestTimeout()))
 	if !before && s.stored.book.AnySeveral() {
 		s.signalAllShards()
 	}
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -6,11 +6,11 @@
 
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/editor"
 	"jacinthworks/group"
 	"jacinthworks/infra"
-	"jacinthworks/lease"
 	"jacinthworks/peers"
 	"jacinthworks/table"
 	"jacinthworks/wire"
@@ -30,7 +30,7 @@
 
 // boottime is the clock that measures the age of the table: one that includes the time for which the host was suspended.
 // Tests replace it.
-var boottime = lease.Boottime
+var boottime = clock.Boottime
 
 // services returns the services in the table.
 func (e *Entry) services() []domain.Service {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -26,9 +26,9 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/epoch"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 )
 
 // Revision orders the changes of a collection, including a source that was restored from
@@ -177,7 +177,7 @@
 
 // Confirmer is a Source that passes on answers which others have received from the source.
 type Confirmer interface {
-	// ConfirmedAt returns the time, by lease.Boottime, up to which the last answer has all changes; zero
+	// ConfirmedAt returns the time, by clock.Boottime, up to which the last answer has all changes; zero
 	// if that is not known.
 	ConfirmedAt() time.Time
 }
@@ -238,7 +238,7 @@
 	// towards that limit. A list after lost history is never stale, since it must contain
 	// the changes that the watch missed.
 	StaleStart bool
-	// Now is the clock of OnConfirm; nil means lease.Boottime.
+	// Now is the clock of OnConfirm; nil means clock.Boottime.
 	Now func() time.Time
 	// BatchDelay, if set, returns the delay between changes and the next watch, in
 	// which further changes accumulate. A delay below minBatchDelay counts as
@@ -269,7 +269,7 @@
 	revision     Revision
 	listed       bool
 	pager        Pager[T]
-	listSentAt   time.Time // when the first page was asked for, by lease.Boottime
+	listSentAt   time.Time // when the first page was asked for, by clock.Boottime
 	disconnected bool
 	retryDelay   time.Duration
 	// rateLimitErrors counts the ErrRateLimited errors since the source last answered.
@@ -394,7 +394,7 @@
 	if f.Now != nil {
 		return f.Now()
 	}
-	return lease.Boottime()
+	return clock.Boottime()
 }
 
 // confirm reports up to when the copy has all changes: at, or what the source states.
--- a/lease/lease.go
+++ b/lease/lease.go
@@ -20,8 +20,8 @@
 	"time"
 
 	"github.com/pkg/errors"
-	"golang.org/x/sys/unix"
 
+	"jacinthworks/clock"
 	"jacinthworks/epoch"
 	"jacinthworks/fence"
 	"jacinthworks/infra"
@@ -39,29 +39,16 @@
 	// Name is the name of the record in the object API.
 	Name  string
 	Guard fence.Guard
-	// Now is the clock; nil means Boottime.
+	// Now is the clock; nil means clock.Boottime.
 	Now func() time.Time
 }
 
-// Boottime is a clock that includes the time for which the host was suspended.
-//
-// Go's monotonic clock stops during a suspension. A holder that measured its lease by it
-// would continue to issue orders after it resumes, while another process has acquired the
-// lease. Boottime includes the suspension, and setting the wall clock does not change it.
-func Boottime() time.Time {
-	var now unix.Timespec
-	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
-		return time.Now()
-	}
-	return time.Unix(now.Unix())
-}
-
 // now returns the time of the keeper's clock.
 func (k *Keeper) now() time.Time {
 	if k.Now != nil {
 		return k.Now()
 	}
-	return Boottime()
+	return clock.Boottime()
 }
 
 // Holds reports whether an order may be issued now.
--- a/origin/book.go
+++ b/origin/book.go
@@ -36,7 +36,7 @@
 
 // Book is one entry's copy of the ledger. It decides at which versions streams may begin, and what
 // is to be written to the store; its owner makes the calls. All times are of a clock that includes the time
-// for which the host was suspended, such as lease.Boottime. The zero value is ready to use; it
+// for which the host was suspended, such as clock.Boottime. The zero value is ready to use; it
 // must not be copied. It is safe for concurrent use.
 //
 // The load pattern is the death of all entries at once, followed by the resumption of all their
--- a/relay/relay.go
+++ b/relay/relay.go
@@ -35,9 +35,9 @@
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
 
+	"jacinthworks/clock"
 	"jacinthworks/feed"
 	"jacinthworks/group"
-	"jacinthworks/lease"
 )
 
 const (
@@ -83,7 +83,7 @@
 )
 
 // boottime is the clock that measures the age of answers. Tests replace it.
-var boottime = lease.Boottime
+var boottime = clock.Boottime
 
 // ErrStale means that a relay's copy was not confirmed by the source recently enough.
 var ErrStale = errors.New("relay: not fresh")
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -27,10 +27,10 @@
 
 	"github.com/hashicorp/go-hclog"
 
+	"jacinthworks/clock"
 	"jacinthworks/domain"
 	"jacinthworks/feed"
 	"jacinthworks/fresh"
-	"jacinthworks/lease"
 	"jacinthworks/send"
 )
 
@@ -185,7 +185,7 @@
 // not be copied. It is safe for concurrent use. Lock order: Directory, then Upstream.
 type Directory struct {
 	Log hclog.Logger
-	// Now is the clock of RegistryConfirmed; nil means lease.Boottime.
+	// Now is the clock of RegistryConfirmed; nil means clock.Boottime.
 	Now func() time.Time
 	// MaxGap is the time between two confirmations of the registry in which no change is missed that matters.
 	MaxGap time.Duration
@@ -422,7 +422,7 @@
 	if r.Now != nil {
 		return r.Now()
 	}
-	return lease.Boottime()
+	return clock.Boottime()
 }
 
 // removeExpired removes the unconfirmed members that had not registered again when the registry was last confirmed, if that
--- a/table/holder.go
+++ b/table/holder.go
@@ -125,7 +125,7 @@
 // Fresh reports whether new requests may be accepted under the current table: a
 // source confirmed it within staleAfter. The clock of now and of the requests must
 // include the time for which the host was suspended, and not change when the
-// time of day is set, as lease.Boottime.
+// time of day is set, as clock.Boottime.
 func (h *Holder) Fresh(now time.Time, staleAfter time.Duration) bool {
 	age, ok := h.ConfirmationAge(now)
 	return ok && age < staleAfter
--- a/table/table.go
+++ b/table/table.go
@@ -19,7 +19,7 @@
 //
 //	var h table.Holder
 //	h.Update(t, requested)                            // from the platform or from a peer
-//	ready := h.Fresh(lease.Boottime(), 3*time.Second) // may new requests be accepted?
+//	ready := h.Fresh(clock.Boottime(), 3*time.Second) // may new requests be accepted?
 //
 // The error of DecodeRows, DecodeCSV, DecodeChangesCSV and Apply is a *Rejection:
 // its findings name the row and column of every problem, not only of the first.
