--- a/split/split.go
+++ b/split/split.go
@@ -29,6 +29,7 @@
 package split
 
 import (
+	"bytes"
 	"encoding/json"
 	"unicode/utf8"
 
@@ -160,19 +161,27 @@
 	return s.text[start:s.at:s.at], nil
 }
 
-// skipString moves behind the string that begins here, and reports whether it ends.
+// skipString moves behind the string that begins here, and reports whether it ends. It looks for the
+// quotes first, since a long text has few of them.
 func (s *scanner) skipString() bool {
-	for s.at++; s.at < len(s.text); s.at++ {
-		switch s.text[s.at] {
-		case '\\':
-			s.at++
-		case '"':
-			s.at++
+	start := s.at + 1
+	for from := start; ; {
+		n := bytes.IndexByte(s.text[from:], '"')
+		if n < 0 {
+			s.at = len(s.text)
+			return false
+		}
+		from += n + 1
+		if trailingBackslashes(s.text[start:from-1])%2 == 0 {
+			s.at = from
 			return true
 		}
 	}
-	s.at = len(s.text)
-	return false
+}
+
+// trailingBackslashes returns the number of backslashes at the end of a text.
+func trailingBackslashes(text []byte) int {
+	return len(text) - len(bytes.TrimRight(text, `\`))
 }
 
 // skipNested moves behind the array or object that begins here, and reports whether it ends.
