direct, platform: an odd record of an entry takes nothing from the others

Callers saw (not seen, shown by the tests): an entry whose record states an interval of years counts as running for years, so that the others have smaller shares of retries and connections; with the largest interval it overflows and isn't counted at all.

--- a/direct/members.go
+++ b/direct/members.go
@@ -22,6 +22,9 @@
 	// entry in the fleet, so that all entries together write at most four records a second,
 	// whatever their number.
 	memberWriteSpacing = 250 * time.Millisecond
+	// maxMemberInterval is the longest time between two writes of an entry's record that counts,
+	// that of a fleet of some ten thousand entries.
+	maxMemberInterval = time.Hour
 	// memberMaxMissedWrites is how many writes an entry may miss before it is no longer
 	// counted.
 	memberMaxMissedWrites = 4
@@ -54,8 +57,11 @@
 }
 
 // expiry is the time after a write at which the entry is taken for stopped if its record was
-// not written again.
-func (m Member) expiry() time.Duration { return memberMaxMissedWrites * max(m.Every, memberInterval) }
+// not written again. A record may state any interval; one that counts for years would take shares from
+// the entries that run.
+func (m Member) expiry() time.Duration {
+	return memberMaxMissedWrites * min(max(m.Every, memberInterval), maxMemberInterval)
+}
 
 // members counts the entries, among which the fixed number of retries is shared, and the
 // connections that an upstream accepts.
@@ -120,7 +126,7 @@
 		return
 	}
 	since, record := now, all[n].Value
-	if !record.Since.IsZero() && record.Since.Before(now) && now.Sub(record.Written) <= record.expiry() {
+	if record.Since.After(time.Unix(0, 0)) && record.Since.Before(now) && now.Sub(record.Written) <= record.expiry() {
 		since = record.Since
 	}
 	m.listedSince.CompareAndSwap(0, since.UnixNano())
--- a/direct/members_test.go
+++ b/direct/members_test.go
@@ -1,6 +1,7 @@
 package direct
 
 import (
+	"math"
 	"strconv"
 	"testing"
 	"time"
@@ -133,3 +134,19 @@
 	require.False(t, unread.countedByOthers(now, time.Second, false))
 	require.False(t, unread.countedByOthers(now, memberListDelay, true), "the list can't be read")
 }
+
+// Guards against a record whose numbers count an entry that doesn't run for years, or that make the time since
+// which this one is counted overflow.
+func TestMemberRecordWithExtremeNumbers(t *testing.T) {
+	now := time.Now()
+	for _, every := range []time.Duration{math.MaxInt64, math.MinInt64, math.MaxInt64 / memberMaxMissedWrites, 1000 * time.Hour} {
+		var m members
+		m.update(now, []feed.Item[Member]{{Name: "odd", Value: Member{Every: every}}, {Name: "sound"}})
+		require.Equal(t, 2, m.count(now))
+		m.update(now.Add(memberMaxMissedWrites*maxMemberInterval+time.Second), []feed.Item[Member]{{Name: "odd", Value: Member{Every: every}}, {Name: "sound", Value: Member{Beat: 1}}})
+		require.Equal(t, 1, m.count(now.Add(memberMaxMissedWrites*maxMemberInterval+time.Second)), every)
+	}
+	var m members
+	m.recordListing(now, "own", []feed.Item[Member]{{Name: "own", Value: Member{Since: time.Date(1, 1, 2, 0, 0, 0, 0, time.UTC), Written: now}}})
+	require.Equal(t, now.UnixNano(), m.listedSince.Load())
+}
