direct: one odd element of another entry's answer does not discard the others

Callers saw (not seen, shown by the tests): an entry that starts has none of the other's speeds while the other knows a service or an upstream that is not valid here, and none of its records of streams if they have long request ids: 255 records with ids, services and versions of 256 bytes take 867,001 bytes where 65,536 were read. A caller's request id of any length was passed on. Cause: the answers were decoded and checked as a whole. Change: each element is decoded and checked apart, with split; the others are counted as rejected. The answer with records of streams may have 2 MB, and records that the receiver would reject are not sent. Before: decodeSpeeds returned an error for each body of TestOddEstimateDiscardsNoOther. After: it and TestOddOriginDiscardsNoOther pass.

--- a/direct/origins.go
+++ b/direct/origins.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -40,7 +41,11 @@
 	originSources     = 3
 	// maxOriginLife bounds the life of a record in a message.
 	maxOriginLife = 24*time.Hour + originMargin
-	// maxRequestID bounds the id of a request in a message, in bytes.
+	// maxOriginsResponse bounds a response with records, in bytes: each has three names of
+	// at most maxRequestID bytes, and JSON takes up to six bytes for one.
+	maxOriginsResponse = 2 << 20
+	// maxRequestID bounds the id of a request in a message, in bytes, and the names of a service and of
+	// a software version.
 	maxRequestID = 256
 )
 
@@ -243,7 +248,8 @@
 }
 
 func checkRecord(record origin.Record) error {
-	if record.Request == "" || len(record.Request) > maxRequestID || record.Origin.Service == "" || record.Life <= 0 || record.Life > maxOriginLife {
+	o := record.Origin
+	if record.Request == "" || o.Service == "" || max(len(record.Request), len(o.Service), len(o.Software)) > maxRequestID || record.Life <= 0 || record.Life > maxOriginLife {
 		return errInvalidOrigin
 	}
 	return nil
@@ -251,7 +257,9 @@
 
 // handleOrigins returns the newest records, for an entry that starts.
 func (s *Server) handleOrigins(struct{}) ([]origin.Record, bool) {
-	return s.origins.Newest(time.Now(), maxOriginsAtStart), true
+	// An id may be as long as a caller makes it.
+	unsent := func(record origin.Record) bool { return checkRecord(record) != nil }
+	return slices.DeleteFunc(s.origins.Newest(time.Now(), maxOriginsAtStart), unsent), true
 }
 
 // fetchOrigins gets records from some other entries when this one starts: it may have had them before.
@@ -273,18 +281,26 @@
 	}
 	records := 0
 	for _, p := range sources {
-		var all []origin.Record
-		if err := callPeer(ctx, p, http.MethodPost, originsPath, ownerTimeout, struct{}{}, &all); err != nil {
+		body, err := callPeerRaw(ctx, p, http.MethodPost, originsPath, ownerTimeout, maxOriginsResponse, struct{}{})
+		if err != nil {
 			s.Log.Debug("origins of streams not received", "entry", p.Name, "err", err)
 			continue
 		}
-		for _, e := range all {
-			if checkRecord(e) == nil {
-				s.origins.Add(time.Now(), e)
-				records++
-			}
-		}
+		records += s.mergeOrigins(p.Name, body)
 	}
 	s.Log.Info("origins of streams received at the start", "asked", len(sources), "records", records)
 	return nil
 }
+
+// mergeOrigins adds the records in the response of another entry, and returns their number.
+func (s *Server) mergeOrigins(from domain.Host, body []byte) int {
+	all, invalid, err := decodeEach(body, checkRecord)
+	if err != nil || invalid > 0 {
+		s.rejectMessage(originsPath)
+		s.Log.Info("origins of streams partly rejected", "entry", from, "count", invalid, "err", err)
+	}
+	for _, record := range all {
+		s.origins.Add(time.Now(), record)
+	}
+	return len(all)
+}
--- a/direct/peer_message.go
+++ b/direct/peer_message.go
@@ -1,9 +1,11 @@
 package direct
 
 import (
+	"encoding/json"
 	"net/http"
 
 	"jacinthworks/meter"
+	"jacinthworks/split"
 )
 
 // The bounds on the numbers and the lists in messages of other entries.
@@ -15,6 +17,21 @@
 // validNumber reports whether a number of a message is possible.
 func validNumber(f float64) bool { return f >= 0 && f <= maxPeerNumber } // false for NaN
 
+// decodeEach decodes the elements of a list of another entry apart, and returns those that check accepts and
+// the number of others. It returns an error if the list can't be divided into elements.
+func decodeEach[T any](text []byte, check func(T) error) (valid []T, invalid int, err error) {
+	err = split.Elements(text, func(element []byte) error {
+		var v T
+		if json.Unmarshal(element, &v) != nil || check(v) != nil {
+			invalid++
+			return nil
+		}
+		valid = append(valid, v)
+		return nil
+	})
+	return valid, invalid, err
+}
+
 // rejectMessage counts a malformed message of another entry.
 func (s *Server) rejectMessage(path string) {
 	s.Meter.Inc("jacinthworks_peer_messages_rejected_total", meter.Labels{"path", path})
--- a/direct/speeds.go
+++ b/direct/speeds.go
@@ -19,6 +19,7 @@
 	"jacinthworks/relay"
 	"jacinthworks/roster"
 	"jacinthworks/speed"
+	"jacinthworks/split"
 )
 
 const (
@@ -193,45 +194,66 @@
 // errBadSpeeds is the error of estimates that another entry can't have.
 var errBadSpeeds = errors.New("direct: the estimates of another entry are malformed")
 
-// valid reports whether the estimates can be those of another entry.
-func (p peerSpeeds) valid(c *paths.Config) bool {
-	for service, byRole := range p {
-		if c == nil || c.Service(service) == nil {
-			return false
-		}
-		for role, estimates := range byRole {
-			if role != "" && role != domain.RolePrefill && role != domain.RoleDecode || len(estimates) > maxPeerList {
-				return false
-			}
-			for _, e := range estimates {
-				if e.ID == "" || !validNumber(e.UnitMicros) || !validNumber(e.Count) || !validNumber(e.AgeMillis) {
-					return false
-				}
-			}
-		}
+// check returns an error for an estimate that another entry can't have.
+func (e speedEstimate) check() error {
+	if e.ID == "" || !validNumber(e.UnitMicros) || !validNumber(e.Count) || !validNumber(e.AgeMillis) {
+		return errBadSpeeds
 	}
-	return true
+	return nil
 }
 
-// decodeSpeeds decodes and checks the estimates of another entry.
-func (s *Server) decodeSpeeds(body []byte) (p peerSpeeds, err error) {
-	if err := json.Unmarshal(body, &p); err != nil {
-		return nil, errors.Wrap(errBadSpeeds, err.Error())
-	}
-	if !p.valid(s.config.Current()) {
-		return nil, errBadSpeeds
+// decodeSpeeds decodes the estimates of another entry. Those that are malformed, or of a service that is
+// unknown here, are left out, and counted in invalid.
+func (s *Server) decodeSpeeds(body []byte) (p peerSpeeds, invalid int, err error) {
+	c := s.config.Current()
+	p = make(peerSpeeds)
+	err = split.Members(body, func(service string, byRole []byte) error {
+		v := domain.Service(service)
+		if c == nil || c.Service(v) == nil {
+			invalid++
+			return nil
+		}
+		bad, err := p.decodeRoles(v, byRole)
+		invalid += bad
+		return err
+	})
+	if err != nil {
+		return nil, invalid, errors.Wrap(errBadSpeeds, err.Error())
 	}
-	return p, nil
+	return p, invalid, nil
 }
 
-// fetchSpeeds asks another entry for its estimates. Malformed ones are counted.
+// decodeRoles decodes the estimates of a service.
+func (p peerSpeeds) decodeRoles(service domain.Service, byRole []byte) (invalid int, err error) {
+	err = split.Members(byRole, func(name string, list []byte) error {
+		role := domain.Role(name)
+		if role != "" && role != domain.RolePrefill && role != domain.RoleDecode {
+			invalid++
+			return nil
+		}
+		estimates, bad, err := decodeEach(list, speedEstimate.check)
+		if err != nil || len(estimates) > maxPeerList {
+			bad++
+			estimates = nil
+		}
+		invalid += bad
+		if p[service] == nil {
+			p[service] = make(map[domain.Role][]speedEstimate)
+		}
+		p[service][role] = estimates
+		return nil
+	})
+	return invalid, err
+}
+
+// fetchSpeeds asks another entry for its estimates. A response with malformed ones is counted.
 func (s *Server) fetchSpeeds(ctx context.Context, p *relay.Peer) (peerSpeeds, error) {
 	body, err := callPeerRaw(ctx, p, http.MethodGet, speedsPath, mixTimeout, maxSpeedsResponse, nil)
 	if err != nil {
 		return nil, err
 	}
-	found, err := s.decodeSpeeds(body)
-	if err != nil {
+	found, invalid, err := s.decodeSpeeds(body)
+	if err != nil || invalid > 0 {
 		s.rejectMessage(speedsPath)
 	}
 	return found, err
