test: a fleet's proxies end with the fleet

A connection that a proxy accepted while the fleet ended was closed by nobody, or its handler waited for a goroutine that a closed group had not started, and the soak hung: once in two race soaks of 240 s, with one plan waiting in world.close for proxy.run. Not reproduced by a test of its own; shown by the stacks of the run that hung.

--- a/test/proxy.go
+++ b/test/proxy.go
@@ -89,6 +89,9 @@
 }
 
 func (r *proxy) handle(ctx context.Context, c net.Conn, g *group.Group) {
+	// closeMatching does not find a connection that is added after the end of ctx.
+	stop := context.AfterFunc(ctx, func() { _ = c.Close() })
+	defer stop()
 	r.mu.Lock()
 	target, everybody := r.target, r.refused[""]
 	r.mu.Unlock()
@@ -116,11 +119,15 @@
 		return
 	}
 	ended := make(chan struct{})
-	g.Go(ctx, "back", func(ctx context.Context) error {
+	started := g.Go(ctx, "back", func(ctx context.Context) error {
 		defer close(ended)
 		r.copyBytes(ctx, p, towardsClient, p.client, p.server)
 		return nil
 	})
+	if !started {
+		r.remove(p)
+		return
+	}
 	r.copyBytes(ctx, p, towardsServer, p.server, p.client)
 	<-ended
 }
