owed: new requests leave room to streams that have begun at a software version

A stream that broke off may go on only at the version that began it; a new one may begin at any, and took each bit of room at the few upstreams of that version.

Package owed knows the streams of a service that wait at this entry, were told to come back about now, or are likely by those that came in the last second. New requests go to other versions first, and at an upstream of such a version they need room for one stream more. Where all upstreams are of one version, room is kept only for streams that wait. Both ways of a request: engines by a larger reservation first, plain upstreams by one slot less and the choice among others.

TestNewStreamsLeaveTheVersionOfResumedOnes and TestRoomIsKeptForRefusedStreamsThatMayComeBack fail without the wiring. placed has kept, no room kept_from; jacinthworks_room_kept_total.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"jacinthworks/domain"
+	"jacinthworks/meter"
 	"jacinthworks/queue"
 	"jacinthworks/roster"
 	"jacinthworks/route"
@@ -117,6 +118,8 @@
 type margin struct {
 	// part is the memory as a part of the engine's.
 	part float64
+	// kept is the memory, in tokens, that is left to streams that have begun at the engine's software version.
+	kept int
 	// late means that the request is late or over its account's quota.
 	late bool
 	// refuse, if set, refuses a request that the view of the fleet limits and that found no
@@ -180,7 +183,7 @@
 		f.reason = domain.ReasonOf(ctx)
 	}
 	s.Log.Info("no room", "request", r.id, "service", r.service.Name, "reason", f.reason, "detail", f.detail,
-		"asked", r.enginesAsked, "retry_after", f.retryAfter, "waited", time.Since(r.accepted), "wait_expected", q.Inputs.Wait, "waiting", q.Inputs.WaitingItems)
+		"asked", r.enginesAsked, "kept_from", len(r.passedUntil), "retry_after", f.retryAfter, "waited", time.Since(r.accepted), "wait_expected", q.Inputs.Wait, "waiting", q.Inputs.WaitingItems)
 	return f
 }
 
@@ -201,6 +204,7 @@
 			return nil, p.candidates > 0
 		}
 		r.enginesAsked++
+		m.kept = min(p.kept, int(maxReservePart*float64(r.service.Engine.KVTokens)))
 		if found := s.allocateAt(ctx, r, p.upstream, m); found != nil {
 			fields := append(found.permit.logFields(), "held", found.reservation != "", "asked", r.enginesAsked, "late", m.late, "margin", m.part, "waited", time.Since(r.accepted))
 			s.logPlacement(r, role, p, fields...)
@@ -241,8 +245,15 @@
 	if !r.begun() {
 		headroom = s.queues.For(r.service.Name).Headroom(time.Now(), tokens)
 	}
-	if additional := max(headroom, required); additional > 0 {
-		larger := s.requestReservation(ctx, r, u, tokens+additional, m.refuse != nil && required > headroom)
+	if additional := max(headroom, required, m.kept); additional > 0 {
+		lacks := lacksRoom
+		switch {
+		case m.kept > max(headroom, required):
+			lacks = lacksKeptRoom
+		case m.refuse != nil && required > headroom:
+			lacks = lacksMargin
+		}
+		larger := s.requestReservation(ctx, r, u, tokens+additional, lacks)
 		if larger == "" {
 			return false
 		}
@@ -250,14 +261,22 @@
 		// twice.
 		s.releaseReservationNow(ctx, r, u, larger)
 	}
-	p.reservation = s.requestReservation(ctx, r, u, tokens, false)
+	p.reservation = s.requestReservation(ctx, r, u, tokens, lacksRoom)
 	return p.reservation != ""
 }
 
+// lack is what it means if an engine has no memory for a reservation.
+type lack int
+
+const (
+	lacksRoom     lack = iota // the engine is full for all requests
+	lacksMargin               // it has too little for the margin of this request
+	lacksKeptRoom             // its free memory is kept for streams that have begun, for the moment
+)
+
 // requestReservation asks an engine for a reservation. It returns an empty one if the
-// engine has no memory or does not answer. With excludeOnly, an engine without memory is kept from this
-// request only.
-func (s *Server) requestReservation(ctx context.Context, r *request, u *roster.Upstream, tokens int, excludeOnly bool) Reservation {
+// engine has no memory or does not answer.
+func (s *Server) requestReservation(ctx context.Context, r *request, u *roster.Upstream, tokens int, lacks lack) Reservation {
 	started := time.Now()
 	reservation, err := s.callReserve(ctx, u, tokens, r.service.Engine.HoldLife)
 	switch {
@@ -274,8 +293,11 @@
 		}
 		s.Log.Info("reservation failed", "request", r.id, "upstream", u.Server().ID, "err", err, "took", time.Since(started))
 		return ""
-	case reservation == "" && excludeOnly:
+	case reservation == "" && lacks == lacksMargin:
 		r.exclude(u)
+	case reservation == "" && lacks == lacksKeptRoom:
+		r.passOver(u, time.Now().Add(s.fullBackoff()))
+		s.Meter.Inc("jacinthworks_room_kept_total", meter.Labels{"service", string(r.service.Name)})
 	case reservation == "":
 		u.Stats.ExcludeUntil(time.Now().Add(s.fullBackoff()))
 		s.queues.For(r.service.Name).RecordFull(time.Now())
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -112,6 +112,7 @@
 	hostLoads        hostLoads
 	shares           fleetShares
 	origins          origin.Records
+	owed             owedBooks
 	stored           storedOrigins
 	slotPools        slotPools
 	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
--- a/direct/end.go
+++ b/direct/end.go
@@ -35,12 +35,8 @@
 	}
 	refusal := domain.Refusal{RequestID: r.id, Reason: f.reason, Ran: f.ran, Detail: f.detail}
 	status := statusOf(f)
-	if !f.permanent && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
-		retryAfter := f.retryAfter
-		if !f.retryPlanned {
-			retryAfter = max(retryAfter, minRetryAfter)
-		}
-		refusal.RetryAfter = min(retryAfter, max(r.timeLeft()/retryAfterDivisor, 0))
+	if after, told := r.retryAfter(f); told {
+		refusal.RetryAfter = after
 		seconds := strconv.FormatFloat(refusal.RetryAfter.Seconds(), 'f', 3, 64)
 		r.w.Header().Set("Retry-After", seconds)
 	}
@@ -56,6 +52,19 @@
 	}
 }
 
+// retryAfter is the time after which the caller of a refused request may return; told is false if no time helps.
+func (r *request) retryAfter(f *failure) (after time.Duration, told bool) {
+	status := statusOf(f)
+	if f.permanent || status != http.StatusServiceUnavailable && status != http.StatusTooManyRequests {
+		return 0, false
+	}
+	after = f.retryAfter
+	if !f.retryPlanned {
+		after = max(after, minRetryAfter)
+	}
+	return min(after, max(r.timeLeft()/retryAfterDivisor, 0)), true
+}
+
 // endPanicked ends a request whose handler has panicked with a value; nil is no panic. Its current send,
 // if any, may have run.
 func (s *Server) endPanicked(r *request, value any) {
--- a/direct/place.go
+++ b/direct/place.go
@@ -52,6 +52,8 @@
 	// had room, as far as known.
 	candidates int
 	full       bool
+	// kept is the memory in tokens that the request must leave free there.
+	kept int
 	// chosenBy is the entry that assigned the upstream, and expectedWait the wait for it
 	// that was estimated; chosenBy is empty if this entry chose by itself.
 	chosenBy     string
@@ -66,23 +68,61 @@
 	software *domain.Software
 	// preferredZone is the availability zone outside of which an upstream costs more.
 	preferredZone domain.Zone
+	// except are versions that are left out, and kept those at whose upstreams one slot is left free.
+	except, kept map[domain.Software]int
 }
 
 // place chooses an upstream for the request by the costs in l. It returns no upstream if none is
 // left, or, if l skips upstreams that were recently full, if only such upstreams are left.
+//
+// A request that may begin at any software version leaves those to the streams that may continue only there, as long as
+// others have room.
 func (s *Server) place(r *request, among pool, l route.Request) placement {
+	kept := s.keptRoom(r, among)
+	if len(kept) == 0 {
+		return s.placeAmong(r, among, l)
+	}
+	others := among
+	others.except = kept
+	first := s.placeAmong(r, others, l)
+	if first.upstream != nil && !first.full {
+		return first
+	}
+	among.kept = kept
+	p := s.placeAmong(r, among, l)
+	if p.upstream == nil || p.full && first.upstream != nil {
+		first.candidates = p.candidates
+		return first
+	}
+	p.kept = kept[p.upstream.Server().Software]
+	return p
+}
+
+// placeAmong chooses an upstream of a pool.
+func (s *Server) placeAmong(r *request, among pool, l route.Request) placement {
 	now, bySpeed := time.Now(), s.speedsOn(r.service.Name)
 	role := among.role
 	speeds := s.speeds.pool(r.service.Name, role)
 	upstreams := s.roster.Upstreams(r.service.Name)
 	candidates, members := make([]route.Candidate, 0, len(upstreams)), make([]*roster.Upstream, 0, len(upstreams))
+	passed := 0
 	for _, u := range upstreams {
 		m := u.Server()
 		if m.Role != role || !r.mayUse(m, among.software) || !s.mayBegin(r, m) || !u.Eligibility(now).Eligible() {
 			continue
 		}
+		if _, left := among.except[m.Software]; left {
+			continue
+		}
+		if now.Before(r.passedUntil[m.Key()]) {
+			passed++
+			continue
+		}
 		c := u.Stats.Candidate(now)
 		c.Name, c.SameZone, c.Slots = string(m.ID), m.Zone == among.preferredZone, m.Slots
+		if _, owes := among.kept[m.Software]; owes && c.Slots > 1 {
+			c.Slots--
+		}
 		c.MemoryTokens = r.service.Engine.KVTokens
 		if bySpeed {
 			if role == domain.RolePrefill {
@@ -99,9 +139,9 @@
 	}
 	best, full := route.SelectBest(candidates, l, r.random)
 	if best < 0 {
-		return placement{candidates: len(candidates)}
+		return placement{candidates: len(candidates) + passed}
 	}
-	return placement{upstream: members[best], candidate: candidates[best], candidates: len(candidates), full: full}
+	return placement{upstream: members[best], candidate: candidates[best], candidates: len(candidates) + passed, full: full}
 }
 
 // logPlacement logs a placement.
@@ -118,7 +158,7 @@
 	s.Log.Info("placed", append([]any{
 		"request", r.id, "service", r.service.Name, "role", role, "upstream", c.Name, "software", p.upstream.Server().Software, "of", p.candidates, "full", p.full, "own", c.OwnRequests,
 		"others", math.Round(10*c.OtherRequests) / 10, "tokens", c.OwnTokens, "fails", math.Round(100*c.FailureRate) / 100, "speed", c.UnitTime,
-		"heard", p.upstream.EntryAge(time.Now()), "by", p.chosenBy, "ahead", p.expectedWait,
+		"kept", p.kept, "heard", p.upstream.EntryAge(time.Now()), "by", p.chosenBy, "ahead", p.expectedWait,
 	}, fields...)...)
 }
 
--- a/direct/request.go
+++ b/direct/request.go
@@ -73,6 +73,9 @@
 	// excluded are the upstreams that later attempts must not use: those that failed or
 	// refused the request, or were at their rate limit.
 	excluded map[roster.InstanceKey]bool
+	// passedUntil are the upstreams that attempts must not use before a time, as their free room is kept for streams that
+	// have begun.
+	passedUntil map[roster.InstanceKey]time.Time
 	// limitWait is the time until the rate limit of an upstream may allow the request.
 	limitWait time.Duration
 	// crashChecks are the checks of whether failed attempts were crashes; each is closed when it
