direct: a stream waits for its version also past upstreams that refuse connections

An upstream that has crashed is registered for some seconds. While it was left out after a refused connection, it still counted as one that might get room, so that a stream whose version had no other was refused as too late, at once. The wait now begins for any refusal if no upstream of the version may be used but such ones; a version whose upstreams are full is queued for as before.

Failed without the look at refused connections, passes: go test ./direct -run WaitsOnlyFor: 'it has started again'. go test ./platform -run 'Resumed|Version|Stream' passes (149 s).

--- a/direct/await_version.go
+++ b/direct/await_version.go
@@ -20,16 +20,19 @@
 )
 
 // awaitVersion waits until a stream that is bound to a software version may use an upstream of it again, and reports whether
-// it may. It does not wait if no such upstream is expected.
+// it may. It does not wait if the stream was refused for another reason than the lack of such an upstream, or if none is expected.
 //
 // The load pattern is the crash of the last upstreams of a version: all their streams are resumed within moments, while the
 // upstreams start again. Refused at once, most callers would use up their tries before the first upstream is back, although no
 // other version can take their streams.
-func (s *Server) awaitVersion(ctx context.Context, r *request, role domain.Role) bool {
-	if r.software == nil || !r.route.Resumable {
+func (s *Server) awaitVersion(ctx context.Context, r *request, role domain.Role, refusal *failure) bool {
+	if refusal == nil || r.software == nil || !r.route.Resumable {
 		return false
 	}
 	pool := roster.Pool{Service: r.service.Name, Role: role, Software: *r.software}
+	if refusal.reason != domain.ReasonNoUpstream && s.hasUsable(r, pool) {
+		return false // all are full
+	}
 	started := time.Now()
 	until := started.Add(min(restartWait, r.timeLeft()/retryAfterDivisor))
 	expected := s.roster.CrashedWithin(started, pool, restartMemory)
@@ -51,7 +54,7 @@
 	now := time.Now()
 	for _, u := range s.roster.Upstreams(p.Service) {
 		m := u.Server()
-		if m.Role == p.Role && r.mayUse(m, &p.Software) && s.mayBegin(r, m) && u.Eligibility(now).Eligible() {
+		if m.Role == p.Role && r.mayUse(m, &p.Software) && s.mayBegin(r, m) && u.Eligibility(now).Eligible() && !u.Stats.IsUnreachable(now) {
 			return true
 		}
 	}
--- a/direct/prepare.go
+++ b/direct/prepare.go
@@ -26,7 +26,7 @@
 func (s *Server) prepareEngine(ctx context.Context, r *request) (*attempt, *failure) {
 	role := s.answerRole(r)
 	allocated, f := s.allocate(ctx, r, role)
-	if f != nil && f.reason == domain.ReasonNoUpstream && s.awaitVersion(ctx, r, role) {
+	if s.awaitVersion(ctx, r, role, f) {
 		allocated, f = s.allocate(ctx, r, role)
 	}
 	if f != nil {
@@ -80,7 +80,7 @@
 		if p.upstream == nil {
 			s.logPlacement(r, "", p)
 			f := s.noUpstreamFailure(r, "")
-			if !waited && f.reason == domain.ReasonNoUpstream && s.awaitVersion(ctx, r, "") {
+			if !waited && s.awaitVersion(ctx, r, "", f) {
 				waited = true
 				continue
 			}
--- a/roster/stats.go
+++ b/roster/stats.go
@@ -178,6 +178,13 @@
 	s.dialFailuresInRow++
 }
 
+// IsUnreachable reports whether the last dials failed, and the backoff after them has not passed.
+func (s *Stats) IsUnreachable(now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.dialFailuresInRow > 0 && now.Before(s.skipUntil)
+}
+
 // QueuePrefill adds a prefill of the given duration to the queue of this upstream. It returns how
 // long the caller should wait, up to longest, until the prefills queued before are done.
 func (s *Stats) QueuePrefill(now time.Time, took, longest time.Duration) time.Duration {
