--- a/feed/feed.go
+++ b/feed/feed.go
@@ -19,7 +19,6 @@
 import (
 	"context"
 	"math/rand/v2"
-	"slices"
 	"sync/atomic"
 	"time"
 
@@ -63,12 +62,14 @@
 type Pager[T any] struct {
 	items    []Item[T]
 	revision Revision
+	// after is the name after which the next page begins.
+	after string
 }
 
 // Next reads the next page and reports whether it was the last one. After an error, the
 // next call reads the same page again.
 func (p *Pager[T]) Next(ctx context.Context, from Source[T], stale bool) (last bool, err error) {
-	page, err := from.List(ctx, p.afterName(), stale)
+	page, err := from.List(ctx, p.after, stale)
 	if err != nil {
 		return false, err
 	}
@@ -82,27 +83,22 @@
 	if len(p.items) == 0 || page.Revision < p.revision {
 		p.revision = page.Revision
 	}
-	before := len(p.items)
-	p.items = append(p.items, page.Items...)
 	last = !page.More || len(page.Items) == 0
-	if !last && lastName(p.items[before:]) == "" {
-		p.items = p.items[:before]
+	after := continueAfter(p.after, page.Items)
+	if !last && after == p.after {
 		return false, errors.Wrap(ErrMalformed, noProgress)
 	}
+	p.items, p.after = append(p.items, page.Items...), after
 	return last, nil
 }
 
-// afterName returns the name after which the next page begins: the last non-empty name
-// among the items.
-func (p *Pager[T]) afterName() string { return lastName(p.items) }
-
-func lastName[T any](items []Item[T]) string {
-	for _, i := range slices.Backward(items) {
-		if i.Name != "" {
-			return i.Name
-		}
+// continueAfter returns the name after which the next page begins: the greatest so far, whatever names
+// the items of the page state. It equals after if no item of the page comes later.
+func continueAfter[T any](after string, items []Item[T]) string {
+	for _, i := range items {
+		after = max(after, i.Name)
 	}
-	return ""
+	return after
 }
 
 // ListAll returns all items of a collection. It reads page by page, and returns the first
@@ -162,7 +158,7 @@
 var ErrMalformed = errors.New("feed: answer can't be decoded")
 
 // noProgress is the cause of the error of a list whose next page would be the same one again.
-const noProgress = "feed: no item of a page has a name to continue from"
+const noProgress = "feed: no item of a page has a name after those of the pages before"
 
 // Source provides a collection.
 type Source[T any] interface {
--- a/feed/feed_test.go
+++ b/feed/feed_test.go
@@ -30,10 +30,10 @@
 	staleNames    []string
 	staleRevision feed.Revision
 	lists         map[bool]int
-	// watchErr, if set, is the error of the next watch; unnamed makes lists return only items without
-	// a name, and more to come.
+	// watchErr, if set, is the error of the next watch; repeated, if set, is the page that each list returns,
+	// with more to come.
 	watchErr error
-	unnamed  bool
+	repeated []feed.Item[string]
 	// pageSize bounds the items of a page; after each page one call is refused.
 	pageSize, refuseCalls int
 }
@@ -60,8 +60,8 @@
 	}
 	var p feed.Page[string]
 	p.Revision = revision
-	if s.unnamed {
-		return feed.Page[string]{Items: []feed.Item[string]{{DecodeErr: errDown}}, Revision: revision, More: true}, nil
+	if s.repeated != nil {
+		return feed.Page[string]{Items: s.repeated, Revision: revision, More: true}, nil
 	}
 	for _, n := range names {
 		if n <= after {
@@ -260,12 +260,14 @@
 	require.Empty(t, h.disconnected, "the source answers")
 }
 
-// Guards against a list that reads the same page for ever and keeps each copy, since no item of the page
-// has a name to continue from.
-func TestListWithoutNamesFails(t *testing.T) {
-	s := &source{revision: 5, unnamed: true}
-	_, err := feed.ListAll(t.Context(), s, false)
-	require.ErrorIs(t, err, feed.ErrMalformed)
+// Guards against a list that reads the same page for ever and keeps each copy, since the items of the page
+// have no names, or not those by which the source orders them.
+func TestListThatDoesNotAdvanceFails(t *testing.T) {
+	for _, repeated := range [][]feed.Item[string]{{{DecodeErr: errDown}}, {{Name: "b"}, {Name: "a"}}, {{Name: "b"}, {}}} {
+		s := &source{revision: 5, repeated: repeated}
+		_, err := feed.ListAll(t.Context(), s, false)
+		require.ErrorIs(t, err, feed.ErrMalformed)
+	}
 }
 
 // Guards against an item that can't be decoded and that on call doesn't see, or sees again and again,
