--- a/test/process_test.go
+++ b/test/process_test.go
@@ -344,3 +344,31 @@
 		})
 	}
 }
+
+// Guards against a process that does not stop, or not in order, while it still starts.
+func TestStopDuringStartExitsInOrder(t *testing.T) {
+	t.Parallel()
+	for name, begin := range map[string]func(*entryProcess){
+		"address in use": func(p *entryProcess) {
+			l, err := net.Listen("tcp", p.listen.String())
+			require.NoError(t, err)
+			t.Cleanup(func() { _ = l.Close() })
+		},
+		"store down": func(p *entryProcess) { p.store.SetDown(true) },
+		"store slow": func(p *entryProcess) { p.store.SetLatency(5 * time.Second) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			p := newEntryProcess(t)
+			begin(p)
+			p.writeSettings(p.text())
+			p.start()
+			time.Sleep(300 * time.Millisecond)
+			began := time.Now()
+			p.signal(syscall.SIGTERM)
+			p.requireExit(cleanExit)
+			require.Less(t, time.Since(began), fleetStopTimeout)
+			require.Contains(t, p.logText(), `"cause":"stopped"`)
+		})
+	}
+}
