owed: round the mean memory of streams that are owed an end

TestNewStreamsLeaveTheVersionOfResumedOnes failed once of two runs with the race detector: the mean of one waiting stream and the decayed sum of those that came before was 3063 tokens in place of 3064, as the division was cut off. 15 of 15 pass with the rounding.

--- a/owed/owed.go
+++ b/owed/owed.go
@@ -167,7 +167,7 @@
 	b.any.Store(len(b.streams) > 0 || len(b.recent) > 0)
 	kept := make(map[domain.Software]int)
 	for v, a := range expected {
-		kept[v] = int(a.tokens / a.count)
+		kept[v] = int(math.Round(a.tokens / a.count))
 	}
 	return kept
 }
