send: bounds on the head of a response and on what belongs to no request

Callers saw: a request to an upstream that sends a status line, header fields or bytes that are no answer without end ran to its deadline, and the entry's memory grew meanwhile past what its host allows.

Cause: http.ReadResponse reads a head of any length, and responses to other requests were read to their end. Change: a connection counts what is read until the accepted head is complete (64 KiB with all interim responses), and what is skipped (256 KiB). Such a response fails the exchange as broken with a BoundError, so the attempt may have run and its upstream counts as failed, also for the entry's own calls. Chunk framing and trailers are bounded by net/http and reported alike. All clients (upstreams, entries, store, commands) share it; all listeners bound a request's header. Log line and counter.

--- a/admin/client.go
+++ b/admin/client.go
@@ -18,6 +18,7 @@
 	"jacinthworks/conf"
 	"jacinthworks/domain"
 	"jacinthworks/editor"
+	"jacinthworks/send"
 	"jacinthworks/table"
 	"jacinthworks/trace"
 )
@@ -193,7 +194,7 @@
 	if c.Transport != nil {
 		return c.Transport, func() {}
 	}
-	t := &http.Transport{TLSClientConfig: c.TLS, DisableKeepAlives: true}
+	t := &http.Transport{TLSClientConfig: c.TLS, DisableKeepAlives: true, MaxResponseHeaderBytes: send.MaxHeadBytes}
 	return t, t.CloseIdleConnections
 }
 
--- a/cmd_upstreams.go
+++ b/cmd_upstreams.go
@@ -16,6 +16,7 @@
 	"jacinthworks/admin"
 	"jacinthworks/direct"
 	"jacinthworks/domain"
+	"jacinthworks/send"
 )
 
 // viewArgs are the arguments of the commands that show what an entry of `direct` knows.
@@ -27,6 +28,9 @@
 // viewTimeout bounds the reading of a view.
 const viewTimeout = 5 * time.Second
 
+// maxView bounds a view, in bytes; an upstream takes some hundred.
+const maxView = 16 << 20
+
 var (
 	cmdUpstreams = command{name: "upstreams", help: "show what an entry of direct knows of each upstream", run: runUpstreams}
 	cmdShares    = command{name: "shares", help: "show slots and shares as an entry of direct knows them", run: runShares}
@@ -59,19 +63,20 @@
 func fetchView[V any](ctx context.Context, entry netip.AddrPort, path string) (view []V, err error) {
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	q, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+entry.String()+path, nil)
-	if err != nil {
-		return nil, errors.Wrap(err, "asking the entry")
-	}
-	reply, err := http.DefaultClient.Do(q)
+	client := send.Client{Addr: entry}
+	defer client.CloseIdleConnections()
+	reply, err := client.Do(ctx, send.Request{Method: http.MethodGet, Target: path})
 	if err != nil {
 		return nil, errors.Wrap(admin.ErrUnreachable, err.Error())
 	}
-	defer func() { _ = reply.Body.Close() }()
-	if reply.StatusCode != http.StatusOK {
-		return nil, errors.Errorf("the entry answered with status %d", reply.StatusCode)
+	body, err := reply.ReadAll(maxView)
+	switch {
+	case err != nil:
+		return nil, errors.Wrap(admin.ErrUnreachable, err.Error())
+	case reply.Status != http.StatusOK:
+		return nil, errors.Errorf("the entry answered with status %d", reply.Status)
 	}
-	return view, errors.Wrap(json.NewDecoder(reply.Body).Decode(&view), "decoding the entry's answer")
+	return view, errors.Wrap(json.Unmarshal(body, &view), "decoding the entry's answer")
 }
 
 func writeUpstreams(out io.Writer, all []direct.UpstreamView) error {
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -51,6 +51,7 @@
 	"jacinthworks/roles"
 	"jacinthworks/roster"
 	"jacinthworks/search"
+	"jacinthworks/send"
 )
 
 // Server serves callers. Set the exported fields before Run.
@@ -169,11 +170,11 @@
 	public := &http.Server{
 		Handler:           http.HandlerFunc(s.serve),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
+		MaxHeaderBytes:    conns.MaxHeaderBytes,
 		ConnState:         s.trackConnections(idle.ConnState),
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}
-	balancer := &http.Server{Handler: s.reportPanics("ready", s.readyHandler()), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout}
+	balancer := &http.Server{Handler: s.reportPanics("ready", s.readyHandler()), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout, MaxHeaderBytes: conns.MaxHeaderBytes}
 
 	loops := group.Group{OnFailure: s.logLoopFailure}
 	s.startFeeds(serving, &loops)
@@ -251,10 +252,6 @@
 	}
 }
 
-// maxHeaderBytes bounds a request's header, in bytes. The configuration's own limit is
-// lower and meant for callers that observe it.
-const maxHeaderBytes = 64 << 10
-
 func (s *Server) init() {
 	if s.Log == nil {
 		s.Log = hclog.NewNullLogger()
@@ -266,6 +263,8 @@
 	s.memory.Limit = memory.ForCallers(s.Settings.MemoryLimit)
 	s.registerMemory()
 	s.roster.Log, s.roster.MaxGap = s.Log, origin.MaxGap
+	s.roster.OnBound = func(id roster.ID, b send.Bound) { s.RecordBound(ClientUpstream, string(id), b) }
+	s.peers.fleet.OnBound = func(name domain.Host, b send.Bound) { s.RecordBound(ClientEntry, string(name), b) }
 	s.peers.fleet.Self, s.peers.fleet.MinMembers = s.Settings.Name, s.Settings.RelayMinEntries
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
 	s.peers.fleet.ID = s.Settings.FleetID()
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/json"
-	"io"
 	"net/http"
 	"net/url"
 	"slices"
@@ -169,7 +168,10 @@
 	case http.StatusNoContent:
 		return found, nil
 	case http.StatusOK:
-		err = json.NewDecoder(io.LimitReader(reply, maxEvidence)).Decode(&found)
+		body, err := reply.ReadAll(maxEvidence)
+		if err == nil {
+			err = json.Unmarshal(body, &found)
+		}
 		return found, errors.Wrap(err, "direct: decoding the crash evidence of "+string(p.Name))
 	}
 	return found, errors.Errorf("direct: asking %s for crash evidence: status %d", p.Name, reply.Status)
--- a/direct/peer_config.go
+++ b/direct/peer_config.go
@@ -1,9 +1,9 @@
 package direct
 
 import (
+	"bytes"
 	"context"
 	"encoding/gob"
-	"io"
 	"net/http"
 	"slices"
 	"time"
@@ -78,7 +78,11 @@
 	if reply.Status != http.StatusOK {
 		return nil, errors.Errorf("direct: fetching configuration from %s: status %d", p.Name, reply.Status)
 	}
+	body, err := reply.ReadAll(maxConfigResponse)
+	if err != nil {
+		return nil, errors.Wrap(err, "direct: fetching configuration from "+string(p.Name))
+	}
 	var c paths.Config
-	err = gob.NewDecoder(io.LimitReader(reply, maxConfigResponse)).Decode(&c)
+	err = gob.NewDecoder(bytes.NewReader(body)).Decode(&c)
 	return &c, errors.Wrap(err, "direct: decoding configuration from "+string(p.Name))
 }
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -80,6 +80,7 @@
 	return &http.Server{
 		Handler:           relay.CheckFleet(s.Settings.FleetID(), s.reportOtherFleet, s.reportPanics("peers", s.refuseWhileDraining(m))),
 		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
+		MaxHeaderBytes:    conns.MaxHeaderBytes,
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 	}, l, nil
 }
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -261,9 +261,11 @@
 	}
 	reply, info, err := s.exchange(ctx, "", u, r)
 	if err != nil {
+		s.recordFault(u, err)
 		return nil, 0, err
 	}
 	body, err = reply.ReadAll(maxShortResponse)
+	s.recordFault(u, err)
 	if info.Misdirected {
 		if info.Instance != "" && info.Instance != u.Server().ID {
 			s.roster.InstanceReplaced(u)
--- a/engine/http_app.go
+++ b/engine/http_app.go
@@ -53,7 +53,7 @@
 	}
 	body, err := response.ReadAll(limit)
 	switch {
-	case errors.Is(err, send.ErrBodyTooLarge):
+	case send.BoundOf(err) == send.BodyBound:
 		return Response{}, &Failure{Call: call, Kind: ErrUnexpectedResponse, Cause: err}
 	case err != nil:
 		return Response{}, transportFailure(call, err)
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -201,7 +201,7 @@
 		ReadHeaderTimeout: l.HeaderTimeout,
 		ReadTimeout:       l.ReadTimeout,
 		IdleTimeout:       l.IdleTimeout,
-		MaxHeaderBytes:    64 << 10,
+		MaxHeaderBytes:    conns.MaxHeaderBytes,
 	}
 }
 
--- a/meter/meter.go
+++ b/meter/meter.go
@@ -21,6 +21,8 @@
 
 	"github.com/VictoriaMetrics/metrics"
 	"github.com/pkg/errors"
+
+	"jacinthworks/conns"
 )
 
 // Labels are alternating label names and values.
@@ -94,7 +96,7 @@
 // Serve serves a handler, which has the metrics at Path, until ctx is done. It returns an error if the
 // listener fails.
 func (s *Registry) Serve(ctx context.Context, l net.Listener, handler http.Handler) error {
-	h := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout}
+	h := &http.Server{Handler: handler, ReadHeaderTimeout: readTimeout, MaxHeaderBytes: conns.MaxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = h.Close() }) // a reader of metrics retries
 	defer stop()
 	if err := h.Serve(l); !errors.Is(err, http.ErrServerClosed) {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -189,6 +189,9 @@
 	Now func() time.Time
 	// MaxGap is the time between two confirmations of the registry in which no change is missed that matters.
 	MaxGap time.Duration
+	// OnBound, if set, is called for each response of an upstream that exceeds a bound, from any
+	// goroutine.
+	OnBound func(ID, send.Bound)
 
 	mu      sync.Mutex
 	members map[ID]*Upstream
@@ -317,6 +320,14 @@
 	r.registryDown, r.recoveredAt = false, now
 }
 
+// onBoundOf returns the OnBound of the client of an upstream.
+func (r *Directory) onBoundOf(id ID) func(send.Bound) {
+	if r.OnBound == nil {
+		return nil
+	}
+	return func(b send.Bound) { r.OnBound(id, b) }
+}
+
 // putEntry adds or updates the member of a decoded entry. An entry of an earlier instance is
 // ignored; one of a later instance replaces the member.
 func (r *Directory) putEntry(now time.Time, s Server) {
@@ -337,7 +348,7 @@
 	if u == nil {
 		reinstated := r.reinstate(s)
 		if u = reinstated; u == nil {
-			u = &Upstream{Client: &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout}}
+			u = &Upstream{Client: &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout, OnBound: r.onBoundOf(s.ID)}}
 		}
 		r.members[s.ID] = u
 		r.Log.Info("upstream added", "again", reinstated != nil, "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining, "born", s.Born, "software", s.Software)
--- a/send/conn.go
+++ b/send/conn.go
@@ -41,6 +41,11 @@
 	bytesWritten atomic.Int64
 	// bytesRead counts the bytes read over all exchanges.
 	bytesRead atomic.Int64
+	// readLimit is how many bytes may still be read while bound is set; see limitReads.
+	readLimit int64
+	bound     Bound
+	// readErr is the error of the last read from the connection.
+	readErr error
 }
 
 func dial(ctx context.Context, addr netip.AddrPort, timeout, userTimeout, probeInterval time.Duration) (*conn, error) {
@@ -56,7 +61,7 @@
 		return nil, errors.Wrap(err, "send: dial")
 	}
 	k := &conn{Conn: c, dialedAt: time.Now()}
-	k.reader = bufio.NewReaderSize(k, 8<<10)
+	k.reader = bufio.NewReaderSize(k, readerSize)
 	return k, nil
 }
 
@@ -79,13 +84,6 @@
 
 func (k *conn) hasWritten() bool { return k.bytesWritten.Load() > 0 }
 
-// Read reads from the connection and counts the bytes.
-func (k *conn) Read(b []byte) (int, error) {
-	n, err := k.Conn.Read(b)
-	k.bytesRead.Add(int64(n))
-	return n, err
-}
-
 // Write writes to the connection and counts the bytes that the kernel accepted.
 func (k *conn) Write(b []byte) (int, error) {
 	n, err := k.Conn.Write(b)
--- a/send/failure.go
+++ b/send/failure.go
@@ -58,6 +58,9 @@
 	if cause == nil {
 		cause = err
 	}
+	if b := BoundOf(cause); b != "" && c.OnBound != nil {
+		c.OnBound(b)
+	}
 	switch {
 	case !written:
 		return &Failure{Stage: NotSent, Cause: cause}
--- a/send/reply.go
+++ b/send/reply.go
@@ -103,11 +103,26 @@
 		}
 		p.complete()
 	case err != nil:
-		return n, p.client.failure(p.ctx, err, true)
+		return n, p.client.failure(p.ctx, p.boundError(p.Framing, err), true)
 	}
 	return n, err
 }
 
+// boundError returns the error of a read as a BoundError if the read exceeded a bound. net/http may
+// replace the error of the connection by one of its own. An error that is not of the connection is
+// one of the framing.
+func (p *Response) boundError(f Framing, err error) error {
+	switch b := BoundOf(p.conn.readErr); {
+	case BoundOf(err) != "":
+		return err
+	case b != "":
+		return &BoundError{Bound: b, Cause: err}
+	case f == FramedByChunks && p.conn.readErr == nil:
+		return &BoundError{Bound: FramingBound, Cause: err}
+	}
+	return err
+}
+
 // ErrWithinEvent is the cause of the Failure of an event stream that ends inside an event although its
 // framing states that it is complete.
 var ErrWithinEvent = errors.New("send: the event stream ends inside an event")
@@ -198,10 +213,8 @@
 	}
 }
 
-// ErrBodyTooLarge is the error of ReadAll for a body above the limit.
-var ErrBodyTooLarge = errors.New("send: response body exceeds the limit")
-
-// ReadAll reads the whole body, of at most limit bytes, and closes the response.
+// ReadAll reads the whole body and closes the response. The error of a body of more than limit bytes
+// is a *Failure with a BoundError.
 func (p *Response) ReadAll(limit int64) ([]byte, error) {
 	defer p.Close()
 	body, err := io.ReadAll(io.LimitReader(p, limit+1))
@@ -209,7 +222,7 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, ErrBodyTooLarge
+		return nil, p.client.failure(p.ctx, &BoundError{Bound: BodyBound}, true)
 	}
 	return body, nil
 }
--- a/send/send.go
+++ b/send/send.go
@@ -45,10 +45,6 @@
 // later. Writing the whole body first would block, and the response would not be read.
 const maxInlineBody = 16 << 10
 
-// maxSkippedResponses is how many responses to other requests, or interim responses, are skipped
-// before the connection is closed.
-const maxSkippedResponses = 4
-
 // Client sends requests to one address. The zero value with an Addr is ready to use. A Client must
 // not be copied after first use.
 type Client struct {
@@ -69,6 +65,8 @@
 	// allowed for its acknowledgement. After two unacknowledged probes the kernel closes the
 	// connection. The probes detect a connection that died while this process waits for a response.
 	KeepAliveInterval time.Duration
+	// OnBound, if set, is called for each response that exceeds a bound, from any goroutine.
+	OnBound func(Bound)
 
 	mu   sync.Mutex // leaf lock: no other lock is acquired while it is held
 	idle []*conn    // in order of release; the newest is reused first
@@ -166,23 +164,39 @@
 		p.writeDone = make(chan error, 1)
 		go func() { p.writeDone <- p.conn.write(q) }() // requestWritten reads the result
 	}
-	for n := 0; n <= maxSkippedResponses; n++ {
-		response, err := http.ReadResponse(p.conn.reader, q)
-		if err != nil {
-			return nil, errors.Wrap(err, "send: reading response header")
-		}
-		interim := response.StatusCode < http.StatusOK
-		if !interim && (r.Match == nil || r.Match(response.Header)) {
-			return response, nil
+	defer p.conn.unlimitReads()
+	for range maxSkippedResponses + 1 {
+		response, err := p.readHead(q)
+		if err != nil || r.Match == nil || r.Match(response.Header) {
+			return response, err
 		}
 		// An upstream may answer an earlier request a second time. The extra response would be
 		// passed on as the response to this request, to another caller. Reading on finds the right
 		// response because the upstream answers the requests of a connection in order.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		p.conn.limitReads(MaxSkippedBytes, SkipBound)
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, errors.Wrap(p.boundError(framingOf(response), err), "send: reading a response to another request")
+		}
+		if response.Close {
 			return nil, errors.New("send: connection ended after a response to another request")
 		}
 	}
-	return nil, errors.New("send: too many responses to other requests")
+	return nil, &BoundError{Bound: SkipBound}
+}
+
+// readHead reads the header of the next response that is not interim.
+func (p *Response) readHead(q *http.Request) (*http.Response, error) {
+	p.conn.limitReads(MaxHeadBytes, HeadBound)
+	for range maxInterimResponses + 1 {
+		response, err := http.ReadResponse(p.conn.reader, q)
+		if err != nil {
+			return nil, errors.Wrap(p.boundError("", err), "send: reading response header")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
+	}
+	return nil, &BoundError{Bound: HeadBound}
 }
 
 // buildRequest returns the request in the form that net/http writes. An empty body has the length
--- a/side/metrics.go
+++ b/side/metrics.go
@@ -21,7 +21,7 @@
 		w.Header().Set("Content-Type", "application/json; charset=utf-8")
 		fmt.Fprintln(w, s.metrics().String())
 	})
-	server := &http.Server{Handler: &conns.PanicHandler{Handler: mux, Log: s.Log}, ReadHeaderTimeout: s.Settings.Limits.WithDefaults().HeaderTimeout}
+	server := &http.Server{Handler: &conns.PanicHandler{Handler: mux, Log: s.Log}, ReadHeaderTimeout: s.Settings.Limits.WithDefaults().HeaderTimeout, MaxHeaderBytes: conns.MaxHeaderBytes}
 	stop := context.AfterFunc(ctx, func() { _ = server.Close() })
 	defer stop()
 	if err := server.Serve(ln); !errors.Is(err, http.ErrServerClosed) {
