direct: an event that does not end is bounded and counts among what callers hold

Callers saw: an upstream that begins an event and does not end it made the entry's memory grow until the deadline, on routes whose streams may be resumed. The host kills such a process, and all its requests end without an answer.

Cause: events.Splitter holds the event that has not ended, of any length, beside the budget for what callers hold. Change: an event there has 1 MiB at most and its memory is reserved from that budget; beyond either its upstream counts as faulty and the stream goes on elsewhere after its last whole event.

--- a/direct/stream.go
+++ b/direct/stream.go
@@ -160,6 +160,7 @@
 	var pace eventPace
 	var progress answerProgress
 	lastRead := time.Now()
+	held := 0 // bytes of an event that has not ended, beyond what each request holds
 	for {
 		n, err := reply.Read(buffer)
 		if n > 0 && firstAfter > 0 {
@@ -186,6 +187,9 @@
 		unsent := buffer[:n]
 		if r.route.Resumable && reply.EventStream {
 			unsent = e.Add(unsent)
+			if !s.holdEvent(r, &held, len(e.Partial())) {
+				err = reply.Exceed(send.EventBound)
+			}
 		}
 		if len(unsent) > 0 {
 			if !r.responseBegun {
@@ -225,3 +229,15 @@
 func (s *Server) failCallerGone(r *request, a *attempt, err error) *failure {
 	return s.finishFailed(r, a, &failure{ran: domain.DidRun, reason: domain.ReasonCallerGone, detail: err.Error()})
 }
+
+// holdEvent reserves memory for an event that has not ended, of which so many bytes have come. It
+// returns false if the event is too long or there is no memory for it.
+func (s *Server) holdEvent(r *request, held *int, bytes int) bool {
+	for *held+bodyStep < bytes {
+		if !s.holdMemory(r, growthFactor*bodyStep) {
+			return false
+		}
+		*held += bodyStep
+	}
+	return bytes <= send.MaxEventBytes
+}
--- a/send/bounds.go
+++ b/send/bounds.go
@@ -14,6 +14,8 @@
 	maxInterimResponses = 100
 	// MaxSkippedBytes bounds the body of a response to another request, in bytes.
 	MaxSkippedBytes = 256 << 10
+	// MaxEventBytes bounds, in bytes, an event of a stream that is passed on only in whole events.
+	MaxEventBytes = 1 << 20
 	// maxSkippedResponses is how many responses to other requests are skipped before the connection
 	// is closed.
 	maxSkippedResponses = 4
@@ -36,6 +38,8 @@
 	FramingBound Bound = "framing"
 	// BodyBound is the limit of Response.ReadAll.
 	BodyBound Bound = "body"
+	// EventBound is MaxEventBytes.
+	EventBound Bound = "event"
 )
 
 // BoundError is the cause of the Failure of a response that exceeds a bound.
--- a/send/reply.go
+++ b/send/reply.go
@@ -206,6 +206,13 @@
 	p.cancel(nil)
 }
 
+// Exceed ends a response that exceeds a bound of its reader, and returns its Failure.
+func (p *Response) Exceed(b Bound) error {
+	f := p.client.failure(p.ctx, &BoundError{Bound: b}, true)
+	p.Close()
+	return f
+}
+
 // Close ends the response. If the body was not read to its end, the connection is closed.
 func (p *Response) Close() {
 	if !p.done {
@@ -222,7 +229,7 @@
 		return nil, err
 	}
 	if int64(len(body)) > limit {
-		return nil, p.client.failure(p.ctx, &BoundError{Bound: BodyBound}, true)
+		return nil, p.Exceed(BodyBound)
 	}
 	return body, nil
 }
