send, direct, entry: a request target goes on byte for byte or is refused

Cause: net/http writes an opaque URL unchanged, but puts a scheme before one that begins with two slashes. Change: send writes requests itself. Of the same class: routes were matched on a re-escaped path; a target that is no path was refused as if its upstream were unreachable (503), now 400; OPTIONS * was answered 200 by net/http; the own way sent paths of plain calls unescaped, and redirected some.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -173,6 +173,8 @@
 		MaxHeaderBytes:    conns.MaxHeaderBytes,
 		ConnState:         s.trackConnections(idle.ConnState),
 		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
+		// net/http would answer OPTIONS * itself.
+		DisableGeneralOptionsHandler: true,
 	}
 	balancer := &http.Server{Handler: s.reportPanics("ready", s.readyHandler()), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout, MaxHeaderBytes: conns.MaxHeaderBytes}
 
--- a/direct/request.go
+++ b/direct/request.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"strings"
 	"time"
 
 	"jacinthworks/clock"
@@ -163,7 +164,11 @@
 	if r.id == "" {
 		return &failure{ran: domain.NotRun, reason: domain.ReasonBadInput, detail: "the request has no id"}
 	}
-	route, ok := c.Match(h.Host, h.URL.EscapedPath())
+	if !strings.HasPrefix(r.target, "/") {
+		return &failure{ran: domain.NotRun, reason: domain.ReasonBadInput, detail: "the target of the request is not a path"}
+	}
+	path, _, _ := strings.Cut(r.target, "?")
+	route, ok := c.Match(h.Host, path)
 	if !ok {
 		return &failure{ran: domain.NotRun, reason: domain.ReasonNoService, detail: "no route matches host and path"}
 	}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -202,6 +202,8 @@
 		ReadTimeout:       l.ReadTimeout,
 		IdleTimeout:       l.IdleTimeout,
 		MaxHeaderBytes:    conns.MaxHeaderBytes,
+		// net/http would answer OPTIONS * itself.
+		DisableGeneralOptionsHandler: true,
 	}
 }
 
--- a/entry/http.go
+++ b/entry/http.go
@@ -29,12 +29,23 @@
 	m := http.NewServeMux()
 	m.HandleFunc("POST /v1/completions", e.serve(readCompletion, e.serveModel))
 	m.HandleFunc("POST /v1/chat/completions", e.serve(readChat, e.serveModel))
-	m.HandleFunc("/services/{service}/{path...}", e.serve(readCall, e.serveCall))
 	m.HandleFunc("GET /ready", e.serveReady)
 	m.HandleFunc("/", e.serve(readUnknownPath, nil))
-	return m
+	call := e.serve(readCall, e.serveCall)
+	return http.HandlerFunc(func(w http.ResponseWriter, h *http.Request) {
+		// A ServeMux would redirect calls whose path has empty segments or dots.
+		if strings.HasPrefix(h.RequestURI, servicesPrefix) {
+			call(w, h)
+			return
+		}
+		m.ServeHTTP(w, h)
+	})
 }
 
+// servicesPrefix begins the paths of plain calls: the name of the service follows, and then the target
+// at its upstream.
+const servicesPrefix = "/services/"
+
 // serveReady handles the readiness probe of the platform's balancer.
 func (e *Entry) serveReady(w http.ResponseWriter, _ *http.Request) {
 	if e.leaving.Load() || e.draining.Load() || !e.tableFresh() || !e.startupComplete(time.Now()) {
@@ -116,8 +127,8 @@
 	if len(found) > 0 {
 		return &failure{ran: domain.NotRun, reason: domain.ReasonBadInput, detail: "the request cannot be read", findings: found}
 	}
-	r.bodyHash = hashParts(h.Method, h.URL.RequestURI(), string(body))
-	r.identity = retry.Identify(r.account, r.service, []byte(h.URL.RequestURI()), body)
+	r.bodyHash = hashParts(h.Method, h.RequestURI, string(body))
+	r.identity = retry.Identify(r.account, r.service, []byte(h.RequestURI), body)
 	r.row, _ = e.lookupRow(r.service, r.kind)
 	return nil
 }
--- a/entry/parse_request.go
+++ b/entry/parse_request.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"io"
 	"net/http"
+	"net/url"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -125,13 +126,26 @@
 		header.Del(name)
 	}
 	header.Set(headerID, string(r.id))
-	r.service = domain.Service(h.PathValue("service"))
-	path := "/" + h.PathValue("path")
-	if h.URL.RawQuery != "" {
-		path += "?" + h.URL.RawQuery
-	}
+	service, path, found := cutService(h.RequestURI)
+	r.service = service
 	r.call = &engine.Call{Method: h.Method, Path: path, Header: header, Body: body}
-	return nil
+	return found
+}
+
+// cutService splits the target of a plain call into the service and the target at its upstream, which
+// is what follows the service, byte for byte.
+func cutService(target string) (service domain.Service, rest string, found check.Findings) {
+	path, query, hasQuery := strings.Cut(strings.TrimPrefix(target, servicesPrefix), "?")
+	segment, rest, isCall := strings.Cut(path, "/")
+	name, err := url.PathUnescape(segment)
+	if err != nil || !isCall || name == "" || !strings.HasPrefix(target, servicesPrefix) {
+		found.Add(target, "is no call of a service")
+		return "", "", found
+	}
+	if hasQuery {
+		rest += "?" + query
+	}
+	return domain.Service(name), "/" + rest, nil
 }
 
 // readUnknownPath refuses a request for a method and path that the entry does not serve.
--- a/send/conn.go
+++ b/send/conn.go
@@ -19,6 +19,9 @@
 // milliseconds.
 const TCPUserTimeout = 18
 
+// writerSize is the size of the buffer of a request that is written, in bytes.
+const writerSize = 8 << 10
+
 // keepAliveProbes is the number of consecutive unanswered TCP keep-alive probes after which the
 // kernel closes the connection; with one, a single lost packet would close it.
 const keepAliveProbes = 2
@@ -91,14 +94,6 @@
 	return n, err
 }
 
-func (k *conn) write(q *http.Request) error {
-	out := bufio.NewWriterSize(k, 8<<10)
-	if err := q.Write(out); err != nil {
-		return errors.Wrap(err, "send: writing request")
-	}
-	return errors.Wrap(out.Flush(), "send: writing request")
-}
-
 func (k *conn) expired(now time.Time) bool { return now.Sub(k.idleSince) > k.idleTimeout }
 
 // usable reports whether the idle connection can carry a further request.
--- a/send/send.go
+++ b/send/send.go
@@ -13,18 +13,16 @@
 //	body, err := io.ReadAll(response)
 //
 // A Client keeps connections open between requests. It follows no redirect, changes no header and
-// never sends a request twice. It uses net/http to read and write messages, but not http.Transport,
-// which retries a GET by itself when a kept connection breaks, and cannot detect a response that
-// belongs to an earlier request.
+// never sends a request twice. It uses net/http to read responses, but not http.Transport, which
+// retries a GET by itself when a kept connection breaks, and cannot detect a response that belongs to
+// an earlier request.
 package send
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"sync"
 	"time"
 
@@ -90,7 +88,7 @@
 // Request is one request to send.
 type Request struct {
 	Method string
-	// Target is the escaped path with its query, sent unchanged.
+	// Target is the escaped path with its query, sent byte for byte.
 	Target string
 	// Host is the value of the Host header; empty for the address.
 	Host   string
@@ -151,19 +149,22 @@
 
 // exchange writes the request and reads the header of its response.
 func (p *Response) exchange(r Request) (*http.Response, error) {
-	q, err := buildRequest(r, p.client.Addr)
-	if err != nil {
+	if r.Host == "" {
+		r.Host = p.client.Addr.String()
+	}
+	if err := r.check(); err != nil {
 		return nil, err
 	}
 	p.conn.beginRequest()
 	if len(r.Body) <= maxInlineBody {
-		if err := p.conn.write(q); err != nil {
+		if err := p.conn.write(r); err != nil {
 			return nil, err
 		}
 	} else {
 		p.writeDone = make(chan error, 1)
-		go func() { p.writeDone <- p.conn.write(q) }() // requestWritten reads the result
+		go func() { p.writeDone <- p.conn.write(r) }() // requestWritten reads the result
 	}
+	q := &http.Request{Method: r.Method}
 	defer p.conn.unlimitReads()
 	for range maxSkippedResponses + 1 {
 		response, err := p.readHead(q)
@@ -199,36 +200,6 @@
 	return nil, &BoundError{Bound: HeadBound}
 }
 
-// buildRequest returns the request in the form that net/http writes. An empty body has the length
-// 0, which is written too if the method has a body.
-func buildRequest(r Request, base netip.AddrPort) (*http.Request, error) {
-	if r.Target == "" || r.Target[0] != '/' {
-		return nil, errors.Errorf("send: building request: target %q is not an absolute path", r.Target)
-	}
-	q := &http.Request{
-		Method: r.Method,
-		// net/http writes an opaque URL unchanged.
-		URL:        &url.URL{Scheme: "http", Host: base.String(), Opaque: r.Target},
-		Host:       r.Host,
-		Header:     r.Header,
-		ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(r.Body)),
-	}
-	if q.Host == "" {
-		q.Host = base.String()
-	}
-	if q.Header == nil {
-		q.Header = make(http.Header)
-	}
-	if _, ok := q.Header["User-Agent"]; !ok {
-		q.Header["User-Agent"] = []string{""} // net/http would write its own otherwise
-	}
-	if len(r.Body) > 0 {
-		q.Body = io.NopCloser(bytes.NewReader(r.Body))
-	}
-	return q, nil
-}
-
 // acquire returns an idle connection that is still usable, or dials one.
 func (c *Client) acquire(ctx context.Context, newConn bool) (*conn, error) {
 	now := time.Now()
