direct, roster, send: own calls have their own connections, and a nameless answer is not a request's

Cause: own calls bear no request id and shared connections with requests, and an answer without an id was taken to belong to any request. Change: an upstream has one client for requests and one for calls; an answer without an id belongs to a request only if it says that the request was not run. Any other fails the attempt as one that may have run; it is logged and counted. A connection on which an answer to another request came is not used again. Orders use new connections.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -114,7 +114,7 @@
 		NewConn:     !r.route.Retryable(),
 		EventStream: r.route.Kind == paths.Stream && a.info.Stage.RunsRequest(),
 		ConfirmEnd:  func(ctx context.Context) error { return s.confirmEnd(ctx, r, a) },
-		Match:       func(h http.Header) bool { return s.answersRequest(r, h) },
+		Match:       func(status int, h http.Header) send.Match { return s.matchResponse(r, status, h) },
 	})
 	if err != nil {
 		return nil, s.failSend(ctx, r, a, err)
@@ -165,15 +165,27 @@
 	return nil
 }
 
-// answersRequest reports whether a response belongs to the request. A response without a
-// request id is taken to belong to it.
-func (s *Server) answersRequest(r *request, h http.Header) bool {
-	id := s.Protocol.ParseResponse(http.StatusOK, h).ID
-	if id == "" || id == r.id {
-		return true
+// matchResponse tells whether a response belongs to the request. Upstreams may refuse a request
+// without its ID; requests that must not run twice use a new connection, on which no earlier
+// refusal can be due.
+func (s *Server) matchResponse(r *request, status int, h http.Header) send.Match {
+	info := s.Protocol.ParseResponse(status, h)
+	switch {
+	case info.ID == r.id, info.ID == "" && (info.NotExecuted || info.Misdirected):
+		return send.Own
+	case info.ID == "":
+		s.recordForeign(r, status, info, "none")
+		return send.Unknown
 	}
-	s.Log.Warn("response to another request discarded", "request", r.id, "answers", id)
-	return false
+	s.recordForeign(r, status, info, "other")
+	return send.Other
+}
+
+// recordForeign logs and counts a response that is not known to belong to a request. named is
+// "none" or "other": which request it names.
+func (s *Server) recordForeign(r *request, status int, info ResponseInfo, named string) {
+	s.Log.Warn("response to another request discarded", "request", r.id, "answers", info.ID, "status", status, "instance", info.Instance)
+	s.Meter.Inc("jacinthworks_foreign_responses_total", meter.Labels{"service", string(r.service.Name), "names", named})
 }
 
 // maxShortResponse bounds, in bytes, the body of a response that is read only so that its
--- a/direct/exchange.go
+++ b/direct/exchange.go
@@ -17,11 +17,11 @@
 // new requests.
 var errNotAccepting = errors.New("direct: the upstream is to be sent nothing new")
 
-// exchange sends a request to an upstream, and records what the response states about the
-// upstream. All calls to upstreams go through it; a call that asks for new work must check
-// acceptsNew first.
+// exchange sends a request to an upstream, or a call of this entry's own, and records what the
+// response states about the upstream. All calls to upstreams go through it; a call that asks for new
+// work must check acceptsNew first.
 func (s *Server) exchange(ctx context.Context, id domain.RequestID, u *roster.Upstream, q send.Request) (*send.Response, ResponseInfo, error) {
-	reply, err := s.clientOf(u).Do(ctx, q)
+	reply, err := s.clientOf(u, q.Match == nil).Do(ctx, q)
 	if err != nil {
 		return nil, ResponseInfo{}, err
 	}
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -292,6 +292,7 @@
 			s.Log.Error("role order not encoded", "upstream", o.Host, "err", err)
 			return OrderRefused
 		}
+		r.NewConn = true // a second response to another call must not be taken for that to the order
 		_, status, err := s.callUpstream(ctx, e.upstream, r, orderTimeout)
 		outcome := orderUnknown
 		switch {
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -68,8 +68,10 @@
 
 // Upstream is a member of the directory: one instance of an upstream.
 type Upstream struct {
-	// Client sends requests to the upstream.
-	Client *send.Client
+	// Client sends requests to the upstream, and Calls the calls of this process. Neither uses a
+	// connection of the other: calls have no ID, so that a second response to one could be taken for
+	// that of a request.
+	Client, Calls *send.Client
 	// Stats holds what this process observed in the upstream's responses.
 	Stats Stats
 	// InstanceReads shares the calls that find out which instance answers.
@@ -320,6 +322,10 @@
 	r.registryDown, r.recoveredAt = false, now
 }
 
+func (r *Directory) newClient(s Server) *send.Client {
+	return &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout, OnBound: r.onBoundOf(s.ID)}
+}
+
 // onBoundOf returns the OnBound of the client of an upstream.
 func (r *Directory) onBoundOf(id ID) func(send.Bound) {
 	if r.OnBound == nil {
@@ -348,7 +354,7 @@
 	if u == nil {
 		reinstated := r.reinstate(s)
 		if u = reinstated; u == nil {
-			u = &Upstream{Client: &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout, OnBound: r.onBoundOf(s.ID)}}
+			u = &Upstream{Client: r.newClient(s), Calls: r.newClient(s)}
 		}
 		r.members[s.ID] = u
 		r.Log.Info("upstream added", "again", reinstated != nil, "upstream", s.ID, "service", s.Service, "addr", s.Addr, "zone", s.Zone, "role", s.Role, "slots", s.Slots, "draining", s.Draining, "born", s.Born, "software", s.Software)
@@ -381,6 +387,7 @@
 	u.markRestarted()
 	r.remove(u.Server().ID, "restarted")
 	u.Client.CloseAll()
+	u.Calls.CloseAll()
 }
 
 // handleMissing handles a member that the registry no longer lists. For ReregisterGrace after a
@@ -408,6 +415,7 @@
 	s := u.server
 	u.mu.Unlock()
 	u.Client.CloseIdleConnections()
+	u.Calls.CloseIdleConnections()
 	r.keepRemoved(time.Now(), u)
 	r.keepVersion(time.Now(), s)
 	delete(r.members, id)
--- a/send/bounds_test.go
+++ b/send/bounds_test.go
@@ -103,7 +103,12 @@
 				var reply *send.Response
 				reply, err = client.Do(ctx, send.Request{
 					Method: http.MethodGet, Target: "/",
-					Match: func(h http.Header) bool { return h.Get("Foreign") == "" },
+					Match: func(_ int, h http.Header) send.Match {
+						if h.Get("Foreign") != "" {
+							return send.Other
+						}
+						return send.Own
+					},
 				})
 				if err == nil {
 					_, err = reply.ReadAll(64 << 10)
--- a/send/reply.go
+++ b/send/reply.go
@@ -82,7 +82,9 @@
 	endErr error
 	// reusable reports whether the connection stays open after the end of the response.
 	reusable bool
-	done     bool // the exchange has ended
+	// misplaced means that a response to another request came first.
+	misplaced bool
+	done      bool // the exchange has ended
 }
 
 // Read reads the body. It returns io.EOF at the end of a complete body and a *Failure on any other
--- a/send/send.go
+++ b/send/send.go
@@ -104,11 +104,28 @@
 	// that the upstream did not end it. If not set, the end holds if the client's address accepts a
 	// connection.
 	ConfirmEnd func(context.Context) error
-	// Match, if set, reports whether a response belongs to this request. Other responses are read
-	// and discarded.
-	Match func(http.Header) bool
+	// Match, if set, tells whether a response belongs to this request.
+	Match func(status int, h http.Header) Match
 }
 
+// Match is whether a response belongs to a request.
+type Match int
+
+// The results of Request.Match.
+const (
+	// Own: the response belongs to the request.
+	Own Match = iota
+	// Other: it names another request. It is read and discarded, since the upstream answers the requests
+	// of a connection in order. The connection ends after the exchange.
+	Other
+	// Unknown: it does not name its request. The exchange fails, because the response that follows
+	// can't be told either.
+	Unknown
+)
+
+// ErrUnknownResponse is the cause of the Failure of a request whose response does not name it.
+var ErrUnknownResponse = errors.New("send: the response does not name its request")
+
 // Do sends the request and waits for the response header. The error is a *Failure. The caller
 // closes the response.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
@@ -143,7 +160,7 @@
 		p.confirmEnd = c.confirmAlive
 	}
 	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header, r.EventStream)
-	p.reusable = !response.Close && p.Framing != FramedByClose
+	p.reusable = !response.Close && p.Framing != FramedByClose && !p.misplaced
 	return p, nil
 }
 
@@ -168,9 +185,16 @@
 	defer p.conn.unlimitReads()
 	for range maxSkippedResponses + 1 {
 		response, err := p.readHead(q)
-		if err != nil || r.Match == nil || r.Match(response.Header) {
+		if err != nil || r.Match == nil {
 			return response, err
 		}
+		switch r.Match(response.StatusCode, response.Header) {
+		case Own:
+			return response, nil
+		case Unknown:
+			return nil, ErrUnknownResponse
+		}
+		p.misplaced = true
 		// An upstream may answer an earlier request a second time. The extra response would be
 		// passed on as the response to this request, to another caller. Reading on finds the right
 		// response because the upstream answers the requests of a connection in order.
--- a/send/send_test.go
+++ b/send/send_test.go
@@ -177,7 +177,7 @@
 	const timeout = 50 * time.Millisecond
 	reply, err := c.Do(t.Context(), send.Request{
 		Method: http.MethodGet, Target: "/", ReadTimeout: timeout,
-		Match: func(http.Header) bool { <-time.After(timeout * 3 / 2); return true }, // the process is delayed
+		Match: func(int, http.Header) send.Match { <-time.After(timeout * 3 / 2); return send.Own }, // the process is delayed
 	})
 	require.NoError(t, err)
 	reply.SetReadTimeout(time.Second)
