--- a/direct/roles.go
+++ b/direct/roles.go
@@ -261,9 +261,11 @@
 	}
 	reply, info, err := s.exchange(ctx, "", u, r)
 	if err != nil {
+		s.recordFault(u, err)
 		return nil, 0, err
 	}
 	body, err = reply.ReadAll(maxShortResponse)
+	s.recordFault(u, err)
 	if info.Misdirected {
 		if info.Instance != "" && info.Instance != u.Server().ID {
 			s.roster.InstanceReplaced(u)
@@ -290,6 +292,7 @@
 			s.Log.Error("role order not encoded", "upstream", o.Host, "err", err)
 			return OrderRefused
 		}
+		r.NewConn = true // a second response to another call must not be taken for that to the order
 		_, status, err := s.callUpstream(ctx, e.upstream, r, orderTimeout)
 		outcome := orderUnknown
 		switch {
--- a/send/conn.go
+++ b/send/conn.go
@@ -19,6 +19,9 @@
 // milliseconds.
 const TCPUserTimeout = 18
 
+// writerSize is the size of the buffer of a request that is written, in bytes.
+const writerSize = 8 << 10
+
 // keepAliveProbes is the number of consecutive unanswered TCP keep-alive probes after which the
 // kernel closes the connection; with one, a single lost packet would close it.
 const keepAliveProbes = 2
@@ -41,6 +44,11 @@
 	bytesWritten atomic.Int64
 	// bytesRead counts the bytes read over all exchanges.
 	bytesRead atomic.Int64
+	// readLimit is how many bytes may still be read while bound is set; see limitReads.
+	readLimit int64
+	bound     Bound
+	// readErr is the error of the last read from the connection.
+	readErr error
 }
 
 func dial(ctx context.Context, addr netip.AddrPort, timeout, userTimeout, probeInterval time.Duration) (*conn, error) {
@@ -56,7 +64,7 @@
 		return nil, errors.Wrap(err, "send: dial")
 	}
 	k := &conn{Conn: c, dialedAt: time.Now()}
-	k.reader = bufio.NewReaderSize(k, 8<<10)
+	k.reader = bufio.NewReaderSize(k, readerSize)
 	return k, nil
 }
 
@@ -79,13 +87,6 @@
 
 func (k *conn) hasWritten() bool { return k.bytesWritten.Load() > 0 }
 
-// Read reads from the connection and counts the bytes.
-func (k *conn) Read(b []byte) (int, error) {
-	n, err := k.Conn.Read(b)
-	k.bytesRead.Add(int64(n))
-	return n, err
-}
-
 // Write writes to the connection and counts the bytes that the kernel accepted.
 func (k *conn) Write(b []byte) (int, error) {
 	n, err := k.Conn.Write(b)
@@ -93,14 +94,6 @@
 	return n, err
 }
 
-func (k *conn) write(q *http.Request) error {
-	out := bufio.NewWriterSize(k, 8<<10)
-	if err := q.Write(out); err != nil {
-		return errors.Wrap(err, "send: writing request")
-	}
-	return errors.Wrap(out.Flush(), "send: writing request")
-}
-
 func (k *conn) expired(now time.Time) bool { return now.Sub(k.idleSince) > k.idleTimeout }
 
 // usable reports whether the idle connection can carry a further request.
--- a/send/send.go
+++ b/send/send.go
@@ -13,18 +13,16 @@
 //	body, err := io.ReadAll(response)
 //
 // A Client keeps connections open between requests. It follows no redirect, changes no header and
-// never sends a request twice. It uses net/http to read and write messages, but not http.Transport,
-// which retries a GET by itself when a kept connection breaks, and cannot detect a response that
-// belongs to an earlier request.
+// never sends a request twice. It uses net/http to read responses, but not http.Transport, which
+// retries a GET by itself when a kept connection breaks, and cannot detect a response that belongs to
+// an earlier request.
 package send
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"net/netip"
-	"net/url"
 	"sync"
 	"time"
 
@@ -45,10 +43,6 @@
 // later. Writing the whole body first would block, and the response would not be read.
 const maxInlineBody = 16 << 10
 
-// maxSkippedResponses is how many responses to other requests, or interim responses, are skipped
-// before the connection is closed.
-const maxSkippedResponses = 4
-
 // Client sends requests to one address. The zero value with an Addr is ready to use. A Client must
 // not be copied after first use.
 type Client struct {
@@ -69,6 +63,8 @@
 	// allowed for its acknowledgement. After two unacknowledged probes the kernel closes the
 	// connection. The probes detect a connection that died while this process waits for a response.
 	KeepAliveInterval time.Duration
+	// OnBound, if set, is called for each response that exceeds a bound, from any goroutine.
+	OnBound func(Bound)
 
 	mu   sync.Mutex // leaf lock: no other lock is acquired while it is held
 	idle []*conn    // in order of release; the newest is reused first
@@ -92,7 +88,7 @@
 // Request is one request to send.
 type Request struct {
 	Method string
-	// Target is the escaped path with its query, sent unchanged.
+	// Target is the escaped path with its query, sent byte for byte.
 	Target string
 	// Host is the value of the Host header; empty for the address.
 	Host   string
@@ -108,11 +104,28 @@
 	// that the upstream did not end it. If not set, the end holds if the client's address accepts a
 	// connection.
 	ConfirmEnd func(context.Context) error
-	// Match, if set, reports whether a response belongs to this request. Other responses are read
-	// and discarded.
-	Match func(http.Header) bool
+	// Match, if set, tells whether a response belongs to this request.
+	Match func(status int, h http.Header) Match
 }
 
+// Match is whether a response belongs to a request.
+type Match int
+
+// The results of Request.Match.
+const (
+	// Own: the response belongs to the request.
+	Own Match = iota
+	// Other: it names another request. It is read and discarded, since the upstream answers the requests
+	// of a connection in order. The connection ends after the exchange.
+	Other
+	// Unknown: it does not name its request. The exchange fails, because the response that follows
+	// can't be told either.
+	Unknown
+)
+
+// ErrUnknownResponse is the cause of the Failure of a request whose response does not name it.
+var ErrUnknownResponse = errors.New("send: the response does not name its request")
+
 // Do sends the request and waits for the response header. The error is a *Failure. The caller
 // closes the response.
 func (c *Client) Do(ctx context.Context, r Request) (*Response, error) {
@@ -147,72 +160,68 @@
 		p.confirmEnd = c.confirmAlive
 	}
 	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header, r.EventStream)
-	p.reusable = !response.Close && p.Framing != FramedByClose
+	p.reusable = !response.Close && p.Framing != FramedByClose && !p.misplaced
 	return p, nil
 }
 
 // exchange writes the request and reads the header of its response.
 func (p *Response) exchange(r Request) (*http.Response, error) {
-	q, err := buildRequest(r, p.client.Addr)
-	if err != nil {
+	if r.Host == "" {
+		r.Host = p.client.Addr.String()
+	}
+	if err := r.check(); err != nil {
 		return nil, err
 	}
 	p.conn.beginRequest()
 	if len(r.Body) <= maxInlineBody {
-		if err := p.conn.write(q); err != nil {
+		if err := p.conn.write(r); err != nil {
 			return nil, err
 		}
 	} else {
 		p.writeDone = make(chan error, 1)
-		go func() { p.writeDone <- p.conn.write(q) }() // requestWritten reads the result
+		go func() { p.writeDone <- p.conn.write(r) }() // requestWritten reads the result
 	}
-	for n := 0; n <= maxSkippedResponses; n++ {
-		response, err := http.ReadResponse(p.conn.reader, q)
-		if err != nil {
-			return nil, errors.Wrap(err, "send: reading response header")
+	q := &http.Request{Method: r.Method}
+	defer p.conn.unlimitReads()
+	for range maxSkippedResponses + 1 {
+		response, err := p.readHead(q)
+		if err != nil || r.Match == nil {
+			return response, err
 		}
-		interim := response.StatusCode < http.StatusOK
-		if !interim && (r.Match == nil || r.Match(response.Header)) {
+		switch r.Match(response.StatusCode, response.Header) {
+		case Own:
 			return response, nil
+		case Unknown:
+			return nil, ErrUnknownResponse
 		}
+		p.misplaced = true
 		// An upstream may answer an earlier request a second time. The extra response would be
 		// passed on as the response to this request, to another caller. Reading on finds the right
 		// response because the upstream answers the requests of a connection in order.
-		if _, err := io.Copy(io.Discard, response.Body); err != nil || response.Close {
+		p.conn.limitReads(MaxSkippedBytes, SkipBound)
+		if _, err := io.Copy(io.Discard, response.Body); err != nil {
+			return nil, errors.Wrap(p.boundError(framingOf(response), err), "send: reading a response to another request")
+		}
+		if response.Close {
 			return nil, errors.New("send: connection ended after a response to another request")
 		}
 	}
-	return nil, errors.New("send: too many responses to other requests")
+	return nil, &BoundError{Bound: SkipBound}
 }
 
-// buildRequest returns the request in the form that net/http writes. An empty body has the length
-// 0, which is written too if the method has a body.
-func buildRequest(r Request, base netip.AddrPort) (*http.Request, error) {
-	if r.Target == "" || r.Target[0] != '/' {
-		return nil, errors.Errorf("send: building request: target %q is not an absolute path", r.Target)
-	}
-	q := &http.Request{
-		Method: r.Method,
-		// net/http writes an opaque URL unchanged.
-		URL:        &url.URL{Scheme: "http", Host: base.String(), Opaque: r.Target},
-		Host:       r.Host,
-		Header:     r.Header,
-		ProtoMajor: 1, ProtoMinor: 1,
-		ContentLength: int64(len(r.Body)),
-	}
-	if q.Host == "" {
-		q.Host = base.String()
-	}
-	if q.Header == nil {
-		q.Header = make(http.Header)
-	}
-	if _, ok := q.Header["User-Agent"]; !ok {
-		q.Header["User-Agent"] = []string{""} // net/http would write its own otherwise
-	}
-	if len(r.Body) > 0 {
-		q.Body = io.NopCloser(bytes.NewReader(r.Body))
+// readHead reads the header of the next response that is not interim.
+func (p *Response) readHead(q *http.Request) (*http.Response, error) {
+	p.conn.limitReads(MaxHeadBytes, HeadBound)
+	for range maxInterimResponses + 1 {
+		response, err := http.ReadResponse(p.conn.reader, q)
+		if err != nil {
+			return nil, errors.Wrap(p.boundError("", err), "send: reading response header")
+		}
+		if response.StatusCode >= http.StatusOK {
+			return response, nil
+		}
 	}
-	return q, nil
+	return nil, &BoundError{Bound: HeadBound}
 }
 
 // acquire returns an idle connection that is still usable, or dials one.
