feed, direct: odd records of entries and relays are reported as those of feeds are

On call saw nothing of an odd record of an entry, or of the relays: these collections are read now and then, and only feeds logged what they could not decode. Change: what a feed does for its items is a type of its own, feed.Undecodable, which the readings of the records use as well.

--- a/direct/direct.go
+++ b/direct/direct.go
@@ -97,6 +97,7 @@
 	queues           search.Queues
 	ages             delay.AgeEstimator // estimates how long ago a caller first sent a request that it retries
 	members          members
+	oddRecords       feed.Undecodable // used by the goroutine of register
 	recentChanges    recentChanges
 	profiles         roles.Profiles
 	peers            peers
@@ -258,6 +259,7 @@
 	if s.Log == nil {
 		s.Log = hclog.NewNullLogger()
 	}
+	s.oddRecords = feed.Undecodable{Feed: feedEntries, Log: s.Log, OnItem: s.countUndecodable(feedEntries)}
 	if s.Meter == nil {
 		s.Meter = &meter.Registry{}
 	}
--- a/direct/members.go
+++ b/direct/members.go
@@ -174,6 +174,9 @@
 	if err != nil {
 		return err
 	}
+	for _, i := range all {
+		s.oddRecords.Observe(i.Name, i.Revision, i.DecodeErr)
+	}
 	before := s.members.count(time.Now())
 	s.members.update(time.Now(), all)
 	s.members.recordListing(time.Now(), s.Settings.Name, all)
--- a/direct/members_test.go
+++ b/direct/members_test.go
@@ -1,15 +1,21 @@
 package direct
 
 import (
+	"bytes"
+	"context"
 	"math"
+	"net/http/httptest"
 	"strconv"
+	"strings"
 	"testing"
 	"time"
 
+	"github.com/hashicorp/go-hclog"
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/conf"
 	"jacinthworks/feed"
+	"jacinthworks/meter"
 )
 
 // Guards against shares of the retry budget that do not depend on the number of entries.
@@ -150,3 +156,32 @@
 	m.recordListing(now, "own", []feed.Item[Member]{{Name: "own", Value: Member{Since: time.Date(1, 1, 2, 0, 0, 0, 0, time.UTC), Written: now}}})
 	require.Equal(t, now.UnixNano(), m.listedSince.Load())
 }
+
+// recordSource is a source of records of entries.
+type recordSource []feed.Item[Member]
+
+func (r recordSource) List(context.Context, string, bool) (feed.Page[Member], error) {
+	return feed.Page[Member]{Items: r}, nil
+}
+
+func (r recordSource) Watch(context.Context, feed.Revision, time.Duration) ([]feed.Change[Member], feed.Revision, error) {
+	return nil, 0, nil
+}
+
+// Guards against an odd record of an entry that on call doesn't see, or sees with each reading.
+func TestOddRecordOfEntryIsReportedOnce(t *testing.T) {
+	var lines bytes.Buffer
+	s := &Server{
+		Log: hclog.New(&hclog.LoggerOptions{Output: &lines}), Meter: &meter.Registry{},
+		Members: recordSource{{Name: "odd", Revision: 4, DecodeErr: errInvalidOrigin}, {Name: "sound"}},
+	}
+	s.init()
+	s.liveSettings.Store(&conf.Direct{})
+	for range 3 {
+		require.NoError(t, s.readMembers(t.Context()))
+	}
+	require.Equal(t, 1, strings.Count(lines.String(), "item not decodable"), lines.String())
+	w := httptest.NewRecorder()
+	s.Meter.ServeHTTP(w, nil)
+	require.Contains(t, w.Body.String(), "jacinthworks_items_undecodable_total{feed=\"entries\"} 1\n")
+}
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -31,6 +31,12 @@
 	feedNotices   = "notices"
 )
 
+// The collections that entries read now and then, as log lines and metrics name them.
+const (
+	feedEntries = "entries"
+	feedRelays  = "relays"
+)
+
 // relaySource returns a source that asks other entries before the store. If entries do not
 // listen for each other, it returns the store's own.
 func relaySource[T any](s *Server, name string, direct feed.Source[T], replica *relay.Replica[T]) feed.Source[T] {
--- a/direct/relays.go
+++ b/direct/relays.go
@@ -68,6 +68,10 @@
 		s.Log.Info("record of the relays not read", "err", err)
 		return []netip.AddrPort{}
 	}
+	odd := feed.Undecodable{Feed: feedRelays, Log: s.Log, OnItem: s.countUndecodable(feedRelays)}
+	for _, i := range all {
+		odd.Observe(i.Name, i.Revision, i.DecodeErr)
+	}
 	var recorded []netip.AddrPort
 	for _, r := range feed.Values(all) {
 		for _, e := range r.Entries {
--- a/feed/feed.go
+++ b/feed/feed.go
@@ -270,20 +270,9 @@
 	retryDelay   time.Duration
 	// rateLimitErrors counts the ErrRateLimited errors since the source last answered.
 	rateLimitErrors int
-	// undecodable holds, by item name, the version that was logged as not decodable.
-	undecodable map[string]undecodableVersion
+	undecodable     Undecodable
 }
 
-// undecodableVersion is a version of an item; logged distinguishes it from the zero
-// value.
-type undecodableVersion struct {
-	revision Revision
-	logged   bool
-}
-
-// maxUndecodable bounds the number of items in Feed.undecodable.
-const maxUndecodable = 1000
-
 // AnswerAge returns the time since the source last answered, and false if it never did. It may
 // be called from any goroutine.
 func (f *Feed[T]) AnswerAge(now time.Time) (time.Duration, bool) {
@@ -345,7 +334,7 @@
 		f.pager = Pager[T]{}
 		f.setListed(now, all.revision)
 		for _, i := range all.items {
-			f.logUndecodable(i)
+			f.reportUndecodable(i)
 		}
 		f.OnList(now, all.items)
 		if !stale {
@@ -375,7 +364,7 @@
 	f.revision = max(f.revision, revision)
 	if len(changes) > 0 {
 		for _, c := range changes {
-			f.logUndecodable(c.Item)
+			f.reportUndecodable(c.Item)
 		}
 		f.OnChange(now, changes)
 	}
@@ -443,22 +432,10 @@
 	return max(minBatchDelay, f.BatchDelay())
 }
 
-// logUndecodable logs each version of an item that can't be decoded once, however often
-// it is listed.
-func (f *Feed[T]) logUndecodable(i Item[T]) {
-	switch {
-	case i.DecodeErr == nil:
-		delete(f.undecodable, i.Name)
-	case f.undecodable[i.Name] != undecodableVersion{i.Revision, true}:
-		if f.undecodable == nil || len(f.undecodable) >= maxUndecodable {
-			f.undecodable = make(map[string]undecodableVersion)
-		}
-		f.undecodable[i.Name] = undecodableVersion{i.Revision, true}
-		if f.OnUndecodable != nil {
-			f.OnUndecodable()
-		}
-		f.Log.Warn("item not decodable, skipped", "feed", f.Name, "name", i.Name, "revision", i.Revision.String(), "err", i.DecodeErr)
-	}
+// reportUndecodable reports an item that can't be decoded.
+func (f *Feed[T]) reportUndecodable(i Item[T]) {
+	f.undecodable.Feed, f.undecodable.Log, f.undecodable.OnItem = f.Name, f.Log, f.OnUndecodable
+	f.undecodable.Observe(i.Name, i.Revision, i.DecodeErr)
 }
 
 // recordAnswer records an answer of the source, resets the retry delay, and calls
