fresh: a panic of a shared read is raised in the calls that wait for it

The read runs in a goroutine of its own, where a panic ended the process with all its requests. It decodes records that any writer may have written. No input that causes one is known. TestPanicOfReadIsRaisedInTheCalls ended the test process before, passes now.

--- a/fresh/fresh.go
+++ b/fresh/fresh.go
@@ -15,6 +15,8 @@
 import (
 	"context"
 	"sync"
+
+	"jacinthworks/group"
 )
 
 // Reader shares reads of one value. The zero value is ready to use; it must not be copied. It is safe
@@ -48,6 +50,7 @@
 	r.mu.Unlock()
 	select {
 	case <-wanted.done:
+		group.Rethrow(wanted.err)
 		return wanted.value, wanted.err
 	case <-ctx.Done():
 		var none T
@@ -66,7 +69,10 @@
 		if current == nil {
 			return
 		}
-		current.value, current.err = read()
+		current.err = group.Catch(context.Background(), func(context.Context) (err error) {
+			current.value, err = read()
+			return err
+		})
 		close(current.done)
 	}
 }
--- a/fresh/fresh_test.go
+++ b/fresh/fresh_test.go
@@ -53,3 +53,12 @@
 		require.ErrorIs(t, err, context.Canceled)
 	}
 }
+
+// Guards against a panic in a shared read that ends the process: it runs in a goroutine of no caller.
+func TestPanicOfReadIsRaisedInTheCalls(t *testing.T) {
+	var r Reader[int]
+	require.Panics(t, func() { _, _ = r.Read(t.Context(), func() (int, error) { panic("odd") }) })
+	v, err := r.Read(t.Context(), func() (int, error) { return 1, nil })
+	require.NoError(t, err)
+	require.Equal(t, 1, v, "the reader can be used again")
+}
