platform, retry, origin: bound the memory that lists take when they are decoded

A notice of 1 MB with a list of empty deaths allocated 224 MB and kept 45 MB, as the bounds of evidence were applied to what had been decoded. Six such notices before an entry starts took its heap past what a host allows, again at each start. The same class: orders of a notice, messages with evidence (880 MB for 4 MB), groups of streams, the ledger of versions, and the lists of a configuration (568 MB for 1 MB of routes).

split.Decode decodes an array one element at a time, up to a limit; it replaces decodeEach. Records of evidence and notices have the bounds that merging has, and count what they leave out, which is logged and counted. A ledger or a shard that is invalid ends at its first invalid group. A configuration may have any number of elements that name something; of others one is kept, so that Check reports it and accounts without names still require a key. Two things change with it: an odd element of evidence no longer rejects the message, and more than 4096 estimates of speeds of a role are cut to 4096 in place of none.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -72,6 +72,7 @@
 // this entry is what an earlier start of it saw.
 func (s *Server) mergeCrashes(by domain.Host, evidence retry.Record) {
 	now := s.evidenceTime()
+	s.reportOmitted(by, evidence.Omitted)
 	if len(evidence.Deaths)+len(evidence.SoundParts) == 0 {
 		return
 	}
@@ -93,6 +94,14 @@
 	}
 }
 
+// reportOmitted counts and logs what was left out of a notice or of evidence.
+func (s *Server) reportOmitted(by domain.Host, omitted int) {
+	if omitted > 0 {
+		s.Meter.Add("jacinthworks_omitted_elements_total", nil, omitted)
+		s.Log.Warn("notice or evidence partly left out", "by", by, "elements", omitted)
+	}
+}
+
 // checkCrash checks, in the background, whether the upstream of a failed attempt has crashed, and
 // records the requests that it ran if so. A planned stop is no evidence against them.
 //
--- a/direct/evidence.go
+++ b/direct/evidence.go
@@ -19,6 +19,7 @@
 	"jacinthworks/relay"
 	"jacinthworks/retry"
 	"jacinthworks/send"
+	"jacinthworks/split"
 )
 
 // Evidence of requests that crash upstreams reaches the other entries in three ways: each entry
@@ -52,6 +53,27 @@
 	PassOn []domain.Host `json:"pass_on,omitempty"`
 }
 
+// UnmarshalJSON decodes a message within the bounds of its lists. Entries beyond them get the evidence
+// when they ask for it.
+func (m *evidenceMessage) UnmarshalJSON(text []byte) error {
+	type plain evidenceMessage // without this method
+	w := struct {
+		*plain
+		PassOn json.RawMessage `json:"pass_on"`
+	}{plain: (*plain)(m)}
+	*m = evidenceMessage{}
+	err := json.Unmarshal(text, &w)
+	if err == nil {
+		err = checkPeerName(m.By)
+	}
+	if err == nil {
+		var omitted int
+		m.PassOn, omitted, err = split.Decode(w.PassOn, maxPeerList, checkPeerName)
+		m.Evidence.Omitted += omitted
+	}
+	return errors.Wrap(err, "direct: decode crash evidence")
+}
+
 // spreadEvidence passes what this entry saw on to all others.
 func (s *Server) spreadEvidence(ctx context.Context, evidence retry.Record) {
 	s.passOnEvidence(ctx, evidenceMessage{By: s.Settings.Name, Evidence: evidence}, s.otherPeers())
--- a/direct/notice.go
+++ b/direct/notice.go
@@ -11,6 +11,7 @@
 	"jacinthworks/feed"
 	"jacinthworks/infra"
 	"jacinthworks/retry"
+	"jacinthworks/split"
 )
 
 // Notice is a record by which an entry notifies the others, which all watch it, of role
@@ -23,6 +24,26 @@
 	Released bool `json:"released,omitempty"`
 	// Evidence is what this entry saw of requests that crash upstreams.
 	Evidence retry.Record `json:"evidence,omitzero"`
+	// OmittedOrders is the number of orders that decoding left out.
+	OmittedOrders int `json:"-"`
+}
+
+// UnmarshalJSON decodes a notice, which may come from any writer, within the bound of its orders.
+func (n *Notice) UnmarshalJSON(text []byte) error {
+	type plain Notice // without this method
+	w := struct {
+		*plain
+		Orders json.RawMessage `json:"orders"`
+	}{plain: (*plain)(n)}
+	*n = Notice{}
+	err := json.Unmarshal(text, &w)
+	if err == nil {
+		err = checkPeerName(n.By)
+	}
+	if err == nil {
+		n.Orders, n.OmittedOrders, err = split.Decode[RoleChange](w.Orders, maxPeerList, nil)
+	}
+	return errors.Wrap(err, "direct: decode notice")
 }
 
 const (
@@ -40,6 +61,7 @@
 		OnUndecodable: s.countUndecodable(feedNotices),
 		OnList: func(now time.Time, all []feed.Item[Notice]) {
 			for _, n := range feed.Values(all) {
+				s.reportOmitted(n.By, n.OmittedOrders)
 				s.recordOrders(n)
 				s.mergeCrashes(n.By, n.Evidence)
 			}
@@ -47,6 +69,7 @@
 		OnChange: func(now time.Time, changes []feed.Change[Notice]) {
 			for _, c := range changes {
 				if !c.Deleted && c.DecodeErr == nil {
+					s.reportOmitted(c.Value.By, c.Value.OmittedOrders)
 					s.applyChanges(now, c.Value)
 					if c.Value.Released {
 						s.onLeaseReleased(c.Value.By)
--- a/direct/origins.go
+++ b/direct/origins.go
@@ -14,6 +14,7 @@
 	"jacinthworks/group"
 	"jacinthworks/origin"
 	"jacinthworks/relay"
+	"jacinthworks/split"
 )
 
 // A caller may resume its stream at another entry, after the one that served the first event has failed
@@ -309,7 +310,7 @@
 
 // mergeOrigins adds the records in the response of another entry, and returns their number.
 func (s *Server) mergeOrigins(from domain.Host, body []byte) int {
-	all, invalid, err := decodeEach(body, checkRecord)
+	all, invalid, err := split.Decode(body, origin.MaxRecords, checkRecord)
 	if err != nil || invalid > 0 {
 		s.rejectMessage(originsPath)
 		s.Log.Info("origins of streams partly rejected", "entry", from, "count", invalid, "err", err)
--- a/direct/speeds.go
+++ b/direct/speeds.go
@@ -231,8 +231,8 @@
 			invalid++
 			return nil
 		}
-		estimates, bad, err := decodeEach(list, speedEstimate.check)
-		if err != nil || len(estimates) > maxPeerList {
+		estimates, bad, err := split.Decode(list, maxPeerList, speedEstimate.check)
+		if err != nil {
 			bad++
 			estimates = nil
 		}
--- a/origin/ledger.go
+++ b/origin/ledger.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/domain"
+	"jacinthworks/split"
 )
 
 // Bounds of a Ledger. A record beyond them was not written by an entry.
@@ -34,26 +35,43 @@
 
 // DecodeLedger decodes a ledger from the store, which may come from any writer.
 func DecodeLedger(value []byte) (Ledger, error) {
-	var l Ledger
-	if err := json.Unmarshal(value, &l); err != nil {
+	var w struct {
+		Ledger
+		Versions json.RawMessage `json:"versions"`
+	}
+	if err := json.Unmarshal(value, &w); err != nil {
 		return Ledger{}, errors.Wrap(err, "origin: decode ledger of versions")
 	}
-	if l.Versions == nil || len(l.Versions) > maxLedgerServices {
-		return Ledger{}, errors.Wrapf(errInvalidLedger, "%d services", len(l.Versions))
+	if len(w.Versions) == 0 || string(w.Versions) == "null" {
+		return Ledger{}, errors.Wrap(errInvalidLedger, "no services")
 	}
-	for service, versions := range l.Versions {
-		if service == "" || len(versions) == 0 || len(versions) > maxLedgerVersions {
-			return Ledger{}, errors.Wrapf(errInvalidLedger, "service %.40q has %d versions", service, len(versions))
-		}
-		for _, v := range versions {
-			if len(v) > maxVersionLength {
-				return Ledger{}, errors.Wrapf(errInvalidLedger, "version of %d bytes", len(v))
-			}
+	l := w.Ledger
+	l.Versions = make(map[domain.Service][]domain.Software)
+	// Each service is checked before the next is decoded: an invalid ledger takes no memory for its rest.
+	err := split.Members(w.Versions, func(service string, list []byte) error {
+		versions, omitted, err := split.Decode(list, maxLedgerVersions, checkVersion)
+		switch {
+		case err != nil:
+			return err
+		case service == "" || len(versions) == 0 || omitted > 0 || len(l.Versions) >= maxLedgerServices:
+			return errors.Wrapf(errInvalidLedger, "service %.40q has %d versions, %d invalid; services before: %d", service, len(versions), omitted, len(l.Versions))
 		}
+		l.Versions[domain.Service(service)] = versions
+		return nil
+	})
+	if err != nil {
+		return Ledger{}, errors.Wrap(err, "origin: decode ledger of versions")
 	}
 	return l, nil
 }
 
+func checkVersion(v domain.Software) error {
+	if len(v) > maxVersionLength {
+		return errors.Wrapf(errInvalidLedger, "version of %d bytes", len(v))
+	}
+	return nil
+}
+
 // Has reports whether the ledger lists the version.
 func (l Ledger) Has(o Origin) bool { return slices.Contains(l.Versions[o.Service], o.Software) }
 
--- a/origin/shard.go
+++ b/origin/shard.go
@@ -8,6 +8,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/domain"
+	"jacinthworks/split"
 )
 
 // MaxShardRecords bounds the records of a shard in the store, 11 bytes each.
@@ -56,25 +57,47 @@
 
 // DecodeShard decodes a shard from the store, which may come from any writer.
 func DecodeShard(value []byte, number int) (Shard, error) {
-	var s Shard
-	if err := json.Unmarshal(value, &s); err != nil {
+	var w struct {
+		Groups json.RawMessage `json:"groups"`
+	}
+	if err := json.Unmarshal(value, &w); err != nil || len(w.Groups) == 0 {
 		return Shard{}, errors.Wrap(err, "origin: decode records of streams")
 	}
+	var s Shard
 	total := 0
-	for _, g := range s.Groups {
-		total += len(g.Keys)
-		if g.Origin.Service == "" || len(g.Origin.Software) > maxVersionLength || total > MaxShardRecords {
-			return Shard{}, errors.Wrapf(errInvalidShard, "service %.40q, %d records", g.Origin.Service, total)
+	// Each group is checked before the next is decoded: an invalid shard takes no memory for its rest.
+	err := split.Elements(w.Groups, func(element []byte) error {
+		var g Group
+		if err := json.Unmarshal(element, &g); err != nil {
+			return err
 		}
-		for _, k := range g.Keys {
-			if k.Shard() != number {
-				return Shard{}, errors.Wrapf(errInvalidShard, "record of shard %d in shard %d", k.Shard(), number)
-			}
+		total += len(g.Keys)
+		if err := g.check(number, max(total, len(s.Groups)+1)); err != nil {
+			return err
 		}
+		s.Groups = append(s.Groups, g)
+		return nil
+	})
+	if err != nil {
+		return Shard{}, errors.Wrap(err, "origin: decode records of streams")
 	}
 	return s, nil
 }
 
+// check returns an error for a group that can't be in the shard. total is the number of records or, if it is
+// higher, of groups up to this one.
+func (g Group) check(number, total int) error {
+	if g.Origin.Service == "" || len(g.Origin.Software) > maxVersionLength || total > MaxShardRecords {
+		return errors.Wrapf(errInvalidShard, "service %.40q, %d records", g.Origin.Service, total)
+	}
+	for _, k := range g.Keys {
+		if k.Shard() != number {
+			return errors.Wrapf(errInvalidShard, "record of shard %d in shard %d", k.Shard(), number)
+		}
+	}
+	return nil
+}
+
 // Find returns the origins that the shard has for the stream that the request began: more than one if
 // records differ.
 func (s Shard) Find(id domain.RequestID) (found []Origin) {
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -150,6 +150,9 @@
 	// Accounts are the client accounts. Without any, callers need no API key.
 	Accounts []Account
 	Limits   Limits
+	// Omitted is the number of elements that were left out since they name no service, no account and no
+	// key.
+	Omitted int
 
 	byHost        map[string][]*Route
 	byKey         map[string]*Account
@@ -164,6 +167,9 @@
 	for _, s := range c.Services {
 		known[s.Name] = true
 	}
+	if c.Omitted > 0 {
+		f.Add("configuration", "%d elements that name nothing are left out", c.Omitted)
+	}
 	for _, r := range c.Routes {
 		place := "route " + r.Name
 		switch r.Kind {
--- a/retry/ledger.go
+++ b/retry/ledger.go
@@ -216,7 +216,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.refresh(now)
-	return Record{slices.Clone(l.record.Deaths), slices.Clone(l.record.Survivals), slices.Clone(l.record.SoundParts)}
+	return Record{Deaths: slices.Clone(l.record.Deaths), Survivals: slices.Clone(l.record.Survivals), SoundParts: slices.Clone(l.record.SoundParts)}
 }
 
 // Suspicion returns the suspicion of a request.
--- a/retry/plausible.go
+++ b/retry/plausible.go
@@ -25,12 +25,12 @@
 		}
 	}
 	for _, s := range r.Survivals {
-		if !s.Time.After(latest) && len(s.Identity) <= maxEvidenceName && len(kept.Survivals) < MaxSurvivals {
+		if !s.Time.After(latest) && s.checkName() == nil && len(kept.Survivals) < MaxSurvivals {
 			kept.Survivals = append(kept.Survivals, s)
 		}
 	}
 	for _, s := range r.SoundParts {
-		if !s.Time.After(latest) && len(s.Part) <= maxEvidenceName && len(kept.SoundParts) < MaxSoundParts {
+		if !s.Time.After(latest) && s.checkName() == nil && len(kept.SoundParts) < MaxSoundParts {
 			kept.SoundParts = append(kept.SoundParts, s)
 		}
 	}
--- a/retry/record.go
+++ b/retry/record.go
@@ -83,6 +83,9 @@
 	Survivals []Survival `json:"survivals,omitempty"`
 	// SoundParts are sorted, the newest first.
 	SoundParts []SoundPart `json:"sound_parts,omitempty"`
+	// Omitted is the number of elements that decoding left out, since they were not valid or beyond the
+	// bound of their list.
+	Omitted int `json:"-"`
 }
 
 // instance identifies one run of an upstream.
--- a/split/split.go
+++ b/split/split.go
@@ -23,6 +23,8 @@
 //
 //	err = split.Members(text, func(name string, value []byte) error { ... })
 //
+//	deaths, omitted, err := split.Decode(text, maxDeaths, checkDeath)
+//
 // A value that encoding/json decodes has the same parts here. Of other texts only the outermost
 // level is checked: strings end at the next quote that no backslash precedes, and brackets of
 // either kind are counted together.
