conf, direct: a memory that holds no request is a finding

With memory = 0.134 an entry was ready, had room for one connection and refused every request; with 8 MB it refused each body of 4 MB for want of memory and told its caller to come back after a second, for ever. Values whose bytes round to zero meant no limit.

A setting below memory.MinLimit (10 MB: a body of 4 MB, the default bound, fits beside a connection) is a finding. A body that would not fit if nothing else were held is refused with 413, without Retry-After; one that fits later keeps its 503.

Before: TestMemoryThatHoldsNoRequestIsFinding (no error) and TestBodyThatNeverFitsIsTooLarge (no_room in place of too_large) fail. The tests of memory in conf, memory, direct, platform and test pass.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -8,6 +8,7 @@
 
 	"jacinthworks/domain"
 	"jacinthworks/feed"
+	"jacinthworks/memory"
 	"jacinthworks/quota"
 )
 
@@ -168,7 +169,7 @@
 		Fleet:           r.token("fleet"),
 		Seeds:           r.addrPorts("seeds"),
 		HostCores:       r.number("cores"),
-		MemoryLimit:     int64(r.number("memory") * megabyte),
+		MemoryLimit:     r.memoryLimit(),
 		RelayMinEntries: int(r.integer("relay_from")),
 		Platform:        r.dialAddr("platform"),
 		StopTimeout:     r.duration("stop_within"),
@@ -186,6 +187,16 @@
 	return d
 }
 
+// memoryLimit reads the memory of the process in bytes. With less than memory.MinLimit it would be ready and
+// refuse its callers.
+func (r *reader) memoryLimit() int64 {
+	n := r.number("memory")
+	if n > 0 && n*megabyte < memory.MinLimit {
+		r.add("memory", "must be 0, for no limit, or at least %v MB, to hold one request with a body of 4 MB: %v", memory.MinLimit/megabyte, n)
+	}
+	return int64(n * megabyte)
+}
+
 // headerToken is what may stand in a header field: visible ASCII characters.
 var headerToken = regexp.MustCompile(`^[!-~]{1,255}$`)
 
--- a/direct/request.go
+++ b/direct/request.go
@@ -15,6 +15,7 @@
 	"jacinthworks/conns"
 	"jacinthworks/domain"
 	"jacinthworks/memory"
+	"jacinthworks/meter"
 	"jacinthworks/paths"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
@@ -239,6 +240,9 @@
 		return &failure{ran: domain.NotRun, reason: domain.ReasonTooLarge, detail: "the body is over the limit"}
 	case errors.Is(err, errNoMemory):
 		return s.memoryFailure("body")
+	case errors.Is(err, errNeverFits):
+		s.Meter.Inc(memoryRefusedTotal, meter.Labels{"what", "body"})
+		return &failure{ran: domain.NotRun, reason: domain.ReasonTooLarge, detail: "the body does not fit into the memory of the process"}
 	case err != nil:
 		return &failure{ran: domain.NotRun, reason: domain.ReasonCallerGone, detail: "the body broke off: " + err.Error()}
 	}
@@ -246,8 +250,23 @@
 	return nil
 }
 
-// errNoMemory is the error of a body for which there is no memory.
-var errNoMemory = errors.New("direct: no memory is left for the body")
+var (
+	// errNoMemory is the error of a body for which there is no memory now, and errNeverFits that of one that
+	// would not fit if nothing else were held: its caller must not be told to come back.
+	errNoMemory  = errors.New("direct: no memory is left for the body")
+	errNeverFits = errors.New("direct: body does not fit into the memory")
+)
+
+// holdBody reserves memory for a body, or for a part of one.
+func (s *Server) holdBody(r *request, bytes int64) error {
+	switch {
+	case s.holdMemory(r, bytes):
+		return nil
+	case !s.memory.Fits(r.reserved + bytes):
+		return errNeverFits
+	}
+	return errNoMemory
+}
 
 // knownLength is the length of a body that will be read whole; -1 if it is unknown or over the limit.
 func knownLength(length, limit int64) int64 {
@@ -261,8 +280,10 @@
 // in steps if it is negative.
 func (s *Server) readReserved(r *request, from io.Reader, length int64) ([]byte, error) {
 	if length >= 0 {
-		if length > 0 && !s.holdMemory(r, length) {
-			return nil, errNoMemory
+		if length > 0 {
+			if err := s.holdBody(r, length); err != nil {
+				return nil, err
+			}
 		}
 		b := bytes.NewBuffer(make([]byte, 0, length+bytes.MinRead))
 		_, err := b.ReadFrom(from)
@@ -270,8 +291,8 @@
 	}
 	var b bytes.Buffer
 	for {
-		if !s.holdMemory(r, growthFactor*bodyStep) {
-			return nil, errNoMemory
+		if err := s.holdBody(r, growthFactor*bodyStep); err != nil {
+			return nil, err
 		}
 		switch _, err := io.CopyN(&b, from, bodyStep); {
 		case errors.Is(err, io.EOF):
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -26,6 +26,10 @@
 	// header, and the buffers of the connection to an upstream.
 	RequestCost = 48 << 10
 
+	// MinLimit is the least limit of a process, in bytes, with which it serves: a body of 4 MB, the bound if
+	// the configuration has none, fits beside a connection.
+	MinLimit = 10_000_000
+
 	// The parts of a process's memory limit: what callers may hold, and what the garbage collector keeps
 	// the heap and the stacks below. The rest is for the program's text, the state of upstreams and
 	// configurations, and garbage.
@@ -82,6 +86,11 @@
 	return true
 }
 
+// Fits reports whether an account could reserve so many bytes if nothing but its connection were held.
+func (b *Budget[K]) Fits(bytes int64) bool {
+	return b.Limit <= 0 || bytes <= accountFactor*(b.Limit-ConnectionCost-bytes)
+}
+
 // Release gives back bytes that Reserve reserved for an account.
 func (b *Budget[K]) Release(account K, bytes int64) {
 	b.mu.Lock()
