roster: the deletion of an entry that was seen is no gap

Cause: Apply took the deletion of an entry that is no member for one that came and left unseen. An entry that cannot be decoded, or one whose upstream InstanceReplaced has removed, is no member either. Its ordinary deletion set the time since which the registry is followed to now, so that only_version failed for the whole window.

Change: the directory keeps the names that the registry lists, decoded or not and whatever removed the member, and tests a deletion against these. At most maxListed (16384) are kept; the deletion of an entry beyond counts as unseen.

--- a/roster/roster.go
+++ b/roster/roster.go
@@ -39,6 +39,10 @@
 // missing then has stopped.
 const ReregisterGrace = 2 * time.Second
 
+// maxListed bounds the names of registry entries that are kept. The deletion of an entry beyond it counts as one of
+// an unknown entry.
+const maxListed = 1 << 14
+
 // Timeouts of connections to upstreams. A dial takes under 2 ms between availability zones. A dial
 // timeout of 250 ms leaves time to try another upstream within a target latency of 300 ms, and is
 // shorter than the first retransmission of a lost packet.
@@ -197,6 +201,9 @@
 
 	mu      sync.Mutex
 	members map[ID]*Upstream
+	// listed holds the entries that the registry lists, at most maxListed. Some are no members: they cannot be decoded,
+	// or another instance answers at their address.
+	listed map[ID]bool
 	// byService holds the members of each service sorted by ID. Each change builds a new map; the
 	// map and its slices are never modified, so that callers may keep a slice.
 	byService map[domain.Service][]*Upstream
@@ -261,8 +268,10 @@
 	defer r.mu.Unlock()
 	r.loaded, r.mayHaveMissed = true, true
 	listed := make(map[ID]bool, len(all))
+	clear(r.listed)
 	for _, i := range all {
 		listed[ID(i.Name)] = true
+		r.recordListed(ID(i.Name))
 		if r.restored {
 			i = r.overrideStale(now, i)
 		}
@@ -283,16 +292,28 @@
 	defer r.mu.Unlock()
 	for _, c := range changes {
 		if c.Deleted {
-			r.mayHaveMissed = r.mayHaveMissed || r.members[ID(c.Name)] == nil // it came and left since the last answer
+			r.mayHaveMissed = r.mayHaveMissed || !r.listed[ID(c.Name)] // it came and left since the last answer
+			delete(r.listed, ID(c.Name))
 			r.handleMissing(now, ID(c.Name))
 			continue
 		}
+		r.recordListed(ID(c.Name))
 		delete(r.overridden, ID(c.Name))
 		r.applyEntry(now, c.Item)
 	}
 	r.rebuild()
 }
 
+// recordListed records that the registry lists an entry, unless it lists too many.
+func (r *Directory) recordListed(id ID) {
+	if r.listed == nil {
+		r.listed = make(map[ID]bool)
+	}
+	if len(r.listed) < maxListed {
+		r.listed[id] = true
+	}
+}
+
 // applyEntry applies one registry entry.
 //
 // An entry may be overwritten by a process other than the upstream. Requests would then be sent by
--- a/roster/versions.go
+++ b/roster/versions.go
@@ -51,8 +51,8 @@
 }
 
 // RegistryConfirmed records that the directory has all changes of the registry up to the given time, by the clock of
-// feed.Feed.OnConfirm. Changes may have been missed if it was listed since the last confirmation, if an unknown entry
-// was deleted, or if the last confirmation is more than MaxGap older.
+// feed.Feed.OnConfirm. Changes may have been missed if it was listed since the last confirmation, if an entry was deleted
+// that the directory had not seen, or if the last confirmation is more than MaxGap older.
 func (r *Directory) RegistryConfirmed(at time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/roster/versions_test.go
+++ b/roster/versions_test.go
@@ -1,7 +1,9 @@
 package roster
 
 import (
+	"errors"
 	"fmt"
+	"strconv"
 	"testing"
 	"time"
 
@@ -62,3 +64,53 @@
 	r.RegistryConfirmed(at(8))
 	require.Equal(t, confirmed(8, 8), r.Confirmed(), "a list has no history")
 }
+
+// Guards against a confirmed time that starts anew with the deletion of an entry which the directory had seen although it
+// was no member any more, or never one.
+func TestDeletionOfASeenEntryLeavesNoGap(t *testing.T) {
+	odd := feed.Item[Server]{Name: "b", DecodeErr: errors.New("odd")}
+	for name, c := range map[string]struct {
+		listed  []feed.Item[Server]
+		prepare func(*Directory, time.Time)
+	}{
+		"changed to one that cannot be decoded": {[]feed.Item[Server]{item("b", false)}, func(r *Directory, now time.Time) {
+			r.Apply(now, []feed.Change[Server]{{Item: odd}})
+		}},
+		"added and cannot be decoded":  {nil, func(r *Directory, now time.Time) { r.Apply(now, []feed.Change[Server]{{Item: odd}}) }},
+		"listed and cannot be decoded": {[]feed.Item[Server]{odd}, func(*Directory, time.Time) {}},
+		"replaced at its address": {[]feed.Item[Server]{item("b", false)}, func(r *Directory, _ time.Time) {
+			r.InstanceReplaced(r.Upstream("b"))
+		}},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := &Directory{Log: hclog.NewNullLogger(), MaxGap: 3 * time.Second}
+			start := time.Now()
+			at := func(s int) time.Time { return start.Add(time.Duration(s) * time.Second) }
+			r.SetAll(at(0), c.listed)
+			r.RegistryConfirmed(at(1))
+			c.prepare(r, at(2))
+			r.RegistryConfirmed(at(2))
+			r.Apply(at(3), deletion("b"))
+			r.RegistryConfirmed(at(3))
+			require.Equal(t, at(1), r.Confirmed().Since)
+			r.Apply(at(4), deletion("b"))
+			r.RegistryConfirmed(at(4))
+			require.Equal(t, at(4), r.Confirmed().Since, "came and left unseen")
+		})
+	}
+}
+
+// Guards against names that fill the memory, and against the deletion of an entry beyond the bound that counts as seen.
+func TestListedNamesAreBounded(t *testing.T) {
+	r := &Directory{Log: hclog.NewNullLogger(), MaxGap: time.Hour}
+	now := time.Now()
+	r.SetAll(now, nil)
+	r.RegistryConfirmed(now)
+	for n := range maxListed + 1 {
+		r.Apply(now, []feed.Change[Server]{{Item: feed.Item[Server]{Name: strconv.Itoa(n), DecodeErr: errors.New("odd")}}})
+	}
+	require.Len(t, r.listed, maxListed)
+	r.Apply(now, deletion(strconv.Itoa(maxListed)))
+	r.RegistryConfirmed(now.Add(time.Second))
+	require.Equal(t, now.Add(time.Second), r.Confirmed().Since)
+}
