feed: a watch waits less by the age of the last confirmation

Cause: an answer with changes confirms the copy only up to when the watch was sent, and a slow answer is old when it arrives. The next watch waited for the full second nevertheless, so that the confirmation was often older than origin.MaxAge (1.4 s) although the source answered.

The time that an answer may take stays that of a full watch: a large answer over a slow link takes as long after a short wait.

An answer time above 0.4 s still leaves the confirmation too old for a part.

--- a/feed/feed.go
+++ b/feed/feed.go
@@ -190,6 +190,14 @@
 	return sent
 }
 
+// ShortenedWatch returns how long the next watch waits for a change: full, less the age of the copy's confirmation.
+//
+// An answer with changes confirms the copy only up to when the call was sent, and a slow answer is old when it arrives.
+// With a full wait after it, the next confirmation would come up to two waits after the last one.
+func ShortenedWatch(full, age time.Duration) time.Duration {
+	return min(full, max(MinWatchTimeout, full-age))
+}
+
 // Timeouts and delays of a Feed.
 const (
 	// DefaultWatchTimeout is how long a watch waits. A connection may stop delivering
@@ -197,6 +205,9 @@
 	// time; so this timeout and answerMargin bound how old a copy can get unnoticed. Their
 	// sum must stay below the two seconds within which a change must be in force.
 	DefaultWatchTimeout = time.Second
+	// MinWatchTimeout is the shortest wait of a watch while the source answers. It bounds the calls to the source
+	// while changes or slow answers keep the copy old.
+	MinWatchTimeout = 100 * time.Millisecond
 	// answerMargin is how long an answer may take beyond the time for which a watch
 	// waits.
 	answerMargin = 800 * time.Millisecond
@@ -266,6 +277,7 @@
 	listed       bool
 	pager        Pager[T]
 	listSentAt   time.Time // when the first page was asked for, by clock.Boottime
+	confirmedAt  time.Time // as last passed to OnConfirm; zero if the source did not state it
 	disconnected bool
 	retryDelay   time.Duration
 	// rateLimitErrors counts the ErrRateLimited errors since the source last answered.
@@ -342,18 +354,22 @@
 		}
 		return nil
 	}
-	wait := f.WatchTimeout
-	if wait <= 0 {
-		wait = DefaultWatchTimeout
+	full := f.WatchTimeout
+	if full <= 0 {
+		full = DefaultWatchTimeout
+	}
+	sent, wait := f.now(), full
+	if !f.confirmedAt.IsZero() {
+		wait = ShortenedWatch(full, sent.Sub(f.confirmedAt))
 	}
 	// A watch with the usual wait would return only with the next change, and OnReconnect
 	// would be called that late. A short wait detects at once that the source answers.
 	if f.disconnected {
-		wait = disconnectedWatchTimeout
+		full, wait = disconnectedWatchTimeout, disconnectedWatchTimeout
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+answerMargin)
+	// A large answer takes as long after a short wait as after a full one.
+	ctx, cancel := context.WithTimeout(ctx, full+answerMargin)
 	defer cancel()
-	sent := f.now()
 	changes, revision, err := f.Source.Watch(ctx, f.revision, wait)
 	received := f.now()
 	if err != nil {
@@ -387,6 +403,7 @@
 	if c, relays := f.Source.(Confirmer); relays {
 		at = c.ConfirmedAt()
 	}
+	f.confirmedAt = at
 	if f.OnConfirm != nil && !at.IsZero() {
 		f.OnConfirm(at)
 	}
--- a/relay/replica.go
+++ b/relay/replica.go
@@ -351,7 +351,7 @@
 	if !h.direct {
 		return firstWatchTimeout
 	}
-	return min(relayWatchTimeout, max(firstWatchTimeout, relayWatchTimeout-now.Sub(h.confirmedAt)))
+	return feed.ShortenedWatch(relayWatchTimeout, now.Sub(h.confirmedAt))
 }
 
 // mayAskSource reports whether this process may call the source while no relay is fresh: at most
