--- a/direct/direct.go
+++ b/direct/direct.go
@@ -116,7 +116,7 @@
 	hostLoads        hostLoads
 	shares           fleetShares
 	origins          origin.Records
-	owed             owedBooks
+	resumed          resumeBooks
 	stored           storedOrigins
 	slotPools        slotPools
 	// speeds are the estimates by this entry's own requests, and trackedSpeeds those by the
--- a/direct/owed.go
+++ b/direct/kept_room.go
@@ -5,33 +5,33 @@
 	"time"
 
 	"jacinthworks/domain"
-	"jacinthworks/owed"
+	"jacinthworks/resume"
 	"jacinthworks/roster"
 )
 
-// owedBooks has the streams of each service that are owed an end. The zero value is ready to use; it must not be
+// resumeBooks has the streams of each service that are resumed or expected to be. The zero value is ready to use; it must not be
 // copied.
-type owedBooks struct {
+type resumeBooks struct {
 	mu        sync.Mutex // leaf lock: no other lock is acquired while it is held
-	byService map[domain.Service]*owed.Book
+	byService map[domain.Service]*resume.Book
 }
 
 // of returns the book of a service.
-func (o *owedBooks) of(v domain.Service) *owed.Book {
+func (o *resumeBooks) of(v domain.Service) *resume.Book {
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	if o.byService == nil {
-		o.byService = make(map[domain.Service]*owed.Book)
+		o.byService = make(map[domain.Service]*resume.Book)
 	}
 	if o.byService[v] == nil {
-		o.byService[v] = &owed.Book{}
+		o.byService[v] = &resume.Book{}
 	}
 	return o.byService[v]
 }
 
-// owedStream describes the stream of a request that is bound to a software version.
-func (s *Server) owedStream(r *request) owed.Stream {
-	o := owed.Stream{ID: r.streamID(), Software: *r.software, Until: r.deadline}
+// resumedStream describes the stream of a request that is bound to a software version.
+func (s *Server) resumedStream(r *request) resume.Stream {
+	o := resume.Stream{ID: r.streamID(), Software: *r.software, Until: r.deadline}
 	if o.ID == "" {
 		o.ID = r.id
 	}
@@ -41,22 +41,22 @@
 	return o
 }
 
-// awaitOwed records that a request waits for room if its stream has begun.
-func (s *Server) awaitOwed(r *request) {
+// awaitResumed records that a request waits for room if its stream has begun.
+func (s *Server) awaitResumed(r *request) {
 	if r.software != nil {
-		s.owed.of(r.service.Name).Wait(time.Now(), s.owedStream(r))
+		s.resumed.of(r.service.Name).Wait(time.Now(), s.resumedStream(r))
 	}
 }
 
-// settleOwed records that a stream that has begun got its room.
-func (s *Server) settleOwed(r *request) {
+// settleResumed records that a stream that has begun got its room.
+func (s *Server) settleResumed(r *request) {
 	if r.software != nil {
-		s.owed.of(r.service.Name).Settle(s.owedStream(r).ID)
+		s.resumed.of(r.service.Name).Settle(s.resumedStream(r).ID)
 	}
 }
 
-// endOwed records that a request without a whole answer has ended, whose stream may be resumed.
-func (s *Server) endOwed(r *request, f *failure) {
+// endResumed records that a request without a whole answer has ended, whose stream may be resumed.
+func (s *Server) endResumed(r *request, f *failure) {
 	if r.software == nil {
 		return
 	}
@@ -64,17 +64,17 @@
 	if !r.responseBegun {
 		var told bool
 		if back, told = r.retryAfter(f); !told || f.ran != domain.NotRun {
-			s.settleOwed(r)
+			s.settleResumed(r)
 			return
 		}
 	}
-	s.owed.of(r.service.Name).Return(s.owedStream(r), time.Now().Add(back))
+	s.resumed.of(r.service.Name).Return(s.resumedStream(r), time.Now().Add(back))
 }
 
 // keptRoom returns the software versions at whose upstreams of a role the request leaves room for a stream, and how much
 // memory that needs. A request that is bound to a version leaves none.
 func (s *Server) keptRoom(r *request, among pool) map[domain.Software]int {
-	book := s.owed.of(r.service.Name)
+	book := s.resumed.of(r.service.Name)
 	if r.begun() || among.software != nil || !book.Any() {
 		return nil
 	}
--- a/direct/owed_test.go
+++ b/direct/kept_room_test.go
@@ -52,7 +52,7 @@
 				return s.place(r, pool{role: role, software: r.software}, load)
 			}
 			resumed := newStreamRequest(service, &old)
-			s.awaitOwed(resumed)
+			s.awaitResumed(resumed)
 			for range 20 {
 				require.Equal(t, domain.Software("v2"), place(nil).upstream.Server().Software)
 				require.Equal(t, old, place(&old).upstream.Server().Software)
@@ -68,13 +68,13 @@
 			}
 			p := place(nil)
 			require.Equal(t, old, p.upstream.Server().Software, "the others are full")
-			require.Equal(t, s.owedStream(resumed).Tokens, p.kept)
+			require.Equal(t, s.resumedStream(resumed).Tokens, p.kept)
 			if role == "" {
 				p.upstream.Stats.RequestStarted(roster.Cost{})
 				require.Equal(t, domain.Software("v2"), place(nil).upstream.Server().Software, "the last slot is kept")
 			}
-			s.settleOwed(resumed)
-			require.Eventually(t, func() bool { return place(nil).kept == 0 && !s.owed.of("m").Any() }, 3*time.Second, 10*time.Millisecond, "nothing is kept when the stream goes on")
+			s.settleResumed(resumed)
+			require.Eventually(t, func() bool { return place(nil).kept == 0 && !s.resumed.of("m").Any() }, 3*time.Second, 10*time.Millisecond, "nothing is kept when the stream goes on")
 		})
 	}
 }
@@ -96,10 +96,10 @@
 		t.Run(name, func(t *testing.T) {
 			s := newVersionedPool("", old, "v2")
 			r := newStreamRequest(&paths.Service{Name: "m"}, &old)
-			s.awaitOwed(r)
+			s.awaitResumed(r)
 			r.responseBegun = c.begun
-			s.endOwed(r, &c.failure)
-			book, back := s.owed.of("m"), r.accepted.Add(900*time.Millisecond)
+			s.endResumed(r, &c.failure)
+			book, back := s.resumed.of("m"), r.accepted.Add(900*time.Millisecond)
 			require.Equal(t, c.kept, len(book.Keep(back, true)) > 0)
 			require.Empty(t, book.Keep(back, false), "it does not wait")
 		})
--- a/direct/stream.go
+++ b/direct/stream.go
@@ -36,7 +36,7 @@
 			return nil
 		}
 		if !f.retryGranted && !s.mayRetry(ctx, r, f) {
-			s.endOwed(r, f)
+			s.endResumed(r, f)
 			return f
 		}
 		e.DiscardPartial()
@@ -45,12 +45,12 @@
 
 // streamOnce makes one attempt at the rest of a stream.
 func (s *Server) streamOnce(ctx context.Context, r *request, e *events.Splitter) *failure {
-	s.awaitOwed(r)
+	s.awaitResumed(r)
 	a, f := s.prepareAttempt(ctx, r)
 	if f != nil {
 		return f
 	}
-	s.settleOwed(r)
+	s.settleResumed(r)
 	a.headerTimeout, a.info.LastEvent = s.streamHeaderTimeout(r), e.LastEventID
 	reply, f := s.sendAttempt(ctx, r, a)
 	if f != nil {
--- a/owed/load_test.go
+++ b/resume/load_test.go
@@ -1,4 +1,4 @@
-package owed_test
+package resume_test
 
 import (
 	"cmp"
@@ -12,7 +12,7 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/domain"
-	"jacinthworks/owed"
+	"jacinthworks/resume"
 )
 
 // The simulated deployment: nine engines, each with memory for ten streams that run for 4 s to 8 s, and four entries.
@@ -63,7 +63,7 @@
 
 // simEntry has a book and the requests that wait, resumed streams first.
 type simEntry struct {
-	book    owed.Book
+	book    resume.Book
 	waiting []*simRequest
 }
 
@@ -127,7 +127,7 @@
 		s.new++
 	} else {
 		s.resumed++
-		e.book.Wait(s.at(), owed.Stream{ID: r.id, Software: r.software, Tokens: r.tokens, Until: s.at().Add(r.until - s.now)})
+		e.book.Wait(s.at(), resume.Stream{ID: r.id, Software: r.software, Tokens: r.tokens, Until: s.at().Add(r.until - s.now)})
 	}
 	switch {
 	case s.place(e, r):
@@ -153,7 +153,7 @@
 func (s *simulation) refuse(e *simEntry, r *simRequest) {
 	back := s.now + simBack
 	if r.software != "" {
-		e.book.Return(owed.Stream{ID: r.id, Software: r.software, Tokens: r.tokens, Until: s.at().Add(r.until - s.now)}, s.at().Add(simBack))
+		e.book.Return(resume.Stream{ID: r.id, Software: r.software, Tokens: r.tokens, Until: s.at().Add(r.until - s.now)}, s.at().Add(simBack))
 	}
 	if back < r.until && (r.software != "" || r.tries < 2) {
 		s.comeBack = append(s.comeBack, r)
--- a/owed/owed.go
+++ b/resume/resume.go
@@ -1,4 +1,4 @@
-// Package owed decides how much room at the upstreams of a software version new requests leave to streams that
+// Package resume decides how much room at the upstreams of a software version new requests leave to streams that
 // have begun there and broke off.
 //
 // The load pattern: while upstreams of several versions serve side by side, many streams break at one moment, as an
@@ -16,15 +16,15 @@
 //
 // # Usage
 //
-//	var b owed.Book // one for each service
-//	stream := owed.Stream{ID: id, Software: "v1", Tokens: 3000, Until: deadline}
+//	var b resume.Book // one for each service
+//	stream := resume.Stream{ID: id, Software: "v1", Tokens: 3000, Until: deadline}
 //	b.Wait(now, stream)                        // its caller resumes it
 //	b.Settle(id)                               // it goes on, or never will
 //	b.Return(stream, back)                     // refused, to come back then
-//	tokens, owes := b.Keep(now, several)["v1"] // a new request leaves them free at v1
+//	tokens, kept := b.Keep(now, several)["v1"] // a new request leaves them free at v1
 //
 // The package reads no clock.
-package owed
+package resume
 
 import (
 	"math"
@@ -60,8 +60,8 @@
 	Until time.Time
 }
 
-// owedStream is a stream that waits, or that was refused and is expected from the given time on.
-type owedStream struct {
+// expectedStream is a stream that waits, or that was refused and is expected from the given time on.
+type expectedStream struct {
 	Stream
 	from time.Time
 }
@@ -77,11 +77,11 @@
 	return arrivals{count: part * a.count, tokens: part * a.tokens, at: now}
 }
 
-// Book has the streams of one service that are owed an end. The zero value is empty and ready to use; it must not be
+// Book has the streams of one service that are resumed or expected to be. The zero value is empty and ready to use; it must not be
 // copied. It is safe for concurrent use.
 type Book struct {
 	mu      sync.Mutex // leaf lock: no other lock is acquired while it is held
-	streams map[domain.RequestID]owedStream
+	streams map[domain.RequestID]expectedStream
 	recent  map[domain.Software]arrivals
 	// any reports that there may be something to keep room for, without the lock.
 	any atomic.Bool
@@ -91,7 +91,7 @@
 func (b *Book) Wait(now time.Time, s Stream) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	before, known, added := b.add(owedStream{Stream: s})
+	before, known, added := b.add(expectedStream{Stream: s})
 	if !added || known && before.from.IsZero() {
 		return
 	}
@@ -115,13 +115,13 @@
 	if until := back.Add(returnSlack); until.Before(s.Until) {
 		s.Until = until
 	}
-	b.add(owedStream{Stream: s, from: back.Add(-returnLead)})
+	b.add(expectedStream{Stream: s, from: back.Add(-returnLead)})
 }
 
 // add adds or replaces a stream. added is false if the book is full. b.mu must be held.
-func (b *Book) add(s owedStream) (before owedStream, known, added bool) {
+func (b *Book) add(s expectedStream) (before expectedStream, known, added bool) {
 	if b.streams == nil {
-		b.streams, b.recent = make(map[domain.RequestID]owedStream), make(map[domain.Software]arrivals)
+		b.streams, b.recent = make(map[domain.RequestID]expectedStream), make(map[domain.Software]arrivals)
 	}
 	before, known = b.streams[s.ID]
 	if !known && len(b.streams) >= maxStreams {
--- a/owed/owed_test.go
+++ b/resume/resume_test.go
@@ -1,4 +1,4 @@
-package owed_test
+package resume_test
 
 import (
 	"fmt"
@@ -8,17 +8,17 @@
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/domain"
-	"jacinthworks/owed"
+	"jacinthworks/resume"
 )
 
-func streamAt(now time.Time, id string) owed.Stream {
-	return owed.Stream{ID: domain.RequestID(id), Software: "v1", Tokens: 3000, Until: now.Add(10 * time.Second)}
+func streamAt(now time.Time, id string) resume.Stream {
+	return resume.Stream{ID: domain.RequestID(id), Software: "v1", Tokens: 3000, Until: now.Add(10 * time.Second)}
 }
 
 // Guards against room that stays idle: streams went on, their callers gave up, or they were refused and did not come back.
 func TestRoomIsNotKeptWhenNoStreamIsLikelyToCome(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var b owed.Book
+	var b resume.Book
 	require.Empty(t, b.Keep(now, true))
 	b.Wait(now, streamAt(now, "a"))
 	require.Equal(t, map[domain.Software]int{"v1": 3000}, b.Keep(now, true))
@@ -45,7 +45,7 @@
 // Guards against a stream that waits and is placed again and again, which would count as many.
 func TestStreamThatTriesAgainIsCountedOnce(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var b owed.Book
+	var b resume.Book
 	for range 100 {
 		b.Wait(now, streamAt(now, "a"))
 	}
@@ -56,7 +56,7 @@
 // Guards against a book that grows with the streams that callers say they resume.
 func TestBookIsBounded(t *testing.T) {
 	now := time.Unix(1000, 0)
-	var b owed.Book
+	var b resume.Book
 	for n := range 100_000 {
 		b.Wait(now, streamAt(now, fmt.Sprint(n)))
 	}
