direct: no room is kept for a stream whose caller has given up

Found by the review: with two versions and callers that leave, new requests left a slot or the memory of a stream at all upstreams for a second, for nobody. A request that ended because its caller left or its deadline passed is settled. The case 'caller gone' of TestRoomIsKeptForRefusedStreamsThatMayComeBack failed before.

--- a/direct/kept_room.go
+++ b/direct/kept_room.go
@@ -60,6 +60,11 @@
 	if r.software == nil {
 		return
 	}
+	// A caller that has given up does not come back.
+	if f.reason == domain.ReasonCallerGone || f.reason == domain.ReasonDeadline {
+		s.settleResumed(r)
+		return
+	}
 	back := time.Duration(0) // the caller of a stream that breaks off comes back at once
 	if !r.responseBegun {
 		var told bool
--- a/direct/kept_room_test.go
+++ b/direct/kept_room_test.go
@@ -91,6 +91,8 @@
 		"refused":          {failure: failure{ran: domain.NotRun, reason: domain.ReasonNoRoom}, kept: true},
 		"version unknown":  {failure: failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, permanent: true}},
 		"may have run":     {failure: failure{ran: domain.Unknown, reason: domain.ReasonNoRoom}},
+		"caller gone":      {failure: failure{ran: domain.DidRun, reason: domain.ReasonCallerGone}, begun: true},
+		"deadline passed":  {failure: failure{ran: domain.NotRun, reason: domain.ReasonDeadline}},
 		"broken off again": {failure: failure{ran: domain.DidRun, reason: domain.ReasonUpstream}, begun: true, kept: true},
 	} {
 		t.Run(name, func(t *testing.T) {
