direct: the ledger of versions observes only services of the configuration

Found by the review: 500 well-formed entries of another writer, each with a service of its own and a role, fill the 256 places of the ledger, and no resumable stream of a new service begins. Entries for services that no configuration names are left out. What remains: 64 invented versions of a real service. TestLedgerObservesOnlyServicesOfTheConfiguration failed before.

--- a/direct/versions.go
+++ b/direct/versions.go
@@ -22,9 +22,13 @@
 		return false
 	}
 	live := make(map[origin.Origin]bool)
-	resumable := s.stored.routes.Load()
+	resumable, config := s.stored.routes.Load(), s.config.Current()
 	for _, u := range s.roster.All() {
 		m := u.Server()
+		// Entries of other writers may name any service, and the ledger has room for so many.
+		if config == nil || config.Service(m.Service) == nil {
+			continue
+		}
 		if m.Role == "" && (resumable == nil || !resumable.services[m.Service]) {
 			continue
 		}
