direct: a stream that its caller resumes stays within its account's share

Found by the review: such a request left no margin at engines, whatever its account had received, and any caller may say that it resumes a stream. It still goes before other priorities. A stream that this entry itself resumes is not bounded, as its caller has the beginning. The test of the margin takes a server with settings, since the share reads them; what it asks is the same.

--- a/direct/allocation.go
+++ b/direct/allocation.go
@@ -135,12 +135,14 @@
 	if late {
 		m.part = lateReservePart
 	}
-	if r.begun() {
+	if r.responseBegun {
 		return m
 	}
 	now := time.Now()
+	// A stream that its caller resumes goes before other priorities, but not beyond its account's share: any caller
+	// may say that it resumes one.
 	p := s.pressure(now, r)
-	if p.Steps > 0 {
+	if p.Steps > 0 && !r.begun() {
 		m.part = max(m.part, p.Effect*min(float64(p.Steps)*lateReservePart, maxReservePart))
 		if p.Effect >= fullEffect && !late {
 			m.refuse = s.refuseOutranked
--- a/direct/queue_item_test.go
+++ b/direct/queue_item_test.go
@@ -30,5 +30,5 @@
 	require.False(t, late)
 	require.Equal(t, queue.PriorityCount-1, i.Priority)
 	require.WithinDuration(t, now.Add(resumeMaxWait), until, 100*time.Millisecond)
-	require.Equal(t, margin{}, (&Server{}).margin(r, late), "it leaves no memory to requests that have not begun")
+	require.Equal(t, margin{}, newVersionedPool("").margin(r, late), "it leaves no memory to requests that have not begun")
 }
