direct: entries that did not answer are left out when the ledger is asked for

The backoff is kept by clock.Boottime and was read by the time of day, so that it never held, and each silent relay cost the timeout of a call at the start. Found by reading; no test of its own.

--- a/direct/ledger_calls.go
+++ b/direct/ledger_calls.go
@@ -72,7 +72,7 @@
 // askPeersForLedger asks the entries that relay the store what the ledger lists, and reports whether one of them
 // has read it. Entries that start together start before their relays have.
 func (s *Server) askPeersForLedger(ctx context.Context) (read bool) {
-	peers := s.peers.fleet.RelayPeers(time.Now())
+	peers := s.peers.fleet.RelayPeers(clock.Boottime())
 	if len(peers) == 0 {
 		return false
 	}
