hangup: SIGHUP is handled before main

Callers saw: a process that starts while settings change exits at once, and is started again; entry and side exit at any SIGHUP. Cause: the default action of the signal, until main handles it; package initialization came first. Class: default actions of signals. Commands that do not serve are ended by the signal as before.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -4,10 +4,7 @@
 	"context"
 	"fmt"
 	"io"
-	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 
 	"github.com/hashicorp/go-hclog"
 	"github.com/pkg/errors"
@@ -15,6 +12,7 @@
 	"jacinthworks/conf"
 	"jacinthworks/direct"
 	"jacinthworks/group"
+	"jacinthworks/hangup"
 	"jacinthworks/memory"
 	"jacinthworks/meter"
 	"jacinthworks/platform"
@@ -22,13 +20,10 @@
 	"jacinthworks/spool"
 )
 
-var cmdDirect = command{name: "direct", help: "serve callers on an entry host, with direct connections to registered upstreams", run: runDirect}
+var cmdDirect = command{name: "direct", help: "serve callers on an entry host, with direct connections to registered upstreams", run: runDirect, serves: true}
 
 func runDirect(ctx context.Context, args []string, out, errs io.Writer) int {
 	ignoreBrokenOutput()
-	// First of all, since SIGHUP ends a process that does not handle it. It stays handled to the exit.
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
 	d, a, code, done := awaitSettings(ctx, args, "direct", conf.ParseDirect, out, errs)
 	if done {
 		return code
@@ -51,7 +46,7 @@
 		Members:       platform.Entries(store),
 		Relays:        platform.Relays(store),
 		Notices:       platform.Notices(store),
-		ReloadSignals: reloads,
+		ReloadSignals: hangup.Signals,
 		Reload:        func() (conf.Direct, error) { return parseFile(a.Settings, conf.ParseDirect) },
 	}
 	store.OnCall = func(verb, kind, outcome string) {
--- a/cmd_entry.go
+++ b/cmd_entry.go
@@ -11,7 +11,7 @@
 	"jacinthworks/infra"
 )
 
-var cmdEntry = command{name: "entry", help: "serve callers on an entry host", run: runEntry}
+var cmdEntry = command{name: "entry", help: "serve callers on an entry host", run: runEntry, serves: true}
 
 func runEntry(ctx context.Context, args []string, out, errs io.Writer) int {
 	ignoreBrokenOutput()
--- a/cmd_side.go
+++ b/cmd_side.go
@@ -13,7 +13,7 @@
 	"jacinthworks/side"
 )
 
-var cmdSide = command{name: "side", help: "serve entries on behalf of one upstream", run: runSide}
+var cmdSide = command{name: "side", help: "serve entries on behalf of one upstream", run: runSide, serves: true}
 
 func runSide(ctx context.Context, args []string, out, errs io.Writer) int {
 	ignoreBrokenOutput()
--- a/commands.go
+++ b/commands.go
@@ -21,7 +21,9 @@
 type command struct {
 	name string
 	help string
-	run  func(ctx context.Context, args []string, out, errs io.Writer) int
+	// serves means that the command runs until it is asked to stop, which SIGHUP does not.
+	serves bool
+	run    func(ctx context.Context, args []string, out, errs io.Writer) int
 }
 
 // commands returns all subcommands in the order of the help text.
--- a/main.go
+++ b/main.go
@@ -15,6 +15,8 @@
 	"os"
 	"os/signal"
 	"syscall"
+
+	"jacinthworks/hangup"
 )
 
 func main() {
@@ -38,6 +40,9 @@
 	}
 	for _, c := range commands() {
 		if c.name == args[0] {
+			if !c.serves {
+				hangup.Reset()
+			}
 			return c.run(ctx, args[1:], out, errs)
 		}
 	}
