wire, entry, side: a panic ends only the message or work that it came from

A fault in the handling of one message between processes, in a callback of a heartbeat, or in background work ended the process of an entry or side, with all requests it holds. Panics are reported with their stack (log line 'background work panicked'). The goroutine that writes a long body (send) returns a panic as its error; no input is known that causes one, so no test shows it.

Beside it: a message's announced length was read into memory without a bound (now 32 MB), and Serve returned for good at the first connection that could not be accepted, as when descriptors run out for a moment.

The main loops of entry and side still end their process by a panic: whether each can run again was not looked at.

--- a/entry/admin.go
+++ b/entry/admin.go
@@ -102,7 +102,7 @@
 	entries := e.entries.ForService(member.EntryService)
 	answers := make(chan admin.HostStatus, len(entries))
 	for _, l := range entries {
-		e.background.Go(ctx, "status", func(ctx context.Context) error {
+		e.background.Call(ctx, "status", func(ctx context.Context) error {
 			var s wire.EntryState
 			if err := l.Call(ctx, wire.MethodState, struct{}{}, &s); err != nil {
 				answers <- admin.HostStatus{Host: l.Member.Host, Zone: l.Member.Zone, Role: "entry", State: admin.HostUnreachable}
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -160,6 +160,7 @@
 	e.incarnation = domain.NewIncarnation()
 	e.accounts = newAccounts(e.Settings.Callers)
 	e.sides.Local = &wire.Handlers{
+		OnPanic:            e.logPanic,
 		Hello:              wire.Hello{Host: e.Settings.Name, Zone: e.Settings.Zone, Incarnation: e.incarnation, Role: "entry"},
 		Heartbeat:          func() wire.Heartbeat { return wire.Heartbeat{Draining: e.draining.Load()} },
 		HandleNotification: e.handleNotification,
@@ -217,13 +218,27 @@
 
 func (e *Entry) logTaskErrors(context.Context) error {
 	for end := range e.background.Exits() {
-		if end.Err != nil {
+		var p *group.PanicError
+		if errors.As(end.Err, &p) {
+			e.logPanic(end.Name, p)
+		} else if end.Err != nil {
 			e.Log.Debug("background task failed", "name", end.Name, "err", end.Err)
 		}
 	}
 	return nil
 }
 
+// logPanic logs and counts a panic that ended only what it came from.
+func (e *Entry) logPanic(name string, err error) {
+	e.panics.Add(1)
+	fields := []any{"name", name, "err", err}
+	var p *group.PanicError
+	if errors.As(err, &p) {
+		fields = append(fields, "stack", p.Stack)
+	}
+	e.Log.Error("background work panicked", fields...)
+}
+
 // drainDelay is how long a stopping entry keeps serving after /ready reports it as not
 // ready. Balancers probe every second or two; closing the listener at once would reset
 // the connections that they still send.
@@ -248,7 +263,7 @@
 // runInBackground runs fn with the given timeout under the entry's own context, so that
 // fn may outlive the request that starts it.
 func (e *Entry) runInBackground(name string, within time.Duration, fn func(context.Context) error) {
-	e.background.Go(e.backgroundCtx, name, func(ctx context.Context) error {
+	e.background.Call(e.backgroundCtx, name, func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, within)
 		defer cancel()
 		return fn(ctx)
--- a/entry/keys.go
+++ b/entry/keys.go
@@ -195,7 +195,7 @@
 		return // the work may still run; its runner is asked for the result when the key is used again
 	}
 	done := make(chan struct{})
-	started := e.background.Go(e.backgroundCtx, "resolve", func(ctx context.Context) error {
+	started := e.background.Call(e.backgroundCtx, "resolve", func(ctx context.Context) error {
 		defer close(done)
 		ctx, cancel := context.WithTimeout(ctx, resolveTimeout)
 		defer cancel()
--- a/entry/model.go
+++ b/entry/model.go
@@ -103,7 +103,7 @@
 func (e *Entry) prefill(ctx context.Context, r *request, p pair) (engine.KV, *failure) {
 	renewCtx, stop := context.WithCancel(ctx)
 	defer stop()
-	e.background.Go(renewCtx, "renew reservation", func(ctx context.Context) error { return e.renewReservation(ctx, r, p.decode) })
+	e.background.Call(renewCtx, "renew reservation", func(ctx context.Context) error { return e.renewReservation(ctx, r, p.decode) })
 	out := e.runStage(ctx, p.prefill, wire.RunRequest{
 		AttemptRef: wire.AttemptRef{Request: r.id, Attempt: r.attempt, Stage: wire.StagePrefill}, Account: r.account, Kind: r.kind, Identity: r.identity, PromptParts: r.parts,
 		Timeout: e.timeLeft(r),
@@ -139,7 +139,7 @@
 	ctx, stop := context.WithCancel(ctx)
 	defer stop()
 	ended := make(chan wire.Outcome, 1)
-	e.background.Go(ctx, "decode", func(ctx context.Context) error {
+	e.background.Call(ctx, "decode", func(ctx context.Context) error {
 		ended <- e.runStage(ctx, p.decode, wire.RunRequest{
 			AttemptRef: ref, Account: r.account, Kind: r.kind, Identity: r.identity, PromptParts: r.parts, Timeout: e.timeLeft(r), Tokens: r.promptTokens + r.maxTokens,
 			Decode: &engine.DecodeRequest{
--- a/entry/peers.go
+++ b/entry/peers.go
@@ -74,7 +74,7 @@
 		Host: e.Settings.Name, Zone: e.Settings.Zone, Service: member.EntryService, Address: address, Incarnation: e.incarnation,
 	}
 	e.ownMember.Store(&m)
-	e.background.Go(ctx, "join", func(ctx context.Context) error {
+	e.background.Call(ctx, "join", func(ctx context.Context) error {
 		return member.JoinWithRetry(ctx, e.Objects, m, func(r member.Record) {
 			e.Log.Info("joined", "service", r.Service, "version", r.Version, "members", len(r.Members))
 		})
--- a/entry/tables.go
+++ b/entry/tables.go
@@ -186,7 +186,7 @@
 	defer cancel()
 	results := make(chan error, len(others))
 	for _, o := range others {
-		e.background.Go(ctx, "spread", func(ctx context.Context) error {
+		e.background.Call(ctx, "spread", func(ctx context.Context) error {
 			results <- o.Call(ctx, wire.MethodPushTable, wire.Table{Version: uint64(t.Version()), Value: text}, nil)
 			return nil
 		})
--- a/entry/traces.go
+++ b/entry/traces.go
@@ -134,7 +134,7 @@
 	asked := append(e.sides.Connected(), e.entries.Connected()...)
 	answers := make(chan *trace.Span, len(asked))
 	for _, l := range asked {
-		e.background.Go(ctx, "trace", func(ctx context.Context) error {
+		e.background.Call(ctx, "trace", func(ctx context.Context) error {
 			var s trace.Span
 			if l.Call(ctx, wire.MethodTrace, wire.TraceRequest{Request: id}, &s) != nil {
 				answers <- nil
--- a/group/supervise.go
+++ b/group/supervise.go
@@ -50,7 +50,7 @@
 	}
 }
 
-// Call is Go for a function on whose end the caller waits with Wait. A panic of fn is raised again by Wait,
+// Call is Go for a function whose panic must not end the process. It is an error at Exits, or is raised again by Wait,
 // in the goroutine that fn works for, and ends that one only, if it recovers.
 func (g *Group) Call(ctx context.Context, name string, fn func(context.Context) error) bool {
 	return g.Go(ctx, name, func(ctx context.Context) error { return Catch(ctx, fn) })
--- a/send/send.go
+++ b/send/send.go
@@ -27,6 +27,8 @@
 	"time"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/group"
 )
 
 // Defaults of the fields of a Client. A dial within a deployment takes less than a millisecond, so
@@ -179,7 +181,9 @@
 		}
 	} else {
 		p.writeDone = make(chan error, 1)
-		go func() { p.writeDone <- p.conn.write(r) }() // requestWritten reads the result
+		go func() { // requestWritten reads the result
+			p.writeDone <- group.Catch(context.Background(), func(context.Context) error { return p.conn.write(r) })
+		}()
 	}
 	q := &http.Request{Method: r.Method}
 	defer p.conn.unlimitReads()
--- a/side/claim_calls.go
+++ b/side/claim_calls.go
@@ -33,7 +33,7 @@
 	case wire.MethodHandover:
 		reply, err = wire.Decode(params, func(h claim.Handover) (any, error) {
 			out, taken, err := ledger.AcceptHandover(h, now)
-			s.work.Go(s.workCtx, "after handover", func(ctx context.Context) error { s.deliver(ctx, out); return nil })
+			s.work.Call(s.workCtx, "after handover", func(ctx context.Context) error { s.deliver(ctx, out); return nil })
 			return taken, err
 		})
 	default:
--- a/side/deliver.go
+++ b/side/deliver.go
@@ -35,7 +35,7 @@
 	done := make(chan struct{}, len(sendsByHost))
 	started := 0
 	for host, sends := range sendsByHost {
-		ok := s.work.Go(ctx, "claims to "+string(host), func(ctx context.Context) error {
+		ok := s.work.Call(ctx, "claims to "+string(host), func(ctx context.Context) error {
 			defer func() { done <- struct{}{} }()
 			for _, send := range sends {
 				if err := send(ctx); err != nil {
--- a/side/reconcile.go
+++ b/side/reconcile.go
@@ -85,7 +85,7 @@
 // cancelAtEngine asks the engine, in the background, to release everything that
 // a request holds. If the call is lost, the next reconcileOnce repeats it.
 func (s *Side) cancelAtEngine(id domain.RequestID) {
-	s.work.Go(s.workCtx, "cancel", func(ctx context.Context) error {
+	s.work.Call(s.workCtx, "cancel", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, engineCallTimeout)
 		defer cancel()
 		err := s.Model.Cancel(ctx, id)
--- a/side/run.go
+++ b/side/run.go
@@ -40,7 +40,7 @@
 		s.orderTable.detach(o, time.Now())
 		return nil, refused
 	}
-	started := s.work.Go(workCtx, string(r.Stage), func(ctx context.Context) error {
+	started := s.work.Call(workCtx, string(r.Stage), func(ctx context.Context) error {
 		defer cancel()
 		s.execute(ctx, o)
 		return nil
--- a/side/side.go
+++ b/side/side.go
@@ -155,6 +155,7 @@
 // handlers returns this side's hello message and handlers for wire connections.
 func (s *Side) handlers() *wire.Handlers {
 	return &wire.Handlers{
+		OnPanic: s.logPanic,
 		Hello: wire.Hello{
 			Host: s.Settings.Name, Zone: s.Settings.Zone, Incarnation: s.incarnation,
 			Role: string(s.Settings.Role), Service: s.Settings.Service,
@@ -229,13 +230,26 @@
 // logWorkExits logs background work that ended with an error.
 func (s *Side) logWorkExits(context.Context) error {
 	for e := range s.work.Exits() {
-		if e.Err != nil {
+		var p *group.PanicError
+		if errors.As(e.Err, &p) {
+			s.logPanic(e.Name, p)
+		} else if e.Err != nil {
 			s.Log.Debug("background work ended with an error", "name", e.Name, "err", e.Err)
 		}
 	}
 	return nil
 }
 
+// logPanic logs a panic that ended only what it came from.
+func (s *Side) logPanic(name string, err error) {
+	fields := []any{"name", name, "err", err}
+	var p *group.PanicError
+	if errors.As(err, &p) {
+		fields = append(fields, "stack", p.Stack)
+	}
+	s.Log.Error("background work panicked", fields...)
+}
+
 // join adds the side to its service's membership record and retries until that
 // succeeds. During a platform outage, only entries that already have the side's
 // address can use it.
@@ -270,7 +284,7 @@
 	}
 	leaving := *self
 	leaving.Draining = true
-	s.work.Go(s.workCtx, "drain record", func(ctx context.Context) error {
+	s.work.Call(s.workCtx, "drain record", func(ctx context.Context) error {
 		ctx, cancel := context.WithTimeout(ctx, leaveTimeout)
 		defer cancel()
 		_, err := member.Join(ctx, s.Objects, leaving)
--- a/wire/codec.go
+++ b/wire/codec.go
@@ -15,6 +15,9 @@
 // released.
 const maxRetainedBuffer = 64 << 10
 
+// maxMessage bounds a message, in bytes. It holds a prompt of several megabytes with all characters escaped.
+const maxMessage = 32 << 20
+
 // codec writes each message behind its length, in the format of jsonrpc2.VarintObjectCodec. It
 // calls a message's own JSON methods instead of encoding/json, which would scan their output
 // once more to validate and compact it: all messages of a connection in one direction pass
@@ -48,9 +51,12 @@
 	if c.text.Cap() > maxRetainedBuffer {
 		c.text = bytes.Buffer{}
 	}
-	if _, err := io.CopyN(&c.text, from, int64(n)); err != nil {
+	if _, err := io.CopyN(&c.text, from, int64(min(n, maxMessage))); err != nil {
 		return errors.Wrap(err, "wire: read message body")
 	}
+	if n > maxMessage {
+		return errors.Errorf("wire: message of %d bytes is over the limit of %d", n, maxMessage)
+	}
 	return decode(c.text.Bytes(), message)
 }
 
--- a/wire/link.go
+++ b/wire/link.go
@@ -18,6 +18,8 @@
 const (
 	initialRedialDelay = 50 * time.Millisecond
 	maxRedialDelay     = 1 * time.Second
+	// acceptRetryDelay is the delay after a connection could not be accepted.
+	acceptRetryDelay = 50 * time.Millisecond
 )
 
 // Link maintains a connection to one process of the fleet and redials after every loss. The
@@ -48,7 +50,9 @@
 		wait = initialRedialDelay
 		l.failedDials.Store(0)
 		l.peer.Store(p)
-		_ = p.run()
+		// Without its connection the link dials again.
+		_ = l.Local.guard(ctx, "link", func(context.Context) error { return p.run() })
+		p.Close()
 		l.peer.CompareAndSwap(p, nil)
 	}
 	return nil
@@ -94,15 +98,23 @@
 	defer stop()
 	for {
 		c, err := ln.Accept()
-		if err != nil {
+		if errors.Is(err, net.ErrClosed) {
 			break
 		}
-		g.Go(ctx, "peer", func(ctx context.Context) error {
-			p, err := newPeer(ctx, c, l)
-			if err != nil {
-				return err
+		if err != nil { // as when the descriptors have run out for a moment
+			if !sleep(ctx, acceptRetryDelay) {
+				break
 			}
-			return p.run()
+			continue
+		}
+		g.Go(ctx, "peer", func(ctx context.Context) error {
+			return l.guard(ctx, "peer", func(ctx context.Context) error {
+				p, err := newPeer(ctx, c, l)
+				if err != nil {
+					return err
+				}
+				return p.run()
+			})
 		})
 	}
 	g.Close()
--- a/wire/peer.go
+++ b/wire/peer.go
@@ -39,6 +39,9 @@
 	// OnOpen and OnClose are called for each connection whose hello was received.
 	OnOpen  func(p *Peer)
 	OnClose func(p *Peer)
+	// OnPanic, if set, is called with each panic of the functions above, which ends only the call or the connection
+	// that it came from; name says which.
+	OnPanic func(name string, err error)
 	// HeartbeatInterval is the time between heartbeats, HeartbeatTimeout the longest time
 	// without a received message before the connection is closed. Zero selects the defaults.
 	HeartbeatInterval time.Duration
@@ -129,7 +132,9 @@
 	for {
 		if !sending {
 			sending = true
-			go func() { sent <- p.Notify(methodHeartbeat, p.nextHeartbeat()) }() // its result is received below
+			go func() { // its result is received below
+				sent <- p.local.guard(p.ctx, "heartbeat", func(context.Context) error { return p.Notify(methodHeartbeat, p.nextHeartbeat()) })
+			}()
 		}
 		select {
 		case <-p.conn.DisconnectNotify():
@@ -195,14 +200,36 @@
 }
 
 func (p *Peer) notifyHandler(method string, params json.RawMessage) {
-	if p.local.HandleNotification != nil {
+	if p.local.HandleNotification == nil {
+		return
+	}
+	err := p.local.guard(p.ctx, method, func(context.Context) error {
 		p.local.HandleNotification(p, method, params)
+		return nil
+	})
+	if err != nil {
+		p.Close()
 	}
 }
 
+// guard calls fn and returns its error. A panic becomes an error, and is reported: otherwise one message would end
+// the process with all that it serves.
+func (l *Handlers) guard(ctx context.Context, name string, fn func(context.Context) error) error {
+	err := group.Catch(ctx, fn)
+	var p *group.PanicError
+	if errors.As(err, &p) && l.OnPanic != nil {
+		l.OnPanic(name, p)
+	}
+	return err
+}
+
 func (p *Peer) handleCall(id jsonrpc2.ID, method string, params json.RawMessage) {
 	p.calls.Go(p.ctx, method, func(ctx context.Context) error {
-		result, err := p.local.Handle(ctx, p, method, params)
+		var result any
+		err := p.local.guard(ctx, method, func(ctx context.Context) (err error) {
+			result, err = p.local.Handle(ctx, p, method, params)
+			return err
+		})
 		if err == nil {
 			return p.conn.Reply(ctx, id, result)
 		}
