memory, conns: what a request holds while it is read

Listeners keep 16 KB of what was received and not read, which counts for the host as memory and is not resident; a connection costs that much more. The least memory is 12 MB: a body of 4 MB beside a header of 16 KB in the shortest lines.

--- a/conns/bounded.go
+++ b/conns/bounded.go
@@ -3,6 +3,8 @@
 import (
 	"net"
 	"time"
+
+	"jacinthworks/memory"
 )
 
 // refusal answers a connection that is refused. Nothing of a request was read, so none has run.
@@ -26,6 +28,9 @@
 	HasRoom func() bool
 	// Idle, if set, closes the connection that has been idle for longest in place of the new one.
 	Idle *IdleCloser
+	// Readers, if set, are the requests of which the one that arrives at the lowest rate gives way to the new
+	// connection if none is idle.
+	Readers *memory.Readers
 	// OnRefuse, if set, is called for each connection that is refused.
 	OnRefuse func()
 }
@@ -34,7 +39,7 @@
 func (b *BoundedListener) Accept() (net.Conn, error) {
 	for {
 		c, err := b.Listener.Accept()
-		if err != nil || b.HasRoom() || b.Idle != nil && b.Idle.CloseOldest(minIdleToClose) {
+		if err != nil || b.HasRoom() || b.makeRoom() {
 			return c, err
 		}
 		if b.OnRefuse != nil {
@@ -45,3 +50,8 @@
 		_ = c.Close()
 	}
 }
+
+// makeRoom closes one connection in place of a new one, and reports whether there was one to close.
+func (b *BoundedListener) makeRoom() bool {
+	return b.Idle != nil && b.Idle.CloseOldest(minIdleToClose) || b.Readers != nil && b.Readers.RevokeSlowest(time.Now())
+}
--- a/conns/idle.go
+++ b/conns/idle.go
@@ -38,13 +38,19 @@
 
 	mu        sync.Mutex // leaf lock: no other lock is acquired while it is held
 	idleSince map[net.Conn]time.Time
+	open      int
 }
 
 // ConnState records a state change of a connection; set it as the ConnState of an http.Server.
 func (i *IdleCloser) ConnState(c net.Conn, s http.ConnState) {
 	i.mu.Lock()
 	defer i.mu.Unlock()
-	if s == http.StateIdle {
+	switch s {
+	case http.StateNew:
+		i.open++
+	case http.StateClosed, http.StateHijacked:
+		i.open--
+	case http.StateIdle:
 		if i.idleSince == nil {
 			i.idleSince = make(map[net.Conn]time.Time)
 		}
@@ -54,6 +60,13 @@
 	delete(i.idleSince, c)
 }
 
+// Open returns the number of open connections.
+func (i *IdleCloser) Open() int {
+	i.mu.Lock()
+	defer i.mu.Unlock()
+	return i.open
+}
+
 // CloseOldest closes the connection that has been idle for longest, if that is at least the given time, and
 // reports whether it closed one.
 func (i *IdleCloser) CloseOldest(idle time.Duration) bool {
--- a/memory/memory.go
+++ b/memory/memory.go
@@ -19,16 +19,25 @@
 import "sync"
 
 const (
-	// ConnectionCost is what a caller's connection holds in bytes: its goroutine's stack, and the buffers
-	// for reading and writing.
-	ConnectionCost = 24 << 10
+	// ReceiveBuffer is how many bytes the kernel keeps of a connection that were received and not read.
+	ReceiveBuffer = 16 << 10
+	// ConnectionCost is what a caller's connection holds in bytes: its goroutine's stack, the buffers for
+	// reading and writing, and what the kernel has received.
+	ConnectionCost = 24<<10 + ReceiveBuffer
 	// RequestCost is what a request holds in bytes besides its body: the grown stacks of its goroutines, its
 	// header, and the buffers of the connection to an upstream.
 	RequestCost = 48 << 10
 
+	// headerLineCost and headerByteCost are what a line of a header and each of its bytes hold: the entries of
+	// maps and slices, the strings, and the copies for an attempt and for its bytes on the wire.
+	headerLineCost = 256
+	headerByteCost = 4
+	// headerAllowance is the part of a header's cost that ConnectionCost and RequestCost include.
+	headerAllowance = 12 << 10
+
 	// MinLimit is the least limit of a process, in bytes, with which it serves: a body of 4 MB, the bound if
-	// the configuration has none, fits beside a connection.
-	MinLimit = 10_000_000
+	// the configuration has none, fits beside a connection and a header of 16 KB in the shortest lines.
+	MinLimit = 12_000_000
 
 	// The parts of a process's memory limit: what callers may hold, and what the garbage collector keeps
 	// the heap and the stacks below. The rest is for the program's text, the state of upstreams and
@@ -57,11 +66,19 @@
 
 func part(limit int64, p float64) int64 { return int64(float64(limit) * p) }
 
+// HeaderCost is what a request's header of so many bytes in so many lines holds, in bytes, beside what each
+// connection and request does.
+func HeaderCost(bytes, lines int64) int64 {
+	return max(headerByteCost*bytes+headerLineCost*lines-headerAllowance, 0)
+}
+
 // Budget counts the bytes that are held for accounts and connections. The zero value has no limit, and
 // counts. Set Limit before first use. A Budget must not be copied. It is safe for concurrent use.
 type Budget[K comparable] struct {
 	// Limit is the most that may be held, in bytes; zero is no limit.
 	Limit int64
+	// MaxConnections is the most connections that may be open; zero is no limit.
+	MaxConnections int
 
 	mu          sync.Mutex // leaf lock: no other lock is acquired while it is held
 	accounts    map[K]int64
@@ -74,6 +91,11 @@
 func (b *Budget[K]) Reserve(account K, bytes int64) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	return b.reserve(account, bytes)
+}
+
+// reserve is Reserve. b.mu must be held.
+func (b *Budget[K]) reserve(account K, bytes int64) bool {
 	left := b.Limit - b.held() - bytes
 	if b.Limit > 0 && (left < 0 || b.accounts[account]+bytes > accountFactor*left) {
 		return false
@@ -95,6 +117,11 @@
 func (b *Budget[K]) Release(account K, bytes int64) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	b.release(account, bytes)
+}
+
+// release is Release. b.mu must be held.
+func (b *Budget[K]) release(account K, bytes int64) {
 	b.requests -= bytes
 	if b.accounts[account] -= bytes; b.accounts[account] <= 0 {
 		delete(b.accounts, account)
@@ -119,6 +146,9 @@
 func (b *Budget[K]) HasRoomForConnection() bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if b.MaxConnections > 0 && b.connections >= b.MaxConnections {
+		return false
+	}
 	open := int64(b.connections+1) * ConnectionCost
 	return b.Limit <= 0 || open <= part(b.Limit, connectionsPart) && open+b.requests <= b.Limit
 }
