direct: callers outside the limits neither end a process nor have others refused

Callers saw connections that ended all at once as the process was killed for its memory, or 503 for as long as other callers stayed. On hosts with more memory than descriptors need, such as 284 MB and 4,100, callers' connections took every descriptor, and calls to the store and upstreams failed.

Causes, of one class (what a caller's bytes cost was not what the product counted): - The header limit of the configuration was not read; a header was parsed whole before anything was reserved, and counted by its length. - A body had no time limit: limits.read_timeout is documented and was not used. One that stops short held its memory and connection. - Bytes received and not read, and the connections of the other listeners, were not bounded. - Connections were bounded by memory only, not by descriptors.

Now each listener has a guard (conns.Guard), a body must arrive by its request's deadline or read_timeout (408, not run), connections of callers may take two fifths of the descriptors (new setting), requests for upstreams a quarter and other entries a fifth, and what arrives slowest gives way when there is no room. Counted by listener and reason, logged once a second at most.

--- a/conf/direct.go
+++ b/conf/direct.go
@@ -4,6 +4,7 @@
 	"math"
 	"net/netip"
 	"regexp"
+	"syscall"
 	"time"
 
 	"jacinthworks/domain"
@@ -24,6 +25,7 @@
 //	seeds = ["10.1.0.17:7380", "10.2.0.8:7380"]
 //	cores = 0.304
 //	memory = 134
+//	descriptors = 4100
 //	relay_from = 12
 //	platform = "10.200.1.7:8142"
 //	stop_within = "8s"
@@ -66,6 +68,8 @@
 	HostCores float64
 	// MemoryLimit is the memory that the process may use, in bytes; zero is no limit.
 	MemoryLimit int64
+	// Descriptors is how many descriptors the process may have open. Default: the limit of the process.
+	Descriptors int
 	// RelayMinEntries is the smallest number of entries with which only some of them, the
 	// relays, watch the platform for all entries. Zero, which parsing doesn't
 	// replace, means the default of package relay, 12.
@@ -170,6 +174,7 @@
 		Seeds:           r.addrPorts("seeds"),
 		HostCores:       r.number("cores"),
 		MemoryLimit:     r.memoryLimit(),
+		Descriptors:     int(r.integer("descriptors")),
 		RelayMinEntries: int(r.integer("relay_from")),
 		Platform:        r.dialAddr("platform"),
 		StopTimeout:     r.duration("stop_within"),
@@ -182,6 +187,7 @@
 		Limits:          r.limits(),
 	}
 	orDefault(&d.HostCores, 1)
+	orDefault(&d.Descriptors, openFileLimit())
 	orDefault(&d.StopTimeout, 8*time.Second)
 	orDefault(&d.WatchTimeout, feed.DefaultWatchTimeout)
 	return d
@@ -197,6 +203,15 @@
 	return int64(n * megabyte)
 }
 
+// openFileLimit is how many descriptors the process may have open; zero if it is not known.
+func openFileLimit() int {
+	var l syscall.Rlimit
+	if syscall.Getrlimit(syscall.RLIMIT_NOFILE, &l) != nil {
+		return 0
+	}
+	return int(min(l.Cur, math.MaxInt32))
+}
+
 // headerToken is what may stand in a header field: visible ASCII characters.
 var headerToken = regexp.MustCompile(`^[!-~]{1,255}$`)
 
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -128,10 +128,14 @@
 	ownRecord      ownRecord
 	sourceErrors   sourceErrors
 	readiness      readiness
-	// memory is what callers hold, refusedConnections how many were refused since the last log line.
-	memory             memory.Budget[domain.Account]
-	refusedConnections atomic.Int64
-	draining           atomic.Bool
+	// memory is what callers hold. guards are those of all listeners, of which the requests of the first give way
+	// first; bodies are the bodies of callers' requests that are being read.
+	memory  memory.Budget[domain.Account]
+	guards  []*guardedListener
+	readers memory.Readers
+	// openRequests is the number of requests that may need a connection to an upstream.
+	openRequests atomic.Int64
+	draining     atomic.Bool
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
 	// of roles was released.
 	drainStarted    chan struct{}
@@ -160,36 +164,37 @@
 	if err != nil {
 		return s.listenFailure(ctx, err)
 	}
-	peerServer, peerListener, err := s.listenPeers(ctx)
+	peers, err := s.listenPeers(ctx)
 	if err != nil {
 		return s.listenFailure(ctx, err)
 	}
 	serving, stop := context.WithCancel(context.WithoutCancel(ctx))
 	defer stop()
 	s.backgroundCtx = serving
-	idle := &conns.IdleCloser{Limit: s.idleTimeout}
-	public := &http.Server{
-		Handler:           http.HandlerFunc(s.serve),
-		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
-		MaxHeaderBytes:    conns.MaxHeaderBytes,
-		ConnState:         s.trackConnections(idle.ConnState),
-		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-		// net/http would answer OPTIONS * itself.
-		DisableGeneralOptionsHandler: true,
+	callerGuard, peerGuard := s.guardCallers(), s.guardOther("peers", s.descriptorPart(peersDescriptors))
+	readyGuard, metricsGuard := s.guardOther("ready", maxProbes), s.guardOther("metrics", maxProbes)
+	s.guards = []*guardedListener{metricsGuard, readyGuard, peerGuard, callerGuard}
+	for _, g := range s.guards {
+		g.register()
 	}
-	balancer := &http.Server{Handler: s.reportPanics("ready", s.readyHandler()), ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout, MaxHeaderBytes: conns.MaxHeaderBytes}
+	public := callerGuard.server(http.HandlerFunc(s.serve))
+	public.ConnState = s.trackConnections(public.ConnState)
+	balancer := readyGuard.server(s.reportPanics("ready", s.readyHandler()))
+	balancer.WriteTimeout = s.Settings.Limits.WriteTimeout
+	peerServer := peerGuard.server(s.peersHandler())
 
 	loops := group.Group{OnFailure: s.logLoopFailure}
 	s.startFeeds(serving, &loops)
 	loops.Supervise(serving, "background work", s.logBackground)
-	loops.Supervise(serving, "idle connections", idle.Run)
+	loops.Supervise(serving, "idle connections", callerGuard.idle.Run)
 	loops.Supervise(serving, "settings", s.reload)
 	loops.Supervise(serving, "readiness", s.watchReadiness)
 	loops.Supervise(serving, "memory", s.watchMemory)
+	loops.Supervise(serving, "refusals", s.watchRefusals)
 	loops.Supervise(serving, "roles", s.planRoles)
 	loops.Supervise(serving, "speeds of upstreams", s.exchangeSpeeds)
-	loops.Supervise(serving, "callers", s.serveOn(public, callers, "listen", s.bound(idle)))
-	loops.Supervise(serving, "balancer", s.serveOn(balancer, ready, "ready_listen", nil))
+	loops.Supervise(serving, "callers", s.serveOn(public, callers, "listen", callerGuard.wrap))
+	loops.Supervise(serving, "balancer", s.serveOn(balancer, ready, "ready_listen", readyGuard.wrap))
 	loops.Supervise(serving, "entry probes", s.watchPeers)
 	loops.Supervise(serving, "shares", s.reportShares)
 	loops.Supervise(serving, "crash evidence", s.exchangeEvidence)
@@ -198,11 +203,11 @@
 	for n := range origin.Shards {
 		loops.Supervise(serving, shardKey(n), func(ctx context.Context) error { return s.keepShard(ctx, n) })
 	}
-	if peerServer != nil {
-		loops.Supervise(serving, "other entries", s.serveOn(peerServer, peerListener, "peer_listen", nil))
+	if peers != nil {
+		loops.Supervise(serving, "other entries", s.serveOn(peerServer, peers, "peer_listen", peerGuard.wrap))
 	}
 	if s.Settings.MetricsListen.IsValid() {
-		loops.Supervise(serving, "metrics", s.serveMetrics(s.Settings.MetricsListen))
+		loops.Supervise(serving, "metrics", s.serveMetrics(s.Settings.MetricsListen, metricsGuard))
 	}
 	s.Log.Info("started", "listen", callers.Addr().String(), "ready", ready.Addr().String(), "zone", s.Settings.Zone)
 	if s.OnListen != nil {
@@ -211,9 +216,7 @@
 	<-ctx.Done()
 	s.drain(public)
 	_ = balancer.Close()
-	if peerServer != nil {
-		_ = peerServer.Close()
-	}
+	_ = peerServer.Close()
 	stop()
 	s.backgroundWork.Close()
 	loops.Close()
@@ -264,7 +267,7 @@
 		s.Meter = &meter.Registry{}
 	}
 	s.Settings.Limits = s.Settings.Limits.WithDefaults()
-	s.memory.Limit = memory.ForCallers(s.Settings.MemoryLimit)
+	s.memory.Limit, s.memory.MaxConnections = memory.ForCallers(s.Settings.MemoryLimit), s.descriptorPart(callersDescriptors)
 	s.registerMemory()
 	s.roster.Log, s.roster.MaxGap = s.Log, origin.MaxGap
 	s.roster.OnBound = func(id roster.ID, b send.Bound) { s.RecordBound(ClientUpstream, string(id), b) }
--- a/direct/end.go
+++ b/direct/end.go
@@ -20,6 +20,8 @@
 	// retryAfterDivisor divides the caller's remaining time. Retry-After is at most the
 	// quotient, so that time is left for the work.
 	retryAfterDivisor = 3
+	// lingerTimeout bounds how long the rest of a body is read of a request that is refused.
+	lingerTimeout = 500 * time.Millisecond
 )
 
 // refuse ends a request that has no answer. If part of an answer was written, the
@@ -46,6 +48,10 @@
 	r.w.Header().Set("Content-Type", "application/problem+json")
 	problem := refusal.Problem()
 	problem.Status = status
+	if !r.bodyRead {
+		// net/http reads the rest of a body before it answers, so that the caller sees the answer.
+		_ = http.NewResponseController(r.w).SetReadDeadline(time.Now().Add(lingerTimeout)) // only a recorder in a test has none
+	}
 	r.w.WriteHeader(status)
 	if err := json.NewEncoder(r.w).Encode(problem); err != nil {
 		s.Log.Debug("refusal not written to the caller", "request", r.id, "err", err)
@@ -112,7 +118,7 @@
 
 // reset closes a connection so that the other end sees an error.
 func (s *Server) reset(r *request, c net.Conn) {
-	if tcp, ok := c.(*net.TCPConn); ok {
+	if tcp, ok := c.(interface{ SetLinger(seconds int) error }); ok {
 		if err := tcp.SetLinger(0); err != nil {
 			s.Log.Warn("caller's connection not reset", "request", r.id, "err", err)
 		}
--- a/direct/loops.go
+++ b/direct/loops.go
@@ -81,12 +81,16 @@
 }
 
 // serveMetrics serves the metrics until ctx ends.
-func (s *Server) serveMetrics(addr netip.AddrPort) func(context.Context) error {
+func (s *Server) serveMetrics(addr netip.AddrPort, g *guardedListener) func(context.Context) error {
 	return func(ctx context.Context) error {
 		l, err := conns.Listen(ctx, s.Log, "metrics_listen", addr)
 		if err != nil {
 			return err
 		}
-		return s.Meter.Serve(ctx, l, s.metricsHandler())
+		h := g.server(s.metricsHandler())
+		h.WriteTimeout = s.Settings.Limits.WriteTimeout
+		stop := context.AfterFunc(ctx, func() { _ = h.Close() }) // a reader of metrics retries
+		defer stop()
+		return s.serveOn(h, l, "metrics_listen", g.wrap)(ctx)
 	}
 }
--- a/direct/memory.go
+++ b/direct/memory.go
@@ -35,40 +35,42 @@
 	memoryHeld         = "jacinthworks_memory_held_bytes"    // label what
 )
 
+// maxRevoked bounds how many requests that are being read give way to one reservation.
+const maxRevoked = 32
+
 // holdMemory reserves memory for a request until its end, and reports whether there is room.
 func (s *Server) holdMemory(r *request, bytes int64) bool {
-	if r.reserved == 0 {
-		r.reservedFor = r.account
+	if r.hold.Budget == nil {
+		r.hold.Budget, r.hold.Account = &s.memory, r.account
 	}
-	if !s.memory.Reserve(r.reservedFor, bytes) {
-		return false
+	return s.reserve(&r.hold, bytes)
+}
+
+// reserve reserves memory. If there is no room, requests that arrive slowly give way.
+func (s *Server) reserve(h conns.Holder, bytes int64) bool {
+	for range maxRevoked {
+		if h.Reserve(bytes) {
+			return true
+		}
+		if !s.revokeSlowest() {
+			return false
+		}
+		s.Meter.Inc(memoryRefusedTotal, meter.Labels{"what", "slow_request"})
 	}
-	r.reserved += bytes
-	return true
+	return h.Reserve(bytes)
 }
 
 // releaseMemory gives back what a request reserved.
 func (s *Server) releaseMemory(r *request) {
-	if r.reserved > 0 {
-		s.memory.Release(r.reservedFor, r.reserved)
-		r.reserved = 0
+	if r.hold.Budget != nil {
+		r.hold.Release()
 	}
 }
 
-// memoryFailure refuses a request for which there is no memory.
+// memoryFailure refuses a request for which there is no memory, or no descriptor.
 func (s *Server) memoryFailure(what string) *failure {
 	s.Meter.Inc(memoryRefusedTotal, meter.Labels{"what", what})
-	return &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: "no memory is left for the " + what, retryAfter: memoryRetryAfter}
-}
-
-// headerBytes is the length of a header's names and values.
-func headerBytes(h http.Header) (n int64) {
-	for name, values := range h {
-		for _, v := range values {
-			n += int64(len(name) + len(v))
-		}
-	}
-	return n
+	return &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: "there is no room for the " + what, retryAfter: memoryRetryAfter}
 }
 
 // trackConnections counts the connections of callers, and passes their states on.
@@ -84,19 +86,10 @@
 	}
 }
 
-// bound returns a listener that refuses callers' connections for which there is no memory.
-func (s *Server) bound(idle *conns.IdleCloser) func(net.Listener) net.Listener {
-	return func(l net.Listener) net.Listener {
-		return &conns.BoundedListener{Listener: l, HasRoom: s.memory.HasRoomForConnection, Idle: idle, OnRefuse: func() {
-			s.refusedConnections.Add(1)
-			s.Meter.Inc(memoryRefusedTotal, meter.Labels{"what", "connection"})
-		}}
-	}
-}
-
 // registerMemory registers the gauges of what callers hold.
 func (s *Server) registerMemory() {
 	s.Meter.Gauge("jacinthworks_memory_limit_bytes", nil, func() float64 { return float64(s.Settings.MemoryLimit) })
+	s.Meter.Gauge("jacinthworks_requests_open", nil, func() float64 { return float64(s.openRequests.Load()) })
 	s.Meter.Gauge(memoryHeld, meter.Labels{"what", "requests"}, func() float64 { n, _, _ := s.memory.Held(); return float64(n) })
 	s.Meter.Gauge(memoryHeld, meter.Labels{"what", "connections"}, func() float64 { _, n, _ := s.memory.Held(); return float64(n) })
 }
@@ -114,9 +107,6 @@
 			return nil
 		case <-t.C:
 		}
-		if n := s.refusedConnections.Swap(0); n > 0 {
-			s.Log.Warn("connections refused for want of memory", append([]any{"refused", n}, s.heldFields()...)...)
-		}
 		resident, err := residentMemory()
 		if err != nil {
 			return err
--- a/direct/peers.go
+++ b/direct/peers.go
@@ -6,8 +6,6 @@
 	"net/http"
 	"time"
 
-	"github.com/hashicorp/go-hclog"
-
 	"jacinthworks/conns"
 	"jacinthworks/feed"
 	"jacinthworks/paths"
@@ -47,17 +45,22 @@
 }
 
 // listenPeers opens the listener for the other entries; nil if the settings have none.
-func (s *Server) listenPeers(ctx context.Context) (*http.Server, net.Listener, error) {
+func (s *Server) listenPeers(ctx context.Context) (net.Listener, error) {
 	if !s.Settings.PeerListen.IsValid() {
-		return nil, nil, nil
+		return nil, nil
 	}
 	l, err := conns.Listen(ctx, s.Log, "peer_listen", s.Settings.PeerListen)
 	if err != nil {
-		return nil, nil, err
+		return nil, err
 	}
 	// The settings may leave the port to the operating system.
 	s.Settings.PeerListen = l.Addr().(*net.TCPAddr).AddrPort()
 	s.peers.fleet.SelfAddr, s.peers.fleet.Seeds = s.Settings.PeerListen, s.Settings.Seeds
+	return l, nil
+}
+
+// peersHandler answers the other entries.
+func (s *Server) peersHandler() http.Handler {
 	m := http.NewServeMux()
 	m.Handle("GET "+relay.URLPrefix+feedConfigs, relay.Handler(&s.peers.configs))
 	m.Handle("GET "+relay.URLPrefix+feedUpstreams, relay.Handler(&s.peers.upstreams))
@@ -83,12 +86,8 @@
 	m.HandleFunc("POST "+slotPath, s.serveSlot)
 	m.HandleFunc("POST "+slotEndPath, ownerHandler(s, s.handleSlotEnd))
 	m.HandleFunc("POST "+sharesPath, checkedHandler(s, s.checkShares, s.handleShares))
-	return &http.Server{
-		Handler:           relay.CheckFleet(s.Settings.FleetID(), s.reportOtherFleet, s.reportPanics("peers", s.refuseWhileDraining(m))),
-		ReadHeaderTimeout: s.Settings.Limits.HeaderTimeout,
-		MaxHeaderBytes:    conns.MaxHeaderBytes,
-		ErrorLog:          s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
-	}, l, nil
+	bounded := conns.LimitBody(s.limitWrites(s.holdPeerBody(s.refuseWhileDraining(m))), s.Settings.Limits.ReadTimeout)
+	return relay.CheckFleet(s.Settings.FleetID(), s.reportOtherFleet, s.reportPanics("peers", bounded))
 }
 
 // reportOtherFleet reports a call of an entry of another fleet, which was refused.
--- a/direct/request.go
+++ b/direct/request.go
@@ -8,6 +8,7 @@
 	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"time"
 
@@ -58,9 +59,10 @@
 	host   string
 	header http.Header
 	body   []byte
-	// reserved is the memory in bytes that is reserved for the request, under the account reservedFor.
-	reserved    int64
-	reservedFor domain.Account
+	// hold is the memory that is reserved for the request.
+	hold memory.Hold[domain.Account]
+	// bodyRead means that the body was read to its end.
+	bodyRead bool
 
 	w http.ResponseWriter
 	// supportsChunks means that the caller's version of HTTP has chunks.
@@ -96,6 +98,9 @@
 	finished bool
 }
 
+// partCost is what a part of a prompt holds, in bytes: its name, and what it is tracked under.
+const partCost = 256
+
 // defaultTimeout bounds a request if neither caller nor route states a limit.
 const defaultTimeout = 30 * time.Second
 
@@ -139,6 +144,11 @@
 		s.refuse(r, f)
 		return
 	}
+	if !s.openRequest() {
+		s.refuse(r, s.memoryFailure("connection to an upstream"))
+		return
+	}
+	defer s.closeRequest()
 	ctx, cancel := context.WithDeadline(h.Context(), r.deadline)
 	defer cancel()
 	s.countArrived(r)
@@ -178,13 +188,14 @@
 		return f
 	}
 	r.attempts = retry.Attempts{Repeatable: route.Retryable(), Limit: route.Attempts}
-	if !s.holdMemory(r, memory.RequestCost+headerBytes(r.header)) {
+	if !s.holdMemory(r, memory.RequestCost+partCost*int64(len(r.info.PromptParts))) {
 		return s.memoryFailure("request")
 	}
+	r.setDeadline()
 	if f := s.readBody(r, h, c.Limits.MaxBody); f != nil {
 		return f
 	}
-	r.setDeadline()
+	r.bodyRead = true
 	s.awaitLedger(h.Context(), r)
 	name := route.Pick(r.random)
 	if r.route.Kind == paths.Stream && r.isResumption() {
@@ -233,9 +244,13 @@
 	if bounded, ok := w.(*conns.DeadlineWriter); ok {
 		w = bounded.Unwrap()
 	}
-	body, err := s.readReserved(r, http.MaxBytesReader(w, h.Body, limit), knownLength(h.ContentLength, limit))
+	body, err := s.readInTime(r, http.MaxBytesReader(w, h.Body, limit), knownLength(h.ContentLength, limit))
 	var large *http.MaxBytesError
 	switch {
+	case r.hold.Revoked():
+		return s.memoryFailure("body that arrives slowly")
+	case errors.Is(err, os.ErrDeadlineExceeded):
+		return &failure{ran: domain.NotRun, reason: domain.ReasonSlowCaller, detail: "the body did not arrive in time"}
 	case errors.As(err, &large):
 		return &failure{ran: domain.NotRun, reason: domain.ReasonTooLarge, detail: "the body is over the limit"}
 	case errors.Is(err, errNoMemory):
@@ -262,12 +277,50 @@
 	switch {
 	case s.holdMemory(r, bytes):
 		return nil
-	case !s.memory.Fits(r.reserved + bytes):
+	case !s.memory.Fits(r.hold.Bytes() + bytes):
 		return errNeverFits
 	}
 	return errNoMemory
 }
 
+// readInTime reads a body with readReserved, until the request must have ended. Meanwhile the request gives way to
+// others if it arrives slowly and memory is short.
+func (s *Server) readInTime(r *request, from io.Reader, length int64) ([]byte, error) {
+	if length == 0 {
+		return nil, nil
+	}
+	control := http.NewResponseController(r.w)
+	until := r.deadline
+	if t := r.accepted.Add(s.Settings.Limits.ReadTimeout); t.Before(until) {
+		until = t
+	}
+	_ = control.SetReadDeadline(until) // only a recorder in a test has none
+	d := &memory.Reader{Revoke: func() {
+		r.hold.Revoke()
+		_ = control.SetReadDeadline(time.Unix(1, 0)) // a connection that fails here has ended
+	}}
+	s.readers.Begin(time.Now(), d)
+	body, err := s.readReserved(r, &countingReader{from, d}, length)
+	s.readers.End(d)
+	if err == nil && !r.hold.Revoked() {
+		_ = control.SetReadDeadline(time.Time{}) // the deadline must not end the request while it is served
+	}
+	return body, err
+}
+
+// countingReader counts what it reads as received.
+type countingReader struct {
+	io.Reader
+	reader *memory.Reader
+}
+
+// Read reads.
+func (c *countingReader) Read(p []byte) (int, error) {
+	n, err := c.Reader.Read(p)
+	c.reader.Received(n)
+	return n, err
+}
+
 // knownLength is the length of a body that will be read whole; -1 if it is unknown or over the limit.
 func knownLength(length, limit int64) int64 {
 	if length > limit {
--- a/domain/domain.go
+++ b/domain/domain.go
@@ -78,6 +78,7 @@
 const (
 	ReasonBadInput    Reason = "bad_input"
 	ReasonTooLarge    Reason = "too_large"
+	ReasonSlowCaller  Reason = "request_too_slow"
 	ReasonNoToken     Reason = "no_token"
 	ReasonNoKind      Reason = "unknown_kind"
 	ReasonNoService   Reason = "unknown_service"
@@ -110,6 +111,8 @@
 		return 401
 	case ReasonNoService:
 		return 404
+	case ReasonSlowCaller:
+		return 408
 	case ReasonInProgress, ReasonAlreadyRan, ReasonMayHaveRun:
 		return 409
 	case ReasonTooLarge:
--- a/paths/paths.go
+++ b/paths/paths.go
@@ -134,6 +134,9 @@
 
 // Limits bound the size of callers' requests and the times of their connections.
 type Limits struct {
+	// MaxHeader is the maximum size of the header lines of a request in bytes, and of its request line; zero if the
+	// configuration has no limit.
+	MaxHeader int64
 	// MaxBody is the maximum size of a request body in bytes.
 	MaxBody int64
 	// HeaderTimeout bounds the time in which a request's header must arrive. IdleTimeout is
