conns: a request whose header was read with the body before it is refused, not cut

Found when the change was read again: where such a header did not fit, its connection was closed while its handler ran, so that it could run without an answer. It gets 503 and does not run. A header that was refused is not reserved for a second time, which had others give way for nothing. Short messages of other entries pass without a reservation: callers that use up the memory must not keep entries from agreeing on limits.

--- a/conns/guard.go
+++ b/conns/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"io"
 	"net"
 	"net/http"
@@ -74,17 +75,30 @@
 	return guarded, nil
 }
 
-// ConnState passes the state of a connection to its guard, and then to next. Set it as the ConnState of the
-// http.Server of the listener.
-func ConnState(next func(net.Conn, http.ConnState)) func(net.Conn, http.ConnState) {
-	return func(c net.Conn, state http.ConnState) {
+// connKey is the key of the connection in the context of a request.
+type connKey struct{}
+
+// Prepare sets up a server for guarded listeners, around its Handler and its ConnState.
+func Prepare(s *http.Server) {
+	handler, connState := s.Handler, s.ConnState
+	s.ConnContext = func(ctx context.Context, c net.Conn) context.Context { return context.WithValue(ctx, connKey{}, c) }
+	s.ConnState = func(c net.Conn, state http.ConnState) {
 		if g, ok := c.(*guardedConn); ok {
 			g.setState(state)
 		}
-		if next != nil {
-			next(c, state)
+		if connState != nil {
+			connState(c, state)
 		}
 	}
+	s.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if g, ok := r.Context().Value(connKey{}).(*guardedConn); ok && g.refused {
+			w.Header().Set("Connection", "close")
+			w.Header().Set("Retry-After", "1")
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		handler.ServeHTTP(w, r)
+	})
 }
 
 // guardedConn is a connection of a Guard. Its reads, and changes of its state, come one after the other.
@@ -98,7 +112,8 @@
 	// reading means that a header is awaited or read, and revoked that it is refused in favour of others.
 	reading, revoked bool
 
-	// listed means that reader is in the Readers.
+	// refused means that the request was refused, and listed that reader is in the Readers.
+	refused  bool
 	listed   bool
 	header   headerCount
 	reserved int64
@@ -148,9 +163,9 @@
 		c.list()
 	case http.StateActive:
 		// Of a header that was read together with the body before it nothing is reserved yet.
-		if !c.reserve() {
+		if !c.refused && !c.reserve() {
+			c.refused = true
 			c.guard.OnRefuse(RefusedHeaderNoMemory)
-			_ = c.Close()
 		}
 		c.endHeader()
 	case http.StateIdle:
@@ -226,6 +241,7 @@
 // refuse answers a request that is not read to its end. If p is not empty, it reads some of what the caller still sends.
 func (c *guardedConn) refuse(reason, answer string, p []byte) {
 	c.unlist()
+	c.refused = true
 	c.guard.OnRefuse(reason)
 	until := time.Now().Add(lingerTimeout)
 	if c.Conn.SetDeadline(until) != nil { // closed already
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -129,7 +129,7 @@
 	sourceErrors   sourceErrors
 	readiness      readiness
 	// memory is what callers hold. guards are those of all listeners, of which the requests of the first give way
-	// first; bodies are the bodies of callers' requests that are being read.
+	// first; readers are the callers' requests of which the header or the body is being read.
 	memory  memory.Budget[domain.Account]
 	guards  []*guardedListener
 	readers memory.Readers
--- a/direct/guard.go
+++ b/direct/guard.go
@@ -73,15 +73,17 @@
 
 // server returns a server for the requests of the listener. What it says of odd requests is only for debugging.
 func (g *guardedListener) server(h http.Handler) *http.Server {
-	return &http.Server{
+	server := &http.Server{
 		Handler:           h,
 		ReadHeaderTimeout: g.s.Settings.Limits.HeaderTimeout,
 		MaxHeaderBytes:    conns.MaxHeaderBytes,
-		ConnState:         conns.ConnState(g.idle.ConnState),
+		ConnState:         g.idle.ConnState,
 		ErrorLog:          g.s.Log.StandardLogger(&hclog.StandardLoggerOptions{ForceLevel: hclog.Debug}),
 		// net/http would answer OPTIONS * itself.
 		DisableGeneralOptionsHandler: true,
 	}
+	conns.Prepare(server)
+	return server
 }
 
 // guardCallers returns the guard of the listener for callers.
@@ -156,8 +158,13 @@
 	})
 }
 
-// peerBodyFactor is how many times its length a message of another entry holds while it is decoded.
-const peerBodyFactor = 4
+const (
+	// peerBodyFactor is how many times its length a message of another entry holds while it is decoded.
+	peerBodyFactor = 4
+	// peerAllowance is the length, in bytes, up to which messages of other entries pass without a reservation: callers
+	// that use up the memory must not keep entries from agreeing on limits.
+	peerAllowance = 16 << 10
+)
 
 // holdPeerBody reserves memory for the bodies of messages of other entries.
 func (s *Server) holdPeerBody(next http.Handler) http.Handler {
@@ -172,7 +179,7 @@
 			from = domain.Account(a.Addr().String())
 		}
 		h := &memory.Hold[domain.Account]{Budget: &s.memory, Account: from}
-		if length > 0 && !s.reserve(h, peerBodyFactor*min(length, maxEvidence)) {
+		if length > peerAllowance && !s.reserve(h, peerBodyFactor*min(length, maxEvidence)) {
 			s.Meter.Inc(memoryRefusedTotal, meter.Labels{"what", "peer_message"})
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
