--- a/test/crowd_test.go
+++ b/test/crowd_test.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -210,10 +211,12 @@
 				c := p.dial()
 				body := strings.Repeat("b", crowdMaxBody)
 				_, err := fmt.Fprintf(c, crowdHead+"%sContent-Length: %d\r\n\r\n%s", "calm", head, len(body), body)
-				require.NoError(t, err, name)
+				require.NoError(t, err, "%s: %s", name, p.lastLog())
 				answer, err := http.ReadResponse(bufio.NewReader(c), nil)
 				require.NoError(t, err, name)
 				require.Equal(t, http.StatusOK, answer.StatusCode, "%s: %s", name, p.lastLog())
+				_, err = io.Copy(io.Discard, answer.Body) // the request ends with its answer
+				require.NoError(t, err, name)
 				require.NoError(t, c.Close())
 			}
 			t.Logf("peak resident %.1f MB", float64(p.peakMemory())/1e6)
