resp, send: what is no response of HTTP/1.1 reaches no caller

Callers got, with status 200, the answer inside the body of a response with status 000, 099 or 101; an answer without one of its fields, whose name held a space; and bodies of another length, where that field was the length or the transfer coding. Statuses 600 and 999 were passed on.

Cause: send.readHead took every status below 200 for an interim response and read what follows as the next response. http.ReadResponse accepts more than RFC 9112 and 9110: '+20' and '-00' as a status, several spaces before it, control characters in the reason, any major version, spaces in names (the field is then under a name that nobody looks for), a transfer coding in HTTP/1.0, a length beside a coding, interim responses that state a body; in trailers the same.

A malformed response is a broken exchange: the request may have run, so 502, or another upstream if it may be repeated, within the retry budget. 'response malformed' and jacinthworks_malformed_responses_total name the part. OnInvalid replaces OnBound on the way there.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -16,7 +16,6 @@
 	"jacinthworks/memory"
 	"jacinthworks/meter"
 	"jacinthworks/platform"
-	"jacinthworks/send"
 	"jacinthworks/spool"
 )
 
@@ -53,7 +52,7 @@
 		s.Meter.Inc("jacinthworks_store_calls_total", meter.Labels{"call", verb, "kind", kind, "outcome", outcome})
 		s.Log.Debug("store called", "call", verb, "kind", kind, "outcome", outcome)
 	}
-	store.OnBound = func(b send.Bound) { s.RecordBound(direct.ClientStore, d.Platform.String(), b) }
+	store.OnInvalid = func(err error) { s.RecordInvalid(direct.ClientStore, d.Platform.String(), err) }
 	s.Meter.Gauge("jacinthworks_log_lines_dropped", nil, func() float64 { return float64(lines.Dropped()) })
 	err := group.Catch(ctx, s.Run)
 	return logExit(s.Log, err, context.Cause(ctx), errs)
--- a/direct/bounds.go
+++ b/direct/bounds.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"jacinthworks/meter"
+	"jacinthworks/resp"
 	"jacinthworks/roster"
 	"jacinthworks/send"
 )
@@ -15,17 +16,23 @@
 	ClientStore    = "store"
 )
 
-// RecordBound logs and counts a response that exceeds a bound. name is the ID of the upstream, the
+// RecordInvalid logs and counts a response that exceeds a bound or is malformed. name is the ID of the upstream, the
 // name of the entry or the address of the store.
-func (s *Server) RecordBound(client, name string, b send.Bound) {
-	s.Log.Warn("response exceeds a bound", "client", client, "name", name, "bound", b)
-	s.Meter.Inc("jacinthworks_response_bounds_total", meter.Labels{"client", client, "bound", string(b)})
+func (s *Server) RecordInvalid(client, name string, err error) {
+	if b := send.BoundOf(err); b != "" {
+		s.Log.Warn("response exceeds a bound", "client", client, "name", name, "bound", b)
+		s.Meter.Inc("jacinthworks_response_bounds_total", meter.Labels{"client", client, "bound", string(b)})
+		return
+	}
+	part := resp.PartOf(err)
+	s.Log.Warn("response malformed", "client", client, "name", name, "part", part, "err", err)
+	s.Meter.Inc("jacinthworks_malformed_responses_total", meter.Labels{"client", client, "part", string(part)})
 }
 
-// recordFault counts a call of this entry's own whose response exceeds a bound as a failure of the
-// upstream.
+// recordFault counts a call of this entry's own whose response exceeds a bound or is malformed as a failure
+// of the upstream.
 func (s *Server) recordFault(u *roster.Upstream, err error) {
-	if send.BoundOf(err) != "" {
+	if send.BoundOf(err) != "" || resp.PartOf(err) != "" {
 		u.Stats.RecordFailure(time.Now())
 	}
 }
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -51,7 +51,6 @@
 	"jacinthworks/roles"
 	"jacinthworks/roster"
 	"jacinthworks/search"
-	"jacinthworks/send"
 )
 
 // Server serves callers. Set the exported fields before Run.
@@ -270,8 +269,8 @@
 	s.memory.Limit, s.memory.MaxConnections = memory.ForCallers(s.Settings.MemoryLimit), s.descriptorPart(callersDescriptors)
 	s.registerMemory()
 	s.roster.Log, s.roster.MaxGap = s.Log, origin.MaxGap
-	s.roster.OnBound = func(id roster.ID, b send.Bound) { s.RecordBound(ClientUpstream, string(id), b) }
-	s.peers.fleet.OnBound = func(name domain.Host, b send.Bound) { s.RecordBound(ClientEntry, string(name), b) }
+	s.roster.OnInvalid = func(id roster.ID, err error) { s.RecordInvalid(ClientUpstream, string(id), err) }
+	s.peers.fleet.OnInvalid = func(name domain.Host, err error) { s.RecordInvalid(ClientEntry, string(name), err) }
 	s.peers.fleet.Self, s.peers.fleet.MinMembers = s.Settings.Name, s.Settings.RelayMinEntries
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
 	s.peers.fleet.ID = s.Settings.FleetID()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -208,9 +208,9 @@
 	// MinMembers is the smallest number of processes with which relays are used; zero is
 	// DefaultMinMembers.
 	MinMembers int
-	// OnBound, if set, is called for each response of a process that exceeds a bound, from any
+	// OnInvalid, if set, is called for each response of a process that is malformed or exceeds a bound, from any
 	// goroutine.
-	OnBound func(domain.Host, send.Bound)
+	OnInvalid func(domain.Host, error)
 
 	mu sync.Mutex // leaf lock: no other lock but those of peers is acquired while it is held
 	// isRelay is set if this process is a relay.
@@ -313,8 +313,8 @@
 // newPeer returns a new peer with its own client.
 func (f *Fleet) newPeer(m Member) *Peer {
 	p := &Peer{Member: m, fleet: f.ID, client: &send.Client{Addr: m.Addr, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout}}
-	if f.OnBound != nil {
-		p.client.OnBound = func(b send.Bound) { f.OnBound(m.Name, b) }
+	if f.OnInvalid != nil {
+		p.client.OnInvalid = func(err error) { f.OnInvalid(m.Name, err) }
 	}
 	if f.onNewPeer != nil {
 		f.onNewPeer(p)
--- a/roster/roster.go
+++ b/roster/roster.go
@@ -195,9 +195,9 @@
 	Now func() time.Time
 	// MaxGap is the time between two confirmations of the registry in which no change is missed that matters.
 	MaxGap time.Duration
-	// OnBound, if set, is called for each response of an upstream that exceeds a bound, from any
-	// goroutine.
-	OnBound func(ID, send.Bound)
+	// OnInvalid, if set, is called for each response of an upstream that is malformed or exceeds a bound, from
+	// any goroutine.
+	OnInvalid func(ID, error)
 
 	mu      sync.Mutex
 	members map[ID]*Upstream
@@ -344,15 +344,15 @@
 }
 
 func (r *Directory) newClient(s Server) *send.Client {
-	return &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout, OnBound: r.onBoundOf(s.ID)}
+	return &send.Client{Addr: s.Addr, DialTimeout: dialTimeout, UserTimeout: userTimeout, IdleTimeout: defaultIdleTimeout, OnInvalid: r.onInvalidOf(s.ID)}
 }
 
-// onBoundOf returns the OnBound of the client of an upstream.
-func (r *Directory) onBoundOf(id ID) func(send.Bound) {
-	if r.OnBound == nil {
+// onInvalidOf returns the OnInvalid of the client of an upstream.
+func (r *Directory) onInvalidOf(id ID) func(error) {
+	if r.OnInvalid == nil {
 		return nil
 	}
-	return func(b send.Bound) { r.OnBound(id, b) }
+	return func(err error) { r.OnInvalid(id, err) }
 }
 
 // putEntry adds or updates the member of a decoded entry. An entry of an earlier instance is
--- a/send/bounds.go
+++ b/send/bounds.go
@@ -19,8 +19,8 @@
 	// maxSkippedResponses is how many responses to other requests are skipped before the connection
 	// is closed.
 	maxSkippedResponses = 4
-	// readerSize is the size of the read buffer of a connection, in bytes. net/http reads the
-	// trailers of a body, and a line before a chunk, only if they fit into it.
+	// readerSize is the size of the read buffer of a connection, in bytes. A line before a chunk must fit
+	// into it.
 	readerSize = 8 << 10
 )
 
@@ -33,8 +33,8 @@
 	HeadBound Bound = "head"
 	// SkipBound is the bound on responses to other requests.
 	SkipBound Bound = "skipped"
-	// FramingBound is the bound of net/http on the lines before chunks and on trailers. Chunks that
-	// are malformed count too.
+	// FramingBound is the bound on the lines before chunks and on trailers. Chunks that are malformed count
+	// too.
 	FramingBound Bound = "framing"
 	// BodyBound is the limit of Response.ReadAll.
 	BodyBound Bound = "body"
--- a/send/failure.go
+++ b/send/failure.go
@@ -4,6 +4,8 @@
 	"context"
 
 	"github.com/pkg/errors"
+
+	"jacinthworks/resp"
 )
 
 // FailureStage is how far a request without a complete response got.
@@ -58,8 +60,8 @@
 	if cause == nil {
 		cause = err
 	}
-	if b := BoundOf(cause); b != "" && c.OnBound != nil {
-		c.OnBound(b)
+	if c.OnInvalid != nil && (BoundOf(cause) != "" || resp.PartOf(cause) != "") {
+		c.OnInvalid(cause)
 	}
 	switch {
 	case !written:
--- a/send/reply.go
+++ b/send/reply.go
@@ -10,20 +10,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/events"
-)
-
-// Framing is how a message states where its body ends (RFC 9112, section 6.3).
-type Framing string
-
-// The framings of a body.
-const (
-	// FramedByLength: the header states the length, or the message has no body.
-	FramedByLength Framing = "length"
-	// FramedByChunks: the body is sent in chunks, the last of which is empty.
-	FramedByChunks Framing = "chunks"
-	// FramedByClose: the body ends with the connection. The host of an upstream that crashes closes
-	// its connections too, so the end is confirmed; see Request.ConfirmEnd.
-	FramedByClose Framing = "close"
+	"jacinthworks/resp"
 )
 
 // eventStreamType is the media type of a stream of server-sent events.
@@ -40,22 +27,12 @@
 	return mediaType == eventStreamType && (err == nil || errors.Is(err, mime.ErrInvalidMediaParameter))
 }
 
-func framingOf(r *http.Response) Framing {
-	switch {
-	case r.ContentLength >= 0 || r.Body == http.NoBody:
-		return FramedByLength
-	case len(r.TransferEncoding) > 0:
-		return FramedByChunks
-	}
-	return FramedByClose
-}
-
 // Response is a response whose header has arrived; Read reads its body.
 type Response struct {
 	Status int
 	Header http.Header
 	// Framing is how the upstream frames the body.
-	Framing Framing
+	Framing resp.Framing
 	// EventStream reports whether the body is a stream of server-sent events.
 	EventStream bool
 	// NewConn reports whether the connection was dialed for this request.
@@ -63,7 +40,7 @@
 	// DialedAt is when the connection was dialed.
 	DialedAt time.Time
 
-	body          io.ReadCloser
+	body          io.Reader
 	client        *Client
 	conn          *conn
 	ctx           context.Context
@@ -110,16 +87,15 @@
 	return n, err
 }
 
-// boundError returns the error of a read as a BoundError if the read exceeded a bound. net/http may
-// replace the error of the connection by one of its own. An error that is not of the connection is
-// one of the framing.
-func (p *Response) boundError(f Framing, err error) error {
+// boundError returns the error of a read as a BoundError if the read exceeded a bound. An error that is
+// neither of the connection nor of what was read is one of the chunks.
+func (p *Response) boundError(f resp.Framing, err error) error {
 	switch b := BoundOf(p.conn.readErr); {
-	case BoundOf(err) != "":
+	case BoundOf(err) != "", resp.PartOf(err) != "":
 		return err
 	case b != "":
 		return &BoundError{Bound: b, Cause: err}
-	case f == FramedByChunks && p.conn.readErr == nil:
+	case f == resp.FramedByChunks && p.conn.readErr == nil:
 		return &BoundError{Bound: FramingBound, Cause: err}
 	}
 	return err
@@ -138,7 +114,7 @@
 	switch {
 	case p.WithinEvent():
 		err = ErrWithinEvent
-	case p.Framing == FramedByClose:
+	case p.Framing == resp.FramedByClose:
 		err = p.confirmEnd(p.ctx)
 	}
 	if err != nil {
--- a/send/send.go
+++ b/send/send.go
@@ -13,9 +13,9 @@
 //	body, err := io.ReadAll(response)
 //
 // A Client keeps connections open between requests. It follows no redirect, changes no header and
-// never sends a request twice. It uses net/http to read responses, but not http.Transport, which
-// retries a GET by itself when a kept connection breaks, and cannot detect a response that belongs to
-// an earlier request.
+// never sends a request twice. It does not use http.Transport, which retries a GET by itself when a kept
+// connection breaks, and cannot detect a response that belongs to an earlier request. Package resp reads
+// the responses.
 package send
 
 import (
@@ -29,6 +29,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/group"
+	"jacinthworks/resp"
 )
 
 // Defaults of the fields of a Client. A dial within a deployment takes less than a millisecond, so
@@ -65,8 +66,9 @@
 	// allowed for its acknowledgement. After two unacknowledged probes the kernel closes the
 	// connection. The probes detect a connection that died while this process waits for a response.
 	KeepAliveInterval time.Duration
-	// OnBound, if set, is called for each response that exceeds a bound, from any goroutine.
-	OnBound func(Bound)
+	// OnInvalid, if set, is called for each response that is malformed or exceeds a bound, with an error of which
+	// resp.PartOf or BoundOf tells which, from any goroutine.
+	OnInvalid func(error)
 
 	mu   sync.Mutex // leaf lock: no other lock is acquired while it is held
 	idle []*conn    // in order of release; the newest is reused first
@@ -149,25 +151,25 @@
 		body: nil, client: c, ctx: ctx, cancel: cancel, watchdog: watchdog, readTimeout: readTimeout, conn: k,
 		stopAfterFunc: context.AfterFunc(ctx, func() { _ = k.Close() }),
 	}
-	response, err := p.exchange(r)
+	head, err := p.exchange(r)
 	if err != nil {
 		failure := c.failure(ctx, err, k.hasWritten())
 		p.discard()
 		return nil, failure
 	}
 	watchdog.reset(readTimeout)
-	p.Status, p.Header, p.body = response.StatusCode, response.Header, response.Body
+	p.Status, p.Header, p.body = head.Status, head.Header, head.Body(k.reader)
 	p.confirmEnd = r.ConfirmEnd
 	if p.confirmEnd == nil {
 		p.confirmEnd = c.confirmAlive
 	}
-	p.Framing, p.EventStream = framingOf(response), isEventStream(response.Header, r.EventStream)
-	p.reusable = !response.Close && p.Framing != FramedByClose && !p.misplaced
+	p.Framing, p.EventStream = head.Framing, isEventStream(head.Header, r.EventStream)
+	p.reusable = !head.Close && !p.misplaced
 	return p, nil
 }
 
 // exchange writes the request and reads the header of its response.
-func (p *Response) exchange(r Request) (*http.Response, error) {
+func (p *Response) exchange(r Request) (*resp.Head, error) {
 	if r.Host == "" {
 		r.Host = p.client.Addr.String()
 	}
@@ -185,16 +187,15 @@
 			p.writeDone <- group.Catch(context.Background(), func(context.Context) error { return p.conn.write(r) })
 		}()
 	}
-	q := &http.Request{Method: r.Method}
 	defer p.conn.unlimitReads()
 	for range maxSkippedResponses + 1 {
-		response, err := p.readHead(q)
+		head, err := p.readHead(r.Method)
 		if err != nil || r.Match == nil {
-			return response, err
+			return head, err
 		}
-		switch r.Match(response.StatusCode, response.Header) {
+		switch r.Match(head.Status, head.Header) {
 		case Own:
-			return response, nil
+			return head, nil
 		case Unknown:
 			return nil, ErrUnknownResponse
 		}
@@ -203,10 +204,10 @@
 		// passed on as the response to this request, to another caller. Reading on finds the right
 		// response because the upstream answers the requests of a connection in order.
 		p.conn.limitReads(MaxSkippedBytes, SkipBound)
-		if _, err := io.Copy(io.Discard, response.Body); err != nil {
-			return nil, errors.Wrap(p.boundError(framingOf(response), err), "send: reading a response to another request")
+		if _, err := io.Copy(io.Discard, head.Body(p.conn.reader)); err != nil {
+			return nil, errors.Wrap(p.boundError(head.Framing, err), "send: reading a response to another request")
 		}
-		if response.Close {
+		if head.Close {
 			return nil, errors.New("send: connection ended after a response to another request")
 		}
 	}
@@ -214,15 +215,15 @@
 }
 
 // readHead reads the header of the next response that is not interim.
-func (p *Response) readHead(q *http.Request) (*http.Response, error) {
+func (p *Response) readHead(method string) (*resp.Head, error) {
 	p.conn.limitReads(MaxHeadBytes, HeadBound)
 	for range maxInterimResponses + 1 {
-		response, err := http.ReadResponse(p.conn.reader, q)
+		head, err := resp.ReadHead(p.conn.reader, method)
 		if err != nil {
 			return nil, errors.Wrap(p.boundError("", err), "send: reading response header")
 		}
-		if response.StatusCode >= http.StatusOK {
-			return response, nil
+		if !head.IsInterim() {
+			return head, nil
 		}
 	}
 	return nil, &BoundError{Bound: HeadBound}
--- a/send/send_test.go
+++ b/send/send_test.go
@@ -14,6 +14,7 @@
 
 	"github.com/stretchr/testify/require"
 
+	"jacinthworks/resp"
 	"jacinthworks/send"
 )
 
@@ -266,7 +267,7 @@
 		c := send.Client{Addr: l.Addr().(*net.TCPAddr).AddrPort()}
 		reply, err := c.Do(t.Context(), send.Request{Method: http.MethodGet, Target: "/"})
 		require.NoError(t, err)
-		require.Equal(t, send.FramedByClose, reply.Framing)
+		require.Equal(t, resp.FramedByClose, reply.Framing)
 		body, err := reply.ReadAll(10)
 		if dies {
 			require.Equal(t, send.Broken, send.StageOf(err))
