send: the end of a connection ends an answer only if the upload did not break

A server answered an upload of 3 MB at once with a 200 without a length, sent 1 KB and reset the connection, or closed it with the upload unread. The caller got that part framed as whole, on all four kinds of route.

Cause: the kernel reports the reset once, to the write that is in progress. The read after it sees an ordinary end, and the upstream lives, so that confirmEnd held. The result of the write was asked for only before the connection is used again.

The end of an answer that is framed by its connection now holds only if the request is written to its end, the upstream is the same start as before, and no error of the connection is pending after that (SO_ERROR), which finds a reset behind the end. While the upload goes on, the end is awaited within the time of the exchange: an upstream that answers early, half-closes and reads on keeps its answer (TestEarlyAnswerIsCompleteOnceTheUploadIsRead). One that closes in order with the upload unread does not: its host resets the connection, as that of one which crashes does, and nothing on the wire tells them apart. Answers with a length or chunks say themselves where they end and are passed on as before.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -62,6 +62,8 @@
 	// endWithinEvent: the framing states that the body is complete, and the last event is not.
 	endWithinEvent answerEnd = "within_event"
 	endBroken      answerEnd = "broken"
+	// endUpload: the connection ended, and with it the upload of the request.
+	endUpload answerEnd = "upload_broken"
 )
 
 // recordEnd counts how the body of an answer ended, and returns the log fields that tell it.
@@ -232,8 +234,11 @@
 		a.upstream.Stats.RecordFailure(time.Now())
 	}
 	end := endBroken
-	if errors.Is(err, send.ErrWithinEvent) {
+	switch {
+	case errors.Is(err, send.ErrWithinEvent):
 		end = endWithinEvent
+	case errors.Is(err, send.ErrUploadBroken):
+		end = endUpload
 	}
 	return s.finishFailed(r, a, f, s.recordEnd(r, a, end)...)
 }
--- a/send/conn.go
+++ b/send/conn.go
@@ -123,6 +123,33 @@
 	return err == nil && noData
 }
 
+// pendingError returns the error of the connection that no read or write has reported, such as a reset that came
+// after the end of what was read.
+func (k *conn) pendingError() error {
+	s, ok := k.Conn.(syscall.Conn)
+	if !ok {
+		return nil
+	}
+	raw, err := s.SyscallConn()
+	if err != nil {
+		return errors.Wrap(err, "send: reading the state of a connection")
+	}
+	var number int
+	var optionErr error
+	if err := raw.Control(func(fd uintptr) {
+		number, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
+	}); err != nil {
+		return errors.Wrap(err, "send: reading the state of a connection")
+	}
+	if optionErr != nil {
+		return errors.Wrap(optionErr, "send: reading the state of a connection")
+	}
+	if number != 0 {
+		return errors.Wrap(syscall.Errno(number), "send: the connection broke after the end of the response")
+	}
+	return nil
+}
+
 // statedIdleTimeout returns how long a connection may be idle and still be reused:
 // idleTimeoutFraction of the timeout in the Keep-Alive header of a response; zero if the header
 // states no timeout.
--- a/send/reply.go
+++ b/send/reply.go
@@ -49,7 +49,7 @@
 	watchdog      *watchdog
 	readTimeout   time.Duration
 	// writeDone receives the result of writing a body concurrently with reading the response; nil
-	// if the request was written before.
+	// once the request is written.
 	writeDone chan error
 	// boundary follows the events of an event stream.
 	boundary events.Boundary
@@ -115,7 +115,7 @@
 	case p.WithinEvent():
 		err = ErrWithinEvent
 	case p.Framing == resp.FramedByClose:
-		err = p.confirmEnd(p.ctx)
+		err = p.confirmClose()
 	}
 	if err != nil {
 		p.endErr = p.client.failure(p.ctx, err, true)
@@ -124,6 +124,43 @@
 	return p.endErr
 }
 
+// ErrUploadBroken is the cause of the Failure of a response that ended with its connection while the request
+// could not be written to its end.
+var ErrUploadBroken = errors.New("send: the connection broke before the request was written")
+
+// confirmClose returns why the end of the connection is not that of a complete response.
+//
+// If the upstream resets the connection, the kernel reports the error once, to a write if one is in progress, and
+// the read after it sees an ordinary end. The end therefore holds only if the request was written too. An
+// upstream that answers early and reads the request to its end is told from one that broke off by that; one that
+// closes in order with the request unread is not, since its host resets the connection as well.
+func (p *Response) confirmClose() error {
+	if err := p.awaitWritten(); err != nil {
+		return err
+	}
+	if err := p.confirmEnd(p.ctx); err != nil {
+		return err
+	}
+	return p.conn.pendingError()
+}
+
+// awaitWritten waits until the request is written.
+func (p *Response) awaitWritten() error {
+	if p.writeDone == nil {
+		return nil
+	}
+	select {
+	case err := <-p.writeDone:
+		if err != nil {
+			return errors.Wrap(ErrUploadBroken, err.Error())
+		}
+		p.writeDone = nil
+		return nil
+	case <-p.ctx.Done():
+		return context.Cause(p.ctx)
+	}
+}
+
 // WithinEvent reports whether the part of an event stream that was read ends inside an event.
 func (p *Response) WithinEvent() bool { return p.boundary.WithinEvent() }
 
