admin: the operator's commands read answers as the other clients do

The administration client used http.Transport, which accepts what package resp rejects: statuses 000 and 101, a field name that holds a space, a coding beside a length. It sends through send.Client now, which can use TLS. An answer without a length that ends with its connection and without the end of TLS is broken (RFC 9112, section 9.8); crypto/tls reports both as the same end.

--- a/admin/client.go
+++ b/admin/client.go
@@ -6,7 +6,6 @@
 	"crypto/tls"
 	"encoding/json"
 	"io"
-	"net"
 	"net/http"
 	"net/netip"
 	"net/url"
@@ -150,9 +149,7 @@
 	r.Header.Set("Authorization", "Bearer "+string(c.Token))
 	r.Header.Set("Content-Type", typeJSON)
 	r.Header.Set("Accept", typeJSON+", "+typeProblem)
-	transport, closeIdle := c.transport()
-	defer closeIdle()
-	w, err := transport.RoundTrip(r)
+	w, err := c.transport().RoundTrip(r)
 	if err != nil {
 		return &unreachable{cause: err}
 	}
@@ -188,14 +185,43 @@
 	return "http://" + c.Address.String()
 }
 
-// transport returns the transport for one request, and a function that closes its
-// idle connections afterwards.
-func (c *Client) transport() (http.RoundTripper, func()) {
+// transport returns the transport for one request.
+func (c *Client) transport() http.RoundTripper {
 	if c.Transport != nil {
-		return c.Transport, func() {}
+		return c.Transport
 	}
-	t := &http.Transport{TLSClientConfig: c.TLS, DisableKeepAlives: true, MaxResponseHeaderBytes: send.MaxHeadBytes}
-	return t, t.CloseIdleConnections
+	return &transport{client: &send.Client{Addr: c.Address, TLS: c.TLS}}
+}
+
+// transport is an http.RoundTripper that sends with a send.Client, each request on a new connection.
+type transport struct{ client *send.Client }
+
+// RoundTrip sends a request.
+func (t *transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return nil, errors.Wrap(err, "admin: read the request")
+	}
+	reply, err := t.client.Do(r.Context(), send.Request{
+		Method: r.Method, Target: r.URL.RequestURI(), Host: r.URL.Host, Header: r.Header, Body: body, NewConn: true, ReadTimeout: clientTimeout,
+	})
+	if err != nil {
+		return nil, err
+	}
+	return &http.Response{StatusCode: reply.Status, Header: reply.Header, Body: replyBody{reply, t.client}}, nil
+}
+
+// replyBody is the body of a response, whose connection is closed with it.
+type replyBody struct {
+	*send.Response
+	client *send.Client
+}
+
+// Close closes the response and its connection.
+func (b replyBody) Close() error {
+	b.Response.Close()
+	b.client.CloseIdleConnections()
+	return nil
 }
 
 func (c *Client) waitRetryInterval(ctx context.Context) bool {
@@ -220,9 +246,5 @@
 func (u *unreachable) Is(t error) bool { return t == ErrUnreachable }
 func (u *unreachable) Unwrap() error   { return u.cause }
 
-// neverSent reports whether the connection failed, so that no part of the request
-// can have arrived.
-func neverSent(err error) bool {
-	var o *net.OpError
-	return errors.As(err, &o) && o.Op == "dial"
-}
+// neverSent reports whether no part of the request can have arrived.
+func neverSent(err error) bool { return send.StageOf(err) == send.NotSent }
--- a/send/conn.go
+++ b/send/conn.go
@@ -3,6 +3,8 @@
 import (
 	"bufio"
 	"context"
+	"crypto/tls"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -49,8 +51,29 @@
 	bound     Bound
 	// readErr is the error of the last read from the connection.
 	readErr error
+	// underTLS is the connection that carries TLS; nil without TLS.
+	underTLS *endingConn
 }
 
+// endingConn records the end of a connection. crypto/tls reports the end of the connection like that of TLS, which only
+// the other end can send (RFC 9112, section 9.8).
+type endingConn struct {
+	net.Conn
+	ended atomic.Bool
+}
+
+// Read reads from the connection.
+func (c *endingConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if errors.Is(err, io.EOF) {
+		c.ended.Store(true)
+	}
+	return n, err
+}
+
+// errNoTLSEnd is the error of a response that ended with its connection before TLS ended.
+var errNoTLSEnd = errors.New("send: the connection ended before TLS")
+
 func dial(ctx context.Context, addr netip.AddrPort, timeout, userTimeout, probeInterval time.Duration) (*conn, error) {
 	d := net.Dialer{Timeout: timeout, KeepAlive: -1}
 	if probeInterval > 0 {
@@ -68,6 +91,26 @@
 	return k, nil
 }
 
+// startTLS makes a handshake as the client of the address that was dialed. If it fails, the connection is closed.
+func (k *conn) startTLS(ctx context.Context, config *tls.Config) error {
+	if config.ServerName == "" {
+		host, _, err := net.SplitHostPort(k.RemoteAddr().String())
+		if err != nil {
+			return errors.Wrap(err, "send: TLS handshake")
+		}
+		config = config.Clone()
+		config.ServerName = host
+	}
+	k.underTLS = &endingConn{Conn: k.Conn}
+	secured := tls.Client(k.underTLS, config)
+	if err := secured.HandshakeContext(ctx); err != nil {
+		_ = k.Close() // the error of the handshake is returned
+		return errors.Wrap(err, "send: TLS handshake")
+	}
+	k.Conn = secured
+	return nil
+}
+
 // ControlUserTimeout returns a Control function for a net.Dialer or net.ListenConfig. It sets how
 // long sent data may stay unacknowledged before the kernel closes the connection.
 func ControlUserTimeout(timeout time.Duration) func(network, address string, raw syscall.RawConn) error {
@@ -126,6 +169,9 @@
 // pendingError returns the error of the connection that no read or write has reported, such as a reset that came
 // after the end of what was read.
 func (k *conn) pendingError() error {
+	if k.underTLS != nil && k.underTLS.ended.Load() {
+		return errNoTLSEnd
+	}
 	s, ok := k.Conn.(syscall.Conn)
 	if !ok {
 		return nil
--- a/send/send.go
+++ b/send/send.go
@@ -20,6 +20,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"io"
 	"net/http"
 	"net/netip"
@@ -51,6 +52,8 @@
 type Client struct {
 	// Addr is the address to which requests are sent.
 	Addr netip.AddrPort
+	// TLS is the TLS configuration; nil connects without TLS. With TLS each request has a connection of its own.
+	TLS *tls.Config
 	// DialTimeout bounds the time to connect; zero is DefaultDialTimeout.
 	DialTimeout time.Duration
 	// ReadTimeout is how long the upstream may send no data, before the response header and between
@@ -164,7 +167,7 @@
 		p.confirmEnd = c.confirmAlive
 	}
 	p.Framing, p.EventStream = head.Framing, isEventStream(head.Header, r.EventStream)
-	p.reusable = !head.Close && !p.misplaced
+	p.reusable = !head.Close && !p.misplaced && c.TLS == nil
 	return p, nil
 }
 
@@ -242,7 +245,11 @@
 		}
 		_ = k.Close()
 	}
-	return dial(ctx, c.Addr, firstPositive(c.DialTimeout, DefaultDialTimeout), c.UserTimeout, c.KeepAliveInterval)
+	k, err := dial(ctx, c.Addr, firstPositive(c.DialTimeout, DefaultDialTimeout), c.UserTimeout, c.KeepAliveInterval)
+	if err != nil || c.TLS == nil {
+		return k, err
+	}
+	return k, k.startTLS(ctx, c.TLS)
 }
 
 // confirmAlive returns an error if the client's address accepts no connection.
