direct, drain: requests that come late in a planned stop are refused unrun, those in progress answered

In a planned stop requests that came late were passed on and cut at its end with no answer, among them ones that must not be repeated. So was every request in progress, and every upload that did not end in time.

Cause: nothing on the way of a request asked how much of the stop is left, and the end of the stop closes all connections.

Package drain decides which requests a stop still begins: those that nine of ten recent requests of their route would end in, or, if none is known, those in the first half of the stop; a request that ends by its own deadline before the end of the stop always. It is asked before each send, so also by retries, resumed streams and requests that waited. A request that waits, for room or for its body, is refused at that moment: 503, not run, Retry-After. 200 ms before the end all requests in progress end: 503 if they were not sent, 502 if they may have run, and a stream that has begun is broken off, as before.

platform/stop_test.go failed before: of 20 requests in a stop of 4 s with upstreams that take 1.5 s, the 16 late ones got an unexpected end; the first of four in progress at the end got EOF. With it all have an answer, three times in a row with the race detector, and no upstream saw one that was refused.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -83,6 +83,10 @@
 		s.releaseUnsent(r, a)
 		return nil, f
 	}
+	if s.isTooLate(r) {
+		s.releaseUnsent(r, a)
+		return nil, s.stopFailure(r)
+	}
 	if !s.acceptsNew(r.id, a.upstream) || a.slot.expired(time.Now()) {
 		s.releaseUnsent(r, a)
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: errNotAccepting.Error(), unsent: true, retryGranted: true}
@@ -101,6 +105,8 @@
 	}
 	if a.info.Stage.RunsRequest() {
 		r.attempts.Sent()
+		r.passedOn = a.startedAt
+		r.inProgress.Store(true)
 	}
 	if !a.loadCounted {
 		if a.info.Stage.RunsRequest() {
@@ -230,7 +236,7 @@
 	if ctx.Err() != nil {
 		f.reason = domain.ReasonOf(ctx)
 	}
-	if f.reason != domain.ReasonCallerGone {
+	if f.reason != domain.ReasonCallerGone && f.reason != domain.ReasonDraining {
 		a.upstream.Stats.RecordFailure(time.Now())
 	}
 	end := endBroken
@@ -249,6 +255,7 @@
 	s.endAttemptSlot(a, failedOutcome(f), 0)
 	if a.info.Stage.RunsRequest() {
 		r.attempts.Ended(f.ran)
+		r.inProgress.Store(false)
 	}
 	r.exclude(a.upstream)
 	s.Log.Info("attempt failed", append([]any{"request", r.id, "upstream", a.start.ID, "stage", a.info.Stage, "send", r.attempts.Sends(),
@@ -307,7 +314,7 @@
 	}
 	decision := r.attempts.Allow(f.ran)
 	switch {
-	case ctx.Err() != nil:
+	case ctx.Err() != nil, s.isTooLate(r):
 		decision = retry.TooLate
 	case decision == retry.Allowed && !f.unsent && !s.grantRetry(r, causeOfRetry(f.ran)):
 		decision = retry.OverBudget
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -135,6 +135,7 @@
 	// openRequests is the number of requests that may need a connection to an upstream.
 	openRequests atomic.Int64
 	draining     atomic.Bool
+	stop         plannedStop
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
 	// of roles was released.
 	drainStarted    chan struct{}
--- a/direct/end.go
+++ b/direct/end.go
@@ -31,6 +31,9 @@
 	if f.ran == domain.NotRun {
 		s.refundQuota(r)
 	}
+	if f.reason == domain.ReasonDraining {
+		s.countStopped(r)
+	}
 	s.finish(r, "refused", "reason", f.reason, "ran", f.ran, "detail", f.detail)
 	if r.responseBegun || f.reason == domain.ReasonCallerGone {
 		s.abort(r)
@@ -145,6 +148,9 @@
 		return
 	}
 	r.finished = true
+	if outcome == "answered" {
+		s.recordDuration(r)
+	}
 	took := time.Since(r.accepted)
 	route, routeKind := "-", "-"
 	if r.route != nil {
--- a/direct/request.go
+++ b/direct/request.go
@@ -10,6 +10,7 @@
 	"net/netip"
 	"os"
 	"strings"
+	"sync/atomic"
 	"time"
 
 	"jacinthworks/clock"
@@ -94,6 +95,9 @@
 	crashChecks []<-chan struct{}
 	// share counts the request in the shares of its service; nil if they are off.
 	share *shares.Item
+	// inProgress means that an attempt was passed on and has not ended, and passedOn is when the last one was.
+	inProgress atomic.Bool
+	passedOn   time.Time
 	// finished means that the end of the request was logged and counted.
 	finished bool
 }
@@ -151,6 +155,8 @@
 	defer s.closeRequest()
 	ctx, cancel := context.WithDeadline(h.Context(), r.deadline)
 	defer cancel()
+	ctx, release := s.endWithStop(ctx, r)
+	defer release()
 	s.countArrived(r)
 	var f *failure
 	defer func() { s.countEnded(r, f) }()
@@ -249,6 +255,8 @@
 	switch {
 	case r.hold.Revoked():
 		return s.memoryFailure("body that arrives slowly")
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.draining.Load() && !time.Now().Before(s.bodyDeadline(r)):
+		return s.stopFailure(r)
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &failure{ran: domain.NotRun, reason: domain.ReasonSlowCaller, detail: "the body did not arrive in time"}
 	case errors.As(err, &large):
@@ -295,6 +303,13 @@
 		until = t
 	}
 	_ = control.SetReadDeadline(until) // only a recorder in a test has none
+	hastened := make(chan struct{})
+	endBegun := s.stop.afterBegun(func() {
+		defer close(hastened)
+		if last := s.bodyDeadline(r); last.Before(until) {
+			_ = control.SetReadDeadline(last) // a connection that fails here has ended
+		}
+	})
 	d := &memory.Reader{Revoke: func() {
 		r.hold.Revoke()
 		_ = control.SetReadDeadline(time.Unix(1, 0)) // a connection that fails here has ended
@@ -302,6 +317,9 @@
 	s.readers.Begin(time.Now(), d)
 	body, err := s.readReserved(r, &countingReader{from, d}, length)
 	s.readers.End(d)
+	if !endBegun() {
+		<-hastened
+	}
 	if err == nil && !r.hold.Revoked() {
 		_ = control.SetReadDeadline(time.Time{}) // the deadline must not end the request while it is served
 	}
--- a/domain/execution.go
+++ b/domain/execution.go
@@ -27,10 +27,16 @@
 	return 1
 }
 
+// ErrStopping is the cause of a context that ends because the process stops.
+var ErrStopping = errors.New("the process stops")
+
 // ReasonOf returns the reason for the refusal of a request whose context has ended: its
-// deadline has passed, or its caller has disconnected.
+// deadline has passed, the process stops, or its caller has disconnected.
 func ReasonOf(ctx context.Context) Reason {
-	if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+	switch {
+	case errors.Is(context.Cause(ctx), ErrStopping):
+		return ReasonDraining
+	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		return ReasonDeadline
 	}
 	return ReasonCallerGone
