entry, drain: requests in progress at the end of an entry's stop are answered

The entry of the product's own way refused new requests from 2 s into its stop, and at the end closed the connections of those in progress without an answer, so that a caller could not tell whether its enquiry had been sent. It also passed on requests that had waited, however little of the stop was left, and left uploads that did not end unanswered.

drain.Process holds what the router of direct upstreams had for itself, and both use it. A request that a planned stop ended and that may have run has the reason entry_stopped, 502: entry_draining is 503, which says that it has not.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -85,7 +85,7 @@
 	}
 	if s.isTooLate(r) {
 		s.releaseUnsent(r, a)
-		return nil, s.stopFailure(r)
+		return nil, s.stopFailure()
 	}
 	if !s.acceptsNew(r.id, a.upstream) || a.slot.expired(time.Now()) {
 		s.releaseUnsent(r, a)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -38,6 +38,7 @@
 	"jacinthworks/conns"
 	"jacinthworks/delay"
 	"jacinthworks/domain"
+	"jacinthworks/drain"
 	"jacinthworks/feed"
 	"jacinthworks/group"
 	"jacinthworks/lease"
@@ -135,7 +136,7 @@
 	// openRequests is the number of requests that may need a connection to an upstream.
 	openRequests atomic.Int64
 	draining     atomic.Bool
-	stop         plannedStop
+	stop         drain.Process
 	// drainStarted is closed when draining is set; rolesLeaseFreed signals that the lease
 	// of roles was released.
 	drainStarted    chan struct{}
--- a/direct/end.go
+++ b/direct/end.go
@@ -32,6 +32,7 @@
 		s.refundQuota(r)
 	}
 	if f.reason == domain.ReasonDraining {
+		f.reason = domain.StopReason(f.ran)
 		s.countStopped(r)
 	}
 	s.finish(r, "refused", "reason", f.reason, "ran", f.ran, "detail", f.detail)
--- a/direct/request.go
+++ b/direct/request.go
@@ -155,7 +155,7 @@
 	defer s.closeRequest()
 	ctx, cancel := context.WithDeadline(h.Context(), r.deadline)
 	defer cancel()
-	ctx, release := s.endWithStop(ctx, r)
+	ctx, release := s.stop.Bound(ctx, r.route.Name, r.deadline, &r.inProgress)
 	defer release()
 	s.countArrived(r)
 	var f *failure
@@ -255,8 +255,8 @@
 	switch {
 	case r.hold.Revoked():
 		return s.memoryFailure("body that arrives slowly")
-	case errors.Is(err, os.ErrDeadlineExceeded) && s.draining.Load() && !time.Now().Before(s.bodyDeadline(r)):
-		return s.stopFailure(r)
+	case errors.Is(err, os.ErrDeadlineExceeded) && s.isBodyTooLate(r):
+		return s.stopFailure()
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return &failure{ran: domain.NotRun, reason: domain.ReasonSlowCaller, detail: "the body did not arrive in time"}
 	case errors.As(err, &large):
@@ -304,9 +304,9 @@
 	}
 	_ = control.SetReadDeadline(until) // only a recorder in a test has none
 	hastened := make(chan struct{})
-	endBegun := s.stop.afterBegun(func() {
+	endBegun := s.stop.AfterBegin(func() {
 		defer close(hastened)
-		if last := s.bodyDeadline(r); last.Before(until) {
+		if last, stops := s.bodyDeadline(r); stops && last.Before(until) {
 			_ = control.SetReadDeadline(last) // a connection that fails here has ended
 		}
 	})
--- a/direct/stop.go
+++ b/direct/stop.go
@@ -3,12 +3,9 @@
 import (
 	"context"
 	"net/http"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"jacinthworks/domain"
-	"jacinthworks/drain"
 	"jacinthworks/group"
 	"jacinthworks/meter"
 )
@@ -23,51 +20,14 @@
 	stopMargin = 400 * time.Millisecond
 )
 
-// plannedStop is the stop of this process. The zero value is ready to use.
-type plannedStop struct {
-	window atomic.Pointer[drain.Stop] // nil until the stop begins
-	// durations is what is known of how long requests take.
-	durations drain.Durations
-
-	once sync.Once
-	// begun and over end when the stop begins, and when the requests in progress must be answered.
-	begun, over context.Context
-	begin, end  context.CancelFunc
-}
-
-func (p *plannedStop) init() {
-	p.once.Do(func() {
-		p.begun, p.begin = context.WithCancel(context.Background())
-		p.over, p.end = context.WithCancel(context.Background())
-	})
-}
-
-// afterBegun calls fn, in a goroutine, once the stop begins, unless cancel is called before; see context.AfterFunc.
-func (p *plannedStop) afterBegun(fn func()) (cancel func() bool) {
-	p.init()
-	return context.AfterFunc(p.begun, fn)
-}
-
-// afterOver is like afterBegun, for the time at which the requests in progress must be answered.
-func (p *plannedStop) afterOver(fn func()) (cancel func() bool) {
-	p.init()
-	return context.AfterFunc(p.over, fn)
-}
-
 // drain fails the load balancer's health check, serves on until the balancer has had time
 // to act, closes the listener, and waits for the requests in progress within stop_within.
 func (s *Server) drain(public *http.Server) {
 	within := s.liveSettings.Load().StopTimeout - stopMargin
-	window := &drain.Stop{Began: time.Now()}
-	window.End = window.Began.Add(within)
-	s.stop.window.Store(window)
+	window := s.stop.Begin(within)
 	s.draining.Store(true)
 	close(s.drainStarted)
-	s.stop.init()
-	s.stop.begin()
 	s.Log.Info("leaving", "within", within)
-	endRequests := time.AfterFunc(time.Until(window.AnswerBy()), s.stop.end)
-	defer endRequests.Stop()
 	ctx, cancel := context.WithDeadline(context.Background(), window.End)
 	defer cancel()
 	group.Sleep(ctx, min(drainAcceptTime, within/2))
@@ -77,72 +37,41 @@
 	}
 }
 
-// latestStart is the latest time at which a request may be passed on; zero means that the process does not stop.
-func (s *Server) latestStart(r *request) time.Time {
-	window := s.stop.window.Load()
-	if window == nil {
-		return time.Time{}
-	}
-	need, known := s.stop.durations.Need(r.route.Name)
-	return window.LatestStart(r.deadline, need, known)
-}
-
 // isTooLate reports whether the process stops before a request that is passed on now is likely to be answered.
-func (s *Server) isTooLate(r *request) bool {
-	latest := s.latestStart(r)
-	return !latest.IsZero() && time.Now().After(latest)
-}
+func (s *Server) isTooLate(r *request) bool { return s.stop.IsTooLate(r.route.Name, r.deadline) }
 
 // stopFailure refuses a request that can't be answered any more before this process stops.
-func (s *Server) stopFailure(r *request) *failure {
+func (s *Server) stopFailure() *failure {
 	return &failure{ran: domain.NotRun, reason: domain.ReasonDraining, detail: "this entry stops before the request would end", final: true, unsent: true}
 }
 
-// endWithStop returns a context that ends when the process stops: while no attempt of the request is in progress, as soon
-// as an attempt would be too late, and otherwise when requests in progress must be answered. release frees it.
-func (s *Server) endWithStop(ctx context.Context, r *request) (_ context.Context, release func()) {
-	ctx, cancel := context.WithCancelCause(ctx)
-	endOver := s.stop.afterOver(func() { cancel(domain.ErrStopping) })
-	endBegun := s.stop.afterBegun(func() {
-		late := time.NewTimer(time.Until(s.latestStart(r)))
-		defer late.Stop()
-		select {
-		case <-late.C:
-			if !r.inProgress.Load() {
-				cancel(domain.ErrStopping)
-			}
-		case <-ctx.Done():
-		}
-	})
-	return ctx, func() {
-		endOver()
-		endBegun()
-		cancel(nil)
-	}
-}
-
 // bodyDeadline is the latest time at which the body of a request may end in a planned stop, so that its refusal is still
-// read: net/http reads on for a while before it answers. Zero means that the process does not stop.
-func (s *Server) bodyDeadline(r *request) time.Time {
-	window := s.stop.window.Load()
-	if window == nil {
-		return time.Time{}
+// read: net/http reads on for a while before it answers. ok is false if the process does not stop.
+func (s *Server) bodyDeadline(r *request) (last time.Time, ok bool) {
+	latest, stops := s.stop.LatestStart(r.route.Name, r.deadline)
+	if !stops {
+		return time.Time{}, false
 	}
-	latest := s.latestStart(r)
-	if last := window.AnswerBy().Add(-lingerTimeout); last.Before(latest) {
-		return last
+	if last = s.stop.Stop().AnswerBy().Add(-lingerTimeout); latest.Before(last) {
+		return latest, true
 	}
-	return latest
+	return last, true
+}
+
+// isBodyTooLate reports whether the body of a request did not end in time before the stop of this process.
+func (s *Server) isBodyTooLate(r *request) bool {
+	last, stops := s.bodyDeadline(r)
+	return stops && !time.Now().Before(last)
 }
 
 // recordDuration records how long a request took that was answered.
 func (s *Server) recordDuration(r *request) {
 	if !r.passedOn.IsZero() {
-		s.stop.durations.Record(r.route.Name, time.Since(r.passedOn))
+		s.stop.Durations.Record(r.route.Name, time.Since(r.passedOn))
 	}
 }
 
-// countStopped counts a request that a planned stop ended. when is "unsent" or "in_progress".
+// countStopped counts a request that a planned stop ended.
 func (s *Server) countStopped(r *request) {
 	when := "unsent"
 	if r.attempts.Sends() > 0 {
--- a/domain/domain.go
+++ b/domain/domain.go
@@ -93,6 +93,7 @@
 	ReasonNoClaim     Reason = "claims_unavailable"
 	ReasonStale       Reason = "entry_out_of_touch"
 	ReasonDraining    Reason = "entry_draining"
+	ReasonStopped     Reason = "entry_stopped"
 	ReasonNoUpstream  Reason = "no_upstream"
 	ReasonUpstream    Reason = "upstream_failed"
 	ReasonLost        Reason = "upstream_lost"
@@ -121,7 +122,7 @@
 		return 422
 	case ReasonCallerShare, ReasonQuota:
 		return 429
-	case ReasonUpstream, ReasonLost:
+	case ReasonUpstream, ReasonLost, ReasonStopped:
 		return 502
 	case ReasonDeadline:
 		return 504
--- a/domain/execution.go
+++ b/domain/execution.go
@@ -30,6 +30,15 @@
 // ErrStopping is the cause of a context that ends because the process stops.
 var ErrStopping = errors.New("the process stops")
 
+// StopReason is the reason for the end of a request by a planned stop: 503 would say of one that may have run
+// that it has not.
+func StopReason(ran Execution) Reason {
+	if ran == NotRun {
+		return ReasonDraining
+	}
+	return ReasonStopped
+}
+
 // ReasonOf returns the reason for the refusal of a request whose context has ended: its
 // deadline has passed, the process stops, or its caller has disconnected.
 func ReasonOf(ctx context.Context) Reason {
--- a/drain/drain.go
+++ b/drain/drain.go
@@ -1,15 +1,18 @@
-// Package drain decides which requests a process still begins during a planned stop. It needs no network and owns no
-// clock.
+// Package drain decides which requests a process still begins during a planned stop. It needs no network. Stop and Durations
+// own no clock; Process applies them to the requests of a process.
 //
 // # Usage
 //
-//	var d drain.Durations
-//	d.Record(route, took) // for each request that was answered
+//	var p drain.Process
+//	p.Durations.Record(route, took) // for each request that was answered
 //
-//	stop := drain.Stop{Began: now, End: now.Add(stopTimeout)}
-//	if now.After(stop.LatestStart(deadline, d.Need(route))) {
+//	if p.IsTooLate(route, deadline) {
 //		// refuse the request, which has not run
 //	}
+//	ctx, release := p.Bound(ctx, route, deadline, &inProgress)
+//	defer release()
+//
+//	p.Begin(stopTimeout) // on the signal
 //
 // Load: a process that stops goes on serving while the balancer takes it out, and on connections that callers keep. Uploads
 // that began before end late, and requests wait in queues or are retried. Without a bound, requests that take longer than the
--- a/entry/call.go
+++ b/entry/call.go
@@ -27,10 +27,14 @@
 	if s == nil {
 		return &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: "the side has just left"}
 	}
+	if f := e.refuseLate(r); f != nil {
+		return f
+	}
 	d, f := e.claim(ctx, r, s)
 	if f != nil {
 		return f
 	}
+	defer r.passOn()()
 	e.FaultHook.Reach(inject.EntryClaimed)
 	began := time.Now()
 	out := e.runStage(ctx, s, wire.RunRequest{
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -24,6 +24,7 @@
 	"jacinthworks/conf"
 	"jacinthworks/conns"
 	"jacinthworks/domain"
+	"jacinthworks/drain"
 	"jacinthworks/group"
 	"jacinthworks/infra"
 	"jacinthworks/inject"
@@ -67,6 +68,7 @@
 	// serves requests; draining is set once it refuses new requests.
 	leaving       atomic.Bool
 	draining      atomic.Bool
+	stop          drain.Process
 	panics        atomic.Int64 // panics in handlers
 	started       time.Time
 	startupDone   atomic.Bool
@@ -244,12 +246,16 @@
 // the connections that they still send.
 const drainDelay = 2 * time.Second
 
+// stopMargin is the part of stop_within that is left to learn from a side whether a request ran that has not ended.
+const stopMargin = 2 * callTimeout
+
 // drain lets the balancer remove this entry, then closes the listener and waits until
 // open requests have ended, bounded by the setting stop_within.
 func (e *Entry) drain(s *http.Server) {
 	e.leaving.Store(true)
 	within := e.Settings.Timings.StopTimeout
-	e.Log.Info("leaving", "within", within)
+	window := e.stop.Begin(within - min(stopMargin, within/2))
+	e.Log.Info("leaving", "within", within, "answer_by", window.AnswerBy())
 	ctx, cancel := context.WithTimeout(context.Background(), within)
 	defer cancel()
 	group.Sleep(ctx, min(drainDelay, within/2))
--- a/entry/http.go
+++ b/entry/http.go
@@ -101,6 +101,8 @@
 		}
 		ctx, cancel := context.WithTimeout(h.Context(), e.timeLeft(r))
 		defer cancel()
+		ctx, release := e.stop.Bound(ctx, r.stopKind(), r.deadline(), &r.inProgress)
+		defer release()
 		answer(ctx, r, w)
 	}
 }
@@ -116,7 +118,9 @@
 		r.kind = domain.Kind(k)
 	}
 	r.key = h.Header.Get(headerKey)
+	bodyRead := e.endBodyWithStop(w)
 	body, f := e.readBody(w, h)
+	bodyRead()
 	if f != nil {
 		return f
 	}
@@ -150,7 +154,7 @@
 // over its rate.
 func (e *Entry) checkAdmission(ctx context.Context, r *request) *failure {
 	if e.draining.Load() {
-		return &failure{ran: domain.NotRun, reason: domain.ReasonDraining, detail: "this entry is stopping", retryAfter: time.Second}
+		return stopFailure("this entry is stopping")
 	}
 	// While this entry is cut off from the platform and the other entries, an edit may come
 	// into force, and its rows may be outdated. Refusing new requests is sufficient: an edit
--- a/entry/model.go
+++ b/entry/model.go
@@ -54,11 +54,16 @@
 	held := wire.AttemptRef{Request: r.id, Attempt: r.attempt, Stage: wire.StageDecode}
 	release := func() { e.cancel(p.decode, held) }
 
+	if f := e.refuseLate(r); f != nil {
+		release()
+		return f
+	}
 	d, f := e.claim(ctx, r, p.decode)
 	if f != nil {
 		release()
 		return f
 	}
+	defer r.passOn()()
 	e.FaultHook.Reach(inject.EntryClaimed)
 	f = e.runStages(ctx, r, p, d, to)
 	if f != nil {
@@ -190,7 +195,7 @@
 
 // timeLeft returns the time until the request's deadline.
 func (e *Entry) timeLeft(r *request) time.Duration {
-	return time.Until(r.acceptedAt.Add(time.Duration(r.row.Deadline)))
+	return time.Until(r.deadline())
 }
 
 // prefixOf returns a hash of the start of a prompt, whose KV cache engines may already
--- a/entry/parse_request.go
+++ b/entry/parse_request.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"net/url"
+	"os"
 	"strings"
 
 	"github.com/pkg/errors"
@@ -44,7 +45,10 @@
 	if errors.As(err, new(*http.MaxBytesError)) {
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonTooLarge, detail: "the body is over the limit"}
 	}
-	if err != nil {
+	switch {
+	case err != nil && e.stop.Stop() != nil && errors.Is(err, os.ErrDeadlineExceeded):
+		return nil, stopFailure("this entry stops before the body has arrived")
+	case err != nil:
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonBadInput, detail: "the body did not arrive whole"}
 	}
 	return body, nil
--- a/entry/request.go
+++ b/entry/request.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync/atomic"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
@@ -40,6 +41,9 @@
 	firstFencedAt time.Time
 	claimTries    domain.Attempt // number of the latest claim; each claim has a new number
 	tokens        int
+	// inProgress is set while an attempt is at a side, and passedOnAt is when the last one was passed on.
+	inProgress atomic.Bool
+	passedOnAt time.Time
 	// prefilled is set once an engine has begun a prefill for the request, however the
 	// decode ended: the request can't be reported as not_run any more.
 	prefilled bool
@@ -112,6 +116,7 @@
 
 // recordAnswered ends the request's trace with an answer.
 func (e *Entry) recordAnswered(r *request) {
+	e.recordDuration(r)
 	e.recordEvent(r, trace.Event{Kind: trace.Answered, Execution: domain.DidRun, Tokens: r.tokens})
 	e.Log.Info("answered", "request", r.id, "kind", r.kind, "account", r.account,
 		"attempts", r.attempt, "tokens", r.tokens, "took", time.Since(r.acceptedAt))
@@ -166,7 +171,9 @@
 			continue
 		}
 		if ctx.Err() != nil || !e.mayRetry(r, f) {
-			f.ran = worst
+			if f.ran = worst; f.reason == domain.ReasonDraining && e.stop.Stop() != nil {
+				f.reason = domain.StopReason(worst)
+			}
 			return f
 		}
 	}
--- a/entry/response_test.go
+++ b/entry/response_test.go
@@ -25,7 +25,7 @@
 	domain.ReasonNoService: 404, domain.ReasonCallerShare: 429, domain.ReasonNoRoom: 503, domain.ReasonTooLate: 503,
 	domain.ReasonInProgress: 409, domain.ReasonAlreadyRan: 409, domain.ReasonOtherBody: 422, domain.ReasonMayHaveRun: 409,
 	domain.ReasonNoClaim: 503, domain.ReasonStale: 503, domain.ReasonDraining: 503, domain.ReasonNoUpstream: 503,
-	domain.ReasonUpstream: 502, domain.ReasonLost: 502, domain.ReasonCrashes: 422, domain.ReasonDeadline: 504,
+	domain.ReasonUpstream: 502, domain.ReasonLost: 502, domain.ReasonStopped: 502, domain.ReasonCrashes: 422, domain.ReasonDeadline: 504,
 	domain.ReasonCallerGone: 499,
 }
 
--- a/test/cluster.go
+++ b/test/cluster.go
@@ -131,13 +131,17 @@
 	return p.address, nil
 }
 
-// logSettings returns the [log] section of a settings file.
+// logSettings returns the [log] section of a settings file, and the [timings] section if the world has one.
 func (w *world) logSettings() string {
 	level := "debug"
 	if w.withoutProxies {
 		level = "info"
 	}
-	return fmt.Sprintf("\n[log]\nlevel = %q\nformat = \"text\"\n", level)
+	settings := fmt.Sprintf("\n[log]\nlevel = %q\nformat = \"text\"\n", level)
+	if w.stopWithin != "" {
+		settings += fmt.Sprintf("\n[timings]\nstop_within = %q\n", w.stopWithin)
+	}
+	return settings
 }
 
 // advertise returns the line of a settings file by which a process advertises the address of
--- a/test/script.go
+++ b/test/script.go
@@ -108,6 +108,7 @@
 // salt-lake, new-town and howrah in turn. engine_args and app_args are passed to the fakes.
 func cmdWorld(w *world, args []string) error {
 	o := parseOptions(args)
+	w.stopWithin = o["stop_within"]
 	if err := w.startPlatform([]byte(scenarioTable)); err != nil {
 		return err
 	}
--- a/test/world.go
+++ b/test/world.go
@@ -82,6 +82,8 @@
 	// withoutProxies reports whether processes connect to each other directly and log
 	// at the level of a deployment.
 	withoutProxies bool
+	// stopWithin is the setting stop_within of sides and entries; empty for their default.
+	stopWithin string
 	// external holds the addresses of upstreams that the world did not start, by name.
 	external map[string]netip.AddrPort
 }
