platform, direct: an answer that names two requests belongs to neither

An answer with X-Request-Id twice was passed on to the caller of the request that it names first, the other one unread. It is not known to whom it belongs: the attempt may have run, and the connection ends, as with an answer that names none (jacinthworks_foreign_responses_total, names several).

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -179,6 +179,9 @@
 func (s *Server) matchResponse(r *request, status int, h http.Header) send.Match {
 	info := s.Protocol.ParseResponse(status, h)
 	switch {
+	case info.NamesSeveral:
+		s.recordForeign(r, status, info, "several")
+		return send.Unknown
 	case info.ID == r.id, info.ID == "" && (info.NotExecuted || info.Misdirected):
 		return send.Own
 	case info.ID == "":
@@ -190,7 +193,7 @@
 }
 
 // recordForeign logs and counts a response that is not known to belong to a request. named is
-// "none" or "other": which request it names.
+// "none", "other" or "several": which request it names.
 func (s *Server) recordForeign(r *request, status int, info ResponseInfo, named string) {
 	s.Log.Warn("response to another request discarded", "request", r.id, "answers", info.ID, "status", status, "instance", info.Instance)
 	s.Meter.Inc("jacinthworks_foreign_responses_total", meter.Labels{"service", string(r.service.Name), "names", named})
--- a/direct/protocol.go
+++ b/direct/protocol.go
@@ -111,6 +111,8 @@
 type ResponseInfo struct {
 	// ID is the id of the request that the response belongs to; empty if it does not say.
 	ID domain.RequestID
+	// NamesSeveral means that the response names more than one request, of which ID is the first.
+	NamesSeveral bool
 	// NotExecuted means that the upstream did not run the request and will not.
 	NotExecuted bool
 	// Misdirected means that the request was meant for another start of the upstream, or
