direct: a probe that is answered by no response does not confirm the end of an answer

An answer that is framed by its connection is whole if its upstream still accepts connections. An upstream that answers every call by malformed bytes passed that probe: the answer to it was ignored. Such a probe confirms nothing; as evidence of a crash it counts as little as before, and a probe whose connection breaks still counts as alive, since an upstream that is full resets connections.

TestEndOfUpstreamWithMalformedAnswersIsNotConfirmed failed before.

--- a/direct/crash.go
+++ b/direct/crash.go
@@ -16,6 +16,7 @@
 	"jacinthworks/domain"
 	"jacinthworks/group"
 	"jacinthworks/meter"
+	"jacinthworks/resp"
 	"jacinthworks/retry"
 	"jacinthworks/roster"
 	"jacinthworks/send"
@@ -210,9 +211,20 @@
 	return s.callUpstream(ctx, u, q, probeTimeout)
 }
 
+// errProbeMalformed is the error of a probe that was answered by bytes that are no response.
+var errProbeMalformed = errors.New("direct: probing an upstream: its answer is malformed")
+
 // probeInstance returns an error if the start of an upstream has ended: if nothing accepts
-// connections at its address, or another start does.
+// connections at its address, or another start does. Malformed answers are no evidence of that.
 func (s *Server) probeInstance(ctx context.Context, u *roster.Upstream, start roster.Start) error {
+	if err := s.probeAnswer(ctx, u, start); !errors.Is(err, errProbeMalformed) {
+		return err
+	}
+	return nil
+}
+
+// probeAnswer is like probeInstance, and returns errProbeMalformed for malformed answers.
+func (s *Server) probeAnswer(ctx context.Context, u *roster.Upstream, start roster.Start) error {
 	body, status, err := s.probeState(ctx, u)
 	for n := 1; n < probeTries && send.StageOf(err) == send.Broken; n++ {
 		group.Sleep(ctx, probePause)
@@ -225,6 +237,8 @@
 		return dialUpstream(ctx, u.Server().Addr)
 	case errors.Is(err, errMisdirected), send.StageOf(err) == send.NotSent:
 		return err
+	case resp.PartOf(err) != "":
+		return errProbeMalformed
 	case err != nil || status != http.StatusOK:
 		return nil // it accepts connections, and does not state its start
 	}
@@ -235,13 +249,13 @@
 }
 
 // confirmEnd returns an error if the upstream of a response that was framed by its connection has
-// ended with it. One that leaves as planned ends its responses before it stops accepting.
+// ended with it, or is not sound. One that leaves as planned ends its responses before it stops accepting.
 func (s *Server) confirmEnd(ctx context.Context, r *request, a *attempt) error {
 	var err error
 	if a.upstream.IsLeaving() || a.upstream.Removed() {
 		err = dialUpstream(ctx, a.upstream.Server().Addr)
 	} else {
-		err = s.probeInstance(ctx, a.upstream, a.start)
+		err = s.probeAnswer(ctx, a.upstream, a.start)
 	}
 	if err != nil {
 		s.Log.Info("end of a response not confirmed", "request", r.id, "upstream", a.start.ID, "leaving", a.upstream.IsLeaving(), "err", err)
