send, engine, infra: sides and entries log and count broken answers

The clients of the product's own way read through package resp as all do, and nothing told on call of a malformed answer: an engine's counted as a crash, the platform's as no reply. They log 'response malformed' or 'response exceeds a bound' now, and /debug/vars counts them as responses_invalid.

--- a/direct/bounds.go
+++ b/direct/bounds.go
@@ -19,14 +19,12 @@
 // RecordInvalid logs and counts a response that exceeds a bound or is malformed. name is the ID of the upstream, the
 // name of the entry or the address of the store.
 func (s *Server) RecordInvalid(client, name string, err error) {
+	send.LogInvalid(s.Log, client, name, err)
 	if b := send.BoundOf(err); b != "" {
-		s.Log.Warn("response exceeds a bound", "client", client, "name", name, "bound", b)
 		s.Meter.Inc("jacinthworks_response_bounds_total", meter.Labels{"client", client, "bound", string(b)})
 		return
 	}
-	part := resp.PartOf(err)
-	s.Log.Warn("response malformed", "client", client, "name", name, "part", part, "err", err)
-	s.Meter.Inc("jacinthworks_malformed_responses_total", meter.Labels{"client", client, "part", string(part)})
+	s.Meter.Inc("jacinthworks_malformed_responses_total", meter.Labels{"client", client, "part", string(resp.PartOf(err))})
 }
 
 // recordFault counts a call of this entry's own whose response exceeds a bound or is malformed as a failure
--- a/engine/http_app.go
+++ b/engine/http_app.go
@@ -27,6 +27,8 @@
 	ReadTimeout time.Duration
 	// MaxResponseBytes limits a response body in bytes; zero is DefaultMaxResponseBytes.
 	MaxResponseBytes int64
+	// OnInvalid, if set, is called for each response that is malformed or exceeds a bound; see send.Client.
+	OnInvalid func(error)
 
 	once   sync.Once
 	client send.Client
@@ -38,7 +40,7 @@
 // status is returned without an error, except that a 503 with NotStartedHeader
 // is ErrNotStarted.
 func (h *HTTPAppServer) Do(ctx context.Context, c Call) (Response, error) {
-	h.once.Do(func() { h.client.Addr, h.client.ReadTimeout = h.Addr, h.ReadTimeout })
+	h.once.Do(func() { h.client.Addr, h.client.ReadTimeout, h.client.OnInvalid = h.Addr, h.ReadTimeout, h.OnInvalid })
 	call := c.Method + " call"
 	if !strings.HasPrefix(c.Path, "/") {
 		return Response{}, &Failure{Call: call, Kind: ErrNotStarted, Cause: errors.New("engine: path does not start with /")}
--- a/engine/http_model.go
+++ b/engine/http_model.go
@@ -41,6 +41,8 @@
 	// includes the wait for a decode's next token; zero is
 	// DefaultTokenTimeout.
 	TokenTimeout time.Duration
+	// OnInvalid, if set, is called for each response that is malformed or exceeds a bound; see send.Client.
+	OnInvalid func(error)
 
 	once   sync.Once
 	client send.Client
@@ -173,7 +175,7 @@
 // httpClient returns the HTTP client, which the first call configures.
 func (h *HTTPModel) httpClient() *send.Client {
 	h.once.Do(func() {
-		h.client.Addr, h.client.ReadTimeout = h.Addr, h.TokenTimeout
+		h.client.Addr, h.client.ReadTimeout, h.client.OnInvalid = h.Addr, h.TokenTimeout, h.OnInvalid
 		if h.client.ReadTimeout <= 0 {
 			h.client.ReadTimeout = DefaultTokenTimeout
 		}
--- a/entry/admin.go
+++ b/entry/admin.go
@@ -52,6 +52,9 @@
 	add("sides_connected", int64(len(e.sides.Connected())))
 	add("entries_connected", int64(len(e.entries.Connected())))
 	add("handler_panics", e.panics.Load())
+	if e.Invalid != nil {
+		add("responses_invalid", e.Invalid.Count())
+	}
 	v.Set("memstats", expvar.Get("memstats"))
 	w.Header().Set("Content-Type", "application/json; charset=utf-8")
 	fmt.Fprintln(w, v.String())
--- a/entry/entry.go
+++ b/entry/entry.go
@@ -31,6 +31,7 @@
 	"jacinthworks/member"
 	"jacinthworks/peers"
 	"jacinthworks/retry"
+	"jacinthworks/send"
 	"jacinthworks/table"
 	"jacinthworks/trace"
 	"jacinthworks/wire"
@@ -42,6 +43,8 @@
 	Log      hclog.Logger
 	Objects  infra.Objects
 	Hosts    infra.Hosts
+	// Invalid, if set, counts the responses to the clients above that are malformed or exceed a bound.
+	Invalid *send.InvalidLog
 	// FaultHook, if set, is called at each point that a request passes, for fault
 	// injection.
 	FaultHook inject.Hook
--- a/infra/http_hosts.go
+++ b/infra/http_hosts.go
@@ -17,6 +17,8 @@
 	// ReadTimeout is the longest wait for a response; zero means
 	// send.DefaultReadTimeout.
 	ReadTimeout time.Duration
+	// OnInvalid, if set, is called for each response that is malformed or exceeds a bound; see send.Client.
+	OnInvalid func(error)
 
 	once   sync.Once
 	client send.Client
@@ -26,7 +28,7 @@
 
 // Hosts returns the current host list of the platform.
 func (h *HTTPHosts) Hosts(ctx context.Context) ([]ListedHost, error) {
-	h.once.Do(func() { h.client.Addr, h.client.ReadTimeout = h.Addr, h.ReadTimeout })
+	h.once.Do(func() { h.client.Addr, h.client.ReadTimeout, h.client.OnInvalid = h.Addr, h.ReadTimeout, h.OnInvalid })
 	var list []ListedHost
 	err := read(ctx, &h.client, "/hosts", &list)
 	return list, err
--- a/infra/http_objects.go
+++ b/infra/http_objects.go
@@ -25,6 +25,8 @@
 	// ReadTimeout is the longest wait for a response, in addition to the wait time of
 	// a watch; zero means send.DefaultReadTimeout.
 	ReadTimeout time.Duration
+	// OnInvalid, if set, is called for each response that is malformed or exceeds a bound; see send.Client.
+	OnInvalid func(error)
 
 	once   sync.Once
 	client send.Client
@@ -91,7 +93,7 @@
 }
 
 func (h *HTTPObjects) initClient() *send.Client {
-	h.once.Do(func() { h.client.Addr, h.client.ReadTimeout = h.Addr, h.ReadTimeout })
+	h.once.Do(func() { h.client.Addr, h.client.ReadTimeout, h.client.OnInvalid = h.Addr, h.ReadTimeout, h.OnInvalid })
 	return &h.client
 }
 
--- a/side/metrics.go
+++ b/side/metrics.go
@@ -47,6 +47,9 @@
 	add("shards_owned", len(s.claims.ledger.OwnedShards()))
 	add("keys_owned", owned)
 	add("keys_run", running)
+	if s.Invalid != nil {
+		add("responses_invalid", int(s.Invalid.Count()))
+	}
 	add("claims_version", int(s.claims.ledger.Record().Version))
 	return metrics
 }
--- a/side/side.go
+++ b/side/side.go
@@ -30,6 +30,7 @@
 	"jacinthworks/inject"
 	"jacinthworks/member"
 	"jacinthworks/retry"
+	"jacinthworks/send"
 	"jacinthworks/trace"
 	"jacinthworks/wire"
 )
@@ -57,6 +58,8 @@
 	// FaultHook, if set, is called at each step of an order, so that tests and
 	// drills can inject a fault there.
 	FaultHook inject.Hook
+	// Invalid, if set, counts the responses to the clients above that are malformed or exceed a bound.
+	Invalid *send.InvalidLog
 	// OnListen, if set, is called with the address once the side accepts
 	// connections.
 	OnListen func(netip.AddrPort)
--- a/test/stop_signals_test.go
+++ b/test/stop_signals_test.go
@@ -35,7 +35,9 @@
 	statuses := make([]int, 6)
 	var callers sync.WaitGroup
 	for n := range statuses {
-		callers.Go(func() { statuses[n] = p.sendInParts(fmt.Sprintf("r%d", n), n%2 == 0, began.Add(time.Duration(n)*600*time.Millisecond)) })
+		callers.Go(func() {
+			statuses[n] = p.sendInParts(fmt.Sprintf("r%d", n), n%2 == 0, began.Add(time.Duration(n)*600*time.Millisecond))
+		})
 	}
 	time.Sleep(300 * time.Millisecond)
 	p.signal(syscall.SIGTERM)
