engine: the answer to a prefill names the cache

An engine that answered a prefill with '{}' or 'null' was taken to have read the prompt; the decode then asked for a cache without a name.

TestPrefillWithoutACacheIsNoAnswer failed before.

--- a/engine/http_model.go
+++ b/engine/http_model.go
@@ -58,6 +58,9 @@
 	}
 	var kv KV
 	err := h.roundTrip(ctx, http.MethodPost, "/prefill", timeout, o, &kv)
+	if err == nil && kv.Handle == "" {
+		err = &Failure{Call: "POST /prefill", Kind: ErrUnexpectedResponse, Cause: errors.New("engine: the answer names no KV cache")}
+	}
 	return kv, err
 }
 
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -64,3 +64,12 @@
 		})
 	}
 }
+
+// Guards against a prefill whose answer names no cache, which a decode would ask for.
+func TestPrefillWithoutACacheIsNoAnswer(t *testing.T) {
+	for _, body := range []string{"{}", "null"} {
+		model := engine.HTTPModel{Addr: serveRaw(t, "HTTP/1.1 200 OK\r\n\r\n"+body)}
+		_, err := model.Prefill(t.Context(), engine.PrefillRequest{})
+		require.ErrorIs(t, err, engine.ErrUnexpectedResponse)
+	}
+}
