direct, send: a state that says nothing moves no engine

Decode engines that answered the poll of their states with '{}' or 'null' were taken for engines without a role. No decode engine seemed to be left, and within 1.1 s the planner ordered a prefill engine to change its role, which takes it out for seconds.

Cause: the decoder of states has no member that must be there; and an engine whose state can't be read was none. A state without a role is an error now, and if decode engines answer without a usable state and no other one is known, their demand is not taken for that of an empty pool. Engines that do not answer count as before. The line 'engines' has the number as unusable.

--- a/direct/bounds.go
+++ b/direct/bounds.go
@@ -30,7 +30,7 @@
 // recordFault counts a call of this entry's own whose response exceeds a bound or is malformed as a failure
 // of the upstream.
 func (s *Server) recordFault(u *roster.Upstream, err error) {
-	if send.BoundOf(err) != "" || resp.PartOf(err) != "" {
+	if send.IsInvalid(err) {
 		u.Stats.RecordFailure(time.Now())
 	}
 }
--- a/direct/engines.go
+++ b/direct/engines.go
@@ -14,6 +14,7 @@
 	"jacinthworks/paths"
 	"jacinthworks/roles"
 	"jacinthworks/roster"
+	"jacinthworks/send"
 )
 
 // engineState is an engine and the state that it reported.
@@ -66,12 +67,14 @@
 type lastStates map[roster.InstanceKey]EngineState
 
 // pollEngines fetches the states of all given engines at once. For an engine that has
-// requested a backoff, the last reported state is used.
-func (s *Server) pollEngines(ctx context.Context, engines []*roster.Upstream, last lastStates) []engineState {
+// requested a backoff, the last reported state is used. unusable counts, by the role that the registry lists, the
+// engines that answer and state nothing that can be used.
+func (s *Server) pollEngines(ctx context.Context, engines []*roster.Upstream, last lastStates) (all []engineState, unusable map[domain.Role]int) {
 	ctx, cancel := context.WithTimeout(ctx, stateTimeout)
 	defer cancel()
 	var calls group.Group
 	answers := make([]*engineState, len(engines))
+	answered := make([]bool, len(engines))
 	for n, u := range engines {
 		calls.Call(ctx, "state of an engine", func(ctx context.Context) error {
 			m := u.Server()
@@ -82,6 +85,7 @@
 			state, err := s.fetchState(ctx, u)
 			if err != nil {
 				s.Log.Debug("no state received from engine", "upstream", m.ID, "err", err)
+				answered[n] = send.StageOf(err) == "" || send.IsInvalid(err)
 				return nil
 			}
 			// The engine restarted under the same id, and the registry does not list the
@@ -97,17 +101,20 @@
 		})
 	}
 	calls.Wait()
-	var all []engineState
-	for _, e := range answers {
-		if e != nil {
+	unusable = make(map[domain.Role]int)
+	for n, e := range answers {
+		switch {
+		case e != nil:
 			all = append(all, *e)
+		case answered[n]:
+			unusable[engines[n].Server().Role]++
 		}
 	}
 	clear(last)
 	for _, e := range all {
 		last[e.server.Key()] = e.state
 	}
-	return all
+	return all, unusable
 }
 
 func (s *Server) fetchState(ctx context.Context, u *roster.Upstream) (EngineState, error) {
@@ -118,7 +125,11 @@
 	if status != 200 {
 		return EngineState{}, errors.Errorf("direct: fetching engine state: status %d", status)
 	}
-	return s.Protocol.ParseState(body)
+	state, err := s.Protocol.ParseState(body)
+	if err == nil && state.Role == "" {
+		err = errors.New("direct: fetching engine state: the answer states no role")
+	}
+	return state, err
 }
 
 // demandView turns the engines' states into the input of the planner. The demand for decode
--- a/direct/roles.go
+++ b/direct/roles.go
@@ -137,7 +137,7 @@
 		if last[v.Name] == nil {
 			last[v.Name] = make(lastStates)
 		}
-		states := s.pollEngines(ctx, sample(pool, s.Settings.Name), last[v.Name])
+		states, unusable := s.pollEngines(ctx, sample(pool, s.Settings.Name), last[v.Name])
 		mix := prefillRatioOf(samples[v.Name])
 		if !s.speedsOn(v.Name) {
 			delete(speeds, v.Name)
@@ -147,7 +147,10 @@
 		speeds[v.Name].update(states, func(r domain.Role, e roster.Start) (float64, int) { return s.relativeTime(v.Name, r, e) })
 		demand := demandView(v, states, mix, speeds[v.Name])
 		prefill, decode := roles.Pool{Model: v.Name, Role: domain.RolePrefill}, roles.Pool{Model: v.Name, Role: domain.RoleDecode}
-		s.Log.Info("engines", "service", v.Name, "of", len(pool), "answered", len(states), "ratio", mix.ratio, "sure", mix.sufficient,
+		if unusable[domain.RoleDecode] > 0 && demand.Capacity(decode) == 0 {
+			demand.Demand[decode] = 0 // there are decode engines, of which nothing is known
+		}
+		s.Log.Info("engines", "service", v.Name, "of", len(pool), "answered", len(states), "unusable", unusable[domain.RolePrefill]+unusable[domain.RoleDecode], "ratio", mix.ratio, "sure", mix.sufficient,
 			"entries", entries, "requests", math.Round(samples[v.Name].Requests), "prefill", demand.Demand[prefill], "decode", demand.Demand[decode],
 			"prefill_speed", demand.Capacity(prefill), "decode_speed", demand.Capacity(decode))
 		p := planners[v.Name]
--- a/send/bounds.go
+++ b/send/bounds.go
@@ -2,6 +2,8 @@
 
 import (
 	"github.com/pkg/errors"
+
+	"jacinthworks/resp"
 )
 
 // Bounds on what one exchange reads beside the body of its response. A faulty upstream may send
@@ -69,6 +71,9 @@
 	return ""
 }
 
+// IsInvalid reports whether err is that of a response that is malformed or exceeds a bound.
+func IsInvalid(err error) bool { return BoundOf(err) != "" || resp.PartOf(err) != "" }
+
 // limitReads bounds the bytes that are read from the connection from now on. Bytes that the buffer
 // holds already were counted when they were read.
 func (k *conn) limitReads(bytes int64, b Bound) { k.readLimit, k.bound = bytes, b }
--- a/send/failure.go
+++ b/send/failure.go
@@ -4,8 +4,6 @@
 	"context"
 
 	"github.com/pkg/errors"
-
-	"jacinthworks/resp"
 )
 
 // FailureStage is how far a request without a complete response got.
@@ -60,7 +58,7 @@
 	if cause == nil {
 		cause = err
 	}
-	if c.OnInvalid != nil && (BoundOf(cause) != "" || resp.PartOf(cause) != "") {
+	if c.OnInvalid != nil && IsInvalid(cause) {
 		c.OnInvalid(cause)
 	}
 	switch {
