resp: chunks are read as strictly as heads, and counted as malformed

net/http's reader of chunks takes any extension, and its errors could not be told from those of lines that are too long: malformed chunks were logged and counted as a response that exceeds a bound. The reader of chunks is in package resp now, and its part is 'chunk'. The bounds on lines, extensions and trailers are the same.

--- a/resp/body.go
+++ b/resp/body.go
@@ -2,10 +2,8 @@
 
 import (
 	"bufio"
-	"errors"
 	"io"
 	"net/http"
-	"net/http/httputil"
 	"strconv"
 	"strings"
 )
@@ -127,7 +125,7 @@
 func (h *Head) Body(r *bufio.Reader) io.Reader {
 	switch h.Framing {
 	case FramedByChunks:
-		return &chunkedBody{reader: r, chunks: httputil.NewChunkedReader(r)}
+		return &chunkedBody{reader: r}
 	case FramedByClose:
 		return r
 	}
@@ -149,43 +147,7 @@
 	switch {
 	case b.left == 0:
 		return n, io.EOF
-	case errors.Is(err, io.EOF):
-		return n, io.ErrUnexpectedEOF
-	}
-	return n, err
-}
-
-// maxTrailers bounds the trailers of a body, in bytes.
-const maxTrailers = 8 << 10
-
-// chunkedBody is a body in chunks.
-type chunkedBody struct {
-	reader *bufio.Reader
-	chunks io.Reader
-	err    error // of the last read
-}
-
-// Read reads the body. Its end is that of the trailers.
-func (b *chunkedBody) Read(p []byte) (n int, err error) {
-	if b.err != nil {
-		return 0, b.err
-	}
-	n, b.err = b.chunks.Read(p)
-	if b.err == io.EOF { // the last chunk; one that is cut is io.ErrUnexpectedEOF
-		b.err = b.readTrailers()
-	}
-	return n, b.err
-}
-
-// readTrailers reads the trailers up to the end of the body, for which it returns io.EOF.
-func (b *chunkedBody) readTrailers() error {
-	_, err := readFields(b.reader, maxTrailers)
-	var e *Error
-	switch {
-	case errors.As(err, &e):
-		return &Error{Part: Trailer, Text: e.Text}
-	case err != nil:
-		return err
+	default:
+		return n, unexpected(err)
 	}
-	return io.EOF
 }
--- a/resp/bytes.go
+++ b/resp/bytes.go
@@ -7,6 +7,16 @@
 
 func isDigit(c byte) bool { return '0' <= c && c <= '9' }
 
+func isHex(c byte) bool { return isDigit(c) || 'a' <= c|0x20 && c|0x20 <= 'f' }
+
+// hexValue is the value of a hexadecimal digit.
+func hexValue(c byte) byte {
+	if isDigit(c) {
+		return c - '0'
+	}
+	return c | 0x20 - 'a' + 10
+}
+
 func isSpace(c byte) bool { return c == ' ' || c == '\t' }
 
 // trimSpace removes spaces and tabs from both ends.
--- a/resp/resp.go
+++ b/resp/resp.go
@@ -39,7 +39,6 @@
 
 import (
 	"bufio"
-	"io"
 	"net/http"
 	"net/textproto"
 	"strings"
@@ -61,6 +60,8 @@
 	FieldValue Part = "field_value"
 	// Length: the fields that say where the body ends contradict each other or the protocol.
 	Length Part = "length"
+	// Chunk: the lines around the data of a chunk.
+	Chunk Part = "chunk"
 	// Trailer: the fields after a chunked body.
 	Trailer Part = "trailer"
 )
@@ -208,8 +209,8 @@
 // noLimit is the limit of lines that the connection bounds.
 const noLimit = 1 << 30
 
-// errTooLong is the error of lines that exceed their limit.
-var errTooLong = errors.New("resp: the trailers are too long")
+// ErrTooLong is the error of a body whose lines before chunks, or whose trailers, are too long.
+var ErrTooLong = errors.New("resp: too many bytes that are no data in a chunked body")
 
 // readLine reads a line without its end. The result is valid until the next read.
 func readLine(r *bufio.Reader, limit int) ([]byte, error) {
@@ -224,11 +225,9 @@
 	}
 	switch {
 	case len(line) > limit:
-		return nil, errTooLong
-	case errors.Is(err, io.EOF):
-		return nil, io.ErrUnexpectedEOF
+		return nil, ErrTooLong
 	case err != nil:
-		return nil, err
+		return nil, unexpected(err)
 	}
 	line = line[:len(line)-1]
 	if n := len(line); n > 0 && line[n-1] == '\r' {
--- a/send/bounds.go
+++ b/send/bounds.go
@@ -35,8 +35,7 @@
 	HeadBound Bound = "head"
 	// SkipBound is the bound on responses to other requests.
 	SkipBound Bound = "skipped"
-	// FramingBound is the bound on the lines before chunks and on trailers. Chunks that are malformed count
-	// too.
+	// FramingBound is the bound on the lines before chunks and on trailers.
 	FramingBound Bound = "framing"
 	// BodyBound is the limit of Response.ReadAll.
 	BodyBound Bound = "body"
--- a/send/reply.go
+++ b/send/reply.go
@@ -82,20 +82,19 @@
 		}
 		p.complete()
 	case err != nil:
-		return n, p.client.failure(p.ctx, p.boundError(p.Framing, err), true)
+		return n, p.client.failure(p.ctx, p.boundError(err), true)
 	}
 	return n, err
 }
 
-// boundError returns the error of a read as a BoundError if the read exceeded a bound. An error that is
-// neither of the connection nor of what was read is one of the chunks.
-func (p *Response) boundError(f resp.Framing, err error) error {
+// boundError returns the error of a read as a BoundError if the read exceeded a bound.
+func (p *Response) boundError(err error) error {
 	switch b := BoundOf(p.conn.readErr); {
 	case BoundOf(err) != "", resp.PartOf(err) != "":
 		return err
 	case b != "":
 		return &BoundError{Bound: b, Cause: err}
-	case f == resp.FramedByChunks && p.conn.readErr == nil:
+	case errors.Is(err, resp.ErrTooLong):
 		return &BoundError{Bound: FramingBound, Cause: err}
 	}
 	return err
--- a/send/send.go
+++ b/send/send.go
@@ -208,7 +208,7 @@
 		// response because the upstream answers the requests of a connection in order.
 		p.conn.limitReads(MaxSkippedBytes, SkipBound)
 		if _, err := io.Copy(io.Discard, head.Body(p.conn.reader)); err != nil {
-			return nil, errors.Wrap(p.boundError(head.Framing, err), "send: reading a response to another request")
+			return nil, errors.Wrap(p.boundError(err), "send: reading a response to another request")
 		}
 		if head.Close {
 			return nil, errors.New("send: connection ended after a response to another request")
@@ -223,7 +223,7 @@
 	for range maxInterimResponses + 1 {
 		head, err := resp.ReadHead(p.conn.reader, method)
 		if err != nil {
-			return nil, errors.Wrap(p.boundError("", err), "send: reading response header")
+			return nil, errors.Wrap(p.boundError(err), "send: reading response header")
 		}
 		if !head.IsInterim() {
 			return head, nil
