send, direct: the bodies of all calls together are bounded

Each call bounds its own answer, at up to 8 MiB, of which a growing buffer holds twice as much, and an entry that starts has a dozen calls in progress.

What ReadAll holds beyond 64 KiB for each body is counted over all clients that share a send.Bodies, in direct those of the store and of the other entries: 18 MiB, which the longest single answer needs. A body beyond that is cut like one beyond its own bound, and the call is made again.

--- a/cmd_direct.go
+++ b/cmd_direct.go
@@ -52,6 +52,7 @@
 		s.Meter.Inc("jacinthworks_store_calls_total", meter.Labels{"call", verb, "kind", kind, "outcome", outcome})
 		s.Log.Debug("store called", "call", verb, "kind", kind, "outcome", outcome)
 	}
+	store.Bodies = &s.Bodies
 	store.OnInvalid = func(err error) { s.RecordInvalid(direct.ClientStore, d.Platform.String(), err) }
 	s.Meter.Gauge("jacinthworks_log_lines_dropped", nil, func() float64 { return float64(lines.Dropped()) })
 	err := group.Catch(ctx, s.Run)
--- a/direct/direct.go
+++ b/direct/direct.go
@@ -52,6 +52,7 @@
 	"jacinthworks/roles"
 	"jacinthworks/roster"
 	"jacinthworks/search"
+	"jacinthworks/send"
 )
 
 // Server serves callers. Set the exported fields before Run.
@@ -73,6 +74,9 @@
 	Records lease.Records
 	// Meter records the counters and histograms; if nil, Run creates one.
 	Meter *meter.Registry
+	// Bodies bounds the responses of other entries that are being read. The clients of Configs and of the other sources may
+	// share it.
+	Bodies send.Bodies
 	// Reload, if set, reads the settings again. It is called on each signal of
 	// ReloadSignals, and periodically, since settings also change without a signal.
 	Reload        func() (conf.Direct, error)
@@ -273,6 +277,7 @@
 	s.roster.Log, s.roster.MaxGap = s.Log, origin.MaxGap
 	s.roster.OnInvalid = func(id roster.ID, err error) { s.RecordInvalid(ClientUpstream, string(id), err) }
 	s.peers.fleet.OnInvalid = func(name domain.Host, err error) { s.RecordInvalid(ClientEntry, string(name), err) }
+	s.peers.fleet.Bodies = &s.Bodies
 	s.peers.fleet.Self, s.peers.fleet.MinMembers = s.Settings.Name, s.Settings.RelayMinEntries
 	s.peers.fleet.Bootstrap = s.Settings.FirstStart
 	s.peers.fleet.ID = s.Settings.FleetID()
--- a/relay/fleet.go
+++ b/relay/fleet.go
@@ -211,6 +211,8 @@
 	// OnInvalid, if set, is called for each response of a process that is malformed or exceeds a bound, from any
 	// goroutine.
 	OnInvalid func(domain.Host, error)
+	// Bodies, if set, bounds the responses of all processes together; see send.Client.
+	Bodies *send.Bodies
 
 	mu sync.Mutex // leaf lock: no other lock but those of peers is acquired while it is held
 	// isRelay is set if this process is a relay.
@@ -312,7 +314,7 @@
 
 // newPeer returns a new peer with its own client.
 func (f *Fleet) newPeer(m Member) *Peer {
-	p := &Peer{Member: m, fleet: f.ID, client: &send.Client{Addr: m.Addr, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout}}
+	p := &Peer{Member: m, fleet: f.ID, client: &send.Client{Addr: m.Addr, DialTimeout: peerDialTimeout, IdleTimeout: peerIdleTimeout, Bodies: f.Bodies}}
 	if f.OnInvalid != nil {
 		p.client.OnInvalid = func(err error) { f.OnInvalid(m.Name, err) }
 	}
--- a/send/reply.go
+++ b/send/reply.go
@@ -234,16 +234,43 @@
 	}
 }
 
-// ReadAll reads the whole body and closes the response. The error of a body of more than limit bytes
-// is a *Failure with a BoundError.
+// ReadAll reads the whole body and closes the response. The error of a body of more than limit bytes, or of
+// one that does not fit into the Bodies of the client, is a *Failure with a BoundError.
 func (p *Response) ReadAll(limit int64) ([]byte, error) {
 	defer p.Close()
-	body, err := io.ReadAll(io.LimitReader(p, limit+1))
-	if err != nil {
-		return nil, err
-	}
-	if int64(len(body)) > limit {
-		return nil, p.Exceed(BodyBound)
+	body := make([]byte, 0, firstBodyBytes)
+	reserved := int64(0)
+	defer func() { p.client.Bodies.reserve(-reserved) }()
+	for {
+		n, err := p.Read(body[len(body):cap(body)])
+		body = body[:len(body)+n]
+		switch {
+		case int64(len(body)) > limit:
+			return nil, p.Exceed(BodyBound)
+		case errors.Is(err, io.EOF) && !errors.Is(err, io.ErrUnexpectedEOF):
+			return body, nil
+		case err != nil:
+			return nil, err
+		}
+		if len(body) < cap(body) {
+			continue
+		}
+		grown := min(2*int64(cap(body)), limit+1)
+		if grown > freeBodyBytes {
+			if !p.client.Bodies.reserve(grown) {
+				return nil, p.Exceed(BodyBound)
+			}
+			reserved += grown
+		}
+		longer := make([]byte, len(body), grown)
+		copy(longer, body)
+		if former := int64(cap(body)); former > freeBodyBytes {
+			p.client.Bodies.reserve(-former)
+			reserved -= former
+		}
+		body = longer
 	}
-	return body, nil
 }
+
+// firstBodyBytes is the size of the buffer with which ReadAll begins, in bytes.
+const firstBodyBytes = 512
--- a/send/send.go
+++ b/send/send.go
@@ -73,6 +73,9 @@
 	// resp.PartOf or BoundOf tells which, from any goroutine.
 	OnInvalid func(error)
 
+	// Bodies, if set, bounds the bodies that ReadAll is reading, with those of the other clients that share it.
+	Bodies *Bodies
+
 	mu   sync.Mutex // leaf lock: no other lock is acquired while it is held
 	idle []*conn    // in order of release; the newest is reused first
 	// inProgress holds the watchdogs of the exchanges in progress.
