send: an upload that is still in the buffers of this host is not written

An upstream that half-closed at once and reset 50 ms later had its part of an answer to an upload of 3 MB passed on as whole: the kernel had taken all of the upload, so that the write had ended without an error, while the other host had acknowledged little of it.

The end of a connection counts once the other host has acknowledged the request (SIOCOUTQ), looked for every 5 ms within the time of the exchange, and an error of the connection that comes meanwhile breaks the answer. What the other host has and its process never reads can't be told from here.

--- a/send/conn.go
+++ b/send/conn.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // TCPUserTimeout is the number of the socket option TCP_USER_TIMEOUT of tcp(7), which is set in
@@ -172,28 +173,36 @@
 	if k.underTLS != nil && k.underTLS.ended.Load() {
 		return errNoTLSEnd
 	}
+	number, err := k.socketState(func(fd int) (int, error) { return syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ERROR) })
+	if err == nil && number != 0 {
+		err = errors.Wrap(syscall.Errno(number), "send: the connection broke after the end of the response")
+	}
+	return err
+}
+
+// unacknowledged returns how many bytes the other host has not acknowledged; zero if the kernel does not tell.
+func (k *conn) unacknowledged() (int, error) {
+	bytes, err := k.socketState(func(fd int) (int, error) { return unix.IoctlGetInt(fd, unix.SIOCOUTQ) })
+	if errors.Is(err, unix.ENOTTY) || errors.Is(err, unix.EINVAL) || errors.Is(err, unix.ENOSYS) {
+		return 0, nil
+	}
+	return bytes, err
+}
+
+// socketState returns what read returns for the socket of the connection; zero if it has none or carries TLS.
+func (k *conn) socketState(read func(fd int) (int, error)) (state int, err error) {
 	s, ok := k.Conn.(syscall.Conn)
 	if !ok {
-		return nil
+		return 0, nil
 	}
 	raw, err := s.SyscallConn()
-	if err != nil {
-		return errors.Wrap(err, "send: reading the state of a connection")
-	}
-	var number int
-	var optionErr error
-	if err := raw.Control(func(fd uintptr) {
-		number, optionErr = syscall.GetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_ERROR)
-	}); err != nil {
-		return errors.Wrap(err, "send: reading the state of a connection")
-	}
-	if optionErr != nil {
-		return errors.Wrap(optionErr, "send: reading the state of a connection")
-	}
-	if number != 0 {
-		return errors.Wrap(syscall.Errno(number), "send: the connection broke after the end of the response")
+	if err == nil {
+		var readErr error
+		if err = raw.Control(func(fd uintptr) { state, readErr = read(int(fd)) }); err == nil {
+			err = readErr
+		}
 	}
-	return nil
+	return state, errors.Wrap(err, "send: reading the state of a connection")
 }
 
 // statedIdleTimeout returns how long a connection may be idle and still be reused:
--- a/send/reply.go
+++ b/send/reply.go
@@ -10,6 +10,7 @@
 	"github.com/pkg/errors"
 
 	"jacinthworks/events"
+	"jacinthworks/group"
 	"jacinthworks/resp"
 )
 
@@ -130,7 +131,8 @@
 // confirmClose returns why the end of the connection is not that of a complete response.
 //
 // If the upstream resets the connection, the kernel reports the error once, to a write if one is in progress, and
-// the read after it sees an ordinary end. The end therefore holds only if the request was written too. An
+// the read after it sees an ordinary end. The end therefore holds only if the request was written too, and is not still
+// in the buffers of this host. An
 // upstream that answers early and reads the request to its end is told from one that broke off by that; one that
 // closes in order with the request unread is not, since its host resets the connection as well.
 func (p *Response) confirmClose() error {
@@ -143,23 +145,37 @@
 	return p.conn.pendingError()
 }
 
-// awaitWritten waits until the request is written.
+// awaitWritten waits until the request is written and the host of the upstream has it.
 func (p *Response) awaitWritten() error {
-	if p.writeDone == nil {
-		return nil
+	if p.writeDone != nil {
+		select {
+		case err := <-p.writeDone:
+			if err != nil {
+				return errors.Wrap(ErrUploadBroken, err.Error())
+			}
+			p.writeDone = nil
+		case <-p.ctx.Done():
+			return context.Cause(p.ctx)
+		}
 	}
-	select {
-	case err := <-p.writeDone:
-		if err != nil {
+	for {
+		if err := p.conn.pendingError(); err != nil {
 			return errors.Wrap(ErrUploadBroken, err.Error())
 		}
-		p.writeDone = nil
-		return nil
-	case <-p.ctx.Done():
-		return context.Cause(p.ctx)
+		bytes, err := p.conn.unacknowledged()
+		if err != nil || bytes == 0 {
+			return err
+		}
+		group.Sleep(p.ctx, acknowledgeInterval)
+		if p.ctx.Err() != nil {
+			return context.Cause(p.ctx)
+		}
 	}
 }
 
+// acknowledgeInterval is the time between two looks at whether a request has been acknowledged.
+const acknowledgeInterval = 5 * time.Millisecond
+
 // WithinEvent reports whether the part of an event stream that was read ends inside an event.
 func (p *Response) WithinEvent() bool { return p.boundary.WithinEvent() }
 
