direct: an attempt that is about to be sent is not ended as unsent by a stop

The look at the time left of a stop came before the attempt counted as in progress: a stop that reached the latest start in between ended the context of a request that was just sent. The attempt is in progress before the look now, which is the last one before the send. Answers of a process that drains close their connection also if their requests began before it drained.

send: the end of a connection without that of TLS has an error of its own, not that of an upload.

--- a/direct/attempt.go
+++ b/direct/attempt.go
@@ -83,10 +83,6 @@
 		s.releaseUnsent(r, a)
 		return nil, f
 	}
-	if s.isTooLate(r) {
-		s.releaseUnsent(r, a)
-		return nil, s.stopFailure()
-	}
 	if !s.acceptsNew(r.id, a.upstream) || a.slot.expired(time.Now()) {
 		s.releaseUnsent(r, a)
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoUpstream, detail: errNotAccepting.Error(), unsent: true, retryGranted: true}
@@ -95,6 +91,13 @@
 		s.releaseUnsent(r, a)
 		return nil, &failure{ran: domain.NotRun, reason: domain.ReasonNoRoom, detail: "the service has no retry left", unsent: true, final: true}
 	}
+	// The attempt is in progress before the look at the time, so that the stop does not cancel it as unsent just then.
+	r.inProgress.Store(a.info.Stage.RunsRequest())
+	if s.isTooLate(r) {
+		r.inProgress.Store(false)
+		s.releaseUnsent(r, a)
+		return nil, s.stopFailure()
+	}
 	server := a.upstream.Server()
 	a.start, a.software, a.startedAt = server.Start, server.Software, time.Now()
 	a.info.Upstream, a.info.Account, a.info.Timeout, a.info.Priority = server.ID, r.accountName(), r.timeLeft(), r.priority()
@@ -106,7 +109,6 @@
 	if a.info.Stage.RunsRequest() {
 		r.attempts.Sent()
 		r.passedOn = a.startedAt
-		r.inProgress.Store(true)
 	}
 	if !a.loadCounted {
 		if a.info.Stage.RunsRequest() {
--- a/direct/end.go
+++ b/direct/end.go
@@ -49,6 +49,7 @@
 	if status == http.StatusUnauthorized {
 		r.w.Header().Set("WWW-Authenticate", "Bearer")
 	}
+	s.closeWhileDraining(r)
 	r.w.Header().Set("Content-Type", "application/problem+json")
 	problem := refusal.Problem()
 	problem.Status = status
--- a/direct/plain.go
+++ b/direct/plain.go
@@ -267,6 +267,7 @@
 			to[name] = nil
 		}
 	}
+	s.closeWhileDraining(r)
 	r.responseBegun = true
 	r.w.WriteHeader(reply.Status)
 }
--- a/direct/request.go
+++ b/direct/request.go
@@ -134,9 +134,6 @@
 	r.deadline = r.accepted.Add(defaultTimeout)
 	defer s.releaseMemory(r)
 	defer func() { s.endPanicked(r, recover()) }()
-	if s.draining.Load() {
-		w.Header().Set("Connection", "close")
-	}
 	r.header = send.EndToEnd(h.Header)
 	r.info = s.Protocol.ParseRequest(r.header)
 	if from, err := netip.ParseAddrPort(h.RemoteAddr); err == nil {
--- a/direct/stop.go
+++ b/direct/stop.go
@@ -37,6 +37,13 @@
 	}
 }
 
+// closeWhileDraining has the caller of a request that is about to be answered close its connection, if this process drains.
+func (s *Server) closeWhileDraining(r *request) {
+	if s.draining.Load() {
+		r.w.Header().Set("Connection", "close")
+	}
+}
+
 // isTooLate reports whether the process stops before a request that is passed on now is likely to be answered.
 func (s *Server) isTooLate(r *request) bool { return s.stop.IsTooLate(r.route.Name, r.deadline) }
 
--- a/send/conn.go
+++ b/send/conn.go
@@ -170,9 +170,6 @@
 // pendingError returns the error of the connection that no read or write has reported, such as a reset that came
 // after the end of what was read.
 func (k *conn) pendingError() error {
-	if k.underTLS != nil && k.underTLS.ended.Load() {
-		return errNoTLSEnd
-	}
 	number, err := k.socketState(func(fd int) (int, error) { return syscall.GetsockoptInt(fd, syscall.SOL_SOCKET, syscall.SO_ERROR) })
 	if err == nil && number != 0 {
 		err = errors.Wrap(syscall.Errno(number), "send: the connection broke after the end of the response")
--- a/send/reply.go
+++ b/send/reply.go
@@ -131,11 +131,14 @@
 // confirmClose returns why the end of the connection is not that of a complete response.
 //
 // If the upstream resets the connection, the kernel reports the error once, to a write if one is in progress, and
-// the read after it sees an ordinary end. The end therefore holds only if the request was written too, and is not still
-// in the buffers of this host. An
-// upstream that answers early and reads the request to its end is told from one that broke off by that; one that
-// closes in order with the request unread is not, since its host resets the connection as well.
+// the read after it sees an ordinary end. The end therefore holds only if the request was written too, and is not
+// still in the buffers of this host. An upstream that answers early and reads the request to its end is told by that
+// from one that broke off; one that closes in order with the request unread is not, since its host resets the
+// connection as well.
 func (p *Response) confirmClose() error {
+	if t := p.conn.underTLS; t != nil && t.ended.Load() {
+		return errNoTLSEnd
+	}
 	if err := p.awaitWritten(); err != nil {
 		return err
 	}
