--- a/admin/answer_test.go
+++ b/admin/answer_test.go
@@ -12,21 +12,9 @@
 	"testing"
 
 	"github.com/stretchr/testify/require"
-)
 
-// rawServer answers each request on a listener with the same bytes, and closes the connection.
-func rawServer(l net.Listener, answer string) {
-	for {
-		c, err := l.Accept()
-		if err != nil {
-			return // the test is over
-		}
-		if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-			_, _ = io.WriteString(c, answer)
-		}
-		_ = c.Close()
-	}
-}
+	"jacinthworks/fakes/serve"
+)
 
 // Guards against a broken answer that the operator's commands take for the state of a host.
 func TestClientTakesBrokenAnswerForNone(t *testing.T) {
@@ -48,7 +36,7 @@
 			l, err := net.Listen("tcp", "127.0.0.1:0")
 			require.NoError(t, err)
 			defer func() { _ = l.Close() }()
-			go rawServer(l, c.answer)
+			go serve.Raw(l, c.answer)
 			client := Client{Address: l.Addr().(*net.TCPAddr).AddrPort()}
 			if _, err = client.Status(t.Context()); c.isWhole {
 				require.NoError(t, err)
--- a/engine/malformed_test.go
+++ b/engine/malformed_test.go
@@ -1,16 +1,14 @@
 package engine_test
 
 import (
-	"bufio"
-	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"testing"
 
 	"github.com/stretchr/testify/require"
 
 	"jacinthworks/engine"
+	"jacinthworks/fakes/serve"
 	"jacinthworks/infra"
 	"jacinthworks/resp"
 )
@@ -21,18 +19,7 @@
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
 	t.Cleanup(func() { _ = l.Close() })
-	go func() {
-		for {
-			c, err := l.Accept()
-			if err != nil {
-				return // the test is over
-			}
-			if _, err := http.ReadRequest(bufio.NewReader(c)); err == nil {
-				_, _ = io.WriteString(c, answer)
-			}
-			_ = c.Close()
-		}
-	}()
+	go serve.Raw(l, answer)
 	return l.Addr().(*net.TCPAddr).AddrPort()
 }
 
