--- a/imports_test.go
+++ b/imports_test.go
@@ -29,7 +29,7 @@
 			}
 		}
 	}
-	for _, path := range []string{"admit", "queue", "route", "limit", "eject", "retry", "fanout", "origin", "resume", "fence", "roles", "claim", "table", "assign", "quota", "delay", "events", "pacer", "search", "shares", "slots", "speed"} {
+	for _, path := range []string{"admit", "queue", "route", "limit", "eject", "retry", "fanout", "origin", "resume", "fence", "roles", "claim", "table", "assign", "quota", "delay", "drain", "events", "pacer", "search", "shares", "slots", "speed"} {
 		visit(path)
 	}
 	require.Contains(t, seen, "domain")
