--- a/resp/resp.go
+++ b/resp/resp.go
@@ -1,7 +1,8 @@
 // Package resp reads responses of HTTP/1.1 from a connection, and says what a response is: all clients of this module
-// read through it. It keeps to the grammar of RFC 9112 and RFC 9110. net/http, which it does not use, is more lenient:
-// it takes a status of 000 for an interim response, reads the answer inside its body, and drops a field whose name holds
-// a space, which may be the one that says where the body ends.
+// read through it. It keeps to the grammar of RFC 9112 and RFC 9110. The reader of
+// net/http is more lenient: it accepts a status of 000, which a client takes for an interim response to read the answer inside
+// its body, and it keeps a field whose name holds a space, which may be the one that says where the body ends, under a name
+// that nobody asks for.
 //
 // # Usage
 //
